--- a/adapters/committer/committer.go
+++ b/adapters/committer/committer.go
@@ -45,6 +45,15 @@
 	SnapshotEntries uint64            // entries between two snapshots
 	SnapshotBytes   uint64            // bytes of entries between two snapshots
 	FS              storer.FS         // the disk when nil
+	// Open makes a group whose instances find each other and replace lost ones; nil means that Peers are the group.
+	Open *OpenGroup
+}
+
+// OpenGroup describes this instance of a group that no settings file lists.
+type OpenGroup struct {
+	Address string // host:port of this instance
+	// MinVoters is the number of voters that the tolerated losses need.
+	MinVoters int
 }
 
 const (
@@ -71,6 +80,12 @@
 
 	pieceBytes  = 256 << 10
 	eventsQueue = 4096
+
+	// An instance of an open group shares a fraction of a core with traffic, so that a pause of some hundred
+	// milliseconds is usual there and must not cost the leadership.
+	openElectionMin = 600 * time.Millisecond
+	openElectionMax = 1200 * time.Millisecond
+	openHeartbeat   = 120 * time.Millisecond
 )
 
 // Committer drives one replica.
@@ -83,6 +98,7 @@
 	seq     atomic.Uint64
 	events  chan event
 	stopped chan struct{}
+	failing chan struct{} // closed when the disk has failed
 
 	confirmed atomic.Pointer[confirmation]
 	status    atomic.Pointer[Status]
@@ -126,6 +142,7 @@
 type event struct {
 	received *courier.Received
 	waiter   *waiter
+	found    bool
 	bytes    int
 }
 
@@ -160,6 +177,9 @@
 	if cfg.SnapshotBytes == 0 {
 		cfg.SnapshotBytes = defaultSnapshotBytes
 	}
+	if cfg.Open != nil {
+		cfg.Peers = map[string]string{cfg.Name: cfg.Open.Address}
+	}
 	if _, ok := cfg.Peers[cfg.Name]; !ok {
 		return nil, fmt.Errorf("peers do not contain %q", cfg.Name)
 	}
@@ -168,7 +188,7 @@
 		return nil, err
 	}
 	c = &Committer{cfg: cfg, sm: sm, store: store, origin: random64(), events: make(chan event, eventsQueue),
-		stopped: make(chan struct{}), waiters: map[replicator.Tag]*waiter{}, foreign: map[replicator.Tag]string{},
+		stopped: make(chan struct{}), failing: make(chan struct{}), waiters: map[replicator.Tag]*waiter{}, foreign: map[replicator.Tag]string{},
 		reads: map[uint64]time.Time{}, peers: map[string]heardPeer{}}
 	c.courier = courier.New(cfg.Name, cfg.Messenger, c.receive)
 	c.metrics = newMetrics(cfg.Observer.Registry)
@@ -214,8 +234,12 @@
 		}
 	}
 	c.cluster = f.Cluster
-	c.replica = replicator.New(time.Now(), replicator.Config{ID: c.store.ID(), Initial: stored,
-		InitialCommitted: c.applied, Random: rand.NewPCG(random64(), random64())})
+	cfg := replicator.Config{ID: c.store.ID(), Initial: stored, InitialCommitted: c.applied,
+		Random: rand.NewPCG(random64(), random64())}
+	if c.cfg.Open != nil {
+		cfg.ElectionMin, cfg.ElectionMax, cfg.Heartbeat = openElectionMin, openElectionMax, openHeartbeat
+	}
+	c.replica = replicator.New(time.Now(), cfg)
 	c.connectMembers()
 	return nil
 }
@@ -320,6 +344,10 @@
 	if ev.waiter != nil {
 		return c.submit(ev.waiter)
 	}
+	if ev.found {
+		c.found()
+		return nil
+	}
 	r := ev.received
 	switch {
 	case r.Announce != nil:
@@ -517,6 +545,7 @@
 // stop ends the part of this replica in the group; it does not vote or acknowledge any more.
 func (c *Committer) stop(err error) {
 	c.failed = err
+	close(c.failing)
 	c.cfg.Observer.Event("control replica stopped", "err", err)
 	c.failWaiters(&StoppedError{Cause: err})
 	c.confirmed.Store(nil)
@@ -585,6 +614,9 @@
 	return p.index, p.at, true
 }
 
+// Failing is closed when the disk has failed; the replica takes no part in the group any more.
+func (c *Committer) Failing() <-chan struct{} { return c.failing }
+
 // Broadcast sends soft state to all other instances; it may be lost.
 func (c *Committer) Broadcast(soft []byte) { c.courier.Broadcast(soft) }
 
--- a/adapters/committer/members.go
+++ b/adapters/committer/members.go
@@ -10,6 +10,7 @@
 
 	"cactusroute.dev/adapters/courier"
 	"cactusroute.dev/adapters/storer"
+	"cactusroute.dev/core/recruiter"
 	"cactusroute.dev/core/replicator"
 )
 
@@ -92,7 +93,7 @@
 // form makes the group when every peer has an empty folder and the same list of peers, at the lowest name only.
 func (c *Committer) form(now time.Time) {
 	names := c.peerNames()
-	if names[0] != c.cfg.Name || c.failed != nil {
+	if c.cfg.Open != nil || names[0] != c.cfg.Name || c.failed != nil {
 		return
 	}
 	f := storer.Formation{}
@@ -120,6 +121,12 @@
 	}
 	c.replaceAt = now.Add(replaceInterval)
 	st := c.replica.Status()
+	if c.cfg.Open != nil {
+		if ch, ok := recruiter.Next(c.recruiting(st, now)); ok {
+			return []replicator.Input{ch}
+		}
+		return nil
+	}
 	for _, p := range c.peers {
 		if now.Sub(p.at) > announcedWithin {
 			continue
@@ -131,6 +138,41 @@
 	return nil
 }
 
+// recruiting returns what the leader of an open group knows of its instances.
+func (c *Committer) recruiting(st replicator.Status, now time.Time) recruiter.Input {
+	in := recruiter.Input{Now: now, Self: c.store.ID(), Members: st.Members, Heard: map[string]time.Time{},
+		IsCaughtUp: c.replica.IsCaughtUp, MinVoters: c.cfg.Open.MinVoters}
+	for _, p := range st.Peers {
+		in.Heard[p.ID] = p.Heard
+	}
+	for _, p := range c.peers {
+		if now.Sub(p.at) <= announcedWithin && p.Formation != nil && p.Formation.Cluster == c.cluster {
+			in.Candidates = append(in.Candidates, recruiter.Candidate{ID: p.ID, Name: p.Name, Address: p.Address})
+		}
+	}
+	return in
+}
+
+// Meet connects to an instance that was found by other means than the settings.
+func (c *Committer) Meet(name, address string) { c.connect(name, address) }
+
+// Found makes a group of this instance alone, which others join, unless it belongs to one. At most one instance of a
+// fleet may be told so, once.
+func (c *Committer) Found() {
+	select {
+	case c.events <- event{found: true}:
+	case <-c.stopped:
+	}
+}
+
+func (c *Committer) found() {
+	if c.replica != nil || c.failed != nil || c.cfg.Open == nil {
+		return
+	}
+	c.join(storer.Formation{Cluster: crand.Text(), Members: []replicator.Member{
+		{ID: c.store.ID(), Name: c.cfg.Name, Address: c.cfg.Open.Address, Voter: true}}})
+}
+
 func (c *Committer) replacement(st replicator.Status, a courier.Announce, now time.Time) (replicator.Change, bool) {
 	own, former := findMember(st.Members, func(m replicator.Member) bool { return m.ID == a.ID }),
 		findMember(st.Members, func(m replicator.Member) bool { return m.Name == a.Name && m.ID != a.ID })
--- /dev/null
+++ b/adapters/exchanger/client.go
@@ -0,0 +1,142 @@
+package exchanger
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"cactusroute.dev/adapters/messenger"
+	"cactusroute.dev/core/archivist"
+	"cactusroute.dev/core/registrar"
+)
+
+// Receiver takes what a control instance sends; its methods are called by one goroutine of the subscription.
+type Receiver interface {
+	// State returns the index of the state and the version of the plan that are held already.
+	Held() (index, version uint64)
+	// StateReceived takes a newer state; plan is nil when the held version is in force.
+	StateReceived(index uint64, plan *archivist.Document, takenOut []string)
+	EndpointsReceived(list []registrar.Endpoint, whole bool)
+	SuspectsReceived([]Suspect)
+	BeatReceived(Beat)
+}
+
+// Subscription is one connection to a control instance.
+type Subscription struct {
+	conn *messenger.Conn
+}
+
+// errNotQuorate ends a subscription to an instance that the control group doesn't confirm.
+var errNotQuorate = errors.New("the control instance is not confirmed by a majority")
+
+// Subscribe connects to a control instance and tells it the endpoints that are known here, because an instance that
+// has just started knows none.
+func Subscribe(ctx context.Context, hub, self Contact, opts messenger.Options, r Receiver,
+	known []registrar.Endpoint) (*Subscription, error) {
+	opts.MaxBytes = maxMessageBytes
+	opts.WriteTimeout = silenceLimit
+	dialCtx, cancel := context.WithTimeout(ctx, dialLimit)
+	defer cancel()
+	conn, err := messenger.Dial(dialCtx, hub.Address, Path, opts)
+	if err != nil {
+		return nil, err
+	}
+	h := hello{Contact: self}
+	h.Index, h.Version = r.Held()
+	err = conn.Send(ctx, kindHello, 0, h)
+	if err == nil && len(known) > 0 {
+		m := endpointsMessage{Records: encodeEndpoints(time.Now(), known)}
+		err = conn.Send(ctx, kindEndpoints, 0, m)
+	}
+	if err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	return &Subscription{conn: conn}, nil
+}
+
+// Report sends suspects to the control instance.
+func (s *Subscription) Report(ctx context.Context, list []Suspect) error {
+	return s.conn.Send(ctx, kindSuspects, 0, list)
+}
+
+// Close ends the subscription.
+func (s *Subscription) Close() { _ = s.conn.Close() }
+
+// Receive hands messages to r until the connection ends or is silent, or, if needQuorum, until the instance has lost
+// its majority for the length of the silence limit.
+func (s *Subscription) Receive(ctx context.Context, r Receiver, needQuorum bool) error {
+	defer s.Close()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go s.ping(ctx)
+	quorateAt := time.Now()
+	var e messenger.Envelope
+	for {
+		if err := s.receiveWithin(ctx, &e); err != nil {
+			return err
+		}
+		if err := dispatch(&e, r, &quorateAt); err != nil {
+			return err
+		}
+		if needQuorum && time.Since(quorateAt) > silenceLimit {
+			return errNotQuorate
+		}
+	}
+}
+
+func (s *Subscription) receiveWithin(ctx context.Context, e *messenger.Envelope) error {
+	ctx, cancel := context.WithTimeout(ctx, silenceLimit)
+	defer cancel()
+	return s.conn.ReceiveInto(ctx, e)
+}
+
+// ping lets the instance notice that this subscriber is gone.
+func (s *Subscription) ping(ctx context.Context) {
+	t := time.NewTicker(2 * beatInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			if s.conn.Send(ctx, kindPing, 0, nil) != nil {
+				s.Close()
+				return
+			}
+		}
+	}
+}
+
+func dispatch(e *messenger.Envelope, r Receiver, quorateAt *time.Time) error {
+	switch e.Kind {
+	case kindState:
+		var m stateMessage
+		if err := e.Decode(&m); err != nil {
+			return err
+		}
+		r.StateReceived(m.Index, m.Plan, m.TakenOut)
+	case kindEndpoints:
+		var m endpointsMessage
+		if err := e.Decode(&m); err != nil {
+			return err
+		}
+		r.EndpointsReceived(decodeEndpoints(time.Now(), m.Records), m.Whole)
+	case kindSuspects:
+		var list []Suspect
+		if err := e.Decode(&list); err != nil {
+			return err
+		}
+		r.SuspectsReceived(list)
+	case kindBeat:
+		var b Beat
+		if err := e.Decode(&b); err != nil {
+			return err
+		}
+		if b.Quorate {
+			*quorateAt = time.Now()
+		}
+		r.BeatReceived(b)
+	}
+	return nil
+}
--- /dev/null
+++ b/adapters/exchanger/server.go
@@ -0,0 +1,227 @@
+package exchanger
+
+import (
+	"context"
+	"maps"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"cactusroute.dev/adapters/messenger"
+	"cactusroute.dev/core/archivist"
+	"cactusroute.dev/core/registrar"
+)
+
+// Source is what a control instance hands to its subscribers; its methods may be called by any goroutine.
+type Source interface {
+	State() archivist.State
+	Endpoints() []registrar.Endpoint
+	Beat() Beat
+	// Attached and Detached tell of subscribers.
+	Attached(Contact)
+	Detached(Contact)
+	// EndpointsReceived takes the endpoints that a subscriber knows.
+	EndpointsReceived([]registrar.Endpoint)
+	// Suspects takes what a subscriber reports.
+	Suspects([]Suspect)
+	// AllSuspects returns what new subscribers must know.
+	AllSuspects() []Suspect
+}
+
+// Server hands the state of a control instance to subscribers.
+type Server struct {
+	opts   messenger.Options
+	source Source
+
+	mu          sync.Mutex
+	subscribers map[*subscriber]bool
+}
+
+type subscriber struct {
+	conn    *messenger.Conn
+	contact Contact
+	wake    chan struct{} // with room for one
+
+	mu       sync.Mutex
+	pending  map[string]registrar.Endpoint // the newest record of each
+	suspects []Suspect
+	index    uint64
+	version  uint64
+}
+
+// NewServer returns a server without subscribers.
+func NewServer(opts messenger.Options, source Source) *Server {
+	opts.MaxBytes = maxMessageBytes
+	opts.WriteTimeout = silenceLimit
+	return &Server{opts: opts, source: source, subscribers: map[*subscriber]bool{}}
+}
+
+// ServeHTTP serves one subscriber until its connection ends.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	conn, err := messenger.Accept(w, r, s.opts)
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	e, err := receiveWithin(ctx, conn, silenceLimit)
+	if err != nil || e.Kind != kindHello {
+		return
+	}
+	var h hello
+	if e.Decode(&h) != nil {
+		return
+	}
+	sub := &subscriber{conn: conn, contact: h.Contact, wake: make(chan struct{}, 1), index: h.Index, version: h.Version,
+		pending: map[string]registrar.Endpoint{}}
+	s.mu.Lock()
+	s.subscribers[sub] = true
+	s.mu.Unlock()
+	s.source.Attached(h.Contact)
+	defer func() {
+		s.mu.Lock()
+		delete(s.subscribers, sub)
+		s.mu.Unlock()
+		s.source.Detached(h.Contact)
+	}()
+	go func() {
+		defer cancel()
+		s.receive(ctx, sub)
+	}()
+	_ = s.feed(ctx, sub)
+}
+
+// receive takes what the subscriber reports; it ends when the subscriber is silent.
+func (s *Server) receive(ctx context.Context, sub *subscriber) {
+	for {
+		e, err := receiveWithin(ctx, sub.conn, 2*silenceLimit)
+		if err != nil {
+			return
+		}
+		switch e.Kind {
+		case kindSuspects:
+			var list []Suspect
+			if e.Decode(&list) != nil {
+				return
+			}
+			s.source.Suspects(list)
+		case kindEndpoints:
+			var m endpointsMessage
+			if e.Decode(&m) != nil {
+				return
+			}
+			s.source.EndpointsReceived(decodeEndpoints(time.Now(), m.Records))
+		}
+	}
+}
+
+// feed sends the whole state, then what changes; a slow subscriber gets the newest state only.
+func (s *Server) feed(ctx context.Context, sub *subscriber) error {
+	all := endpointsMessage{Whole: true, Records: encodeEndpoints(time.Now(), s.source.Endpoints())}
+	if err := sub.conn.Send(ctx, kindEndpoints, 0, all); err != nil {
+		return err
+	}
+	sub.addSuspects(s.source.AllSuspects())
+	beat := time.NewTicker(beatInterval)
+	defer beat.Stop()
+	if err := s.flush(ctx, sub); err != nil {
+		return err
+	}
+	if err := sub.conn.Send(ctx, kindBeat, 0, s.source.Beat()); err != nil {
+		return err
+	}
+	for {
+		var err error
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-sub.wake:
+			err = s.flush(ctx, sub)
+		case <-beat.C:
+			err = sub.conn.Send(ctx, kindBeat, 0, s.source.Beat())
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+func (s *Server) flush(ctx context.Context, sub *subscriber) error {
+	sub.mu.Lock()
+	changed := slices.Collect(maps.Values(sub.pending))
+	clear(sub.pending)
+	suspects := sub.suspects
+	sub.suspects = nil
+	sub.mu.Unlock()
+	if len(changed) > 0 {
+		m := endpointsMessage{Records: encodeEndpoints(time.Now(), changed)}
+		if err := sub.conn.Send(ctx, kindEndpoints, 0, m); err != nil {
+			return err
+		}
+	}
+	if len(suspects) > 0 {
+		if err := sub.conn.Send(ctx, kindSuspects, 0, suspects); err != nil {
+			return err
+		}
+	}
+	st := s.source.State()
+	if st.Index <= sub.index {
+		return nil
+	}
+	m := stateMessage{Index: st.Index, Version: st.Plan.Version, TakenOut: slices.Sorted(maps.Keys(st.TakenOut))}
+	if st.Plan.Version != sub.version {
+		m.Plan = &st.Plan
+	}
+	if err := sub.conn.Send(ctx, kindState, 0, m); err != nil {
+		return err
+	}
+	sub.index, sub.version = st.Index, st.Plan.Version
+	return nil
+}
+
+// StateChanged sends the new state to all subscribers.
+func (s *Server) StateChanged() {
+	s.each(func(*subscriber) {})
+}
+
+// EndpointsChanged sends records to all subscribers.
+func (s *Server) EndpointsChanged(changed []registrar.Endpoint) {
+	s.each(func(sub *subscriber) {
+		sub.mu.Lock()
+		defer sub.mu.Unlock()
+		for _, e := range changed {
+			sub.pending[e.ID] = e
+		}
+	})
+}
+
+// SuspectsChanged sends new suspects to all subscribers.
+func (s *Server) SuspectsChanged(list []Suspect) {
+	s.each(func(sub *subscriber) { sub.addSuspects(list) })
+}
+
+func (sub *subscriber) addSuspects(list []Suspect) {
+	sub.mu.Lock()
+	defer sub.mu.Unlock()
+	sub.suspects = append(sub.suspects, list...)
+}
+
+func (s *Server) each(update func(*subscriber)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for sub := range s.subscribers {
+		update(sub)
+		select {
+		case sub.wake <- struct{}{}:
+		default:
+		}
+	}
+}
+
+func receiveWithin(ctx context.Context, conn *messenger.Conn, limit time.Duration) (messenger.Envelope, error) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	return conn.Receive(ctx)
+}
--- /dev/null
+++ b/adapters/exchanger/wire.go
@@ -0,0 +1,124 @@
+package exchanger
+
+import (
+	"time"
+
+	"cactusroute.dev/core/archivist"
+	"cactusroute.dev/core/registrar"
+)
+
+const (
+	// Path is where Server is mounted.
+	Path = "/exchange/v1"
+
+	// MeetPath is where a Meeting is mounted.
+	MeetPath = "/meet/v1"
+
+	// beatInterval keeps a subscriber within silenceLimit after one lost beat and one late one.
+	beatInterval = 300 * time.Millisecond
+
+	// silenceLimit is well below the 3 s after which a process counts as connected again, so that a subscriber of an
+	// instance that went silent has moved to another one before.
+	silenceLimit = time.Second
+
+	// dialLimit bounds the attempt to reach a control instance, so that two of them fit into the same 3 s.
+	dialLimit = 500 * time.Millisecond
+
+	// maxMessageBytes holds a plan of the largest accepted size with its framing.
+	maxMessageBytes = 8 << 20
+)
+
+// The kinds of envelopes.
+const (
+	kindHello uint8 = iota + 1
+	kindPing
+	kindState
+	kindEndpoints
+	kindBeat
+	kindSuspects
+)
+
+// Contact tells who a process is and where it is reached.
+type Contact struct {
+	Name    string `cbor:"1,keyasint"`
+	Address string `cbor:"2,keyasint"` // host:port of the exchange
+	Control string `cbor:"3,keyasint"` // host:port of the control interface
+	Domain  string `cbor:"4,keyasint"`
+	// Eligible instances have a disk and may vote.
+	Eligible bool `cbor:"5,keyasint,omitempty"`
+}
+
+// Beat is the periodic message of a control instance.
+type Beat struct {
+	// Quorate is whether a majority of the control group confirmed this instance lately.
+	Quorate bool      `cbor:"1,keyasint"`
+	Routers int       `cbor:"2,keyasint"` // processes that route requests, as far as known
+	Hubs    []Contact `cbor:"3,keyasint"` // control instances that are quorate
+	// Attached is the number of subscribers of this instance that are no control instances.
+	Attached int `cbor:"4,keyasint"`
+}
+
+// Suspect is a request that ran at an endpoint when that one broke off.
+type Suspect struct {
+	Fingerprint uint64 `cbor:"1,keyasint"`
+	Endpoint    string `cbor:"2,keyasint"` // with its start, so that a restarted one counts anew
+}
+
+type hello struct {
+	Contact Contact `cbor:"1,keyasint"`
+	Version uint64  `cbor:"2,keyasint"` // of the plan that the subscriber holds
+	Index   uint64  `cbor:"3,keyasint"` // of the state that the subscriber holds
+}
+
+// stateMessage leaves the plan out when the subscriber holds its version.
+type stateMessage struct {
+	Index    uint64              `cbor:"1,keyasint"`
+	Plan     *archivist.Document `cbor:"2,keyasint,omitempty"`
+	TakenOut []string            `cbor:"3,keyasint,omitempty"`
+	Version  uint64              `cbor:"4,keyasint"`
+}
+
+type endpointsMessage struct {
+	// Whole messages list all endpoints.
+	Whole   bool     `cbor:"1,keyasint,omitempty"`
+	Records []record `cbor:"2,keyasint"`
+}
+
+// record is an endpoint with its remaining cold time, because clocks of processes are not compared.
+type record struct {
+	ID         string          `cbor:"1,keyasint"`
+	Service    string          `cbor:"2,keyasint"`
+	Address    string          `cbor:"3,keyasint"`
+	Domain     string          `cbor:"4,keyasint,omitempty"`
+	Slots      int             `cbor:"5,keyasint,omitempty"`
+	State      registrar.State `cbor:"6,keyasint"`
+	Born       int64           `cbor:"7,keyasint,omitempty"`
+	Sequence   uint64          `cbor:"8,keyasint"`
+	ColdMillis int64           `cbor:"9,keyasint,omitempty"`
+}
+
+func encodeEndpoints(now time.Time, list []registrar.Endpoint) []record {
+	records := make([]record, 0, len(list))
+	for _, e := range list {
+		r := record{ID: e.ID, Service: e.Service, Address: e.Address, Domain: e.Domain, Slots: e.Slots, State: e.State,
+			Born: e.Born, Sequence: e.Sequence}
+		if e.ColdUntil.After(now) {
+			r.ColdMillis = e.ColdUntil.Sub(now).Milliseconds()
+		}
+		records = append(records, r)
+	}
+	return records
+}
+
+func decodeEndpoints(now time.Time, records []record) []registrar.Endpoint {
+	list := make([]registrar.Endpoint, 0, len(records))
+	for _, r := range records {
+		e := registrar.Endpoint{ID: r.ID, Service: r.Service, Address: r.Address, Domain: r.Domain, Slots: r.Slots,
+			State: r.State, Born: r.Born, Sequence: r.Sequence}
+		if r.ColdMillis > 0 {
+			e.ColdUntil = now.Add(time.Duration(r.ColdMillis) * time.Millisecond)
+		}
+		list = append(list, e)
+	}
+	return list
+}
--- /dev/null
+++ b/adapters/forwarder/exchange.go
@@ -0,0 +1,237 @@
+package forwarder
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+const (
+	// inlineBytes is written without a goroutine of its own: it fits the window of a new connection, so that the
+	// write doesn't wait for an endpoint that answers before it has read everything.
+	inlineBytes = 4 << 10
+
+	// maxStrays is how many answers to other requests are skipped on one connection.
+	maxStrays = 2
+
+	// maxStrayBytes bounds the body of an answer that is skipped.
+	maxStrayBytes = 1 << 20
+)
+
+// Request is one request to an endpoint.
+type Request struct {
+	Address  string
+	Method   string
+	Target   string // path and query as the caller sent them
+	Host     string
+	Header   http.Header
+	Body     []byte
+	Deadline time.Time
+	// Fresh avoids connections that were idle for a while; for requests that can't be repeated.
+	Fresh bool
+	// IDHeader is the header that the endpoint returns with ID; an answer with another value belongs to another
+	// request.
+	IDHeader string
+	ID       string
+}
+
+// Answer is the answer of an endpoint; its body must be read to the end or closed.
+type Answer struct {
+	Status int
+	Header http.Header
+	// Length is the length of the body, -1 when it isn't known.
+	Length int64
+	Body   io.ReadCloser
+	Reused bool // the connection was idle before
+}
+
+// Send sends a request and returns the head of its answer, or an *Error. The connection ends with ctx.
+func (p *Pool) Send(ctx context.Context, r *Request) (*Answer, error) {
+	dialCtx, cancel := context.WithDeadline(ctx, r.Deadline)
+	c, err := p.get(dialCtx, r.Address, r.Fresh)
+	cancel()
+	if err != nil {
+		return nil, &Error{Ran: NotSent, Cause: err}
+	}
+	x := &exchange{pool: p, conn: c, written: make(chan struct{})}
+	_ = c.SetDeadline(r.Deadline)
+	x.release = context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
+	a, err := x.run(r)
+	if err != nil {
+		x.abort()
+		if ctx.Err() != nil {
+			err = ctx.Err()
+		}
+		return nil, &Error{Ran: x.ran, Cause: err}
+	}
+	a.Reused = c.reused
+	return a, nil
+}
+
+// exchange is one request on a connection.
+type exchange struct {
+	pool    *Pool
+	conn    *conn
+	release func() bool
+	written chan struct{} // closed when the write has ended
+	failed  error         // of the write, valid once written is closed
+	ran     Ran
+	keep    time.Duration
+	body    io.ReadCloser
+	atEnd   bool
+	closed  bool
+}
+
+func (x *exchange) run(r *Request) (*Answer, error) {
+	head := encodeHead(r)
+	if len(head)+len(r.Body) <= inlineBytes {
+		n, err := x.conn.Write(append(head, r.Body...))
+		close(x.written)
+		if n > 0 {
+			x.ran = Unknown
+		}
+		if err != nil {
+			return nil, err
+		}
+	} else {
+		x.ran = Unknown
+		go x.write(head, r.Body)
+	}
+	return x.readAnswer(r)
+}
+
+func (x *exchange) write(head, body []byte) {
+	defer close(x.written)
+	if _, x.failed = x.conn.Write(head); x.failed == nil {
+		_, x.failed = x.conn.Write(body)
+	}
+}
+
+func encodeHead(r *Request) []byte {
+	var b bytes.Buffer
+	b.Grow(1 << 10)
+	b.WriteString(r.Method)
+	b.WriteByte(' ')
+	b.WriteString(r.Target)
+	b.WriteString(" HTTP/1.1\r\nHost: ")
+	b.WriteString(r.Host)
+	b.WriteString("\r\n")
+	for name, values := range r.Header {
+		for _, v := range values {
+			b.WriteString(name)
+			b.WriteString(": ")
+			b.WriteString(v)
+			b.WriteString("\r\n")
+		}
+	}
+	if len(r.Body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
+		b.WriteString("Content-Length: ")
+		b.WriteString(strconv.Itoa(len(r.Body)))
+		b.WriteString("\r\n")
+	}
+	b.WriteString("\r\n")
+	return b.Bytes()
+}
+
+// readAnswer skips answers to earlier requests, which an endpoint may send late.
+func (x *exchange) readAnswer(r *Request) (*Answer, error) {
+	for range maxStrays + 1 {
+		resp, err := readResponse(x.conn.br, r.Method)
+		if err != nil {
+			return nil, err
+		}
+		if id, ok := resp.Header[r.IDHeader]; ok && len(id) > 0 && id[0] == r.ID ||
+			!ok && resp.StatusCode >= http.StatusBadRequest {
+			return x.accept(resp), nil
+		}
+		if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+			return nil, errors.New("an answer to another request ends with the connection")
+		}
+		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxStrayBytes)); err != nil {
+			return nil, err
+		}
+	}
+	return nil, errors.New("only answers to other requests arrived")
+}
+
+func readResponse(br *bufio.Reader, method string) (*http.Response, error) {
+	for {
+		resp, err := http.ReadResponse(br, &http.Request{Method: method})
+		if err != nil {
+			return nil, err
+		}
+		if resp.StatusCode < http.StatusContinue || resp.StatusCode == http.StatusSwitchingProtocols {
+			return nil, fmt.Errorf("status %d is no answer", resp.StatusCode)
+		}
+		if resp.StatusCode >= http.StatusOK {
+			return resp, nil
+		}
+	}
+}
+
+func (x *exchange) accept(resp *http.Response) *Answer {
+	x.body = resp.Body
+	unframed := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+	if !resp.Close && !unframed && resp.ProtoAtLeast(1, 1) {
+		x.keep = keepFor(resp.Header.Get("Keep-Alive"))
+	}
+	return &Answer{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Body: x}
+}
+
+// keepFor returns how long a connection may be idle, from the endpoint's Keep-Alive header in whole seconds.
+func keepFor(header string) time.Duration {
+	for part := range strings.SplitSeq(header, ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		if !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		if n, err := strconv.Atoi(value); err == nil {
+			return min(time.Duration(n)*time.Second-idleMargin, 10*idleLimit)
+		}
+	}
+	return idleLimit
+}
+
+// Read reads the body; an error other than io.EOF means that the answer is incomplete.
+func (x *exchange) Read(p []byte) (int, error) {
+	n, err := x.body.Read(p)
+	if errors.Is(err, io.EOF) {
+		x.atEnd = true
+	}
+	return n, err
+}
+
+// Close keeps the connection if the answer was read whole and the connection is in step, and ends it otherwise.
+func (x *exchange) Close() error {
+	if x.closed {
+		return nil
+	}
+	x.closed = true
+	inTime := x.release()
+	select {
+	case <-x.written:
+	default:
+		// The rest of the body is due on this connection, so nothing else may be sent there.
+		inTime = false
+	}
+	if !inTime || !x.atEnd || x.keep <= 0 || x.failed != nil || x.conn.br.Buffered() > 0 {
+		x.pool.close(x.conn)
+		return nil
+	}
+	_ = x.conn.SetDeadline(time.Time{})
+	x.pool.put(x.conn, x.keep)
+	return nil
+}
+
+func (x *exchange) abort() {
+	x.closed = true
+	x.release()
+	x.pool.close(x.conn)
+}
--- /dev/null
+++ b/core/chooser/chooser.go
@@ -0,0 +1,376 @@
+package chooser
+
+import (
+	"math"
+	"time"
+
+	"cactusroute.dev/core/placer"
+	"cactusroute.dev/core/planner"
+	"cactusroute.dev/core/registrar"
+)
+
+const (
+	// firstAvoid and longestAvoid bound how long an endpoint is avoided that couldn't be reached; the time doubles with
+	// each failure. A restarted endpoint registers within a heartbeat, which ends the avoidance.
+	firstAvoid   = 250 * time.Millisecond
+	longestAvoid = 4 * time.Second
+
+	// failureWeight is the weight of the last answer in the failure rate of an endpoint: ten answers show a change.
+	failureWeight = 0.15
+
+	// greyAt is the failure rate above which an endpoint gets only a probe now and then. Services that fail a seventh
+	// of their requests by nature stay well below it.
+	greyAt = 0.45
+
+	// greyProbe is the pause between two requests to an endpoint that fails most of them.
+	greyProbe = 400 * time.Millisecond
+
+	// reportFresh is how long a reported load counts.
+	reportFresh = 1500 * time.Millisecond
+
+	// boundPart is the part of the load bound that one router fills, because it sees the loads late.
+	boundPart = 0.75
+
+	// coldPart is the part of the allowed rate to a cold endpoint that the routers share out.
+	coldPart = 0.9
+
+	// coldWindow is the window in which requests to a cold endpoint are counted.
+	coldWindow = time.Second
+)
+
+// Limits are the bounds that hold over all routers together.
+type Limits struct {
+	ColdOver  float64 // multiple of the stated rate to a cold endpoint that is allowed
+	ColdSlack float64 // requests above it in one second
+	LoadOver  float64 // multiple of the mean load of a service at one endpoint
+	LoadSlack float64 // requests above it
+}
+
+// Part is one piece of a prompt, in order; only the last one belongs to the request or its session.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
+// Query describes what an endpoint is wanted for.
+type Query struct {
+	Service *planner.Service
+	Parts   []Part
+	Tried   []string // endpoints that must not be chosen again
+}
+
+// Reason says why no endpoint was chosen.
+type Reason string
+
+// The reasons for no choice.
+const (
+	NoEndpoint Reason = "the service has no endpoint in service"
+	AllTried   Reason = "every endpoint was tried"
+	AllCold    Reason = "the rate to cold endpoints is used up"
+	AllFull    Reason = "every endpoint has as many requests as its connections allow"
+)
+
+// Choice is the endpoint of an attempt; it must be returned with Done.
+type Choice struct {
+	Endpoint registrar.Endpoint
+	Load     int           // requests there as known
+	Age      time.Duration // of the reported load, negative when there is none
+	Rank     int           // position in the order of the prompt's key
+}
+
+// endpoint is what this router knows of one endpoint.
+type endpoint struct {
+	registrar.Endpoint
+	inFlight   int
+	reported   int // requests running and waiting there
+	reportedAt time.Time
+	sent       int // own requests since the report that aren't in it
+	failures   int // in a row
+	avoidTill  time.Time
+	failRate   float64
+	probeAt    time.Time // next probe of one that fails most requests
+	coldSent   []time.Time
+}
+
+type pool struct {
+	ranks *placer.Subset // all endpoints of the service
+	all   []*endpoint // in the order of ranks
+}
+
+// Chooser holds the endpoints as this router sees them; it is not safe for concurrent use.
+type Chooser struct {
+	limits  Limits
+	self    string // name of this router
+	domain  string // failure domain of this router
+	routers int
+	byID    map[string]*endpoint
+	pools   map[string]*pool
+	walk    placer.Walk
+}
+
+// New returns a chooser without endpoints for the router of a name in a failure domain.
+func New(limits Limits, self, domain string) *Chooser {
+	return &Chooser{limits: limits, self: self, domain: domain, routers: 1, byID: map[string]*endpoint{},
+		pools: map[string]*pool{}}
+}
+
+// Update replaces the endpoints by those that may get requests; what is known of a start of an endpoint is kept.
+func (c *Chooser) Update(list []registrar.Endpoint, routers int) {
+	c.routers = max(1, routers)
+	old := c.byID
+	c.byID = make(map[string]*endpoint, len(list))
+	members := map[string][]placer.Endpoint{}
+	for _, e := range list {
+		known := old[e.ID]
+		if known == nil || known.Born != e.Born || known.Address != e.Address {
+			known = &endpoint{}
+		}
+		known.Endpoint = e
+		c.byID[e.ID] = known
+		members[e.Service] = append(members[e.Service], placer.Endpoint{Name: e.ID})
+	}
+	c.pools = make(map[string]*pool, len(members))
+	for service, names := range members {
+		ranks := placer.NewPool(names)
+		p := &pool{ranks: ranks.All()}
+		for i := range ranks.Len() {
+			p.all = append(p.all, c.byID[ranks.Name(i)])
+		}
+		c.pools[service] = p
+	}
+}
+
+// load is the number of requests at the endpoint as far as known.
+func (e *endpoint) load(now time.Time) int {
+	if e.reportedAt.IsZero() || now.Sub(e.reportedAt) > reportFresh {
+		return e.inFlight
+	}
+	return max(e.inFlight, e.reported+e.sent)
+}
+
+// isAvoided reports whether other endpoints go first.
+func (e *endpoint) isAvoided(now time.Time) bool {
+	return now.Before(e.avoidTill) || e.failRate > greyAt && now.Before(e.probeAt)
+}
+
+// Choose picks an endpoint and counts the request there.
+func (c *Chooser) Choose(now time.Time, q Query) (Choice, Reason) {
+	p := c.pools[q.Service.Name]
+	if p == nil || len(p.all) == 0 {
+		return Choice{}, NoEndpoint
+	}
+	if q.Service.Engine && len(q.Parts) > 0 {
+		return c.chooseByKey(now, q, p)
+	}
+	return c.chooseByLoad(now, q, p)
+}
+
+// fits reports whether the endpoint may get a request now.
+func (c *Chooser) fits(now time.Time, q Query, e *endpoint) Reason {
+	for _, id := range q.Tried {
+		if id == e.ID {
+			return AllTried
+		}
+	}
+	if q.Service.MaxConnections > 0 && e.inFlight >= max(1, q.Service.MaxConnections/c.routers) {
+		return AllFull
+	}
+	if !c.mayWarm(now, q.Service, e) {
+		return AllCold
+	}
+	return ""
+}
+
+// mayWarm keeps the requests to a cold endpoint in any second, summed over all routers, below the bound. With more
+// routers than requests a second only some of them send, chosen by hash.
+func (c *Chooser) mayWarm(now time.Time, s *planner.Service, e *endpoint) bool {
+	if s.ColdPerSecond <= 0 || !now.Before(e.ColdUntil) {
+		return true
+	}
+	allowed := coldPart * (s.ColdPerSecond*c.limits.ColdOver + c.limits.ColdSlack)
+	own := int(allowed / float64(c.routers))
+	if own == 0 {
+		h := uint64(placer.KeyOf(c.self, e.ID))
+		if float64(h>>11)/(1<<53) >= allowed/float64(c.routers) {
+			return false
+		}
+		own = 1
+	}
+	kept := e.coldSent[:0]
+	for _, at := range e.coldSent {
+		if now.Sub(at) < coldWindow {
+			kept = append(kept, at)
+		}
+	}
+	e.coldSent = kept
+	return len(kept) < own
+}
+
+// chooseByKey walks the order of the prompt's shared part, which is the same at all routers, to the first endpoint
+// below the load bound: requests that share a part meet where it is cached.
+func (c *Chooser) chooseByKey(now time.Time, q Query, p *pool) (Choice, Reason) {
+	bound := c.bound(now, p)
+	why := AllTried
+	var least, avoided *endpoint
+	leastRank, avoidedRank := 0, 0
+	c.walk.Start(p.ranks, affinity(q.Parts))
+	for rank := 0; ; rank++ {
+		i, ok := c.walk.Next()
+		if !ok {
+			break
+		}
+		e := p.all[i]
+		if r := c.fits(now, q, e); r != "" {
+			why = worse(why, r)
+			continue
+		}
+		switch load := e.load(now); {
+		case e.isAvoided(now):
+			if avoided == nil || e.avoidTill.Before(avoided.avoidTill) {
+				avoided, avoidedRank = e, rank
+			}
+		case float64(load+1) <= bound:
+			return c.take(now, e, rank), ""
+		case least == nil || load < least.load(now):
+			least, leastRank = e, rank
+		}
+	}
+	switch {
+	case least != nil:
+		return c.take(now, least, leastRank), ""
+	case avoided != nil:
+		return c.take(now, avoided, avoidedRank), ""
+	}
+	return Choice{}, why
+}
+
+// affinity is the key of the part that other requests share: the last but one.
+func affinity(parts []Part) placer.ChatKey {
+	return placer.KeyOf(parts[max(0, len(parts)-2)].ID)
+}
+
+// bound is the load up to which an endpoint is preferred over the others.
+func (c *Chooser) bound(now time.Time, p *pool) float64 {
+	total := 0
+	for _, e := range p.all {
+		total += e.load(now)
+	}
+	mean := float64(total) / float64(len(p.all))
+	return math.Floor(boundPart*(c.limits.LoadOver*mean+c.limits.LoadSlack)) + 1
+}
+
+// chooseByLoad picks the endpoint with the fewest requests, in the own failure domain among equals.
+func (c *Chooser) chooseByLoad(now time.Time, q Query, p *pool) (Choice, Reason) {
+	why := AllTried
+	var best *endpoint
+	bestCost := math.Inf(1)
+	for _, e := range p.all {
+		if r := c.fits(now, q, e); r != "" {
+			why = worse(why, r)
+			continue
+		}
+		// One more request weighs more than the way to another failure domain.
+		cost := float64(e.load(now)) * 2
+		if e.Domain != c.domain {
+			cost++
+		}
+		if e.isAvoided(now) || e.State == registrar.Silent && e.failures > 0 {
+			cost += 1e6 + float64(e.avoidTill.UnixMilli()%1e9)/1e6
+		}
+		if cost < bestCost {
+			best, bestCost = e, cost
+		}
+	}
+	if best == nil {
+		return Choice{}, why
+	}
+	return c.take(now, best, 0), ""
+}
+
+// worse prefers the reason that a caller can wait for.
+func worse(a, b Reason) Reason {
+	if a == AllCold || b == AllTried {
+		return a
+	}
+	return b
+}
+
+func (c *Chooser) take(now time.Time, e *endpoint, rank int) Choice {
+	ch := Choice{Endpoint: e.Endpoint, Load: e.load(now), Age: -1, Rank: rank}
+	if !e.reportedAt.IsZero() {
+		ch.Age = now.Sub(e.reportedAt)
+	}
+	e.inFlight++
+	e.sent++
+	if e.failRate > greyAt {
+		e.probeAt = now.Add(greyProbe)
+	}
+	if now.Before(e.ColdUntil) {
+		e.coldSent = append(e.coldSent, now)
+	}
+	return ch
+}
+
+// find returns the endpoint of a choice unless it has started again since.
+func (c *Chooser) find(of registrar.Endpoint) *endpoint {
+	e := c.byID[of.ID]
+	if e == nil || e.Born != of.Born {
+		return nil
+	}
+	return e
+}
+
+// Done ends a request that was counted by Choose.
+func (c *Chooser) Done(of registrar.Endpoint) {
+	if e := c.find(of); e != nil {
+		e.inFlight = max(0, e.inFlight-1)
+		e.sent = max(0, e.sent-1)
+	}
+}
+
+// Reported takes the load that an endpoint stated in an answer.
+func (c *Chooser) Reported(now time.Time, of registrar.Endpoint, running, waiting int) {
+	if e := c.find(of); e != nil {
+		e.reported, e.reportedAt, e.sent = running+waiting, now, 0
+	}
+}
+
+// Answered notes an answer; failed ones are errors of the endpoint itself.
+func (c *Chooser) Answered(of registrar.Endpoint, failed bool) {
+	e := c.find(of)
+	if e == nil {
+		return
+	}
+	e.failures, e.avoidTill = 0, time.Time{}
+	e.rate(failed)
+}
+
+func (e *endpoint) rate(failed bool) {
+	e.failRate *= 1 - failureWeight
+	if failed {
+		e.failRate += failureWeight
+	}
+}
+
+// Failed notes that an endpoint couldn't be reached or broke off; it is avoided for a while.
+func (c *Chooser) Failed(now time.Time, of registrar.Endpoint) (avoidTill time.Time) {
+	e := c.find(of)
+	if e == nil {
+		return time.Time{}
+	}
+	e.rate(true)
+	d := min(longestAvoid, firstAvoid<<min(e.failures, 8))
+	e.failures++
+	if till := now.Add(d); till.After(e.avoidTill) {
+		e.avoidTill = till
+	}
+	return e.avoidTill
+}
+
+// Misdirected notes that another endpoint has the address; the record is of no use until it changes.
+func (c *Chooser) Misdirected(now time.Time, of registrar.Endpoint) {
+	if e := c.find(of); e != nil {
+		e.failures++
+		e.avoidTill = now.Add(longestAvoid)
+	}
+}
--- /dev/null
+++ b/core/recruiter/recruiter.go
@@ -0,0 +1,124 @@
+package recruiter
+
+import (
+	"time"
+
+	"cactusroute.dev/core/replicator"
+)
+
+const (
+	// MaxVoters bounds the quorum round; further instances stay learners and take the place of a lost voter.
+	MaxVoters = 7
+
+	// replaceAfter is how long a voter must be silent before a caught-up instance takes its place. It is longer than
+	// an election, so that a leader change doesn't look like a lost voter.
+	replaceAfter = 1500 * time.Millisecond
+
+	// wipedAfter is the same for a voter whose instance has come back with an empty folder: it can't return.
+	wipedAfter = 500 * time.Millisecond
+
+	// removeAfter is how long a voter beyond the needed ones must be silent before the group goes on without it.
+	removeAfter = 4 * time.Second
+)
+
+// Candidate is an instance with a disk that has announced itself lately.
+type Candidate struct {
+	ID      string
+	Name    string
+	Address string
+}
+
+// Input is what the leader knows.
+type Input struct {
+	Now        time.Time
+	Self       string
+	Members    []replicator.Member
+	Heard      map[string]time.Time // when each other member was last heard
+	Candidates []Candidate          // those that belong to the group or to none
+	IsCaughtUp func(id string) bool
+	// MinVoters is the number of voters that the tolerated losses need; fewer are never left on purpose.
+	MinVoters int
+}
+
+// Next returns the next change towards a group of live voters, one at a time; false when none is due. A lost voter is
+// removed before its successor is promoted, so that the group never needs more votes than it has live members.
+func Next(in Input) (replicator.Change, bool) {
+	if ch, ok := addLearner(in); ok {
+		return ch, true
+	}
+	voters, learner := 0, (*replicator.Member)(nil)
+	for i, m := range in.Members {
+		switch {
+		case m.Voter:
+			voters++
+		case learner == nil && in.announced(m.ID) && in.IsCaughtUp(m.ID):
+			learner = &in.Members[i]
+		}
+	}
+	if lost := in.lostVoter(learner != nil, voters > in.MinVoters); lost != nil {
+		return replicator.Change{Kind: replicator.ChangeRemove, Member: *lost}, true
+	}
+	if learner != nil && voters < MaxVoters {
+		return replicator.Change{Kind: replicator.ChangePromote, Member: *learner}, true
+	}
+	return removeLearner(in)
+}
+
+func addLearner(in Input) (replicator.Change, bool) {
+	for _, c := range in.Candidates {
+		known := false
+		for _, m := range in.Members {
+			known = known || m.ID == c.ID
+		}
+		if !known {
+			m := replicator.Member{ID: c.ID, Name: c.Name, Address: c.Address}
+			return replicator.Change{Kind: replicator.ChangeAddLearner, Member: m}, true
+		}
+	}
+	return replicator.Change{}, false
+}
+
+func (in *Input) announced(id string) bool {
+	for _, c := range in.Candidates {
+		if c.ID == id {
+			return true
+		}
+	}
+	return false
+}
+
+// wiped reports whether the instance of a member runs under a new identity.
+func (in *Input) wiped(m replicator.Member) bool {
+	for _, c := range in.Candidates {
+		if c.Name == m.Name && c.ID != m.ID {
+			return true
+		}
+	}
+	return false
+}
+
+func (in *Input) lostVoter(hasSuccessor, isSpare bool) *replicator.Member {
+	for i, m := range in.Members {
+		if !m.Voter || m.ID == in.Self {
+			continue
+		}
+		silent := in.Now.Sub(in.Heard[m.ID])
+		switch {
+		case hasSuccessor && silent >= wipedAfter && in.wiped(m),
+			hasSuccessor && silent >= replaceAfter,
+			isSpare && silent >= removeAfter:
+			return &in.Members[i]
+		}
+	}
+	return nil
+}
+
+// removeLearner drops a learner that is gone or was replaced, so that the leader stops sending to it.
+func removeLearner(in Input) (replicator.Change, bool) {
+	for _, m := range in.Members {
+		if !m.Voter && !in.announced(m.ID) && in.Now.Sub(in.Heard[m.ID]) >= removeAfter {
+			return replicator.Change{Kind: replicator.ChangeRemove, Member: m}, true
+		}
+	}
+	return replicator.Change{}, false
+}
--- /dev/null
+++ b/node/fleet.go
@@ -0,0 +1,388 @@
+package node
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"cactusroute.dev/adapters/exchanger"
+	"cactusroute.dev/core/archivist"
+	"cactusroute.dev/core/registrar"
+)
+
+const (
+	// seekInterval is the pause between two attempts to find a control instance.
+	seekInterval = 200 * time.Millisecond
+
+	// expireInterval is how often heartbeats, connections and subscriptions are checked.
+	expireInterval = 500 * time.Millisecond
+
+	// hubFor is how long a control instance counts as having a majority after its last beat that said so.
+	hubFor = 1500 * time.Millisecond
+
+	// forgetHubAfter is how long a control instance is tried that no other one names.
+	forgetHubAfter = time.Minute
+
+	// routersFor is how long the highest number of routers counts, because those that are cut off still send.
+	routersFor = 15 * time.Second
+
+	// inviteFor is how long a router is looked for that was attached once: its own list of others may be useless.
+	inviteFor = 5 * time.Minute
+
+	// homeAfter is how long a subscription in another failure domain is kept when one in the own domain is possible.
+	homeAfter = 5 * time.Second
+
+	// convictAt is the number of endpoint starts that broke off under the same request after which it is refused.
+	convictAt = 3
+
+	// suspectFor is how long a broken-off request counts.
+	suspectFor = 5 * time.Minute
+
+	// maxSuspects bounds the requests that are remembered because an endpoint broke off.
+	maxSuspects = 20_000
+)
+
+// knownHub is a control instance.
+type knownHub struct {
+	exchanger.Contact
+	seen       time.Time // when anybody named it
+	quorate    time.Time // when it was last said to have a majority
+	attached   int       // routers attached to it
+	failed     time.Time // when it was last not reachable
+	subscribed bool      // a hub's own subscription runs
+}
+
+// suspect is a request that endpoints broke off under.
+type suspect struct {
+	starts map[string]bool
+	at     time.Time
+}
+
+// fleet is the control state of a node: what it knows of the others, of the plan and of the endpoints.
+type fleet struct {
+	settings Settings
+	dialect  Dialect
+	self     exchanger.Contact
+	log      *decisionLog
+	hub      *hub // nil without a disk
+	meeting  *exchanger.Meeting
+	routing  *routing
+	view     atomic.Pointer[view]
+	decode   chan struct{} // with room for one: a new state waits to be decoded
+	report   chan exchanger.Suspect
+
+	mu        sync.Mutex
+	seeds     []string
+	endpoints *registrar.Registrar
+	held      heldState
+	hubs      map[string]*knownHub
+	current   string               // name of the hub that this router is subscribed to
+	attached  map[string]*attached // routers that are or were subscribed here
+	routers   []routerCount
+	suspects  map[uint64]*suspect
+	started   time.Time
+}
+
+// heldState is the newest replicated state that was received.
+type heldState struct {
+	index    uint64
+	plan     archivist.Document
+	takenOut map[string]bool
+}
+
+type attached struct {
+	exchanger.Contact
+	count int
+	since time.Time // of the last change of count
+}
+
+type routerCount struct {
+	n  int
+	at time.Time
+}
+
+func newFleet(s Settings, d Dialect, log *decisionLog) *fleet {
+	f := &fleet{settings: s, dialect: d, log: log, routing: newRouting(&s), decode: make(chan struct{}, 1),
+		report: make(chan exchanger.Suspect, 256),
+		self: exchanger.Contact{Name: s.Place.Name, Address: s.Listen.Exchange, Control: s.Listen.Control,
+			Domain: s.Place.FailureDomain, Eligible: s.DataFolder != ""},
+		seeds: s.Seeds, endpoints: registrar.New(time.Duration(s.HeartbeatMillis) * time.Millisecond),
+		hubs: map[string]*knownHub{}, attached: map[string]*attached{}, suspects: map[uint64]*suspect{},
+		started: time.Now()}
+	f.view.Store(&view{})
+	founding := s.FirstStart && len(s.Seeds) > 0 && slices.Min(s.Seeds) == s.Listen.Exchange
+	f.meeting = exchanger.NewMeeting(f.self, founding, f.quorateHubs, f.learned)
+	return f
+}
+
+// quorateHubs returns the control instances that have a majority, with this one if it is one.
+func (f *fleet) quorateHubs() []exchanger.Contact {
+	own := f.hub != nil && f.hub.isQuorate()
+	now := time.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var list []exchanger.Contact
+	if own {
+		list = append(list, f.self)
+	}
+	for _, name := range slices.Sorted(maps.Keys(f.hubs)) {
+		if h := f.hubs[name]; name != f.self.Name && now.Sub(h.quorate) <= hubFor {
+			list = append(list, h.Contact)
+		}
+	}
+	return list
+}
+
+// learned takes what another process knows.
+func (f *fleet) learned(hubs, peers []exchanger.Contact) {
+	f.mu.Lock()
+	for _, c := range hubs {
+		f.seeHub(c, true)
+	}
+	f.mu.Unlock()
+	if f.hub == nil {
+		return
+	}
+	if c := f.hub.replica.Load(); c != nil {
+		for _, p := range append(slices.Clone(peers), hubs...) {
+			if p.Name != f.self.Name {
+				c.Meet(p.Name, p.Address)
+			}
+		}
+	}
+}
+
+// seeHub notes a control instance; the caller holds mu.
+func (f *fleet) seeHub(c exchanger.Contact, quorate bool) *knownHub {
+	h := f.hubs[c.Name]
+	if h == nil || h.Address != c.Address {
+		h = &knownHub{Contact: c}
+		f.hubs[c.Name] = h
+	}
+	h.seen = time.Now()
+	if quorate {
+		h.quorate = h.seen
+	}
+	return h
+}
+
+// metPeers returns the eligible instances that are known.
+func (f *fleet) metPeers() []exchanger.Contact {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var list []exchanger.Contact
+	for _, h := range f.hubs {
+		list = append(list, h.Contact)
+	}
+	return list
+}
+
+// reload takes new seeds.
+func (f *fleet) reload(seeds []string) {
+	f.mu.Lock()
+	f.seeds = seeds
+	f.mu.Unlock()
+	f.log.belief("msg", "settings reloaded", "seeds", strings.Join(seeds, ","))
+}
+
+// rebuild publishes the endpoints that may get requests.
+func (f *fleet) rebuild() {
+	v := f.view.Load()
+	f.mu.Lock()
+	usable := f.endpoints.Usable()
+	routers := f.routersNow()
+	f.mu.Unlock()
+	usable = slices.DeleteFunc(usable, func(e registrar.Endpoint) bool { return v.takenOut[e.Domain] })
+	f.routing.update(usable, routers)
+}
+
+// routersNow returns the highest number of routers within the last seconds; the caller holds mu.
+func (f *fleet) routersNow() int {
+	n := 1
+	for _, c := range f.routers {
+		if time.Since(c.at) <= routersFor {
+			n = max(n, c.n)
+		}
+	}
+	return n
+}
+
+// countRouters notes a number of routers.
+func (f *fleet) countRouters(n int) {
+	f.mu.Lock()
+	before := f.routersNow()
+	f.routers = slices.DeleteFunc(f.routers, func(c routerCount) bool {
+		return time.Since(c.at) > routersFor || c.n <= n
+	})
+	f.routers = append(f.routers, routerCount{n, time.Now()})
+	after := f.routersNow()
+	f.mu.Unlock()
+	if before != after {
+		f.rebuild()
+	}
+}
+
+// endpointsChanged publishes records that changed here, to this node's requests and to all subscribers.
+func (f *fleet) endpointsChanged(changed []registrar.Endpoint, source string) {
+	f.rebuild()
+	if f.hub != nil {
+		f.hub.server.EndpointsChanged(changed)
+	}
+	for i := range changed {
+		e := &changed[i]
+		f.log.belief("msg", "endpoint changed", "endpoint", describe(e), "service", e.Service, "state", e.State,
+			"failureDomain", e.Domain, "coldMs", max(0, time.Until(e.ColdUntil).Milliseconds()), "source", source)
+	}
+}
+
+// mergeEndpoints takes records of another process.
+func (f *fleet) mergeEndpoints(list []registrar.Endpoint, source string) {
+	now := time.Now()
+	var changed, newer []registrar.Endpoint
+	f.mu.Lock()
+	for _, e := range list {
+		switch f.endpoints.Merge(now, e) {
+		case registrar.Changed:
+			changed = append(changed, e)
+		case registrar.Outdated:
+			newer = append(newer, f.endpoints.Get(e.ID))
+		}
+	}
+	f.mu.Unlock()
+	if len(changed) > 0 {
+		f.endpointsChanged(changed, source)
+	}
+	if len(newer) > 0 && f.hub != nil {
+		f.hub.server.EndpointsChanged(newer)
+	}
+}
+
+// stateChanged takes a newer replicated state and has it decoded off the goroutine of the caller.
+func (f *fleet) stateChanged(index uint64, plan *archivist.Document, takenOut map[string]bool) {
+	f.mu.Lock()
+	if index <= f.held.index {
+		f.mu.Unlock()
+		return
+	}
+	f.held.index, f.held.takenOut = index, takenOut
+	if plan != nil && plan.Version > f.held.plan.Version {
+		f.held.plan = *plan
+	}
+	f.mu.Unlock()
+	select {
+	case f.decode <- struct{}{}:
+	default:
+	}
+}
+
+// publishViews puts received states in force until ctx ends.
+func (f *fleet) publishViews(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-f.decode:
+		}
+		f.mu.Lock()
+		held := f.held
+		f.mu.Unlock()
+		old := f.view.Load()
+		v := &view{plan: old.plan, index: held.index, takenOut: held.takenOut, at: time.Now()}
+		if held.plan.Version > 0 && (old.plan == nil || held.plan.Version > old.plan.Version) {
+			plan, err := f.dialect.DecodePlan(held.plan.Content)
+			if err != nil {
+				f.log.failure("msg", "received plan can't be read", "version", held.plan.Version, "err", err)
+				continue
+			}
+			v.plan = plan
+		}
+		f.view.Store(v)
+		f.rebuild()
+		f.logView(old, v)
+	}
+}
+
+func (f *fleet) logView(old, v *view) {
+	var version uint64
+	if v.plan != nil {
+		version = v.plan.Version
+	}
+	f.log.belief("msg", "state in force", "version", version, "index", v.index, "before", old.index,
+		"takenOut", strings.Join(slices.Sorted(maps.Keys(v.takenOut)), ","))
+}
+
+// fingerprintConvicted reports whether a request has broken off too many endpoints.
+func (f *fleet) fingerprintConvicted(fingerprint uint64) (starts int, convicted bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.suspects[fingerprint]
+	if s == nil {
+		return 0, false
+	}
+	return len(s.starts), len(s.starts) >= convictAt
+}
+
+// suspected notes that an endpoint broke off under a request, and tells the control group.
+func (f *fleet) suspected(s exchanger.Suspect) {
+	if !f.addSuspects([]exchanger.Suspect{s}) {
+		return
+	}
+	if f.hub != nil {
+		f.hub.server.SuspectsChanged([]exchanger.Suspect{s})
+	}
+	select {
+	case f.report <- s:
+	default: // the reports are an estimate; a later one makes up for a lost one
+	}
+}
+
+// addSuspects returns whether anything was new.
+func (f *fleet) addSuspects(list []exchanger.Suspect) (isNew bool) {
+	now := time.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, s := range list {
+		sus := f.suspects[s.Fingerprint]
+		if sus == nil {
+			if len(f.suspects) >= maxSuspects {
+				continue
+			}
+			sus = &suspect{starts: map[string]bool{}}
+			f.suspects[s.Fingerprint] = sus
+		}
+		sus.at = now
+		isNew = isNew || !sus.starts[s.Endpoint]
+		sus.starts[s.Endpoint] = true
+	}
+	return isNew
+}
+
+// tick expires what is too old.
+func (f *fleet) tick(now time.Time) {
+	f.mu.Lock()
+	changed := f.endpoints.Expire(now)
+	for fp, s := range f.suspects {
+		if now.Sub(s.at) > suspectFor {
+			delete(f.suspects, fp)
+		}
+	}
+	for name, h := range f.hubs {
+		if now.Sub(h.seen) > forgetHubAfter && !h.subscribed {
+			delete(f.hubs, name)
+		}
+	}
+	f.mu.Unlock()
+	if len(changed) > 0 {
+		f.endpointsChanged(changed, "noHeartbeat")
+	}
+	if f.hub != nil {
+		f.countRouters(f.Beat().Routers)
+	}
+}
+
+// isReady reports whether requests can be served.
+func (f *fleet) isReady() bool { return f.view.Load().plan != nil }
--- /dev/null
+++ b/node/hub.go
@@ -0,0 +1,193 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync/atomic"
+	"time"
+
+	"cactusroute.dev/adapters/committer"
+	"cactusroute.dev/adapters/exchanger"
+	"cactusroute.dev/adapters/messenger"
+	"cactusroute.dev/adapters/observer"
+	"cactusroute.dev/adapters/storer"
+	"cactusroute.dev/core/archivist"
+)
+
+const (
+	// confirmedWithin is how old the last round with a majority may be for an instance that vouches for its state.
+	confirmedWithin = 1200 * time.Millisecond
+
+	// reopenAfter is the pause before a failed disk is tried again.
+	reopenAfter = 500 * time.Millisecond
+
+	// snapshotBytes keeps the log far below the smallest disks of 64 MB, while plans of some hundred
+	// KB follow each other.
+	snapshotBytes = 4 << 20
+
+	// readPoll is the interval at which a read looks for its confirmation.
+	readPoll = 10 * time.Millisecond
+)
+
+// hub is the part of an instance with a disk: a replica of the consensus log and the source of subscriptions.
+type hub struct {
+	settings Settings
+	obs      *observer.Observer
+	archive  *archivist.Archivist
+	server   *exchanger.Server
+	replica  atomic.Pointer[committer.Committer]
+	met      func() []exchanger.Contact // eligible instances that are known
+}
+
+// String names the service for its supervisor.
+func (h *hub) String() string { return "hub" }
+
+// Serve keeps a replica running; one whose disk has failed is opened again, which reads back what is durable.
+func (h *hub) Serve(ctx context.Context) error {
+	for ctx.Err() == nil {
+		err := h.serveOnce(ctx)
+		if ctx.Err() != nil {
+			break
+		}
+		h.obs.Event("control replica is opened again", "err", err, "folder", h.settings.DataFolder)
+		select {
+		case <-ctx.Done():
+		case <-time.After(reopenAfter):
+		}
+	}
+	return ctx.Err()
+}
+
+func (h *hub) serveOnce(ctx context.Context) (err error) {
+	c, err := h.open()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	done := make(chan error, 1)
+	go func() { done <- c.Serve(ctx) }()
+	h.replica.Store(c)
+	for _, m := range h.met() {
+		c.Meet(m.Name, m.Address)
+	}
+	select {
+	case <-ctx.Done():
+	case <-c.Failing():
+		err = errors.New(c.Status().Failure)
+	}
+	h.replica.Store(nil)
+	cancel()
+	<-done
+	return err
+}
+
+// open opens the data folder. A damaged one is emptied: the instance then joins under a new identity, which never
+// vouches for what the old one had promised.
+func (h *hub) open() (*committer.Committer, error) {
+	cfg := committer.Config{Name: h.settings.Place.Name, Folder: h.settings.DataFolder, Region: h.settings.Place.Region,
+		Observer: h.obs, Messenger: messenger.Options{}, SnapshotBytes: snapshotBytes,
+		Open: &committer.OpenGroup{Address: h.settings.Listen.Exchange, MinVoters: h.settings.MinVoters}}
+	c, err := committer.New(cfg, h.archive)
+	if corrupt := (*storer.CorruptError)(nil); errors.As(err, &corrupt) {
+		h.obs.Event("data folder is damaged and is emptied", "folder", cfg.Folder, "err", err)
+		if err := emptyFolder(cfg.Folder); err != nil {
+			return nil, err
+		}
+		c, err = committer.New(cfg, h.archive)
+	}
+	return c, err
+}
+
+func emptyFolder(folder string) (err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("empty %s: %w", folder, err)
+		}
+	}()
+	entries, err := os.ReadDir(folder)
+	if err != nil {
+		return err
+	}
+	for _, e := range entries {
+		if err := os.RemoveAll(filepath.Join(folder, e.Name())); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// ServeHTTP accepts connections of the other replicas.
+func (h *hub) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	c := h.replica.Load()
+	if c == nil {
+		http.Error(w, "the replica is not open", http.StatusServiceUnavailable)
+		return
+	}
+	c.Handler().ServeHTTP(w, r)
+}
+
+// isQuorate reports whether a majority confirmed this instance lately.
+func (h *hub) isQuorate() bool {
+	c := h.replica.Load()
+	if c == nil {
+		return false
+	}
+	_, at, ok := c.Confirmed()
+	return ok && time.Since(at) <= confirmedWithin
+}
+
+// isMember reports whether the replica belongs to a group.
+func (h *hub) isMember() bool {
+	c := h.replica.Load()
+	return c != nil && c.Status().Cluster != ""
+}
+
+// propose commits a command on enough disks and waits until it is applied here.
+func (h *hub) propose(ctx context.Context, cmd archivist.Command) error {
+	c := h.replica.Load()
+	if c == nil {
+		return &UnavailableError{Reason: "the replica is not open"}
+	}
+	voters := 0
+	for _, m := range c.Status().Members {
+		if m.Voter {
+			voters++
+		}
+	}
+	if voters < h.settings.MinVoters {
+		return &UnavailableError{Reason: fmt.Sprintf("%d of %d needed voters have joined", voters, h.settings.MinVoters)}
+	}
+	entry, err := archivist.Encode(cmd)
+	if err != nil {
+		return err
+	}
+	result, err := c.Propose(ctx, entry)
+	if err != nil {
+		return &UnavailableError{Reason: err.Error()}
+	}
+	if err, ok := result.(error); ok {
+		return err
+	}
+	return nil
+}
+
+// read returns a state that is at least as new as this call.
+func (h *hub) read(ctx context.Context) (archivist.State, error) {
+	began := time.Now()
+	for {
+		if c := h.replica.Load(); c != nil {
+			if _, at, ok := c.Confirmed(); ok && at.After(began) {
+				return h.archive.State(), nil
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return archivist.State{}, &UnavailableError{Reason: "no majority confirmed the read: " + ctx.Err().Error()}
+		case <-time.After(readPoll):
+		}
+	}
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,161 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"runtime"
+	"time"
+
+	"github.com/thejerf/suture/v4"
+
+	"cactusroute.dev/adapters/courier"
+	"cactusroute.dev/adapters/exchanger"
+	"cactusroute.dev/adapters/forwarder"
+	"cactusroute.dev/adapters/messenger"
+	"cactusroute.dev/adapters/observer"
+	"cactusroute.dev/adapters/recorder"
+	"cactusroute.dev/adapters/server"
+	"cactusroute.dev/core/archivist"
+	"cactusroute.dev/core/planner"
+)
+
+// MetricsPath is where the metrics are served on their own address.
+const MetricsPath = "/metrics"
+
+// Node is one process of an open fleet.
+type Node struct {
+	settings Settings
+	obs      *observer.Observer
+	queue    *observer.Queue
+	fleet    *fleet
+	front    *front
+	ready    server.Readiness
+}
+
+// New returns a node that serves when it is run; the settings have been checked.
+func New(s Settings, d Dialect, obs *observer.Observer, queue *observer.Queue) *Node {
+	log := newDecisionLog(obs, queue)
+	f := newFleet(s, d, log)
+	if s.DataFolder != "" {
+		f.hub = &hub{settings: s, obs: obs, met: f.metPeers}
+		f.hub.archive = archivist.New(func(st archivist.State) {
+			f.stateChanged(st.Index, &st.Plan, st.TakenOut)
+			f.hub.server.StateChanged()
+		})
+		f.hub.server = exchanger.NewServer(messenger.Options{}, f)
+	}
+	pool := forwarder.NewPool()
+	n := &Node{settings: s, obs: obs, queue: queue, fleet: f}
+	n.front = &front{dialect: d, fleet: f, pool: pool, log: log, metrics: newMetrics(obs, f, pool, queue)}
+	n.ready.Check = func() error {
+		if !f.isReady() {
+			return errors.New("no plan is known")
+		}
+		return nil
+	}
+	return n
+}
+
+// Reload takes new seeds.
+func (n *Node) Reload(seeds []string) { n.fleet.reload(seeds) }
+
+// Run serves until ctx ends and returns after the requests in progress have ended.
+func (n *Node) Run(ctx context.Context) error {
+	n.obs.Event("node started", "settings", fmt.Sprintf("%+v", n.settings), "cpus", runtime.NumCPU())
+	// The rest of the node outlives the service of callers, because their last requests still need it.
+	rest, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	sup := suture.New(n.settings.Place.Name, suture.Spec{Timeout: time.Second, EventHook: func(e suture.Event) {
+		n.obs.Event("service failed", "event", e.String())
+	}})
+	n.addServices(sup)
+	done := sup.ServeBackground(rest)
+	err := n.serveFront(ctx)
+	n.obs.Event("node stopped", "cause", context.Cause(ctx))
+	cancel()
+	<-done
+	n.queue.Flush()
+	return err
+}
+
+func (n *Node) serveFront(ctx context.Context) error {
+	if n.settings.Listen.Front == "" {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	fs := &frontServer{addr: n.settings.Listen.Front, handler: n.front,
+		grace: time.Duration(n.settings.GraceMillis) * time.Millisecond,
+		limits: func() planner.Limits {
+			if p := n.fleet.view.Load().plan; p != nil {
+				return p.Limits
+			}
+			return planner.Limits{}
+		},
+		onStop: func() {
+			n.ready.Leave()
+			n.front.stopping.Store(true)
+			n.obs.Event("node is stopping", "graceMs", n.settings.GraceMillis)
+		}}
+	return fs.Serve(ctx)
+}
+
+// addServices adds all services but the one for callers.
+func (n *Node) addServices(sup *suture.Supervisor) {
+	f, l := n.fleet, n.settings.Listen
+	sup.Add(n.queue)
+	sup.Add(service{"views", f.publishViews})
+	sup.Add(service{"seek", f.seek})
+	sup.Add(service{"tick", n.tick})
+	exchange := http.NewServeMux()
+	exchange.Handle(exchanger.MeetPath, f.meeting)
+	exchange.Handle(recorder.Path, n.obs.TimelineHandler())
+	if f.hub != nil {
+		sup.Add(f.hub)
+		sup.Add(service{"peers", f.followPeers})
+		exchange.Handle(courier.Path, f.hub)
+		exchange.Handle(exchanger.Path, f.hub.server)
+	} else {
+		sup.Add(service{"subscription", f.subscribe})
+	}
+	sup.Add(&server.Server{Addr: l.Exchange, Handler: exchange})
+	if l.Control != "" {
+		sup.Add(&server.Server{Addr: l.Control, Handler: f.dialect.Control(f)})
+	}
+	if l.Ready != "" {
+		sup.Add(&server.Server{Addr: l.Ready, Handler: &n.ready})
+	}
+	if l.Metrics != "" {
+		mux := http.NewServeMux()
+		mux.Handle(MetricsPath, n.obs.MetricsHandler())
+		sup.Add(&server.Server{Addr: l.Metrics, Handler: mux})
+	}
+}
+
+// tick runs the periodic work of a node until ctx ends.
+func (n *Node) tick(ctx context.Context) error {
+	for ctx.Err() == nil {
+		n.fleet.tick(time.Now())
+		n.front.pool.Expire(time.Now(), func(string) bool { return true })
+		pause(ctx, expireInterval)
+	}
+	return ctx.Err()
+}
+
+// service is a function with a name for the supervisor.
+type service struct {
+	name  string
+	serve func(ctx context.Context) error
+}
+
+// String returns the name.
+func (s service) String() string { return s.name }
+
+// Serve runs the function.
+func (s service) Serve(ctx context.Context) error { return s.serve(ctx) }
+
+// ReloadFailed logs that new settings can't be used; the ones before stay in force.
+func (n *Node) ReloadFailed(err error) {
+	n.fleet.log.failure("msg", "settings not reloaded", "err", err)
+}
--- /dev/null
+++ b/node/server.go
@@ -0,0 +1,180 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"cactusroute.dev/core/planner"
+)
+
+const (
+	// defaultHeaderTimeout and defaultIdleTimeout hold until a plan states others.
+	defaultHeaderTimeout = 10 * time.Second
+	defaultIdleTimeout   = 60 * time.Second
+
+	// noticeTime is how long a stopping node goes on accepting connections: a balancer takes it out after two failed
+	// checks, one a second.
+	noticeTime = 3200 * time.Millisecond
+
+	// graceMargin is kept of the grace for cutting what is left.
+	graceMargin = 600 * time.Millisecond
+
+	// limitsInterval is how often the servers' limits are compared with the plan's.
+	limitsInterval = time.Second
+)
+
+// frontServer serves callers under the limits of the plan. New limits hold for new connections.
+type frontServer struct {
+	addr    string
+	handler http.Handler
+	limits  func() planner.Limits
+	grace   time.Duration
+	onStop  func()
+
+	mu      sync.Mutex
+	servers []*http.Server
+	accept  *handedListener
+	inForce planner.Limits
+}
+
+// handedListener hands the connections of another listener to one server.
+type handedListener struct {
+	conns chan net.Conn
+	addr  net.Addr
+	once  sync.Once
+	done  chan struct{}
+}
+
+// Accept implements net.Listener.
+func (l *handedListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.done:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close implements net.Listener.
+func (l *handedListener) Close() error {
+	l.once.Do(func() { close(l.done) })
+	return nil
+}
+
+// Addr implements net.Listener.
+func (l *handedListener) Addr() net.Addr { return l.addr }
+
+// String names the service for its supervisor.
+func (s *frontServer) String() string { return "front " + s.addr }
+
+// Serve serves callers until ctx ends, then stops: readiness falls first, connections are still accepted for a while,
+// and requests in progress end within the grace.
+func (s *frontServer) Serve(ctx context.Context) error {
+	ln, err := (&net.ListenConfig{}).Listen(ctx, "tcp", s.addr)
+	if err != nil {
+		return err
+	}
+	s.renew(ln.Addr())
+	go s.acceptAll(ln)
+	t := time.NewTicker(limitsInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+			s.renew(ln.Addr())
+		case <-ctx.Done():
+			s.stop(ln)
+			return ctx.Err()
+		}
+	}
+}
+
+// renew starts a server with the limits in force if they have changed; the one before keeps its connections.
+func (s *frontServer) renew(addr net.Addr) {
+	limits := s.limits()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.accept != nil && limits == s.inForce {
+		return
+	}
+	if s.accept != nil {
+		_ = s.accept.Close()
+	}
+	s.inForce = limits
+	s.accept = &handedListener{conns: make(chan net.Conn), addr: addr, done: make(chan struct{})}
+	hs := &http.Server{Handler: s.handler, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout}
+	if limits.HeaderTimeoutMillis > 0 {
+		hs.ReadHeaderTimeout = time.Duration(limits.HeaderTimeoutMillis) * time.Millisecond
+	}
+	if limits.IdleTimeoutMillis > 0 {
+		hs.IdleTimeout = time.Duration(limits.IdleTimeoutMillis) * time.Millisecond
+	}
+	if limits.HeaderBytes > 0 {
+		hs.MaxHeaderBytes = limits.HeaderBytes
+	}
+	s.servers = append(s.servers, hs)
+	go func(l net.Listener) { _ = hs.Serve(l) }(s.accept)
+}
+
+func (s *frontServer) acceptAll(ln net.Listener) {
+	for {
+		c, err := ln.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			time.Sleep(acceptPause)
+			continue
+		}
+		s.hand(c)
+	}
+}
+
+// acceptPause follows a failed accept, for example without free descriptors.
+const acceptPause = 20 * time.Millisecond
+
+func (s *frontServer) hand(c net.Conn) {
+	for {
+		s.mu.Lock()
+		l := s.accept
+		s.mu.Unlock()
+		select {
+		case l.conns <- c:
+			return
+		case <-l.done:
+		}
+		s.mu.Lock()
+		over := s.accept == l
+		s.mu.Unlock()
+		if over {
+			_ = c.Close()
+			return
+		}
+	}
+}
+
+// stop follows the end of the service; see Serve.
+func (s *frontServer) stop(ln net.Listener) {
+	deadline := time.Now().Add(s.grace - graceMargin)
+	s.onStop()
+	time.Sleep(noticeTime)
+	_ = ln.Close()
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	s.mu.Lock()
+	servers := s.servers
+	s.mu.Unlock()
+	var wg sync.WaitGroup
+	for _, hs := range servers {
+		wg.Go(func() {
+			if hs.Shutdown(ctx) != nil {
+				_ = hs.Close()
+			}
+		})
+	}
+	wg.Wait()
+}
--- /dev/null
+++ b/node/settings.go
@@ -0,0 +1,117 @@
+package node
+
+import (
+	"errors"
+
+	"cactusroute.dev/adapters/configurer"
+	"cactusroute.dev/core/chooser"
+)
+
+// Defaults of settings.
+const (
+	defaultHeartbeatMillis = 1000
+	defaultGraceMillis     = 8000
+	defaultBudgetRatio     = 0.2
+	defaultBudgetSlack     = 100
+	defaultBudgetMillis    = 10_000
+	defaultColdOver        = 1.5
+	defaultColdSlack       = 5
+	defaultLoadOver        = 2
+	defaultLoadSlack       = 3
+	defaultMinVoters       = 1
+)
+
+// Settings are the settings of a node.
+type Settings struct {
+	Place  configurer.Place `json:"place"`
+	Listen Listen           `json:"listen"`
+	// Seeds are host:port of the exchange of some other nodes; they may be out of date.
+	Seeds []string `json:"seeds"`
+	// FirstStart is true while the whole fleet starts for the first time, with empty disks.
+	FirstStart bool `json:"firstStart,omitempty"`
+	// DataFolder holds the consensus log; a node without one has no vote.
+	DataFolder string `json:"dataFolder,omitempty"`
+	// MinVoters is the number of voters that the tolerated losses need; nothing is acknowledged with fewer.
+	MinVoters int `json:"minVoters,omitempty"`
+	// HeartbeatMillis is the interval at which endpoints send heartbeats.
+	HeartbeatMillis int `json:"heartbeatMillis,omitempty"`
+	// GraceMillis is the time between a request to stop and the end of the process by force.
+	GraceMillis int `json:"graceMillis,omitempty"`
+	// RetryBudget bounds the repeats of all nodes together.
+	RetryBudget RetryBudget `json:"retryBudget,omitzero"`
+	// Load bounds the requests at one endpoint over all nodes together.
+	Load LoadLimits `json:"load,omitzero"`
+}
+
+// Listen holds the host:port of each interface; an empty one is not served, but for the exchange.
+type Listen struct {
+	Front    string `json:"front,omitempty"`   // callers
+	Ready    string `json:"ready,omitempty"`   // readiness checks
+	Control  string `json:"control,omitempty"` // operators and endpoints
+	Exchange string `json:"exchange"`          // other nodes
+	Metrics  string `json:"metrics,omitempty"`
+}
+
+// RetryBudget allows Ratio times the first requests for a service plus Slack repeats in each window.
+type RetryBudget struct {
+	Ratio        float64 `json:"ratio"`
+	Slack        float64 `json:"slack"`
+	WindowMillis int     `json:"windowMillis"`
+}
+
+// LoadLimits are described at chooser.Limits.
+type LoadLimits struct {
+	ColdOver  float64 `json:"coldOver"`
+	ColdSlack float64 `json:"coldSlack"`
+	LoadOver  float64 `json:"loadOver"`
+	LoadSlack float64 `json:"loadSlack"`
+}
+
+// ProcessName returns the name under which the process logs.
+func (s *Settings) ProcessName() string { return s.Place.Name }
+
+// Check sets the defaults and refuses missing and impossible values.
+func (s *Settings) Check() error {
+	s.setDefaults()
+	errs := []error{s.Place.Check()}
+	if s.Listen.Exchange == "" {
+		errs = append(errs, &configurer.SettingError{Field: "listen/exchange", Problem: "missing", Allowed: "host:port"})
+	}
+	for _, f := range []struct {
+		field string
+		value float64
+	}{
+		{"minVoters", float64(s.MinVoters)}, {"heartbeatMillis", float64(s.HeartbeatMillis)},
+		{"graceMillis", float64(s.GraceMillis)}, {"retryBudget/windowMillis", float64(s.RetryBudget.WindowMillis)},
+		{"load/coldOver", s.Load.ColdOver}, {"load/loadOver", s.Load.LoadOver},
+	} {
+		if f.value <= 0 {
+			errs = append(errs, &configurer.SettingError{Field: f.field, Problem: "out of range", Allowed: "above 0"})
+		}
+	}
+	if s.RetryBudget.Ratio < 0 || s.RetryBudget.Slack < 0 || s.Load.ColdSlack < 0 || s.Load.LoadSlack < 0 {
+		errs = append(errs, &configurer.SettingError{Field: "retryBudget", Problem: "negative", Allowed: "0 or more"})
+	}
+	return errors.Join(errs...)
+}
+
+func (s *Settings) setDefaults() {
+	setDefault(&s.MinVoters, defaultMinVoters)
+	setDefault(&s.HeartbeatMillis, defaultHeartbeatMillis)
+	setDefault(&s.GraceMillis, defaultGraceMillis)
+	setDefault(&s.RetryBudget,
+		RetryBudget{Ratio: defaultBudgetRatio, Slack: defaultBudgetSlack, WindowMillis: defaultBudgetMillis})
+	setDefault(&s.Load, LoadLimits{ColdOver: defaultColdOver, ColdSlack: defaultColdSlack,
+		LoadOver: defaultLoadOver, LoadSlack: defaultLoadSlack})
+}
+
+func setDefault[T comparable](v *T, d T) {
+	var zero T
+	if *v == zero {
+		*v = d
+	}
+}
+
+func (l LoadLimits) limits() chooser.Limits {
+	return chooser.Limits{ColdOver: l.ColdOver, ColdSlack: l.ColdSlack, LoadOver: l.LoadOver, LoadSlack: l.LoadSlack}
+}
--- /dev/null
+++ b/node/view.go
@@ -0,0 +1,81 @@
+package node
+
+import (
+	"sync"
+	"time"
+
+	"cactusroute.dev/core/chooser"
+	"cactusroute.dev/core/planner"
+	"cactusroute.dev/core/registrar"
+	"cactusroute.dev/core/retrier"
+)
+
+// view is the state in force at this node; it isn't changed once it is published.
+type view struct {
+	plan     *planner.Plan // nil until one is known
+	index    uint64        // of the replicated state
+	takenOut map[string]bool
+	at       time.Time
+}
+
+// routing is what the requests of this node share: endpoints as this node sees them and the retry budget.
+type routing struct {
+	budget RetryBudget
+
+	mu      sync.Mutex
+	chooser *chooser.Chooser
+	routers int
+	budgets map[string]*retrier.WindowBudget // by service
+}
+
+func newRouting(s *Settings) *routing {
+	return &routing{budget: s.RetryBudget, chooser: chooser.New(s.Load.limits(), s.Place.Name, s.Place.FailureDomain),
+		routers: 1, budgets: map[string]*retrier.WindowBudget{}}
+}
+
+// update takes the endpoints that may get requests and the number of routers.
+func (r *routing) update(list []registrar.Endpoint, routers int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.routers = max(1, routers)
+	r.chooser.Update(list, routers)
+}
+
+func (r *routing) budgetOf(service string) *retrier.WindowBudget {
+	b := r.budgets[service]
+	if b == nil {
+		b = &retrier.WindowBudget{Ratio: r.budget.Ratio, Slack: r.budget.Slack,
+			Window: time.Duration(r.budget.WindowMillis) * time.Millisecond}
+		r.budgets[service] = b
+	}
+	return b
+}
+
+// first counts the first attempt of a request.
+func (r *routing) first(now time.Time, service string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.budgetOf(service).First(now)
+}
+
+// takeRepeat takes one repeat from the budget of the service.
+func (r *routing) takeRepeat(now time.Time, service string) (left float64, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	b := r.budgetOf(service)
+	ok = b.Take(now, r.routers)
+	return b.Left(now, r.routers), ok
+}
+
+func (r *routing) choose(now time.Time, q chooser.Query) (chooser.Choice, chooser.Reason) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.chooser.Choose(now, q)
+}
+
+// with calls f with the chooser.
+func (r *routing) with(f func(c *chooser.Chooser)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	f(r.chooser)
+}
