Let control instances subscribe to each other from the membership, and share loads

Cause: a control instance that had a majority before it knew the others never subscribed to them, so an endpoint that drained at one of them stayed in use at the routers of the others (DRAIN); two rebuilds of the endpoint list that ran at once could end with the older one in force (DRAIN at a router that had the record); loads came only with answers, so a hot endpoint was over the bound before its routers saw it (LIMIT). Change: peers come from the committed membership and from subscribers with a disk; one rebuild at a time; routers exchange their requests in flight through the control instances several times a second.

--- a/adapters/exchanger/client.go
+++ b/adapters/exchanger/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"time"
 
 	"cactusroute.dev/adapters/messenger"
@@ -19,6 +20,9 @@
 	EndpointsReceived(list []registrar.Endpoint, whole bool)
 	SuspectsReceived([]Suspect)
 	BeatReceived(Beat)
+	LoadsReceived(Loads)
+	// Loads returns the requests in flight of this process, nil if the instance needn't know.
+	Loads() Loads
 }
 
 // Subscription is one connection to a control instance.
@@ -70,6 +74,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go s.ping(ctx)
+	go s.reportLoads(ctx, r)
 	quorateAt := time.Now()
 	var e messenger.Envelope
 	for {
@@ -108,6 +113,29 @@
 	}
 }
 
+// reportLoads tells the instance the requests in flight here whenever they have changed.
+func (s *Subscription) reportLoads(ctx context.Context, r Receiver) {
+	t := time.NewTicker(loadInterval)
+	defer t.Stop()
+	told := Loads{}
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		loads := r.Loads()
+		if loads == nil || maps.Equal(loads, told) {
+			continue
+		}
+		told = loads
+		if s.conn.Send(ctx, kindLoads, 0, loads) != nil {
+			s.Close()
+			return
+		}
+	}
+}
+
 func dispatch(e *messenger.Envelope, r Receiver, quorateAt *time.Time) error {
 	switch e.Kind {
 	case kindState:
@@ -128,6 +156,12 @@
 			return err
 		}
 		r.SuspectsReceived(list)
+	case kindLoads:
+		loads := Loads{}
+		if err := e.Decode(&loads); err != nil {
+			return err
+		}
+		r.LoadsReceived(loads)
 	case kindBeat:
 		var b Beat
 		if err := e.Decode(&b); err != nil {
--- a/adapters/exchanger/server.go
+++ b/adapters/exchanger/server.go
@@ -25,6 +25,11 @@
 	EndpointsReceived([]registrar.Endpoint)
 	// Suspects takes what a subscriber reports.
 	Suspects([]Suspect)
+	// LoadsReceived takes the requests in flight of a subscriber.
+	LoadsReceived(from Contact, loads Loads)
+	// Loads returns what a subscriber is told: for another control instance the requests of this one and of its
+	// subscribers, for a router those of all routers.
+	Loads(to Contact) Loads
 	// AllSuspects returns what new subscribers must know.
 	AllSuspects() []Suspect
 }
@@ -113,6 +118,12 @@
 				return
 			}
 			s.source.EndpointsReceived(decodeEndpoints(time.Now(), m.Records))
+		case kindLoads:
+			var loads Loads
+			if e.Decode(&loads) != nil {
+				return
+			}
+			s.source.LoadsReceived(sub.contact, loads)
 		}
 	}
 }
@@ -126,6 +137,10 @@
 	sub.addSuspects(s.source.AllSuspects())
 	beat := time.NewTicker(beatInterval)
 	defer beat.Stop()
+	load := time.NewTicker(loadInterval)
+	defer load.Stop()
+	var told Loads
+	var toldAt time.Time
 	if err := s.flush(ctx, sub); err != nil {
 		return err
 	}
@@ -141,6 +156,13 @@
 			err = s.flush(ctx, sub)
 		case <-beat.C:
 			err = sub.conn.Send(ctx, kindBeat, 0, s.source.Beat())
+		case <-load.C:
+			loads := s.source.Loads(sub.contact)
+			if maps.Equal(loads, told) && time.Since(toldAt) < loadRefresh {
+				continue
+			}
+			told, toldAt = loads, time.Now()
+			err = sub.conn.Send(ctx, kindLoads, 0, loads)
 		}
 		if err != nil {
 			return err
--- a/adapters/exchanger/wire.go
+++ b/adapters/exchanger/wire.go
@@ -24,6 +24,13 @@
 	// dialLimit bounds the attempt to reach a control instance, so that two of them fit into the same 3 s.
 	dialLimit = 500 * time.Millisecond
 
+	// loadInterval is how often routers exchange the numbers of their requests at each endpoint: within it some two
+	// requests reach the endpoint of a key that gets a quarter of the traffic.
+	loadInterval = 150 * time.Millisecond
+
+	// loadRefresh is how often numbers that don't change are repeated; they count for a second.
+	loadRefresh = 600 * time.Millisecond
+
 	// maxMessageBytes holds a plan of the largest accepted size with its framing.
 	maxMessageBytes = 8 << 20
 )
@@ -36,6 +43,7 @@
 	kindEndpoints
 	kindBeat
 	kindSuspects
+	kindLoads
 )
 
 // Contact tells who a process is and where it is reached.
@@ -58,6 +66,9 @@
 	Attached int `cbor:"4,keyasint"`
 }
 
+// Loads holds requests in flight by endpoint ID.
+type Loads map[string]int
+
 // Suspect is a request that ran at an endpoint when that one broke off.
 type Suspect struct {
 	Fingerprint uint64 `cbor:"1,keyasint"`
--- a/core/chooser/chooser.go
+++ b/core/chooser/chooser.go
@@ -28,6 +28,9 @@
 	// reportFresh is how long a reported load counts.
 	reportFresh = 1500 * time.Millisecond
 
+	// othersFresh is how long the numbers of the other routers count; they come several times a second.
+	othersFresh = time.Second
+
 	// boundPart is the part of the load bound that one router fills, because it sees the loads late.
 	boundPart = 0.75
 
@@ -82,6 +85,7 @@
 type endpoint struct {
 	registrar.Endpoint
 	inFlight   int
+	others     int // requests of the other routers there
 	reported   int // requests running and waiting there
 	reportedAt time.Time
 	sent       int // own requests since the report that aren't in it
@@ -94,7 +98,7 @@
 
 type pool struct {
 	ranks *placer.Subset // all endpoints of the service
-	all   []*endpoint // in the order of ranks
+	all   []*endpoint    // in the order of ranks
 }
 
 // Chooser holds the endpoints as this router sees them; it is not safe for concurrent use.
@@ -106,6 +110,9 @@
 	byID    map[string]*endpoint
 	pools   map[string]*pool
 	walk    placer.Walk
+
+	othersAt time.Time // when the numbers of the other routers were received
+	told     map[string]int
 }
 
 // New returns a chooser without endpoints for the router of a name in a failure domain.
@@ -140,8 +147,12 @@
 	}
 }
 
-// load is the number of requests at the endpoint as far as known.
-func (e *endpoint) load(now time.Time) int {
+// load is the number of requests at the endpoint as far as known: those of all routers, or what the endpoint itself
+// said while the other routers' aren't known.
+func (e *endpoint) load(now time.Time, othersAt time.Time) int {
+	if now.Sub(othersAt) <= othersFresh {
+		return e.inFlight + e.others
+	}
 	if e.reportedAt.IsZero() || now.Sub(e.reportedAt) > reportFresh {
 		return e.inFlight
 	}
@@ -224,14 +235,14 @@
 			why = worse(why, r)
 			continue
 		}
-		switch load := e.load(now); {
+		switch load := e.load(now, c.othersAt); {
 		case e.isAvoided(now):
 			if avoided == nil || e.avoidTill.Before(avoided.avoidTill) {
 				avoided, avoidedRank = e, rank
 			}
 		case float64(load+1) <= bound:
 			return c.take(now, e, rank), ""
-		case least == nil || load < least.load(now):
+		case least == nil || load < least.load(now, c.othersAt):
 			least, leastRank = e, rank
 		}
 	}
@@ -253,7 +264,7 @@
 func (c *Chooser) bound(now time.Time, p *pool) float64 {
 	total := 0
 	for _, e := range p.all {
-		total += e.load(now)
+		total += e.load(now, c.othersAt)
 	}
 	mean := float64(total) / float64(len(p.all))
 	return math.Floor(boundPart*(c.limits.LoadOver*mean+c.limits.LoadSlack)) + 1
@@ -270,7 +281,7 @@
 			continue
 		}
 		// One more request weighs more than the way to another failure domain.
-		cost := float64(e.load(now)) * 2
+		cost := float64(e.load(now, c.othersAt)) * 2
 		if e.Domain != c.domain {
 			cost++
 		}
@@ -296,7 +307,7 @@
 }
 
 func (c *Chooser) take(now time.Time, e *endpoint, rank int) Choice {
-	ch := Choice{Endpoint: e.Endpoint, Load: e.load(now), Age: -1, Rank: rank}
+	ch := Choice{Endpoint: e.Endpoint, Load: e.load(now, c.othersAt), Age: -1, Rank: rank}
 	if !e.reportedAt.IsZero() {
 		ch.Age = now.Sub(e.reportedAt)
 	}
@@ -320,6 +331,25 @@
 	return e
 }
 
+// InFlight returns the requests of this router by endpoint, to be told to the others.
+func (c *Chooser) InFlight() map[string]int {
+	c.told = map[string]int{}
+	for id, e := range c.byID {
+		if e.inFlight > 0 {
+			c.told[id] = e.inFlight
+		}
+	}
+	return c.told
+}
+
+// Total takes the requests of all routers by endpoint, with those that this router told.
+func (c *Chooser) Total(now time.Time, total map[string]int) {
+	c.othersAt = now
+	for id, e := range c.byID {
+		e.others = max(0, total[id]-c.told[id])
+	}
+}
+
 // Done ends a request that was counted by Choose.
 func (c *Chooser) Done(of registrar.Endpoint) {
 	if e := c.find(of); e != nil {
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"cactusroute.dev/adapters/committer"
 	"cactusroute.dev/adapters/exchanger"
 	"cactusroute.dev/adapters/messenger"
 	"cactusroute.dev/core/archivist"
@@ -52,6 +53,9 @@
 	}
 	a.count++
 	a.since = time.Now()
+	if c.Eligible {
+		f.seeHub(c, false)
+	}
 	f.mu.Unlock()
 	f.log.belief("msg", "subscriber attached", "subscriber", c.Name, "address", c.Address)
 }
@@ -61,12 +65,54 @@
 	f.mu.Lock()
 	if a := f.attached[c.Name]; a != nil && a.Address == c.Address {
 		a.count--
+		a.loads = nil
 		a.since = time.Now()
 	}
 	f.mu.Unlock()
 	f.log.belief("msg", "subscriber lost", "subscriber", c.Name, "address", c.Address)
 }
 
+// LoadsReceived implements exchanger.Source.
+func (f *fleet) LoadsReceived(from exchanger.Contact, loads exchanger.Loads) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if a := f.attached[from.Name]; a != nil {
+		a.loads = loads
+	}
+}
+
+// Loads implements exchanger.Source.
+func (f *fleet) Loads(to exchanger.Contact) exchanger.Loads {
+	sum := f.routing.inFlight()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for name, a := range f.attached {
+		if f.hubs[name] == nil && a.count > 0 {
+			addLoads(sum, a.loads)
+		}
+	}
+	if to.Eligible {
+		return sum
+	}
+	f.addPeerLoads(sum)
+	return sum
+}
+
+// addPeerLoads adds the requests at the other control instances and their routers; the caller holds mu.
+func (f *fleet) addPeerLoads(sum exchanger.Loads) {
+	for name, h := range f.hubs {
+		if name != f.self.Name {
+			addLoads(sum, h.loads)
+		}
+	}
+}
+
+func addLoads(sum, more exchanger.Loads) {
+	for id, n := range more {
+		sum[id] += n
+	}
+}
+
 // Suspects implements exchanger.Source.
 func (f *fleet) Suspects(list []exchanger.Suspect) {
 	if f.addSuspects(list) {
@@ -130,6 +176,37 @@
 	}
 }
 
+// Loads implements exchanger.Receiver.
+func (r *receiver) Loads() exchanger.Loads {
+	if r.peer {
+		return nil
+	}
+	return r.fleet.routing.inFlight()
+}
+
+// LoadsReceived implements exchanger.Receiver.
+func (r *receiver) LoadsReceived(loads exchanger.Loads) {
+	f := r.fleet
+	if !r.peer {
+		f.routing.total(loads)
+		return
+	}
+	f.mu.Lock()
+	if h := f.hubs[r.hub.Name]; h != nil {
+		h.loads = loads
+	}
+	f.mu.Unlock()
+}
+
+// shareLoads lets a control instance use the numbers that it hands out, until ctx ends.
+func (f *fleet) shareLoads(ctx context.Context) error {
+	for ctx.Err() == nil {
+		f.routing.total(f.Loads(exchanger.Contact{}))
+		pause(ctx, shareInterval)
+	}
+	return ctx.Err()
+}
+
 // BeatReceived implements exchanger.Receiver.
 func (r *receiver) BeatReceived(b exchanger.Beat) {
 	f := r.fleet
@@ -248,7 +325,14 @@
 // followPeers keeps a control instance subscribed to all others until ctx ends.
 func (f *fleet) followPeers(ctx context.Context) error {
 	for ctx.Err() == nil {
+		var members []committer.Member
+		if c := f.hub.replica.Load(); c != nil {
+			members = c.Status().Members
+		}
 		f.mu.Lock()
+		for _, m := range members {
+			f.seeHub(exchanger.Contact{Name: m.Name, Address: m.Address, Eligible: true}, false)
+		}
 		for name, h := range f.hubs {
 			if name == f.self.Name || h.subscribed {
 				continue
@@ -270,6 +354,7 @@
 		f.mu.Lock()
 		gone := f.hubs[h.Name] != h || time.Since(h.seen) > forgetHubAfter
 		h.subscribed = !gone
+		h.loads, h.attached = nil, 0
 		f.mu.Unlock()
 		if gone {
 			return
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -21,6 +21,9 @@
 	// expireInterval is how often heartbeats, connections and subscriptions are checked.
 	expireInterval = 500 * time.Millisecond
 
+	// shareInterval is how often a control instance adds up the requests of all routers.
+	shareInterval = 150 * time.Millisecond
+
 	// hubFor is how long a control instance counts as having a majority after its last beat that said so.
 	hubFor = 1500 * time.Millisecond
 
@@ -49,11 +52,12 @@
 // knownHub is a control instance.
 type knownHub struct {
 	exchanger.Contact
-	seen       time.Time // when anybody named it
-	quorate    time.Time // when it was last said to have a majority
-	attached   int       // routers attached to it
-	failed     time.Time // when it was last not reachable
-	subscribed bool      // a hub's own subscription runs
+	seen       time.Time       // when anybody named it
+	quorate    time.Time       // when it was last said to have a majority
+	attached   int             // routers attached to it
+	loads      exchanger.Loads // requests of it and of its routers
+	failed     time.Time       // when it was last not reachable
+	subscribed bool            // a hub's own subscription runs
 }
 
 // suspect is a request that endpoints broke off under.
@@ -75,6 +79,8 @@
 	decode   chan struct{} // with room for one: a new state waits to be decoded
 	report   chan exchanger.Suspect
 
+	rebuilding sync.Mutex // taken before mu
+
 	mu        sync.Mutex
 	seeds     []string
 	endpoints *registrar.Registrar
@@ -96,6 +102,7 @@
 
 type attached struct {
 	exchanger.Contact
+	loads exchanger.Loads // requests in flight
 	count int
 	since time.Time // of the last change of count
 }
@@ -163,6 +170,9 @@
 		h = &knownHub{Contact: c}
 		f.hubs[c.Name] = h
 	}
+	if c.Control != "" {
+		h.Contact = c
+	}
 	h.seen = time.Now()
 	if quorate {
 		h.quorate = h.seen
@@ -189,8 +199,11 @@
 	f.log.belief("msg", "settings reloaded", "seeds", strings.Join(seeds, ","))
 }
 
-// rebuild publishes the endpoints that may get requests.
+// rebuild publishes the endpoints that may get requests. Only one rebuild runs at a time, so that one that began
+// earlier can't replace the list of a later one.
 func (f *fleet) rebuild() {
+	f.rebuilding.Lock()
+	defer f.rebuilding.Unlock()
 	v := f.view.Load()
 	f.mu.Lock()
 	usable := f.endpoints.Usable()
--- a/node/node.go
+++ b/node/node.go
@@ -114,6 +114,7 @@
 	if f.hub != nil {
 		sup.Add(f.hub)
 		sup.Add(service{"peers", f.followPeers})
+		sup.Add(service{"loads", f.shareLoads})
 		exchange.Handle(courier.Path, f.hub)
 		exchange.Handle(exchanger.Path, f.hub.server)
 	} else {
--- a/node/view.go
+++ b/node/view.go
@@ -1,9 +1,11 @@
 package node
 
 import (
+	"maps"
 	"sync"
 	"time"
 
+	"cactusroute.dev/adapters/exchanger"
 	"cactusroute.dev/core/chooser"
 	"cactusroute.dev/core/planner"
 	"cactusroute.dev/core/registrar"
@@ -73,6 +75,20 @@
 	return r.chooser.Choose(now, q)
 }
 
+// inFlight returns the requests of this router by endpoint.
+func (r *routing) inFlight() exchanger.Loads {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return maps.Clone(r.chooser.InFlight())
+}
+
+// total takes the requests of all routers by endpoint.
+func (r *routing) total(loads exchanger.Loads) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.chooser.Total(time.Now(), loads)
+}
+
 // with calls f with the chooser.
 func (r *routing) with(f func(c *chooser.Chooser)) {
 	r.mu.Lock()
