Find control instances through routers that are seeds, and test the open fleet

Cause: where the seeds have no disk, a router that asked them learned of eligible instances but not of the control instances, which had stopped looking once they had a majority; it stayed without a plan. The subscription to a peer read its contact without the lock. Change: a node without a control instance also asks the eligible instances that it has heard of.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-MODULES := adapters agent cactusctl control core devfleet fakeengine fakeservice loader router
+MODULES := adapters agent cactusctl control core devfleet fakeengine fakeservice loader node platform router
 BIN := .bin
 GOLANGCI_VERSION := v2.15.0
 GOLANGCI := $(BIN)/golangci-lint-$(GOLANGCI_VERSION)
@@ -10,7 +10,7 @@
 build:
 	@mkdir -p $(BIN)
 	go build -o $(BIN)/ ./router/cmd/router ./agent/cmd/agent ./control/cmd/control ./cactusctl \
-		./fakeengine/cmd/fakeengine ./fakeservice/cmd/fakeservice ./devfleet/cmd/devfleet ./loader/cmd/loader
+		./fakeengine/cmd/fakeengine ./fakeservice/cmd/fakeservice ./devfleet/cmd/devfleet ./loader/cmd/loader ./platform/cmd/cactusroute
 
 run: build
 	$(BIN)/devfleet
--- a/adapters/committer/committer.go
+++ b/adapters/committer/committer.go
@@ -83,9 +83,9 @@
 
 	// An instance of an open group shares a fraction of a core with traffic, so that a pause of some hundred
 	// milliseconds is usual there and must not cost the leadership.
-	openElectionMin = 600 * time.Millisecond
-	openElectionMax = 1200 * time.Millisecond
-	openHeartbeat   = 120 * time.Millisecond
+	shortOpenElection = 600 * time.Millisecond
+	longOpenElection  = 1200 * time.Millisecond
+	openHeartbeat     = 120 * time.Millisecond
 )
 
 // Committer drives one replica.
@@ -188,8 +188,9 @@
 		return nil, err
 	}
 	c = &Committer{cfg: cfg, sm: sm, store: store, origin: random64(), events: make(chan event, eventsQueue),
-		stopped: make(chan struct{}), failing: make(chan struct{}), waiters: map[replicator.Tag]*waiter{}, foreign: map[replicator.Tag]string{},
-		reads: map[uint64]time.Time{}, peers: map[string]heardPeer{}}
+		stopped: make(chan struct{}), failing: make(chan struct{}), waiters: map[replicator.Tag]*waiter{},
+		foreign: map[replicator.Tag]string{},
+		reads:   map[uint64]time.Time{}, peers: map[string]heardPeer{}}
 	c.courier = courier.New(cfg.Name, cfg.Messenger, c.receive)
 	c.metrics = newMetrics(cfg.Observer.Registry)
 	for name, addr := range cfg.Peers {
@@ -237,7 +238,7 @@
 	cfg := replicator.Config{ID: c.store.ID(), Initial: stored, InitialCommitted: c.applied,
 		Random: rand.NewPCG(random64(), random64())}
 	if c.cfg.Open != nil {
-		cfg.ElectionMin, cfg.ElectionMax, cfg.Heartbeat = openElectionMin, openElectionMax, openHeartbeat
+		cfg.ElectionMin, cfg.ElectionMax, cfg.Heartbeat = shortOpenElection, longOpenElection, openHeartbeat
 	}
 	c.replica = replicator.New(time.Now(), cfg)
 	c.connectMembers()
--- a/adapters/exchanger/meeting.go
+++ b/adapters/exchanger/meeting.go
@@ -88,6 +88,16 @@
 	return m.founder
 }
 
+// Peers returns the addresses of the eligible instances that are known.
+func (m *Meeting) Peers() (addresses []string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, p := range m.peers {
+		addresses = append(addresses, p.Address)
+	}
+	return addresses
+}
+
 // ServeHTTP answers another process that introduces itself.
 func (m *Meeting) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxMeetBytes))
--- a/adapters/forwarder/exchange.go
+++ b/adapters/forwarder/exchange.go
@@ -143,7 +143,7 @@
 // readAnswer skips answers to earlier requests, which an endpoint may send late.
 func (x *exchange) readAnswer(r *Request) (*Answer, error) {
 	for range maxStrays + 1 {
-		resp, err := readResponse(x.conn.br, r.Method)
+		resp, err := readResponse(x.conn.br, r.Method) //nolint:bodyclose // read to its end here, or by the caller
 		if err != nil {
 			return nil, err
 		}
--- /dev/null
+++ b/adapters/forwarder/forwarder_test.go
@@ -0,0 +1,329 @@
+package forwarder
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+const testLimit = 20 * time.Second
+
+// serve runs handle for each connection; n counts the connections from 1.
+func serve(t *testing.T, handle func(n int, c net.Conn, br *bufio.Reader)) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for n := 1; ; n++ {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				handle(n, c, bufio.NewReader(c))
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+func request(address, id string, body []byte) *Request {
+	return &Request{Address: address, Method: http.MethodPost, Target: "/a/b?c=%2F&d", Host: "h.example",
+		Header: http.Header{"X-Id": {id}}, Body: body, Deadline: time.Now().Add(testLimit), IDHeader: "X-Id", ID: id}
+}
+
+func whole(id, body string) string {
+	return "HTTP/1.1 200 OK\r\nX-Id: " + id + "\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body
+}
+
+// readRequest reads one request whole; it returns nil at the end of the connection.
+func readRequest(br *bufio.Reader) (*http.Request, []byte) {
+	r, err := http.ReadRequest(br)
+	if err != nil {
+		return nil, nil
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return nil, nil
+	}
+	return r, body
+}
+
+func get(t *testing.T, p *Pool, r *Request) string {
+	t.Helper()
+	a, err := p.Send(context.Background(), r)
+	assert.NilError(t, err)
+	body, err := io.ReadAll(a.Body)
+	assert.NilError(t, err)
+	assert.NilError(t, a.Body.Close())
+	return string(body)
+}
+
+// Guards against requests that reach the endpoint changed.
+func TestRequestArrivesAsItWasSent(t *testing.T) {
+	body := bytes.Repeat([]byte("0123456789abcdef"), 8<<10)
+	address := serve(t, func(_ int, c net.Conn, br *bufio.Reader) {
+		for {
+			r, got := readRequest(br)
+			if r == nil {
+				return
+			}
+			ok := r.RequestURI == "/a/b?c=%2F&d" && r.Host == "h.example" && bytes.Equal(got, body)
+			_, _ = io.WriteString(c, whole(r.Header.Get("X-Id"), strconv.FormatBool(ok)))
+		}
+	})
+	p := NewPool()
+	for range 3 {
+		assert.Equal(t, get(t, p, request(address, "1", body)), "true")
+	}
+	assert.Equal(t, p.Dialed(), uint64(1))
+}
+
+// Guards against an answer that is given to another request's caller: an endpoint may answer twice, at once or late.
+func TestExtraAnswersBelongToNoOtherRequest(t *testing.T) {
+	for _, late := range []bool{false, true} {
+		address := serve(t, func(_ int, c net.Conn, br *bufio.Reader) {
+			for n := 0; ; n++ {
+				r, _ := readRequest(br)
+				if r == nil {
+					return
+				}
+				id := r.Header.Get("X-Id")
+				if late && n > 0 {
+					_, _ = io.WriteString(c, whole("before", "stray"))
+				}
+				_, _ = io.WriteString(c, whole(id, "answer "+id))
+				if !late {
+					_, _ = io.WriteString(c, whole(id, "again "+id))
+				}
+			}
+		})
+		p := NewPool()
+		for _, id := range []string{"1", "2", "3"} {
+			assert.Equal(t, get(t, p, request(address, id, nil)), "answer "+id, "late %v", late)
+			time.Sleep(5 * time.Millisecond) // lets an answer that nobody asked for arrive
+		}
+	}
+}
+
+// Guards against bytes of another request where the rest of a body is due: an endpoint may answer before it has read
+// everything and read on later.
+func TestEarlyAnswerDoesNotMixBodies(t *testing.T) {
+	body := bytes.Repeat([]byte("x"), 4<<20)
+	mixed := atomic.Bool{}
+	address := serve(t, func(_ int, c net.Conn, br *bufio.Reader) {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, whole(r.Header.Get("X-Id"), "early"))
+		time.Sleep(50 * time.Millisecond)
+		rest, _ := io.ReadAll(r.Body)
+		if strings.Trim(string(rest), "x") != "" {
+			mixed.Store(true)
+		}
+	})
+	p := NewPool()
+	assert.Equal(t, get(t, p, request(address, "1", body)), "early")
+	assert.Equal(t, get(t, p, request(address, "2", body)), "early")
+	assert.Assert(t, !mixed.Load())
+	assert.Equal(t, p.Dialed(), uint64(2))
+}
+
+// Guards against answers that end early and look complete, and against a false claim that a request has not run.
+func TestBrokenAnswers(t *testing.T) {
+	head := "HTTP/1.1 200 OK\r\nX-Id: 1\r\n"
+	for _, c := range []struct {
+		name, answer string
+		reset        bool
+		headFails    bool
+	}{
+		{name: "nothing", headFails: true},
+		{name: "no answer in the protocol", answer: "\x00\x01garbage\r\n\r\n", headFails: true},
+		{name: "half a head", answer: "HTTP/1.1 200 OK\r\nX-", headFails: true},
+		{name: "only another answer", answer: whole("other", "x"), headFails: true},
+		{name: "success without an ID", answer: "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx", headFails: true},
+		{name: "short body", answer: head + "Content-Length: 10\r\n\r\nfour"},
+		{name: "chunks without an end", answer: head + "Transfer-Encoding: chunked\r\n\r\n4\r\nfour\r\n"},
+		{name: "unframed and reset", answer: head + "Connection: close\r\n\r\nfour", reset: true},
+	} {
+		address := serve(t, func(_ int, conn net.Conn, br *bufio.Reader) {
+			if r, _ := readRequest(br); r == nil {
+				return
+			}
+			_, _ = io.WriteString(conn, c.answer)
+			if c.reset {
+				time.Sleep(20 * time.Millisecond) // lets the bytes arrive before the reset
+				_ = conn.(*net.TCPConn).SetLinger(0)
+			}
+		})
+		a, err := NewPool().Send(context.Background(), request(address, "1", []byte("body")))
+		var fe *Error
+		if c.headFails {
+			assert.Assert(t, errors.As(err, &fe), c.name)
+			assert.Equal(t, fe.Ran, Unknown, c.name)
+			continue
+		}
+		assert.NilError(t, err, c.name)
+		_, err = io.ReadAll(a.Body)
+		assert.Assert(t, err != nil, c.name)
+		assert.NilError(t, a.Body.Close())
+	}
+}
+
+// Guards against an unframed answer that is refused although it is whole.
+func TestUnframedAnswerEndsWithItsConnection(t *testing.T) {
+	address := serve(t, func(_ int, c net.Conn, br *bufio.Reader) {
+		if r, _ := readRequest(br); r != nil {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\nwhole")
+		}
+	})
+	p := NewPool()
+	assert.Equal(t, get(t, p, request(address, "1", nil)), "whole")
+	assert.Equal(t, p.Open(address), 0)
+}
+
+// Guards against a request that is lost on a connection that the endpoint has closed while it was idle.
+func TestClosedIdleConnectionIsNotUsed(t *testing.T) {
+	closed := make(chan struct{})
+	address := serve(t, func(n int, c net.Conn, br *bufio.Reader) {
+		for {
+			r, _ := readRequest(br)
+			if r == nil {
+				return
+			}
+			_, _ = io.WriteString(c, whole(r.Header.Get("X-Id"), strconv.Itoa(n)))
+			if n == 1 {
+				_ = c.Close()
+				close(closed)
+				return
+			}
+		}
+	})
+	p := NewPool()
+	assert.Equal(t, get(t, p, request(address, "1", nil)), "1")
+	<-closed
+	time.Sleep(10 * time.Millisecond) // lets the end of the connection arrive
+	assert.Equal(t, get(t, p, request(address, "2", nil)), "2")
+}
+
+// Guards against a request that can't be repeated on a connection that may be about to close.
+func TestFreshRequestsAvoidIdleConnections(t *testing.T) {
+	address := serve(t, func(n int, c net.Conn, br *bufio.Reader) {
+		for {
+			r, _ := readRequest(br)
+			if r == nil {
+				return
+			}
+			_, _ = io.WriteString(c, whole(r.Header.Get("X-Id"), strconv.Itoa(n)))
+		}
+	})
+	p := NewPool()
+	assert.Equal(t, get(t, p, request(address, "1", nil)), "1")
+	p.mu.Lock()
+	p.idle[address][0].idleFrom = time.Now().Add(-2 * freshLimit)
+	p.mu.Unlock()
+	r := request(address, "2", nil)
+	r.Fresh = true
+	assert.Equal(t, get(t, p, r), "2")
+}
+
+// Guards against a claim that a request may have run which was never sent.
+func TestUnreachableEndpointHasNotRun(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	address := ln.Addr().String()
+	assert.NilError(t, ln.Close())
+	_, err = NewPool().Send(context.Background(), request(address, "1", nil))
+	var fe *Error
+	assert.Assert(t, errors.As(err, &fe))
+	assert.Equal(t, fe.Ran, NotSent)
+}
+
+// Guards against an endpoint that works on for a caller that has left.
+func TestCancelEndsTheConnection(t *testing.T) {
+	gone := make(chan time.Time, 1)
+	arrived := make(chan struct{})
+	address := serve(t, func(_ int, _ net.Conn, br *bufio.Reader) {
+		_, _ = readRequest(br)
+		close(arrived)
+		_, _ = br.ReadByte()
+		gone <- time.Now()
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() {
+		_, err := NewPool().Send(ctx, request(address, "1", nil))
+		done <- err
+	}()
+	<-arrived
+	at := time.Now()
+	cancel()
+	assert.Assert(t, errors.Is(<-done, context.Canceled))
+	assert.Assert(t, (<-gone).Sub(at) < 500*time.Millisecond)
+}
+
+func TestKeepFor(t *testing.T) {
+	for _, c := range []struct {
+		header string
+		want   time.Duration
+	}{
+		{"", idleLimit},
+		{"timeout=5, max=100", 4 * time.Second},
+		{"max=1, timeout=2", time.Second},
+		{"timeout=1", 0},
+		{"timeout=x", idleLimit},
+		{"timeout=100000", 10 * idleLimit},
+	} {
+		assert.Equal(t, keepFor(c.header), c.want, c.header)
+	}
+}
+
+func BenchmarkSend(b *testing.B) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer func() { _ = ln.Close() }()
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				br := bufio.NewReader(c)
+				for {
+					r, _ := readRequest(br)
+					if r == nil {
+						return
+					}
+					_, _ = io.WriteString(c, whole("1", "answer"))
+				}
+			}()
+		}
+	}()
+	p := NewPool()
+	r := request(ln.Addr().String(), "1", make([]byte, 2<<10))
+	b.ReportAllocs()
+	for b.Loop() {
+		a, err := p.Send(context.Background(), r)
+		if err != nil {
+			b.Fatal(err)
+		}
+		_, _ = io.Copy(io.Discard, a.Body)
+		_ = a.Body.Close()
+	}
+}
--- /dev/null
+++ b/core/archivist/archivist_test.go
@@ -0,0 +1,53 @@
+package archivist
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func apply(t *testing.T, a *Archivist, index uint64, c Command) {
+	t.Helper()
+	entry, err := Encode(c)
+	assert.NilError(t, err)
+	assert.Equal(t, a.Apply(index, entry), nil)
+}
+
+func plan(version uint64, content string) Command {
+	return Command{Plan: &Document{Version: version, Content: []byte(content)}}
+}
+
+// Guards against an older plan, or other content under the same version, that replaces the one in force.
+func TestTheHighestVersionIsInForce(t *testing.T) {
+	a := New(func(State) {})
+	apply(t, a, 1, plan(3, "three"))
+	apply(t, a, 2, plan(2, "two"))
+	apply(t, a, 3, plan(3, "other"))
+	assert.Equal(t, string(a.State().Plan.Content), "three")
+	apply(t, a, 4, plan(7, "seven"))
+	assert.Equal(t, string(a.State().Plan.Content), "seven")
+}
+
+// Guards against failure domains that are lost with a snapshot, and against a published state that changes later.
+func TestSnapshotKeepsTheState(t *testing.T) {
+	var published []State
+	a := New(func(s State) { published = append(published, s) })
+	apply(t, a, 1, plan(3, "three"))
+	apply(t, a, 2, Command{TakeOut: "d1"})
+	apply(t, a, 3, Command{TakeOut: "d2"})
+	snapshot := a.Snapshot()
+	apply(t, a, 4, Command{Restore: "d1"})
+	assert.Equal(t, len(published[1].TakenOut), 1)
+	assert.Assert(t, published[2].TakenOut["d1"])
+
+	b := New(func(State) {})
+	assert.NilError(t, b.Restore(snapshot))
+	assert.DeepEqual(t, b.State(), published[2])
+}
+
+// Guards against a damaged entry that stops an instance or changes its state.
+func TestUnreadableEntryChangesNothing(t *testing.T) {
+	a := New(func(State) { t.Fatal("published") })
+	_, isError := a.Apply(1, []byte{0xff}).(error)
+	assert.Assert(t, isError)
+}
--- /dev/null
+++ b/core/planner/plan_test.go
@@ -0,0 +1,89 @@
+package planner
+
+import (
+	"errors"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func testPlan() *Plan {
+	return &Plan{
+		Version:  1,
+		Services: []Service{{Name: "a"}, {Name: "b"}},
+		Routes: []Route{
+			{Name: "root", Host: "h.example", Prefix: "/", TimeoutMillis: 1, Shares: []Share{{"a", 1}}},
+			{Name: "deep", Host: "H.example", Prefix: "/x/y/", TimeoutMillis: 1, Shares: []Share{{"a", 1}, {"b", 3}}},
+			{Name: "mid", Host: "h.example", Prefix: "/x/", TimeoutMillis: 1, Shares: []Share{{"b", 1}}},
+		},
+		Workspaces: []Workspace{{Name: "w", Keys: []string{"k1", "k2"}}, {Name: "v", Keys: []string{"k3"}}},
+	}
+}
+
+// Guards against a request that runs at a service that its route doesn't name.
+func TestMatchTakesTheLongestPrefix(t *testing.T) {
+	p := testPlan()
+	assert.NilError(t, p.Index())
+	for _, c := range []struct{ host, path, want string }{
+		{"h.example", "/x/y/z", "deep"},
+		{"h.example:8080", "/x/y/", "deep"},
+		{"H.EXAMPLE", "/x/yy", "mid"},
+		{"h.example", "/x", "root"},
+		{"h.example", "/x%2Fy/", "root"},
+		{"other.example", "/x/", ""},
+	} {
+		got := ""
+		if r := p.Match(c.host, c.path); r != nil {
+			got = r.Name
+		}
+		assert.Equal(t, got, c.want, "%s%s", c.host, c.path)
+	}
+}
+
+// Guards against a plan that can't be in force and is acknowledged.
+func TestIndexRefusesWrongPlans(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		spoil func(*Plan)
+	}{
+		{"unknown service", func(p *Plan) { p.Routes[0].Shares[0].Service = "c" }},
+		{"same place", func(p *Plan) { p.Routes[2].Prefix = "/x/y/" }},
+		{"no weight", func(p *Plan) { p.Routes[0].Shares[0].Weight = 0 }},
+		{"negative weight", func(p *Plan) { p.Routes[1].Shares[0].Weight = -1 }},
+		{"no timeout", func(p *Plan) { p.Routes[0].TimeoutMillis = 0 }},
+		{"shared key", func(p *Plan) { p.Workspaces[1].Keys[0] = "k1" }},
+		{"service twice", func(p *Plan) { p.Services[1].Name = "a" }},
+		{"prefix without slash", func(p *Plan) { p.Routes[0].Prefix = "/x" }},
+	} {
+		p := testPlan()
+		c.spoil(p)
+		var invalid *InvalidError
+		assert.Assert(t, errors.As(p.Index(), &invalid), c.name)
+	}
+}
+
+// Guards against shares that are off by one at their borders.
+func TestPickFollowsTheWeights(t *testing.T) {
+	p := testPlan()
+	r := &p.Routes[1]
+	assert.Equal(t, r.Pick(0), "a")
+	assert.Equal(t, r.Pick(0.249), "a")
+	assert.Equal(t, r.Pick(0.25), "b")
+	assert.Equal(t, r.Pick(0.999), "b")
+}
+
+// Guards against a second run of a request whose route has no kind that allows it.
+func TestOnlyRepeatableKindsRepeat(t *testing.T) {
+	for _, c := range []struct {
+		route Route
+		want  bool
+	}{
+		{Route{}, false},
+		{Route{Kind: KindOnce, Resumable: true}, false},
+		{Route{Kind: KindStream}, false},
+		{Route{Kind: KindStream, Resumable: true}, true},
+		{Route{Kind: KindRepeatable}, true},
+	} {
+		assert.Equal(t, c.route.CanRepeat(), c.want, "%+v", c.route)
+	}
+}
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -350,9 +350,12 @@
 func (f *fleet) followPeer(ctx context.Context, h *knownHub) {
 	for ctx.Err() == nil {
 		began := time.Now()
-		err := f.follow(ctx, h.Contact, true)
 		f.mu.Lock()
-		gone := f.hubs[h.Name] != h || time.Since(h.seen) > forgetHubAfter
+		c := h.Contact
+		f.mu.Unlock()
+		err := f.follow(ctx, c, true)
+		f.mu.Lock()
+		gone := f.hubs[c.Name] != h || time.Since(h.seen) > forgetHubAfter
 		h.subscribed = !gone
 		h.loads, h.attached = nil, 0
 		f.mu.Unlock()
@@ -360,7 +363,7 @@
 			return
 		}
 		if time.Since(began) > time.Second && ctx.Err() == nil {
-			f.log.belief("msg", "peer instance lost", "instance", h.Name, "address", h.Address, "err", err)
+			f.log.belief("msg", "peer instance lost", "instance", c.Name, "address", c.Address, "err", err)
 		}
 		pause(ctx, seekInterval)
 	}
@@ -390,12 +393,14 @@
 // seekTargets returns the addresses to introduce this node to.
 func (f *fleet) seekTargets() []string {
 	lost := f.hub != nil && !f.hub.isQuorate()
+	// The seeds may be routers that look for a control instance themselves.
+	peers := f.meeting.Peers()
 	now := time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	set := map[string]bool{}
 	if lost || f.hub == nil && f.current == "" {
-		for _, s := range f.seeds {
+		for _, s := range append(peers, f.seeds...) {
 			set[s] = true
 		}
 		for _, h := range f.hubs {
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -184,7 +184,7 @@
 func (f *fleet) metPeers() []exchanger.Contact {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var list []exchanger.Contact
+	list := make([]exchanger.Contact, 0, len(f.hubs))
 	for _, h := range f.hubs {
 		list = append(list, h.Contact)
 	}
--- a/node/hub.go
+++ b/node/hub.go
@@ -41,6 +41,7 @@
 	server   *exchanger.Server
 	replica  atomic.Pointer[committer.Committer]
 	met      func() []exchanger.Contact // eligible instances that are known
+	fs       storer.FS                  // the disk when nil
 }
 
 // String names the service for its supervisor.
@@ -81,7 +82,9 @@
 	}
 	h.replica.Store(nil)
 	cancel()
-	<-done
+	if serveErr := <-done; err == nil {
+		err = serveErr
+	}
 	return err
 }
 
@@ -89,7 +92,7 @@
 // vouches for what the old one had promised.
 func (h *hub) open() (*committer.Committer, error) {
 	cfg := committer.Config{Name: h.settings.Place.Name, Folder: h.settings.DataFolder, Region: h.settings.Place.Region,
-		Observer: h.obs, Messenger: messenger.Options{}, SnapshotBytes: snapshotBytes,
+		Observer: h.obs, Messenger: messenger.Options{}, SnapshotBytes: snapshotBytes, FS: h.fs,
 		Open: &committer.OpenGroup{Address: h.settings.Listen.Exchange, MinVoters: h.settings.MinVoters}}
 	c, err := committer.New(cfg, h.archive)
 	if corrupt := (*storer.CorruptError)(nil); errors.As(err, &corrupt) {
@@ -140,12 +143,6 @@
 	return ok && time.Since(at) <= confirmedWithin
 }
 
-// isMember reports whether the replica belongs to a group.
-func (h *hub) isMember() bool {
-	c := h.replica.Load()
-	return c != nil && c.Status().Cluster != ""
-}
-
 // propose commits a command on enough disks and waits until it is applied here.
 func (h *hub) propose(ctx context.Context, cmd archivist.Command) error {
 	c := h.replica.Load()
--- a/node/node.go
+++ b/node/node.go
@@ -75,7 +75,9 @@
 	err := n.serveFront(ctx)
 	n.obs.Event("node stopped", "cause", context.Cause(ctx))
 	cancel()
-	<-done
+	if supErr := <-done; supErr != nil && !errors.Is(supErr, context.Canceled) {
+		n.obs.Event("services ended with an error", "err", supErr)
+	}
 	n.queue.Flush()
 	return err
 }
