Remember plan and endpoints on disk, and elect within 0.4 s of a start

Cause: after a loss of power of all instances, routers answered 503 for 2 s: the replicated state is known only once a leader has committed an entry of its term, and endpoints register with their next heartbeat. Change: each instance keeps what was in force and the endpoints in a file beside the log and serves routers from it until there is a leader; operators' reads and acknowledgements never use it. The first campaign after a start comes within 0.4 s. Routers also subscribe to eligible instances without a majority.

--- a/adapters/committer/committer.go
+++ b/adapters/committer/committer.go
@@ -85,6 +85,8 @@
 	// milliseconds is usual there and must not cost the leadership.
 	shortOpenElection = 600 * time.Millisecond
 	longOpenElection  = 1200 * time.Millisecond
+	// firstOpenElection is short, because nobody leads when all instances start after a loss of power.
+	firstOpenElection = 400 * time.Millisecond
 	openHeartbeat     = 120 * time.Millisecond
 )
 
@@ -239,6 +241,7 @@
 		Random: rand.NewPCG(random64(), random64())}
 	if c.cfg.Open != nil {
 		cfg.ElectionMin, cfg.ElectionMax, cfg.Heartbeat = shortOpenElection, longOpenElection, openHeartbeat
+		cfg.FirstElection = firstOpenElection
 	}
 	c.replica = replicator.New(time.Now(), cfg)
 	c.connectMembers()
--- a/core/replicator/replica.go
+++ b/core/replicator/replica.go
@@ -57,6 +57,10 @@
 	r.applied = r.commit
 	r.synced = r.log.last().Index
 	r.resetElection()
+	if cfg.FirstElection > 0 {
+		// A working leader is not disturbed: those that hear it refuse the pre-vote.
+		r.electAt = now.Add(time.Duration(cfg.Random.Uint64() % uint64(cfg.FirstElection)))
+	}
 	return r
 }
 
--- a/core/replicator/types.go
+++ b/core/replicator/types.go
@@ -191,6 +191,7 @@
 	ID               string
 	ElectionMin      time.Duration
 	ElectionMax      time.Duration
+	FirstElection    time.Duration // longest wait before the first campaign after a start; 0 takes ElectionMax
 	Heartbeat        time.Duration
 	MaxAppendBytes   int // bytes of entries in one append, at least one entry
 	MaxInflight      int // unacknowledged appends to one follower
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -14,7 +14,11 @@
 )
 
 // State implements exchanger.Source.
-func (f *fleet) State() archivist.State { return f.hub.archive.State() }
+func (f *fleet) State() archivist.State {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return archivist.State{Index: f.held.index, Plan: f.held.plan, TakenOut: f.held.takenOut}
+}
 
 // Endpoints implements exchanger.Source.
 func (f *fleet) Endpoints() []registrar.Endpoint {
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -77,6 +77,7 @@
 	routing  *routing
 	view     atomic.Pointer[view]
 	decode   chan struct{} // with room for one: a new state waits to be decoded
+	dirty    chan struct{} // with room for one: the memory on disk is out of date
 	report   chan exchanger.Suspect
 
 	rebuilding sync.Mutex // taken before mu
@@ -114,6 +115,7 @@
 
 func newFleet(s Settings, d Dialect, log *decisionLog) *fleet {
 	f := &fleet{settings: s, dialect: d, log: log, routing: newRouting(&s), decode: make(chan struct{}, 1),
+		dirty:  make(chan struct{}, 1),
 		report: make(chan exchanger.Suspect, 256),
 		self: exchanger.Contact{Name: s.Place.Name, Address: s.Listen.Exchange, Control: s.Listen.Control,
 			Domain: s.Place.FailureDomain, Eligible: s.DataFolder != ""},
@@ -150,6 +152,12 @@
 	for _, c := range hubs {
 		f.seeHub(c, true)
 	}
+	if f.hub == nil {
+		// Without a majority anywhere an eligible instance still knows what was in force.
+		for _, c := range peers {
+			f.seeHub(c, false)
+		}
+	}
 	f.mu.Unlock()
 	if f.hub == nil {
 		return
@@ -242,6 +250,7 @@
 // endpointsChanged publishes records that changed here, to this node's requests and to all subscribers.
 func (f *fleet) endpointsChanged(changed []registrar.Endpoint, source string) {
 	f.rebuild()
+	f.changedMemory()
 	if f.hub != nil {
 		f.hub.server.EndpointsChanged(changed)
 	}
@@ -286,6 +295,7 @@
 		f.held.plan = *plan
 	}
 	f.mu.Unlock()
+	f.changedMemory()
 	select {
 	case f.decode <- struct{}{}:
 	default:
--- /dev/null
+++ b/node/memory.go
@@ -0,0 +1,119 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"cactusroute.dev/core/archivist"
+	"cactusroute.dev/core/registrar"
+)
+
+const (
+	// replicaFolder and memoryFile are the parts of a data folder.
+	replicaFolder = "replica"
+	memoryFile    = "memory.cbor"
+
+	// rememberInterval bounds the writes of the memory; what is lost with it comes again with heartbeats.
+	rememberInterval = 500 * time.Millisecond
+)
+
+// memory is what an instance knew when it last wrote it. After a restart it serves with that until the control group
+// has a leader again. It is never the source of an acknowledgement or of a read by an operator.
+type memory struct {
+	State     archivist.State      `cbor:"1,keyasint"`
+	Endpoints []registrar.Endpoint `cbor:"2,keyasint"`
+}
+
+// remember writes the memory whenever something has changed, until ctx ends.
+func (f *fleet) remember(ctx context.Context) error {
+	name := filepath.Join(f.settings.DataFolder, memoryFile)
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-f.dirty:
+			if err := writeMemory(name, f.memory()); err != nil {
+				f.log.failure("msg", "memory not written", "file", name, "err", err)
+			}
+			pause(ctx, rememberInterval)
+		}
+	}
+	return ctx.Err()
+}
+
+// changedMemory notes that the memory is out of date.
+func (f *fleet) changedMemory() {
+	select {
+	case f.dirty <- struct{}{}:
+	default:
+	}
+}
+
+func (f *fleet) memory() memory {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m := memory{State: archivist.State{Index: f.held.index, Plan: f.held.plan, TakenOut: f.held.takenOut}}
+	for _, e := range f.endpoints.All() {
+		// Times of this process mean nothing to the next one.
+		e.ColdUntil, e.Changed = time.Time{}, time.Time{}
+		m.Endpoints = append(m.Endpoints, e)
+	}
+	return m
+}
+
+// recall takes what an earlier process of this instance knew.
+func (f *fleet) recall() {
+	name := filepath.Join(f.settings.DataFolder, memoryFile)
+	m, err := readMemory(name)
+	if errors.Is(err, fs.ErrNotExist) {
+		return
+	}
+	if err != nil {
+		f.log.failure("msg", "memory not read", "file", name, "err", err)
+		return
+	}
+	f.log.belief("msg", "memory read", "index", m.State.Index, "version", m.State.Plan.Version,
+		"endpoints", len(m.Endpoints))
+	f.mergeEndpoints(m.Endpoints, "memory")
+	f.stateChanged(m.State.Index, &m.State.Plan, m.State.TakenOut)
+}
+
+func readMemory(name string) (m memory, err error) {
+	data, err := os.ReadFile(name)
+	if err != nil {
+		return m, err
+	}
+	return m, cbor.Unmarshal(data, &m)
+}
+
+// writeMemory replaces the file, so that a crash leaves the old one or the new one whole.
+func writeMemory(name string, m memory) (err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("write %s: %w", name, err)
+		}
+	}()
+	data, err := cbor.Marshal(m)
+	if err != nil {
+		return err
+	}
+	tmp := name + ".tmp"
+	file, err := os.OpenFile(tmp, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	_, err = file.Write(data)
+	if err == nil {
+		err = file.Sync()
+	}
+	if err = errors.Join(err, file.Close()); err != nil {
+		return err
+	}
+	return os.Rename(tmp, name)
+}
--- /dev/null
+++ b/node/memory_test.go
@@ -0,0 +1,67 @@
+package node
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"cactusroute.dev/core/registrar"
+)
+
+// Guards against routers that know no plan and no endpoint until the control group has a leader again, after all nodes
+// have lost their power.
+func TestInstanceServesFromItsMemoryWithoutAMajority(t *testing.T) {
+	f := newTestFleet(t, 3, 1)
+	f.startAll()
+	f.putPlan(5, f.nodes[:3])
+	e := registrar.Endpoint{ID: "e", Service: "s", Address: "127.0.0.1:1", Domain: "d", State: registrar.Ready, Born: 1,
+		Sequence: 1}
+	f.order("ready", f.nodes[:1], func(c Control) error {
+		_, err := c.Register(t.Context(), e)
+		return err
+	})
+	f.inForce(5, f.nodes)
+	for _, n := range f.nodes[:3] {
+		eventually(t, "memory of "+n.settings.Place.Name, func() bool {
+			m, err := readMemory(filepath.Join(n.settings.DataFolder, memoryFile))
+			return err == nil && m.State.Plan.Version == 5 && len(m.Endpoints) == 1
+		})
+	}
+	for _, n := range f.nodes {
+		n.stop()
+	}
+	alone := []*testNode{f.nodes[0], f.nodes[3]}
+	for _, n := range alone {
+		f.start(n, f.seeds, false)
+	}
+	f.inForce(5, alone)
+	for _, n := range alone {
+		eventually(t, "endpoint at "+n.settings.Place.Name, func() bool { return len(n.fleet.Endpoints()) == 1 })
+	}
+	assert.Assert(t, !f.nodes[0].fleet.hub.isQuorate())
+	// An operator is told nothing from memory.
+	_, err := f.nodes[0].fleet.Plan(t.Context())
+	assert.Assert(t, err != nil)
+}
+
+// Guards against a damaged memory that keeps an instance from starting.
+func TestDamagedMemoryIsIgnored(t *testing.T) {
+	name := filepath.Join(t.TempDir(), memoryFile)
+	assert.NilError(t, writeMemory(name, memory{Endpoints: []registrar.Endpoint{{ID: "e", Born: 7}}}))
+	m, err := readMemory(name)
+	assert.NilError(t, err)
+	assert.Equal(t, m.Endpoints[0].Born, int64(7))
+	assert.Assert(t, m.Endpoints[0].ColdUntil.Equal(time.Time{}))
+	assert.NilError(t, os.WriteFile(name, []byte{0xff, 0x01}, 0o600))
+	_, err = readMemory(name)
+	assert.Assert(t, err != nil)
+
+	f := newTestFleet(t, 1, 0)
+	assert.NilError(t, os.MkdirAll(f.nodes[0].settings.DataFolder, 0o700))
+	assert.NilError(t, os.WriteFile(filepath.Join(f.nodes[0].settings.DataFolder, memoryFile), []byte{0xff}, 0o600))
+	f.startAll()
+	f.putPlan(1, f.nodes)
+}
--- a/node/node.go
+++ b/node/node.go
@@ -67,6 +67,9 @@
 	// The rest of the node outlives the service of callers, because their last requests still need it.
 	rest, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
+	if n.fleet.hub != nil {
+		n.fleet.recall()
+	}
 	sup := suture.New(n.settings.Place.Name, suture.Spec{Timeout: time.Second, EventHook: func(e suture.Event) {
 		n.obs.Event("service failed", "event", e.String())
 	}})
@@ -117,6 +120,7 @@
 		sup.Add(f.hub)
 		sup.Add(service{"peers", f.followPeers})
 		sup.Add(service{"loads", f.shareLoads})
+		sup.Add(service{"memory", f.remember})
 		exchange.Handle(courier.Path, f.hub)
 		exchange.Handle(exchanger.Path, f.hub.server)
 	} else {
