Count idle endpoints in the load bound, and near it gradually

With one threshold all routers send to the home of a hot subject until all see it exceeded. Change: the bound counts the endpoints that get no new requests; between 0.7 and 0.9 of it ever fewer requests go to an endpoint for its cache; routers exchange loads each 50 ms on each link.

--- a/adapters/exchanger/wire.go
+++ b/adapters/exchanger/wire.go
@@ -24,9 +24,9 @@
 	// dialLimit bounds the attempt to reach a control instance, so that two of them fit into the same 3 s.
 	dialLimit = 500 * time.Millisecond
 
-	// loadInterval is how often routers exchange the numbers of their requests at each endpoint: within it some two
-	// requests reach the endpoint of a key that gets a quarter of the traffic.
-	loadInterval = 150 * time.Millisecond
+	// loadInterval is how often routers exchange the numbers of their requests at each endpoint. They pass three links
+	// at most, and within 150 ms some two requests reach the endpoint of a key that gets a tenth of the traffic.
+	loadInterval = 50 * time.Millisecond
 
 	// loadRefresh is how often numbers that don't change are repeated; they count for a second.
 	loadRefresh = 600 * time.Millisecond
--- a/core/chooser/chooser.go
+++ b/core/chooser/chooser.go
@@ -31,8 +31,13 @@
 	// othersFresh is how long the numbers of the other routers count; they come several times a second.
 	othersFresh = time.Second
 
-	// boundPart is the part of the load bound that one router fills, because it sees the loads late.
-	boundPart = 0.75
+	// freePart and fullPart are the parts of the load bound between which ever fewer requests are sent to an endpoint
+	// for its cache. The loads are seen late: with one threshold all routers would send until all see it exceeded.
+	// Up to nearPart an endpoint is taken while the draw spares all others, because the least loaded one is the same
+	// at all routers, which would meet there.
+	freePart = 0.7
+	fullPart = 0.9
+	nearPart = 0.85
 
 	// coldPart is the part of the allowed rate to a cold endpoint that the routers share out.
 	coldPart = 0.9
@@ -60,6 +65,7 @@
 	Service *planner.Service
 	Parts   []Part
 	Tried   []string // endpoints that must not be chosen again
+	Draw    float64  // uniform in [0, 1)
 }
 
 // Reason says why no endpoint was chosen.
@@ -99,6 +105,8 @@
 type pool struct {
 	ranks *placer.Subset // all endpoints of the service
 	all   []*endpoint    // in the order of ranks
+	// present is the number of endpoints with those that get no new requests: the load bound is over all of them.
+	present int
 }
 
 // Chooser holds the endpoints as this router sees them; it is not safe for concurrent use.
@@ -121,8 +129,9 @@
 		pools: map[string]*pool{}}
 }
 
-// Update replaces the endpoints by those that may get requests; what is known of a start of an endpoint is kept.
-func (c *Chooser) Update(list []registrar.Endpoint, routers int) {
+// Update replaces the endpoints that may get requests; what is known of a start of an endpoint is kept. present is the
+// number of endpoints of each service with those that get no new requests.
+func (c *Chooser) Update(list []registrar.Endpoint, present map[string]int, routers int) {
 	c.routers = max(1, routers)
 	old := c.byID
 	c.byID = make(map[string]*endpoint, len(list))
@@ -139,7 +148,7 @@
 	c.pools = make(map[string]*pool, len(members))
 	for service, names := range members {
 		ranks := placer.NewPool(names)
-		p := &pool{ranks: ranks.All()}
+		p := &pool{ranks: ranks.All(), present: max(ranks.Len(), present[service])}
 		for i := range ranks.Len() {
 			p.all = append(p.all, c.byID[ranks.Name(i)])
 		}
@@ -222,8 +231,8 @@
 func (c *Chooser) chooseByKey(now time.Time, q Query, p *pool) (Choice, Reason) {
 	bound := c.bound(now, p)
 	why := AllTried
-	var least, avoided *endpoint
-	leastRank, avoidedRank := 0, 0
+	var near, least, avoided *endpoint
+	nearRank, leastRank, avoidedRank := 0, 0, 0
 	c.walk.Start(p.ranks, affinity(q.Parts))
 	for rank := 0; ; rank++ {
 		i, ok := c.walk.Next()
@@ -240,13 +249,17 @@
 			if avoided == nil || e.avoidTill.Before(avoided.avoidTill) {
 				avoided, avoidedRank = e, rank
 			}
-		case float64(load+1) <= bound:
+		case float64(load+1) <= (fullPart-q.Draw*(fullPart-freePart))*bound:
 			return c.take(now, e, rank), ""
+		case near == nil && float64(load+1) <= nearPart*bound:
+			near, nearRank = e, rank
 		case least == nil || load < least.load(now, c.othersAt):
 			least, leastRank = e, rank
 		}
 	}
 	switch {
+	case near != nil:
+		return c.take(now, near, nearRank), ""
 	case least != nil:
 		return c.take(now, least, leastRank), ""
 	case avoided != nil:
@@ -260,14 +273,14 @@
 	return placer.KeyOf(parts[max(0, len(parts)-2)].ID)
 }
 
-// bound is the load up to which an endpoint is preferred over the others.
+// bound is the load that an endpoint shouldn't exceed.
 func (c *Chooser) bound(now time.Time, p *pool) float64 {
 	total := 0
 	for _, e := range p.all {
 		total += e.load(now, c.othersAt)
 	}
-	mean := float64(total) / float64(len(p.all))
-	return math.Floor(boundPart*(c.limits.LoadOver*mean+c.limits.LoadSlack)) + 1
+	mean := float64(total) / float64(p.present)
+	return c.limits.LoadOver*mean + c.limits.LoadSlack + 1
 }
 
 // chooseByLoad picks the endpoint with the fewest requests, in the own failure domain among equals.
--- a/core/chooser/chooser_test.go
+++ b/core/chooser/chooser_test.go
@@ -40,7 +40,7 @@
 	f := &fleet{ends: endpoints(n)}
 	for i := range routers {
 		c := New(limits, fmt.Sprintf("r%02d", i), "d")
-		c.Update(f.ends, routers)
+		c.Update(f.ends, nil, routers)
 		f.routers = append(f.routers, c)
 	}
 	return f
@@ -58,12 +58,13 @@
 	}
 }
 
-// hotSubject is the load pattern in which one subject gets a quarter of all requests; 200 requests a second that take
+// hotSubject is the load pattern in which one subject gets a share of all requests; 200 requests a second that take
 // 300 ms each, exchanged every 150 ms, spread over routers unevenly.
 type hotSubject struct {
 	*fleet
-	held map[string]int
-	ends []ending
+	share float64
+	held  map[string]int
+	ends  []ending
 }
 
 type ending struct {
@@ -90,11 +91,11 @@
 			continue
 		}
 		subject := rng.IntN(200)
-		if rng.Float64() < 0.25 {
+		if rng.Float64() < h.share {
 			subject = 0
 		}
 		router := h.routers[min(rng.IntN(len(h.routers)), rng.IntN(len(h.routers)))]
-		c, why := router.Choose(now, Query{Service: engine, Parts: prompt(subject)})
+		c, why := router.Choose(now, Query{Service: engine, Parts: prompt(subject), Draw: rng.Float64()})
 		if why != "" {
 			panic(why)
 		}
@@ -107,7 +108,7 @@
 // Guards against a hot subject that overloads the endpoint that caches it: at most 3 requests in 100 may reach an
 // endpoint that holds over twice the mean and three more.
 func TestHotSubjectKeepsToTheLoadBound(t *testing.T) {
-	h := &hotSubject{fleet: newFleet(13, 9)}
+	h := &hotSubject{fleet: newFleet(13, 9), share: 0.25}
 	over, all, atHome := 0, 0, 0
 	h.run(20, func(_ time.Time, c Choice, mean float64) {
 		all++
@@ -118,11 +119,30 @@
 			atHome++
 		}
 	})
+	t.Logf("%d of %d over the bound, %d at home", over, all, atHome)
 	assert.Assert(t, over*100 <= 3*all, "%d of %d over the bound", over, all)
 	// Most requests still meet where their subject is cached.
 	assert.Assert(t, atHome*100 >= 70*all, "%d of %d at the first endpoint", atHome, all)
 }
 
+// Guards against endpoints over the bound while a failure domain is taken out: the mean counts its idle endpoints, too.
+func TestTakenOutDomainKeepsToTheLoadBound(t *testing.T) {
+	const present, serving = 9, 6
+	h := &hotSubject{fleet: newFleet(13, serving), share: 0.15}
+	for _, r := range h.routers {
+		r.Update(h.fleet.ends, map[string]int{"llm": present}, len(h.routers))
+	}
+	over, all := 0, 0
+	h.run(20, func(_ time.Time, c Choice, mean float64) {
+		all++
+		if float64(h.held[c.Endpoint.ID]) > limits.LoadOver*mean*serving/present+limits.LoadSlack {
+			over++
+		}
+	})
+	t.Logf("%d of %d over the bound", over, all)
+	assert.Assert(t, over*100 <= 3*all, "%d of %d over the bound", over, all)
+}
+
 // Guards against routers that send the requests of one subject to different endpoints, which reads it several times.
 func TestRoutersAgreeOnTheEndpointOfASubject(t *testing.T) {
 	f := newFleet(8, 9)
@@ -147,7 +167,7 @@
 		f := newFleet(routers, 1)
 		f.ends[0].ColdUntil = start.Add(10 * time.Second)
 		for _, r := range f.routers {
-			r.Update(f.ends, routers)
+			r.Update(f.ends, nil, routers)
 		}
 		var sent []time.Time
 		for ms := range 5000 {
@@ -197,7 +217,7 @@
 			f.ends[i].Born++
 		}
 	}
-	r.Update(f.ends, 1)
+	r.Update(f.ends, nil, 1)
 	fresh, _ := r.Choose(till, Query{Service: engine, Parts: prompt(7)})
 	assert.Equal(t, fresh.Endpoint.ID, home.Endpoint.ID)
 }
--- a/core/registrar/registrar.go
+++ b/core/registrar/registrar.go
@@ -173,9 +173,9 @@
 	return all
 }
 
-// Usable returns the endpoints that may get requests. Of several at one address only the one that started last is
-// there; silent ones are included, because they may be cut off from this instance only.
-func (r *Registrar) Usable() []Endpoint {
+// Present returns the endpoints that haven't left. Of several at one address only the one that started last is there;
+// silent ones are included, because they may be cut off from this instance only.
+func (r *Registrar) Present() []Endpoint {
 	latest := map[string]*Endpoint{}
 	for _, e := range r.records {
 		if cur := latest[e.Address]; cur == nil || e.Born > cur.Born {
@@ -184,13 +184,16 @@
 	}
 	var list []Endpoint
 	for _, e := range latest {
-		if e.State == Ready || e.State == Silent {
+		if e.State != Gone {
 			list = append(list, *e)
 		}
 	}
 	return list
 }
 
+// MayServe reports whether the endpoint takes new requests.
+func (e *Endpoint) MayServe() bool { return e.State == Ready || e.State == Silent }
+
 // Get returns a record, empty when there is none.
 func (r *Registrar) Get(id string) Endpoint {
 	if e := r.records[id]; e != nil {
--- a/core/registrar/registrar_test.go
+++ b/core/registrar/registrar_test.go
@@ -18,6 +18,15 @@
 		Sequence: seq}
 }
 
+func usable(r *Registrar) (n int) {
+	for _, e := range r.Present() {
+		if e.MayServe() {
+			n++
+		}
+	}
+	return n
+}
+
 // Guards against instances that disagree for good after they have heard the same records in another order.
 func TestMergeDoesNotDependOnTheOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -71,7 +80,7 @@
 		for _, e := range c.after {
 			r.Hear(start, e)
 		}
-		assert.Equal(t, len(r.Usable()), c.want, c.name)
+		assert.Equal(t, usable(r), c.want, c.name)
 	}
 }
 
@@ -82,7 +91,7 @@
 	_, known := r.Leave(start, "a")
 	assert.Assert(t, known)
 	assert.Equal(t, r.Hear(start, beat("a", 5, 9, Ready)), Outdated)
-	assert.Equal(t, len(r.Usable()), 0)
+	assert.Equal(t, usable(r), 0)
 	_, known = r.Leave(start, "b")
 	assert.Assert(t, !known)
 }
@@ -92,10 +101,10 @@
 	r := New(time.Second)
 	r.Hear(start, beat("new", 9, 1, Ready))
 	r.Hear(start, beat("old", 5, 7, Ready))
-	assert.Equal(t, r.Usable()[0].ID, "new")
-	assert.Equal(t, len(r.Usable()), 1)
+	assert.Equal(t, r.Present()[0].ID, "new")
+	assert.Equal(t, usable(r), 1)
 	r.Hear(start, beat("new", 9, 2, Draining))
-	assert.Equal(t, len(r.Usable()), 0)
+	assert.Equal(t, usable(r), 0)
 }
 
 // Guards against an endpoint that is given up by an instance whose heartbeats it left for those of another one.
@@ -110,7 +119,7 @@
 	assert.Equal(t, a.Merge(start, b.Get("e")), Changed)
 	assert.Equal(t, a.Get("e").State, Ready)
 	// A silent endpoint may still serve those who reach it.
-	assert.Equal(t, len(a.Usable()), 1)
+	assert.Equal(t, usable(a), 1)
 }
 
 // Guards against routers that are told of every heartbeat.
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -22,7 +22,7 @@
 	expireInterval = 500 * time.Millisecond
 
 	// shareInterval is how often a control instance adds up the requests of all routers.
-	shareInterval = 150 * time.Millisecond
+	shareInterval = 50 * time.Millisecond
 
 	// hubFor is how long a control instance counts as having a majority after its last beat that said so.
 	hubFor = 1500 * time.Millisecond
@@ -214,11 +214,15 @@
 	defer f.rebuilding.Unlock()
 	v := f.view.Load()
 	f.mu.Lock()
-	usable := f.endpoints.Usable()
+	list := f.endpoints.Present()
 	routers := f.routersNow()
 	f.mu.Unlock()
-	usable = slices.DeleteFunc(usable, func(e registrar.Endpoint) bool { return v.takenOut[e.Domain] })
-	f.routing.update(usable, routers)
+	present := map[string]int{}
+	for _, e := range list {
+		present[e.Service]++
+	}
+	list = slices.DeleteFunc(list, func(e registrar.Endpoint) bool { return !e.MayServe() || v.takenOut[e.Domain] })
+	f.routing.update(list, present, routers)
 }
 
 // routersNow returns the highest number of routers within the last seconds; the caller holds mu.
--- a/node/hub.go
+++ b/node/hub.go
@@ -91,7 +91,8 @@
 // open opens the data folder. A damaged one is emptied: the instance then joins under a new identity, which never
 // vouches for what the old one had promised.
 func (h *hub) open() (*committer.Committer, error) {
-	cfg := committer.Config{Name: h.settings.Place.Name, Folder: filepath.Join(h.settings.DataFolder, replicaFolder), Region: h.settings.Place.Region,
+	cfg := committer.Config{Name: h.settings.Place.Name, Region: h.settings.Place.Region,
+		Folder:   filepath.Join(h.settings.DataFolder, replicaFolder),
 		Observer: h.obs, Messenger: messenger.Options{}, SnapshotBytes: snapshotBytes, FS: h.fs,
 		Open: &committer.OpenGroup{Address: h.settings.Listen.Exchange, MinVoters: h.settings.MinVoters}}
 	c, err := committer.New(cfg, h.archive)
--- a/node/transfer.go
+++ b/node/transfer.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
@@ -111,7 +112,8 @@
 	until := time.Now().Add(chooseWait)
 	for {
 		now := time.Now()
-		c, why := t.front.fleet.routing.choose(now, chooser.Query{Service: q.service, Parts: q.parts, Tried: t.tried})
+		c, why := t.front.fleet.routing.choose(now, chooser.Query{Service: q.service, Parts: q.parts, Tried: t.tried,
+			Draw: rand.Float64()})
 		if why == "" || why == chooser.AllTried || now.After(until) || isGone(ctx) {
 			return c, why
 		}
