Add the node program and a fault soak of real processes

Change: program node with settings in JSON and paths of its own; both programs read seeds again on a hangup; the soak runs nodes as processes behind proxies, injects faults in series that overlap, and checks what callers and endpoints see.

--- a/Makefile
+++ b/Makefile
@@ -1,16 +1,17 @@
-MODULES := adapters agent cactusctl control core devfleet fakeengine fakeservice loader node platform router
+MODULES := adapters agent cactusctl control core devfleet fakeengine fakeservice loader node platform router soaker
 BIN := .bin
 GOLANGCI_VERSION := v2.15.0
 GOLANGCI := $(BIN)/golangci-lint-$(GOLANGCI_VERSION)
 
-.PHONY: all build run test lint fmt bench model measure vet
+.PHONY: all build run test lint fmt bench model measure soak vet
 
 all: build
 
 build:
 	@mkdir -p $(BIN)
 	go build -o $(BIN)/ ./router/cmd/router ./agent/cmd/agent ./control/cmd/control ./cactusctl \
-		./fakeengine/cmd/fakeengine ./fakeservice/cmd/fakeservice ./devfleet/cmd/devfleet ./loader/cmd/loader ./platform/cmd/cactusroute
+		./fakeengine/cmd/fakeengine ./fakeservice/cmd/fakeservice ./devfleet/cmd/devfleet ./loader/cmd/loader ./platform/cmd/cactusroute \
+		./node/cmd/node ./soaker/cmd/soaker
 
 run: build
 	$(BIN)/devfleet
@@ -41,3 +42,6 @@
 
 measure: build
 	$(BIN)/loader measure
+
+soak: build
+	$(BIN)/soaker --seeds 50 --jobs 3
--- a/adapters/exchanger/exchanger_test.go
+++ b/adapters/exchanger/exchanger_test.go
@@ -62,7 +62,9 @@
 
 func (s *fakeSource) Suspects(list []Suspect) { s.note(fmt.Sprint("suspect ", list[0].Fingerprint)) }
 
-func (s *fakeSource) LoadsReceived(from Contact, loads Loads) { s.note(fmt.Sprint(from.Name, " ", loads)) }
+func (s *fakeSource) LoadsReceived(from Contact, loads Loads) {
+	s.note(fmt.Sprint(from.Name, " ", loads))
+}
 
 func (s *fakeSource) Loads(Contact) Loads { return s.loads }
 
--- a/adapters/launcher/launcher.go
+++ b/adapters/launcher/launcher.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"strings"
 	"syscall"
 
 	"github.com/urfave/cli/v3"
@@ -50,6 +51,19 @@
 	}
 }
 
+// SettingsFile returns the settings file that a command line names, for programs that read it again.
+func SettingsFile(args []string) string {
+	for i, a := range args {
+		if v, ok := strings.CutPrefix(strings.TrimLeft(a, "-"), "config="); ok {
+			return v
+		}
+		if strings.TrimLeft(a, "-") == "config" && i+1 < len(args) {
+			return args[i+1]
+		}
+	}
+	return ""
+}
+
 func run(
 	ctx context.Context, name, usage string, s Settings, serve func(ctx context.Context, obs *observer.Observer) error,
 	args []string, stdout, stderr io.Writer,
--- a/core/planner/plan.go
+++ b/core/planner/plan.go
@@ -1,8 +1,12 @@
 package planner
 
 import (
+	"bytes"
 	"cmp"
+	"encoding/json"
+	"errors"
 	"fmt"
+	"io"
 	"slices"
 	"strings"
 )
@@ -17,13 +21,31 @@
 	KindStream                 // a stream of events
 )
 
+// MarshalText implements encoding.TextMarshaler.
+func (k Kind) MarshalText() ([]byte, error) { return []byte(kindNames[k]), nil }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (k *Kind) UnmarshalText(text []byte) error {
+	i := slices.Index(kindNames[:], string(text))
+	if i < 0 {
+		return invalid("unknown kind %q; allowed: %s", text, strings.Join(kindNames[:], ", "))
+	}
+	*k = Kind(i)
+	return nil
+}
+
+// String returns the name of the kind.
+func (k Kind) String() string { return kindNames[k] }
+
+var kindNames = [...]string{"once", "repeatable", "stream"}
+
 // Plan is one version of the routing plan; it is not changed after New.
 type Plan struct {
-	Version    uint64
-	Routes     []Route
-	Services   []Service
-	Workspaces []Workspace
-	Limits     Limits
+	Version    uint64      `json:"version"`
+	Routes     []Route     `json:"routes"`
+	Services   []Service   `json:"services"`
+	Workspaces []Workspace `json:"workspaces,omitempty"`
+	Limits     Limits      `json:"limits,omitzero"`
 
 	hosts    map[string][]*Route
 	services map[string]*Service
@@ -32,53 +54,53 @@
 
 // Route sends the requests of a host under a path prefix to services.
 type Route struct {
-	Name   string
-	Host   string
-	Prefix string // begins and ends with a slash
-	Kind   Kind
+	Name   string `json:"name"`
+	Host   string `json:"host"`
+	Prefix string `json:"prefix"` // begins and ends with a slash
+	Kind   Kind   `json:"kind,omitempty"`
 	// Resumable streams may go on at another endpoint after the last event that was received.
-	Resumable       bool
-	TimeoutMillis   int // the longest time until the final answer
-	TargetMillis    int // the answer, or the first event of a stream, is on time within it
-	GapTargetMillis int // the longest pause between events that is on time
-	Priority        int // 0 is served first
-	MaxAttempts     int // endpoints that one request may be sent to
-	Public          bool
-	Shares          []Share
+	Resumable       bool    `json:"resumable,omitempty"`
+	TimeoutMillis   int     `json:"timeoutMillis"`             // the longest time until the final answer
+	TargetMillis    int     `json:"targetMillis,omitempty"`    // until the answer or the first event of a stream
+	GapTargetMillis int     `json:"gapTargetMillis,omitempty"` // the longest pause between events that is on time
+	Priority        int     `json:"priority,omitempty"`        // 0 is served first
+	MaxAttempts     int     `json:"maxAttempts,omitempty"`     // endpoints that one request may be sent to
+	Public          bool    `json:"public,omitempty"`
+	Shares          []Share `json:"shares"`
 }
 
 // Share is the part of a route's requests that a service gets.
 type Share struct {
-	Service string
-	Weight  int
+	Service string `json:"service"`
+	Weight  int    `json:"weight"`
 }
 
 // Service is a pool of endpoints.
 type Service struct {
-	Name           string
-	HealthPath     string
-	MaxConnections int // of one endpoint, from all callers together
-	ColdPerSecond  float64
-	Engine         bool // serves prompts and caches their parts
-	Slots          int  // requests that an engine runs at once
-	CacheTokens    int  // memory of an engine for cached and running tokens
+	Name           string  `json:"name"`
+	HealthPath     string  `json:"healthPath,omitempty"`
+	MaxConnections int     `json:"maxConnections,omitempty"` // of one endpoint, from all callers together
+	ColdPerSecond  float64 `json:"coldPerSecond,omitempty"`
+	Engine         bool    `json:"engine,omitempty"`      // serves prompts and caches their parts
+	Slots          int     `json:"slots,omitempty"`       // requests that an engine runs at once
+	CacheTokens    int     `json:"cacheTokens,omitempty"` // memory of an engine for cached and running tokens
 }
 
 // Workspace is a customer with its keys.
 type Workspace struct {
-	Name     string
-	Keys     []string
-	Priority int // takes precedence over the route's when HasPriority is set
+	Name     string   `json:"name"`
+	Keys     []string `json:"keys"`
+	Priority int      `json:"priority,omitempty"` // takes precedence over the route's when HasPriority is set
 	// HasPriority tells whether the workspace has a priority of its own.
-	HasPriority bool
+	HasPriority bool `json:"hasPriority,omitempty"`
 }
 
 // Limits bound what a caller may send; zero means no bound.
 type Limits struct {
-	HeaderBytes         int
-	BodyBytes           int64
-	HeaderTimeoutMillis int
-	IdleTimeoutMillis   int
+	HeaderBytes         int   `json:"headerBytes,omitempty"`
+	BodyBytes           int64 `json:"bodyBytes,omitempty"`
+	HeaderTimeoutMillis int   `json:"headerTimeoutMillis,omitempty"`
+	IdleTimeoutMillis   int   `json:"idleTimeoutMillis,omitempty"`
 }
 
 // InvalidError says why a plan was refused.
@@ -91,6 +113,23 @@
 	return &InvalidError{Reason: fmt.Sprintf(format, args...)}
 }
 
+// Parse reads a plan in the project's own JSON format and indexes it; it refuses unknown fields.
+func Parse(content []byte) (*Plan, error) {
+	d := json.NewDecoder(bytes.NewReader(content))
+	d.DisallowUnknownFields()
+	p := &Plan{}
+	if err := d.Decode(p); err != nil {
+		return nil, invalid("%v", err)
+	}
+	if _, err := d.Token(); !errors.Is(err, io.EOF) {
+		return nil, invalid("there is more after the end")
+	}
+	if p.Version == 0 {
+		return nil, invalid("version is missing")
+	}
+	return p, p.Index()
+}
+
 // Index checks the plan and prepares it for lookups; it returns an *InvalidError for a plan that can't be in force.
 func (p *Plan) Index() error {
 	p.services = make(map[string]*Service, len(p.Services))
@@ -137,6 +176,7 @@
 	if r.Host == "" || !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
 		return invalid("route %q needs a host and a prefix that begins and ends with a slash", r.Name)
 	}
+	r.MaxAttempts = max(1, r.MaxAttempts)
 	if r.TimeoutMillis <= 0 {
 		return invalid("route %q has no timeout", r.Name)
 	}
--- /dev/null
+++ b/node/cmd/node/main.go
@@ -0,0 +1,27 @@
+package main
+
+import (
+	"context"
+	"os"
+
+	"cactusroute.dev/adapters/configurer"
+	"cactusroute.dev/adapters/launcher"
+	"cactusroute.dev/adapters/observer"
+	"cactusroute.dev/node"
+)
+
+func load(file string) (s node.Settings, err error) {
+	err = configurer.LoadChecked(file, &s)
+	return s, err
+}
+
+func main() {
+	var s node.Settings
+	launcher.Run("node", "route requests to endpoints that register themselves", &s,
+		func(ctx context.Context, _ *observer.Observer) error {
+			queue := observer.NewQueue(os.Stdout)
+			n := node.New(s, node.OwnDialect(), observer.New(queue, s.Place.Name), queue)
+			go n.Watch(ctx, launcher.SettingsFile(os.Args), load)
+			return n.Run(ctx)
+		})
+}
--- a/node/fakes_test.go
+++ b/node/fakes_test.go
@@ -29,19 +29,10 @@
 	Expected: "Expected-Endpoint", Signature: "Signed", NotRun: "Not-Run", Load: "Load", PromptParts: "Parts",
 	EventID: "Last-Event-Id", Priority: "Urgency", Reserved: []string{"Hold"}}
 
-// testDialect reads plans as the JSON of planner.Plan.
+// testDialect has short headers, one of them reserved.
 func testDialect() Dialect {
-	return Dialect{
-		Headers: testHeaders,
-		DecodePlan: func(content []byte) (*planner.Plan, error) {
-			p := &planner.Plan{}
-			if err := json.Unmarshal(content, p); err != nil {
-				return nil, &planner.InvalidError{Reason: err.Error()}
-			}
-			return p, p.Index()
-		},
-		Control: func(Control) http.Handler { return http.NotFoundHandler() },
-	}
+	return Dialect{Headers: testHeaders, DecodePlan: planner.Parse,
+		Control: func(Control) http.Handler { return http.NotFoundHandler() }}
 }
 
 func testPlan(version uint64) *planner.Plan {
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -117,13 +117,13 @@
 	f := &fleet{settings: s, dialect: d, log: log, routing: newRouting(&s), decode: make(chan struct{}, 1),
 		dirty:  make(chan struct{}, 1),
 		report: make(chan exchanger.Suspect, 256),
-		self: exchanger.Contact{Name: s.Place.Name, Address: s.Listen.Exchange, Control: s.Listen.Control,
+		self: exchanger.Contact{Name: s.Place.Name, Address: s.Listen.Advertise, Control: s.Listen.Control,
 			Domain: s.Place.FailureDomain, Eligible: s.DataFolder != ""},
 		seeds: s.Seeds, endpoints: registrar.New(time.Duration(s.HeartbeatMillis) * time.Millisecond),
 		hubs: map[string]*knownHub{}, attached: map[string]*attached{}, suspects: map[uint64]*suspect{},
 		started: time.Now()}
 	f.view.Store(&view{})
-	founding := s.FirstStart && len(s.Seeds) > 0 && slices.Min(s.Seeds) == s.Listen.Exchange
+	founding := s.FirstStart && len(s.Seeds) > 0 && slices.Min(s.Seeds) == s.Listen.Advertise
 	f.meeting = exchanger.NewMeeting(f.self, founding, f.quorateHubs, f.learned)
 	return f
 }
--- a/node/hub.go
+++ b/node/hub.go
@@ -94,7 +94,7 @@
 	cfg := committer.Config{Name: h.settings.Place.Name, Region: h.settings.Place.Region,
 		Folder:   filepath.Join(h.settings.DataFolder, replicaFolder),
 		Observer: h.obs, Messenger: messenger.Options{}, SnapshotBytes: snapshotBytes, FS: h.fs,
-		Open: &committer.OpenGroup{Address: h.settings.Listen.Exchange, MinVoters: h.settings.MinVoters}}
+		Open: &committer.OpenGroup{Address: h.settings.Listen.Advertise, MinVoters: h.settings.MinVoters}}
 	c, err := committer.New(cfg, h.archive)
 	if corrupt := (*storer.CorruptError)(nil); errors.As(err, &corrupt) {
 		h.obs.Event("data folder is damaged and is emptied", "folder", cfg.Folder, "err", err)
--- a/node/node.go
+++ b/node/node.go
@@ -58,9 +58,6 @@
 	return n
 }
 
-// Reload takes new seeds.
-func (n *Node) Reload(seeds []string) { n.fleet.reload(seeds) }
-
 // Run serves until ctx ends and returns after the requests in progress have ended.
 func (n *Node) Run(ctx context.Context) error {
 	n.obs.Event("node started", "settings", fmt.Sprintf("%+v", n.settings), "cpus", runtime.NumCPU())
@@ -161,8 +158,3 @@
 
 // Serve runs the function.
 func (s service) Serve(ctx context.Context) error { return s.serve(ctx) }
-
-// ReloadFailed logs that new settings can't be used; the ones before stay in force.
-func (n *Node) ReloadFailed(err error) {
-	n.fleet.log.failure("msg", "settings not reloaded", "err", err)
-}
--- /dev/null
+++ b/node/reload.go
@@ -0,0 +1,50 @@
+package node
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+)
+
+// reloadInterval is how often the settings file is looked at, because it may change without a signal.
+const reloadInterval = 2 * time.Second
+
+// Watch takes new seeds from the settings file when it has changed or a hangup signal arrives, until ctx ends. Settings
+// that can't be used change nothing.
+func (n *Node) Watch(ctx context.Context, file string, load func(file string) (Settings, error)) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	t := time.NewTicker(reloadInterval)
+	defer t.Stop()
+	seen := modified(file)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+		case <-t.C:
+			if modified(file).Equal(seen) {
+				continue
+			}
+		}
+		seen = modified(file)
+		s, err := load(file)
+		if err != nil {
+			n.fleet.log.failure("msg", "settings not reloaded", "file", file, "err", err)
+			continue
+		}
+		n.fleet.reload(s.Seeds)
+	}
+}
+
+// modified returns the time of the last change of a file, zero when it can't be told, which the next load reports.
+func modified(file string) time.Time {
+	info, err := os.Stat(file)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
+}
--- a/node/settings.go
+++ b/node/settings.go
@@ -49,7 +49,9 @@
 	Ready    string `json:"ready,omitempty"`   // readiness checks
 	Control  string `json:"control,omitempty"` // operators and endpoints
 	Exchange string `json:"exchange"`          // other nodes
-	Metrics  string `json:"metrics,omitempty"`
+	// Advertise is the host:port under which other nodes reach the exchange; empty means as it is served.
+	Advertise string `json:"advertise,omitempty"`
+	Metrics   string `json:"metrics,omitempty"`
 }
 
 // RetryBudget allows Ratio times the first requests for a service plus Slack repeats in each window.
@@ -96,6 +98,7 @@
 }
 
 func (s *Settings) setDefaults() {
+	setDefault(&s.Listen.Advertise, s.Listen.Exchange)
 	setDefault(&s.MinVoters, defaultMinVoters)
 	setDefault(&s.HeartbeatMillis, defaultHeartbeatMillis)
 	setDefault(&s.GraceMillis, defaultGraceMillis)
--- /dev/null
+++ b/soaker/caller.go
@@ -0,0 +1,66 @@
+package soaker
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"time"
+)
+
+const (
+	// callPause is the mean pause of one caller between two requests.
+	callPause = 15 * time.Millisecond
+
+	// callTimeout is longer than the timeout of the routes, which must answer before.
+	callTimeout = 5 * time.Second
+)
+
+// call sends requests of all kinds to any node, over kept connections, until ctx ends.
+func call(ctx context.Context, f *Fleet, name string, seed uint64) {
+	rng := rand.New(rand.NewPCG(seed, 11))
+	client := &http.Client{Timeout: callTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 4}}
+	defer client.CloseIdleConnections()
+	for i := 0; ctx.Err() == nil; i++ {
+		kind := []string{"/once/", "/safe/", "/stream/"}[rng.IntN(3)]
+		n := f.Nodes[rng.IntN(len(f.Nodes))]
+		one(f, client, n, kind, fmt.Sprintf("%s-%d", name, i))
+		pause(ctx, time.Duration(rng.ExpFloat64()*float64(callPause)))
+	}
+}
+
+func one(f *Fleet, client *http.Client, n *Node, kind, id string) {
+	body := strings.Repeat(id, 20)
+	f.checker.Sent(id, sum(http.MethodPost, kind+id, []byte(body)), kind == "/once/")
+	req, err := http.NewRequest(http.MethodPost, "http://"+n.settings.Listen.Front+kind+id, //nolint:noctx // it times out
+		strings.NewReader(body))
+	if err != nil {
+		f.checker.Find("request %s can't be made: %v", id, err)
+		return
+	}
+	req.GetBody = nil // the client must not repeat a request on its own
+	req.Host = "soak.example"
+	req.Header.Set("Cactus-Request-Id", id)
+	req.Header.Set("Cactus-Key", "key")
+	want := "answer to " + id
+	if kind == "/stream/" {
+		want = ""
+		for n := 1; n <= streamEvents; n++ {
+			want += streamEvent(id, n)
+		}
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		f.checker.Broken(id, "", want)
+		return
+	}
+	defer func() { _ = resp.Body.Close() }()
+	answer, err := io.ReadAll(resp.Body)
+	if err != nil {
+		f.checker.Broken(id, string(answer), want)
+		return
+	}
+	f.checker.Answered(id, resp.StatusCode, resp.Header.Get("Cactus-Signature"), string(answer), want)
+}
--- /dev/null
+++ b/soaker/cmd/soaker/doc.go
@@ -0,0 +1,2 @@
+// Command soaker runs soaks with given seeds, several at once.
+package main
--- /dev/null
+++ b/soaker/endpoint.go
@@ -0,0 +1,204 @@
+package soaker
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	// beatInterval is the interval of the endpoints' heartbeats.
+	beatInterval = 300 * time.Millisecond
+
+	// streamEvents is the number of events of a stream.
+	streamEvents = 8
+
+	// drainFor is how long an endpoint serves after its draining was acknowledged.
+	drainFor = 3 * time.Second
+)
+
+// Endpoint is a stand-in that registers itself and notes what it runs.
+type Endpoint struct {
+	id      string
+	service string
+	born    int64
+	ln      net.Listener
+	checker *Checker
+	fleet   *Fleet
+	rng     *rand.Rand
+
+	mu      sync.Mutex
+	faulty  bool // breaks some connections, with and without having run the request
+	drained time.Time
+}
+
+// StartEndpoint serves and sends heartbeats until ctx ends.
+func StartEndpoint(ctx context.Context, f *Fleet, id, service string, seed uint64) (*Endpoint, error) {
+	ln, err := (&net.ListenConfig{}).Listen(ctx, "tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	e := &Endpoint{id: id, service: service, born: time.Now().UnixMilli(), ln: ln, checker: f.checker, fleet: f,
+		rng: rand.New(rand.NewPCG(seed, 7))}
+	go e.accept()
+	go e.beat(ctx)
+	context.AfterFunc(ctx, func() { _ = ln.Close() })
+	return e, nil
+}
+
+// SetFaulty makes the endpoint break a part of its connections.
+func (e *Endpoint) SetFaulty(faulty bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.faulty = faulty
+}
+
+func (e *Endpoint) accept() {
+	for {
+		c, err := e.ln.Accept()
+		if err != nil {
+			return
+		}
+		go e.serve(c)
+	}
+}
+
+func (e *Endpoint) serve(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	br := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		if !e.answer(c, r, body) {
+			return
+		}
+	}
+}
+
+// answer runs one request; it returns false when the connection ends.
+func (e *Endpoint) answer(c net.Conn, r *http.Request, body []byte) bool {
+	id := r.Header.Get("Cactus-Request-Id")
+	e.mu.Lock()
+	draw := 1.0
+	if e.faulty {
+		draw = e.rng.Float64()
+	}
+	e.mu.Unlock()
+	if r.Header.Get("Cactus-Endpoint") != e.id {
+		return write(c, "421 Other", id, "", "")
+	}
+	switch {
+	case draw < 0.05:
+		return false // nothing ran
+	case draw < 0.1:
+		return write(c, "503 Full", id, "Cactus-Not-Run: 1\r\n", "")
+	}
+	e.checker.Ran(id, e, sum(r.Method, r.RequestURI, body))
+	switch {
+	case draw < 0.15:
+		return false // it ran and the answer is lost
+	case draw < 0.2:
+		return write(c, "500 Failed", id, "Cactus-Signature: "+e.id+"\r\n", "failed")
+	}
+	if strings.HasPrefix(r.URL.Path, "/stream/") {
+		return e.stream(c, r, id, draw < 0.3)
+	}
+	return write(c, "200 OK", id, "Cactus-Signature: "+e.id+"\r\n", "answer to "+id)
+}
+
+func write(c net.Conn, status, id, headers, body string) bool {
+	_, err := fmt.Fprintf(c, "HTTP/1.1 %s\r\nCactus-Request-Id: %s\r\n%sContent-Length: %d\r\n\r\n%s", status, id, headers,
+		len(body), body)
+	return err == nil
+}
+
+// stream sends the events after the last one that the caller has.
+func (e *Endpoint) stream(c net.Conn, r *http.Request, id string, breaks bool) bool {
+	from := 0
+	if _, err := fmt.Sscan(r.Header.Get("Last-Event-Id"), &from); err != nil {
+		from = 0 // none was received
+	}
+	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nCactus-Request-Id: %s\r\nCactus-Signature: %s\r\n"+
+		"Transfer-Encoding: chunked\r\n\r\n", id, e.id)
+	for n := from + 1; n <= streamEvents && err == nil; n++ {
+		if breaks && n == streamEvents/2 {
+			return false
+		}
+		event := streamEvent(id, n)
+		_, err = fmt.Fprintf(c, "%x\r\n%s\r\n", len(event), event)
+		time.Sleep(5 * time.Millisecond)
+	}
+	if err == nil {
+		_, err = io.WriteString(c, "0\r\n\r\n")
+	}
+	return err == nil
+}
+
+func streamEvent(id string, n int) string { return fmt.Sprintf("id: %d\ndata: %s %d\n\n", n, id, n) }
+
+func sum(method, target string, body []byte) uint64 {
+	h := fnv.New64a()
+	_, _ = io.WriteString(h, method+" "+target+"\n")
+	_, _ = h.Write(body)
+	return h.Sum64()
+}
+
+// beat registers the endpoint again and again, at any node that answers.
+func (e *Endpoint) beat(ctx context.Context) {
+	for seq := uint64(1); ctx.Err() == nil; seq++ {
+		e.register(ctx, seq, false)
+		pause(ctx, beatInterval)
+		e.mu.Lock()
+		drained := !e.drained.IsZero()
+		e.mu.Unlock()
+		if drained {
+			return
+		}
+	}
+}
+
+// Drain says that the endpoint leaves, and notes when that was acknowledged.
+func (e *Endpoint) Drain(ctx context.Context) {
+	e.mu.Lock()
+	e.drained = time.Now()
+	e.mu.Unlock()
+	for seq := uint64(1 << 32); ctx.Err() == nil; seq++ {
+		if e.register(ctx, seq, true) {
+			e.checker.Drained(e)
+			return
+		}
+		pause(ctx, beatInterval)
+	}
+}
+
+func (e *Endpoint) register(ctx context.Context, seq uint64, draining bool) bool {
+	body, err := json.Marshal(map[string]any{"service": e.service, "address": e.ln.Addr().String(), "failureDomain": "d",
+		"slots": 8, "draining": draining, "bornMillis": e.born, "sequence": seq})
+	if err != nil {
+		return false
+	}
+	return e.fleet.Order(ctx, http.MethodPut, "/v1/endpoints/"+e.id, bytes.Clone(body)) == http.StatusOK
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
--- /dev/null
+++ b/soaker/run.go
@@ -0,0 +1,315 @@
+package soaker
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"cactusroute.dev/core/planner"
+)
+
+const (
+	disks   = 3
+	routers = 2
+	callers = 8
+
+	// settleFor is the time that the fleet has to serve again after the last fault.
+	settleFor = 15 * time.Second
+
+	// minServed is the part of the requests that must be served once the fleet has settled.
+	minServed = 0.9
+)
+
+// Config describes one run.
+type Config struct {
+	Binary string // the node program
+	Folder string // for settings, logs and data
+	Seed   uint64
+	Faults time.Duration // how long faults are injected
+}
+
+// Result is what a run has shown.
+type Result struct {
+	Seed     uint64
+	Injected []string
+	Findings []string
+	Served   int
+	Refused  int
+	Failed   int
+}
+
+// run is a soak in progress.
+type run struct {
+	cfg     Config
+	rng     *rand.Rand
+	fleet   *Fleet
+	checker *Checker
+	began   time.Time
+
+	mu       sync.Mutex
+	injected []string
+	busy     map[*Node]bool // with a fault that needs the process
+	version  uint64
+}
+
+// Run soaks a fleet with the faults that follow from the seed.
+func Run(ctx context.Context, cfg Config) (r Result, err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	checker := NewChecker()
+	ip := fmt.Sprintf("127.%d.%d.1", 100+cfg.Seed/200%100, 1+cfg.Seed%200)
+	f, err := NewFleet(ctx, cfg.Binary, cfg.Folder, ip, disks, routers, checker)
+	if err != nil {
+		return r, err
+	}
+	defer f.Stop()
+	s := &run{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 1)), fleet: f, checker: checker, busy: map[*Node]bool{},
+		began: time.Now()}
+	if err := s.begin(ctx); err != nil {
+		return r, err
+	}
+	var wg sync.WaitGroup
+	callCtx, stopCalls := context.WithCancel(ctx)
+	defer stopCalls()
+	for i := range callers {
+		wg.Go(func() { call(callCtx, f, fmt.Sprintf("caller%d", i), cfg.Seed+uint64(i)) })
+	}
+	wg.Go(func() { s.operate(callCtx) })
+	s.inject(ctx)
+	s.settle(ctx)
+	stopCalls()
+	wg.Wait()
+	s.readBack(ctx)
+	r = Result{Seed: cfg.Seed, Injected: s.injected, Findings: checker.Findings}
+	r.Served, r.Refused, r.Failed = checker.Counts()
+	return r, nil
+}
+
+// begin starts the nodes in any order and waits for the first plan.
+func (s *run) begin(ctx context.Context) error {
+	for _, i := range s.rng.Perm(len(s.fleet.Nodes)) {
+		if err := s.fleet.Start(s.fleet.Nodes[i]); err != nil {
+			return err
+		}
+		pause(ctx, between(s.rng, 0, 60*time.Millisecond))
+	}
+	for end := time.Now().Add(startTimeout); s.checker.AckedVersion() == 0; {
+		if time.Now().After(end) {
+			return errNotReady
+		}
+		s.putPlan(ctx)
+	}
+	for _, n := range s.fleet.Nodes {
+		n.first = false
+	}
+	for i := range 4 {
+		if _, err := StartEndpoint(ctx, s.fleet, fmt.Sprintf("endpoint%d", i), "s", s.cfg.Seed+uint64(i)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *run) start(n *Node) {
+	if err := s.fleet.Start(n); err != nil {
+		s.checker.Find("%s can't be started: %v", n.settings.Place.Name, err)
+	}
+}
+
+func plan(version uint64) ([]byte, error) {
+	share := []planner.Share{{Service: "s", Weight: 1}}
+	return json.Marshal(planner.Plan{Version: version, Services: []planner.Service{{Name: "s"}},
+		Workspaces: []planner.Workspace{{Name: "w", Keys: []string{"key"}}},
+		Routes: []planner.Route{
+			{Name: "once", Host: "soak.example", Prefix: "/once/", Kind: planner.KindOnce, TimeoutMillis: 2000,
+				Shares: share},
+			{Name: "safe", Host: "soak.example", Prefix: "/safe/", Kind: planner.KindRepeatable, TimeoutMillis: 2000,
+				MaxAttempts: 2, Shares: share},
+			{Name: "stream", Host: "soak.example", Prefix: "/stream/", Kind: planner.KindStream, Resumable: true,
+				TimeoutMillis: 4000, MaxAttempts: 2, Shares: share},
+		}})
+}
+
+// putPlan sends the next version to any node.
+func (s *run) putPlan(ctx context.Context) {
+	s.mu.Lock()
+	s.version++
+	version := s.version
+	s.mu.Unlock()
+	content, err := plan(version)
+	if err != nil {
+		s.checker.Find("plan can't be made: %v", err)
+		return
+	}
+	status := s.fleet.Order(ctx, http.MethodPut, "/v1/plan", content)
+	switch {
+	case status == http.StatusOK:
+		s.checker.Acked(version)
+	case status >= http.StatusBadRequest && status < http.StatusInternalServerError:
+		s.checker.Find("plan %d was refused with %d", version, status)
+	}
+}
+
+// operate changes and reads the plan until ctx ends.
+func (s *run) operate(ctx context.Context) {
+	rng := rand.New(rand.NewPCG(s.cfg.Seed, 3))
+	for ctx.Err() == nil {
+		if rng.IntN(3) == 0 {
+			s.putPlan(ctx)
+		} else {
+			s.read(ctx, s.fleet.Nodes[rng.IntN(len(s.fleet.Nodes))])
+		}
+		pause(ctx, between(rng, 50*time.Millisecond, 400*time.Millisecond))
+	}
+}
+
+// read checks the plan that a node returns; it returns false without an answer.
+func (s *run) read(ctx context.Context, n *Node) bool {
+	acked := s.checker.AckedVersion()
+	status, answer := s.fleet.Call(ctx, n, http.MethodGet, "/v1/plan", nil)
+	if status != http.StatusOK {
+		return false
+	}
+	var p planner.Plan
+	if err := json.Unmarshal(answer, &p); err != nil {
+		s.checker.Find("%s returned a plan that can't be read: %v", n.settings.Place.Name, err)
+		return false
+	}
+	s.checker.Read(n.settings.Place.Name, p.Version, acked)
+	return true
+}
+
+// inject starts faults in series that overlap, then waits until all have ended.
+func (s *run) inject(ctx context.Context) {
+	var wg sync.WaitGroup
+	end := time.Now().Add(s.cfg.Faults)
+	wiped := false
+	for time.Now().Before(end) {
+		n := s.fleet.Nodes[s.rng.IntN(len(s.fleet.Nodes))]
+		d := between(s.rng, 200*time.Millisecond, 2*time.Second)
+		all := faults()
+		switch pick := s.rng.IntN(len(all) + 4); {
+		case pick < len(all):
+			s.launch(ctx, &wg, n, all[pick], d)
+		case pick == len(all) && !wiped && len(s.injected) > 2:
+			wiped = true
+			wg.Wait() // a lost disk counts against what else may be lost
+			n = s.fleet.Nodes[s.rng.IntN(disks)]
+			s.note("wipe " + n.settings.Place.Name)
+			s.checker.FaultUntil(time.Now().Add(calmFor))
+			s.wipe(ctx, n)
+			pause(ctx, 2*calmFor)
+		case pick == len(all)+1:
+			wg.Wait()
+			s.note("kill all")
+			s.checker.FaultUntil(time.Now().Add(calmFor))
+			s.killAll(ctx)
+		case pick == len(all)+2:
+			s.drain(ctx, d)
+		default:
+			s.faultyEndpoint(ctx, &wg, d)
+		}
+		pause(ctx, between(s.rng, 100*time.Millisecond, 1200*time.Millisecond))
+	}
+	wg.Wait()
+}
+
+func (s *run) note(text string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.injected = append(s.injected, fmt.Sprintf("%v %s", time.Since(s.began).Round(time.Millisecond), text))
+}
+
+// launch runs a fault beside the others unless the node has one that needs its process.
+func (s *run) launch(ctx context.Context, wg *sync.WaitGroup, n *Node, ft fault, d time.Duration) {
+	s.mu.Lock()
+	taken := s.busy[n]
+	s.busy[n] = true
+	s.mu.Unlock()
+	if taken {
+		return
+	}
+	s.note(fmt.Sprintf("%s %s for %v", ft.name, n.settings.Place.Name, d.Round(time.Millisecond)))
+	s.checker.FaultUntil(time.Now().Add(d + graceMillis*time.Millisecond))
+	wg.Go(func() {
+		ft.run(ctx, s, n, d)
+		s.checker.FaultUntil(time.Now())
+		s.mu.Lock()
+		delete(s.busy, n)
+		s.mu.Unlock()
+	})
+}
+
+// drain adds an endpoint that leaves after a while.
+func (s *run) drain(ctx context.Context, d time.Duration) {
+	id := fmt.Sprintf("leaving%d", len(s.injected))
+	s.note("drain " + id)
+	endCtx, cancel := context.WithCancel(ctx)
+	e, err := StartEndpoint(endCtx, s.fleet, id, "s", s.cfg.Seed)
+	if err != nil {
+		cancel()
+		s.checker.Find("endpoint can't be started: %v", err)
+		return
+	}
+	go func() {
+		defer cancel()
+		pause(ctx, d)
+		e.Drain(endCtx)
+		pause(ctx, drainFor)
+	}()
+}
+
+// faultyEndpoint adds an endpoint that breaks a part of its connections for a while, and then crashes.
+func (s *run) faultyEndpoint(ctx context.Context, wg *sync.WaitGroup, d time.Duration) {
+	id := fmt.Sprintf("faulty%d", len(s.injected))
+	s.note("faulty " + id)
+	endCtx, cancel := context.WithCancel(ctx)
+	e, err := StartEndpoint(endCtx, s.fleet, id, "s", s.cfg.Seed+uint64(len(s.injected)))
+	if err != nil {
+		cancel()
+		s.checker.Find("endpoint can't be started: %v", err)
+		return
+	}
+	e.SetFaulty(true)
+	wg.Go(func() {
+		defer cancel()
+		pause(ctx, d)
+	})
+}
+
+// settle waits until all nodes return the plan, then expects that requests are served.
+func (s *run) settle(ctx context.Context) {
+	end := time.Now().Add(settleFor)
+	for _, n := range s.fleet.Nodes {
+		for !s.read(ctx, n) {
+			if time.Now().After(end) {
+				s.checker.Find("%s doesn't return the plan %v after the last fault; logs in %s", n.settings.Place.Name,
+					settleFor, filepath.Join(n.folder, "log"))
+				return
+			}
+			pause(ctx, 50*time.Millisecond)
+		}
+	}
+	pause(ctx, time.Second)
+	served, refused, failed := s.checker.Counts()
+	pause(ctx, time.Second)
+	served2, refused2, failed2 := s.checker.Counts()
+	all := served2 - served + refused2 - refused + failed2 - failed
+	if got := served2 - served; all == 0 || float64(got) < minServed*float64(all) {
+		s.checker.Find("%d of %d requests are served after the last fault", got, all)
+	}
+}
+
+// readBack expects the newest acknowledged version at all nodes.
+func (s *run) readBack(ctx context.Context) {
+	for _, n := range s.fleet.Nodes {
+		if !s.read(ctx, n) {
+			s.checker.Find("%s doesn't return the plan at the end", n.settings.Place.Name)
+		}
+	}
+}
