Promote a successor before its lost voter is removed

The replacement of a lost voter went through the same two voters: removal came first. Change: promote first, then remove; a voter beyond the needed ones is removed after 3 s. The soak needs all three voters before it acknowledges, as a fleet does that tolerates the loss of one disk. A disk that is lost within the first second, before three voters have joined and before anything is acknowledged, still ends the first formation.

--- a/core/recruiter/recruiter.go
+++ b/core/recruiter/recruiter.go
@@ -10,15 +10,12 @@
 	// MaxVoters bounds the quorum round; further instances stay learners and take the place of a lost voter.
 	MaxVoters = 7
 
-	// replaceAfter is how long a voter must be silent before a caught-up instance takes its place. It is longer than
-	// an election, so that a leader change doesn't look like a lost voter.
-	replaceAfter = 1500 * time.Millisecond
-
-	// wipedAfter is the same for a voter whose instance has come back with an empty folder: it can't return.
+	// wipedAfter is how long a voter must be silent whose instance has come back with an empty folder: it can't return.
 	wipedAfter = 500 * time.Millisecond
 
-	// removeAfter is how long a voter beyond the needed ones must be silent before the group goes on without it.
-	removeAfter = 4 * time.Second
+	// removeAfter is how long a voter beyond the needed ones must be silent before the group goes on without it. Most
+	// restarts are shorter, and a successor must be useful within some seconds.
+	removeAfter = 3 * time.Second
 )
 
 // Candidate is an instance with a disk that has announced itself lately.
@@ -40,8 +37,9 @@
 	MinVoters int
 }
 
-// Next returns the next change towards a group of live voters, one at a time; false when none is due. A lost voter is
-// removed before its successor is promoted, so that the group never needs more votes than it has live members.
+// Next returns the next change towards a group of live voters, one at a time; false when none is due. A successor is
+// promoted before the lost voter is removed: in between an entry is on as many disks as before, and a lost voter that
+// comes back with its disk still counts.
 func Next(in Input) (replicator.Change, bool) {
 	if ch, ok := addLearner(in); ok {
 		return ch, true
@@ -55,11 +53,12 @@
 			learner = &in.Members[i]
 		}
 	}
-	if lost := in.lostVoter(learner != nil, voters > in.MinVoters); lost != nil {
-		return replicator.Change{Kind: replicator.ChangeRemove, Member: *lost}, true
-	}
-	if learner != nil && voters < MaxVoters {
+	lost := in.lostVoter()
+	switch {
+	case learner != nil && voters < MaxVoters:
 		return replicator.Change{Kind: replicator.ChangePromote, Member: *learner}, true
+	case lost != nil && (voters > in.MinVoters || learner != nil):
+		return replicator.Change{Kind: replicator.ChangeRemove, Member: *lost}, true
 	}
 	return removeLearner(in)
 }
@@ -97,16 +96,14 @@
 	return false
 }
 
-func (in *Input) lostVoter(hasSuccessor, isSpare bool) *replicator.Member {
+// lostVoter returns a voter that is silent for so long that the group goes on without it.
+func (in *Input) lostVoter() *replicator.Member {
 	for i, m := range in.Members {
 		if !m.Voter || m.ID == in.Self {
 			continue
 		}
 		silent := in.Now.Sub(in.Heard[m.ID])
-		switch {
-		case hasSuccessor && silent >= wipedAfter && in.wiped(m),
-			hasSuccessor && silent >= replaceAfter,
-			isSpare && silent >= removeAfter:
+		if silent >= removeAfter || silent >= wipedAfter && in.wiped(m) {
 			return &in.Members[i]
 		}
 	}
--- a/soaker/fleet.go
+++ b/soaker/fleet.go
@@ -89,7 +89,7 @@
 		Place: configurer.Place{Name: name, Region: "r", FailureDomain: "d"},
 		Listen: node.Listen{Front: addresses[0], Ready: addresses[1], Control: addresses[2],
 			Exchange: addresses[3]},
-		MinVoters: f.Disks/2 + 1, HeartbeatMillis: int(beatInterval.Milliseconds()), GraceMillis: graceMillis}}
+		MinVoters: f.Disks, HeartbeatMillis: int(beatInterval.Milliseconds()), GraceMillis: graceMillis}}
 	if disk {
 		n.settings.DataFolder = filepath.Join(n.folder, "data")
 	}
