Fetch cached parts of a prompt from the endpoint that holds them

Cause: prompts whose home was full, left, was taken out or had just been replaced were read again although another endpoint cached their shared parts; a read of 1,000 tokens costs four times what moving them does. Change: a router names the settled first endpoint in the order of the prompt's key, also one that takes no new requests, as the source when it sends the prompt elsewhere.

--- a/core/chooser/chooser.go
+++ b/core/chooser/chooser.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"cactusroute.dev/core/placer"
@@ -39,6 +40,10 @@
 	fullPart = 0.9
 	nearPart = 0.85
 
+	// settledAfter is how long an endpoint is known before it counts as the one that caches what is its own by key. Most
+	// parts are asked for within some ten seconds.
+	settledAfter = 15 * time.Second
+
 	// coldPart is the part of the allowed rate to a cold endpoint that the routers share out.
 	coldPart = 0.9
 
@@ -85,6 +90,9 @@
 	Load     int           // requests there as known
 	Age      time.Duration // of the reported load, negative when there is none
 	Rank     int           // position in the order of the prompt's key
+	// Source is the address of the endpoint that most likely caches the shared parts of the prompt; empty when the
+	// chosen one does.
+	Source string
 }
 
 // endpoint is what this router knows of one endpoint.
@@ -94,8 +102,10 @@
 	others     int // requests of the other routers there
 	reported   int // requests running and waiting there
 	reportedAt time.Time
-	sent       int // own requests since the report that aren't in it
-	failures   int // in a row
+	sent       int       // own requests since the report that aren't in it
+	serves     bool      // may get requests
+	since      time.Time // when this router learned of it
+	failures   int       // in a row
 	avoidTill  time.Time
 	failRate   float64
 	probeAt    time.Time // next probe of one that fails most requests
@@ -103,10 +113,8 @@
 }
 
 type pool struct {
-	ranks *placer.Subset // all endpoints of the service
+	ranks *placer.Subset // all endpoints of the service, with those that get no new requests
 	all   []*endpoint    // in the order of ranks
-	// present is the number of endpoints with those that get no new requests: the load bound is over all of them.
-	present int
 }
 
 // Chooser holds the endpoints as this router sees them; it is not safe for concurrent use.
@@ -129,26 +137,29 @@
 		pools: map[string]*pool{}}
 }
 
-// Update replaces the endpoints that may get requests; what is known of a start of an endpoint is kept. present is the
-// number of endpoints of each service with those that get no new requests.
-func (c *Chooser) Update(list []registrar.Endpoint, present map[string]int, routers int) {
+// Update replaces the endpoints; what is known of a start of an endpoint is kept. The others are present but get no new
+// requests.
+func (c *Chooser) Update(now time.Time, serving, others []registrar.Endpoint, routers int) {
 	c.routers = max(1, routers)
 	old := c.byID
-	c.byID = make(map[string]*endpoint, len(list))
+	c.byID = make(map[string]*endpoint, len(serving)+len(others))
 	members := map[string][]placer.Endpoint{}
-	for _, e := range list {
+	for i, e := range append(slices.Clone(serving), others...) {
 		known := old[e.ID]
 		if known == nil || known.Born != e.Born || known.Address != e.Address {
-			known = &endpoint{}
+			known = &endpoint{since: now}
+			if len(old) == 0 {
+				known.since = time.Time{} // it was there before this router
+			}
 		}
-		known.Endpoint = e
+		known.Endpoint, known.serves = e, i < len(serving)
 		c.byID[e.ID] = known
 		members[e.Service] = append(members[e.Service], placer.Endpoint{Name: e.ID})
 	}
 	c.pools = make(map[string]*pool, len(members))
 	for service, names := range members {
 		ranks := placer.NewPool(names)
-		p := &pool{ranks: ranks.All(), present: max(ranks.Len(), present[service])}
+		p := &pool{ranks: ranks.All()}
 		for i := range ranks.Len() {
 			p.all = append(p.all, c.byID[ranks.Name(i)])
 		}
@@ -187,6 +198,9 @@
 
 // fits reports whether the endpoint may get a request now.
 func (c *Chooser) fits(now time.Time, q Query, e *endpoint) Reason {
+	if !e.serves {
+		return NoEndpoint
+	}
 	for _, id := range q.Tried {
 		if id == e.ID {
 			return AllTried
@@ -230,16 +244,20 @@
 // below the load bound: requests that share a part meet where it is cached.
 func (c *Chooser) chooseByKey(now time.Time, q Query, p *pool) (Choice, Reason) {
 	bound := c.bound(now, p)
-	why := AllTried
+	why := NoEndpoint
+	source := c.sourceOf(now, q, p)
 	var near, least, avoided *endpoint
 	nearRank, leastRank, avoidedRank := 0, 0, 0
 	c.walk.Start(p.ranks, affinity(q.Parts))
-	for rank := 0; ; rank++ {
+	for rank := 0; ; {
 		i, ok := c.walk.Next()
 		if !ok {
 			break
 		}
 		e := p.all[i]
+		if e.serves {
+			rank++
+		}
 		if r := c.fits(now, q, e); r != "" {
 			why = worse(why, r)
 			continue
@@ -247,23 +265,23 @@
 		switch load := e.load(now, c.othersAt); {
 		case e.isAvoided(now):
 			if avoided == nil || e.avoidTill.Before(avoided.avoidTill) {
-				avoided, avoidedRank = e, rank
+				avoided, avoidedRank = e, rank-1
 			}
 		case float64(load+1) <= (fullPart-q.Draw*(fullPart-freePart))*bound:
-			return c.take(now, e, rank), ""
+			return c.take(now, e, rank-1, source), ""
 		case near == nil && float64(load+1) <= nearPart*bound:
-			near, nearRank = e, rank
+			near, nearRank = e, rank-1
 		case least == nil || load < least.load(now, c.othersAt):
-			least, leastRank = e, rank
+			least, leastRank = e, rank-1
 		}
 	}
 	switch {
 	case near != nil:
-		return c.take(now, near, nearRank), ""
+		return c.take(now, near, nearRank, source), ""
 	case least != nil:
-		return c.take(now, least, leastRank), ""
+		return c.take(now, least, leastRank, source), ""
 	case avoided != nil:
-		return c.take(now, avoided, avoidedRank), ""
+		return c.take(now, avoided, avoidedRank, source), ""
 	}
 	return Choice{}, why
 }
@@ -279,13 +297,13 @@
 	for _, e := range p.all {
 		total += e.load(now, c.othersAt)
 	}
-	mean := float64(total) / float64(p.present)
+	mean := float64(total) / float64(len(p.all))
 	return c.limits.LoadOver*mean + c.limits.LoadSlack + 1
 }
 
 // chooseByLoad picks the endpoint with the fewest requests, in the own failure domain among equals.
 func (c *Chooser) chooseByLoad(now time.Time, q Query, p *pool) (Choice, Reason) {
-	why := AllTried
+	why := NoEndpoint
 	var best *endpoint
 	bestCost := math.Inf(1)
 	for _, e := range p.all {
@@ -308,19 +326,41 @@
 	if best == nil {
 		return Choice{}, why
 	}
-	return c.take(now, best, 0), ""
+	return c.take(now, best, 0, nil), ""
 }
 
 // worse prefers the reason that a caller can wait for.
 func worse(a, b Reason) Reason {
-	if a == AllCold || b == AllTried {
-		return a
+	if reasonOrder(b) > reasonOrder(a) {
+		return b
 	}
-	return b
+	return a
 }
 
-func (c *Chooser) take(now time.Time, e *endpoint, rank int) Choice {
+func reasonOrder(r Reason) int {
+	return slices.Index([]Reason{NoEndpoint, AllTried, AllFull, AllCold}, r)
+}
+
+// sourceOf returns the endpoint that most likely caches the shared parts of the prompt: the first one in the order of
+// its key that has been there for a while, whether it serves or not.
+func (c *Chooser) sourceOf(now time.Time, q Query, p *pool) *endpoint {
+	c.walk.Start(p.ranks, affinity(q.Parts))
+	for {
+		i, ok := c.walk.Next()
+		if !ok {
+			return nil
+		}
+		if e := p.all[i]; now.Sub(e.since) >= settledAfter && e.failures == 0 {
+			return e
+		}
+	}
+}
+
+func (c *Chooser) take(now time.Time, e *endpoint, rank int, source *endpoint) Choice {
 	ch := Choice{Endpoint: e.Endpoint, Load: e.load(now, c.othersAt), Age: -1, Rank: rank}
+	if source != nil && source != e {
+		ch.Source = source.Address
+	}
 	if !e.reportedAt.IsZero() {
 		ch.Age = now.Sub(e.reportedAt)
 	}
--- a/core/chooser/chooser_test.go
+++ b/core/chooser/chooser_test.go
@@ -40,7 +40,7 @@
 	f := &fleet{ends: endpoints(n)}
 	for i := range routers {
 		c := New(limits, fmt.Sprintf("r%02d", i), "d")
-		c.Update(f.ends, nil, routers)
+		c.Update(start, f.ends, nil, routers)
 		f.routers = append(f.routers, c)
 	}
 	return f
@@ -130,7 +130,7 @@
 	const present, serving = 9, 6
 	h := &hotSubject{fleet: newFleet(13, serving), share: 0.15}
 	for _, r := range h.routers {
-		r.Update(h.fleet.ends, map[string]int{"llm": present}, len(h.routers))
+		r.Update(start, h.fleet.ends, endpoints(present)[serving:], len(h.routers))
 	}
 	over, all := 0, 0
 	h.run(20, func(_ time.Time, c Choice, mean float64) {
@@ -160,6 +160,49 @@
 	}
 }
 
+// Guards against prompts that are read again although another endpoint caches them: one that is leaving, was taken out,
+// or was first in the order before a new endpoint came.
+func TestSourceIsTheFormerHome(t *testing.T) {
+	f := newFleet(1, 9)
+	r := f.routers[0]
+	now := start.Add(time.Minute)
+	for subject := range 60 {
+		q := Query{Service: engine, Parts: prompt(subject)}
+		r.Update(now, f.ends, nil, 1)
+		home, _ := r.Choose(now, q)
+		r.Done(home.Endpoint)
+		assert.Equal(t, home.Source, "")
+
+		var rest, leaving []registrar.Endpoint
+		for _, e := range f.ends {
+			if e.ID == home.Endpoint.ID {
+				leaving = append(leaving, e)
+			} else {
+				rest = append(rest, e)
+			}
+		}
+		r.Update(now, rest, leaving, 1)
+		next, why := r.Choose(now, q)
+		r.Done(next.Endpoint)
+		assert.Equal(t, why, Reason(""))
+		assert.Assert(t, next.Endpoint.ID != home.Endpoint.ID)
+		assert.Equal(t, next.Source, home.Endpoint.Address)
+
+		// It comes back as a new start, first in the order again, while the next one caches the parts by now.
+		leaving[0].Born++
+		r.Update(now, append(rest, leaving...), nil, 1)
+		back, _ := r.Choose(now, q)
+		r.Done(back.Endpoint)
+		assert.Equal(t, back.Endpoint.ID, home.Endpoint.ID)
+		assert.Equal(t, back.Source, next.Endpoint.Address)
+		settled, _ := r.Choose(now.Add(settledAfter), q)
+		r.Done(settled.Endpoint)
+		assert.Equal(t, settled.Source, "")
+		r.Update(now, f.ends, nil, 1)
+		now = now.Add(time.Minute)
+	}
+}
+
 // Guards against a cold endpoint that gets more requests in a second than it survives, summed over all routers, when
 // a failure domain comes back and every subject wants it at once.
 func TestColdReturnKeepsToTheRateOfAllRouters(t *testing.T) {
@@ -167,7 +210,7 @@
 		f := newFleet(routers, 1)
 		f.ends[0].ColdUntil = start.Add(10 * time.Second)
 		for _, r := range f.routers {
-			r.Update(f.ends, nil, routers)
+			r.Update(start, f.ends, nil, routers)
 		}
 		var sent []time.Time
 		for ms := range 5000 {
@@ -217,7 +260,7 @@
 			f.ends[i].Born++
 		}
 	}
-	r.Update(f.ends, nil, 1)
+	r.Update(start, f.ends, nil, 1)
 	fresh, _ := r.Choose(till, Query{Service: engine, Parts: prompt(7)})
 	assert.Equal(t, fresh.Endpoint.ID, home.Endpoint.ID)
 }
--- a/node/dialect.go
+++ b/node/dialect.go
@@ -26,6 +26,7 @@
 	NotRun         string // set by endpoints that rejected a request without running it
 	Load           string // requests running, requests waiting and slots of the endpoint
 	PromptParts    string // ID:tokens of each part of the prompt, separated by commas
+	FetchFrom      string // address of the endpoint from which cached parts of the prompt are fetched
 	EventID        string // of the last event received, to resume a stream
 	Priority       string // 0 to 9, 0 is served first
 	// Reserved headers are set by the fleet only; callers' values are dropped.
--- a/node/fakes_test.go
+++ b/node/fakes_test.go
@@ -27,7 +27,7 @@
 
 var testHeaders = Headers{RequestID: "Req-Id", DeadlineMillis: "Left-Ms", Key: "Api-Key", Workspace: "Workspace",
 	Expected: "Expected-Endpoint", Signature: "Signed", NotRun: "Not-Run", Load: "Load", PromptParts: "Parts",
-	EventID: "Last-Event-Id", Priority: "Urgency", Reserved: []string{"Hold"}}
+	FetchFrom: "Fetch", EventID: "Last-Event-Id", Priority: "Urgency", Reserved: []string{"Hold"}}
 
 // testDialect has short headers, one of them reserved.
 func testDialect() Dialect {
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -217,12 +217,15 @@
 	list := f.endpoints.Present()
 	routers := f.routersNow()
 	f.mu.Unlock()
-	present := map[string]int{}
+	var serving, others []registrar.Endpoint
 	for _, e := range list {
-		present[e.Service]++
+		if e.MayServe() && !v.takenOut[e.Domain] {
+			serving = append(serving, e)
+		} else {
+			others = append(others, e)
+		}
 	}
-	list = slices.DeleteFunc(list, func(e registrar.Endpoint) bool { return !e.MayServe() || v.takenOut[e.Domain] })
-	f.routing.update(list, present, routers)
+	f.routing.update(serving, others, routers)
 }
 
 // routersNow returns the highest number of routers within the last seconds; the caller holds mu.
--- a/node/front.go
+++ b/node/front.go
@@ -134,7 +134,7 @@
 	for _, name := range h.Reserved {
 		delete(out, name)
 	}
-	for _, name := range []string{h.Key, h.Workspace, h.Expected, h.Priority, "Expect"} {
+	for _, name := range []string{h.Key, h.Workspace, h.Expected, h.Priority, h.FetchFrom, "Expect"} {
 		delete(out, name)
 	}
 	if ws != nil {
--- a/node/own.go
+++ b/node/own.go
@@ -24,7 +24,7 @@
 		Headers: Headers{RequestID: "Cactus-Request-Id", DeadlineMillis: "Cactus-Left-Ms", Key: "Cactus-Key",
 			Workspace: "Cactus-Workspace", Expected: "Cactus-Endpoint", Signature: "Cactus-Signature",
 			NotRun: "Cactus-Not-Run", Load: "Cactus-Load", PromptParts: "Cactus-Prompt-Parts",
-			EventID: "Last-Event-Id", Priority: "Cactus-Priority"},
+			FetchFrom: "Cactus-Fetch-From", EventID: "Last-Event-Id", Priority: "Cactus-Priority"},
 		DecodePlan: planner.Parse,
 		Control:    newOwnControl,
 	}
--- a/node/transfer.go
+++ b/node/transfer.go
@@ -171,6 +171,10 @@
 	left := max(1, time.Until(q.deadline).Milliseconds())
 	header[h.DeadlineMillis] = []string{strconv.FormatInt(left, 10)}
 	header[h.Expected] = []string{c.Endpoint.ID}
+	delete(header, h.FetchFrom)
+	if c.Source != "" {
+		header[h.FetchFrom] = []string{c.Source}
+	}
 	return &forwarder.Request{Address: c.Endpoint.Address, Method: q.in.Method, Target: q.in.RequestURI, Host: q.in.Host,
 		Header: header, Body: q.body, Deadline: q.deadline, Fresh: !q.route.CanRepeat(), IDHeader: h.RequestID, ID: q.id}
 }
--- a/node/view.go
+++ b/node/view.go
@@ -35,12 +35,12 @@
 		routers: 1, budgets: map[string]*retrier.WindowBudget{}}
 }
 
-// update takes the endpoints that may get requests, the numbers of all by service, and the number of routers.
-func (r *routing) update(list []registrar.Endpoint, present map[string]int, routers int) {
+// update takes the endpoints that may get requests, those that are present beside them, and the number of routers.
+func (r *routing) update(serving, others []registrar.Endpoint, routers int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.routers = max(1, routers)
-	r.chooser.Update(list, present, routers)
+	r.chooser.Update(time.Now(), serving, others, routers)
 }
 
 func (r *routing) budgetOf(service string) *retrier.WindowBudget {
