Let requests wait for the first plan, and avoid silent endpoints

An endpoint that leaves requests without an answer until callers leave was never counted as failed. Change: requests wait up to 0.4 s for the first plan; an endpoint that was silent for 1 s when its caller left or the deadline passed is avoided like one that broke off. The reason of a caller that left is logged.

--- a/node/fleet.go
+++ b/node/fleet.go
@@ -80,6 +80,9 @@
 	dirty    chan struct{} // with room for one: the memory on disk is out of date
 	report   chan exchanger.Suspect
 
+	planKnown chan struct{} // closed when the first plan is in force
+	planOnce  sync.Once
+
 	rebuilding sync.Mutex // taken before mu
 
 	mu        sync.Mutex
@@ -116,7 +119,7 @@
 func newFleet(s Settings, d Dialect, log *decisionLog) *fleet {
 	f := &fleet{settings: s, dialect: d, log: log, routing: newRouting(&s), decode: make(chan struct{}, 1),
 		dirty:  make(chan struct{}, 1),
-		report: make(chan exchanger.Suspect, 256),
+		report: make(chan exchanger.Suspect, 256), planKnown: make(chan struct{}),
 		self: exchanger.Contact{Name: s.Place.Name, Address: s.Listen.Advertise, Control: s.Listen.Control,
 			Domain: s.Place.FailureDomain, Eligible: s.DataFolder != ""},
 		seeds: s.Seeds, endpoints: registrar.New(time.Duration(s.HeartbeatMillis) * time.Millisecond),
@@ -331,6 +334,9 @@
 			v.plan = plan
 		}
 		f.view.Store(v)
+		if v.plan != nil {
+			f.planOnce.Do(func() { close(f.planKnown) })
+		}
 		f.rebuild()
 		f.logView(old, v)
 	}
@@ -414,5 +420,20 @@
 	}
 }
 
+// awaitPlan returns the state in force, with a plan if there is one within the limit.
+func (f *fleet) awaitPlan(ctx context.Context, limit time.Duration) *view {
+	if v := f.view.Load(); v.plan != nil {
+		return v
+	}
+	t := time.NewTimer(limit)
+	defer t.Stop()
+	select {
+	case <-f.planKnown:
+	case <-t.C:
+	case <-ctx.Done():
+	}
+	return f.view.Load()
+}
+
 // isReady reports whether requests can be served.
 func (f *fleet) isReady() bool { return f.view.Load().plan != nil }
--- a/node/front.go
+++ b/node/front.go
@@ -28,6 +28,10 @@
 	shortRetry = 200 * time.Millisecond
 	longRetry  = 700 * time.Millisecond
 
+	// planWait is how long a request waits at a node that has just started and knows no plan yet: it finds a control
+	// instance within some tenths of a second.
+	planWait = 400 * time.Millisecond
+
 	// convictedRetry is the time for a request that breaks endpoints.
 	convictedRetry = 30 * time.Second
 )
@@ -92,7 +96,7 @@
 func (f *front) admit(in *http.Request) (*request, *refusal) {
 	h := &f.dialect.Headers
 	q := &request{id: in.Header.Get(h.RequestID), began: time.Now(), in: in}
-	v := f.fleet.view.Load()
+	v := f.fleet.awaitPlan(in.Context(), planWait)
 	if v.plan == nil {
 		return q, &refusal{status: http.StatusServiceUnavailable, reason: "noPlan", after: longRetry}
 	}
@@ -230,13 +234,12 @@
 func (f *front) refuse(w http.ResponseWriter, q *request, ref refusal) {
 	f.metrics.refused.WithLabelValues(ref.reason).Inc()
 	f.metrics.requests.WithLabelValues("refused", strconv.Itoa(ref.status)).Inc()
-	route := ""
+	line := []any{"msg", "request refused", "request", q.id, "status", ref.status, "reason", ref.reason,
+		"ms", time.Since(q.began).Milliseconds(), "version", q.version}
 	if q.route != nil {
-		route = q.route.Name
+		line = append(line, "route", q.route.Name, "leftMs", time.Until(q.deadline).Milliseconds())
 	}
-	f.log.failure(append([]any{"msg", "request refused", "request", q.id, "route", route, "version", q.version,
-		"status", ref.status, "reason", ref.reason, "ms", time.Since(q.began).Milliseconds(),
-		"leftMs", time.Until(q.deadline).Milliseconds()}, ref.detail...)...)
+	f.log.failure(append(line, ref.detail...)...)
 	head := w.Header()
 	if q.id != "" {
 		head[f.dialect.Headers.RequestID] = []string{q.id}
--- a/node/front_test.go
+++ b/node/front_test.go
@@ -68,6 +68,19 @@
 	assert.Equal(t, big.status, http.StatusRequestEntityTooLarge)
 }
 
+// Guards against callers that are turned away by a node that has just started, some tenths of a second before it knows
+// the plan.
+func TestRequestWaitsForTheFirstPlan(t *testing.T) {
+	f := newTestFront(t, nil, newFakeEndpoint(t, ok))
+	go func() { _ = f.fleet.publishViews(t.Context()) }()
+	go func() {
+		time.Sleep(planWait / 4)
+		doc := document(t, 3)
+		f.fleet.stateChanged(1, &doc, nil)
+	}()
+	assert.Equal(t, f.call(t, http.MethodPost, "/once/", "x").status, http.StatusOK)
+}
+
 // Guards against a second run of what may run once, and against a promise "not run" for what has run.
 func TestWhatAFailedAttemptAllows(t *testing.T) {
 	type step func(s *seen)
@@ -196,6 +209,20 @@
 	assert.Assert(t, (<-gone).Sub(at) < 500*time.Millisecond)
 }
 
+// Guards against an endpoint that never answers and goes on getting its share, because nothing ever fails there.
+func TestSilentEndpointIsAvoided(t *testing.T) {
+	silent := newFakeEndpoint(t, func(s *seen) { _, _ = s.conn.Read(make([]byte, 1)) })
+	live := newFakeEndpoint(t, ok)
+	f := newTestFront(t, testPlan(1), silent, live)
+	for silent.count() == 0 {
+		f.call(t, http.MethodPost, "/once/", "x", "Left-Ms", "1100")
+	}
+	for range 4 {
+		assert.Equal(t, f.call(t, http.MethodPost, "/once/", "x").status, http.StatusOK)
+	}
+	assert.Equal(t, silent.count(), 1)
+}
+
 func event(n int) string { return fmt.Sprintf("id: %d\ndata: token %d\n\n", n, n) }
 
 // startStream writes the head of a stream and chunks of it.
--- a/node/transfer.go
+++ b/node/transfer.go
@@ -26,6 +26,10 @@
 	// copyBytes is the buffer for streams; an event has some hundred bytes.
 	copyBytes = 8 << 10
 
+	// hungAfter is how long an endpoint may leave a request without an answer before it counts as failed when the caller
+	// gives up: a multiple of the objectives, and more than impatient callers wait.
+	hungAfter = time.Second
+
 	// choosePause is the wait before a request that found no endpoint looks again, and chooseWait bounds these waits:
 	// a caller that can't be served soon is told so at once.
 	choosePause = 10 * time.Millisecond
@@ -43,6 +47,7 @@
 	runs     int  // attempts that may have run
 	started  bool // the caller has the head of an answer
 	cutter   eventCutter
+	sentAt   time.Time // of the current attempt
 	firstAt  time.Time // when the caller got the first bytes of the body
 	lastLoad []any
 }
@@ -69,7 +74,7 @@
 			return
 		}
 		v, r := t.attempt(ctx, choice)
-		if r.status != 0 {
+		if r.reason != "" || r.status != 0 {
 			ref = r
 		}
 		if v == again && isGone(ctx) {
@@ -134,6 +139,7 @@
 func (t *transfer) attempt(ctx context.Context, c chooser.Choice) (verdict, refusal) {
 	q, f := t.request, t.front
 	t.sends++
+	t.sentAt = time.Now()
 	t.tried = append(t.tried, c.Endpoint.ID)
 	t.lastLoad = []any{"endpoint", c.Endpoint.ID, "load", c.Load, "loadAgeMs", c.Age.Milliseconds(), "rank", c.Rank}
 	defer f.fleet.routing.with(func(ch *chooser.Chooser) { ch.Done(c.Endpoint) })
@@ -195,6 +201,11 @@
 	if ran != forwarder.NotSent {
 		t.runs++
 	}
+	if silent := time.Since(t.sentAt); ran != forwarder.NotSent && silent >= hungAfter {
+		f.fleet.routing.with(func(ch *chooser.Chooser) { ch.Failed(time.Now(), c.Endpoint) })
+		f.log.failure("msg", "endpoint silent", "request", q.id, "endpoint", describe(&c.Endpoint),
+			"ms", silent.Milliseconds())
+	}
 	if isGone(ctx) {
 		return left, refusal{reason: "callerLeft"}
 	}
--- a/soaker/run.go
+++ b/soaker/run.go
@@ -21,6 +21,9 @@
 	// settleFor is the time that the fleet has to serve again after the last fault.
 	settleFor = 15 * time.Second
 
+	// readBackFor is the span over which an operator repeats a read at the end.
+	readBackFor = 3 * time.Second
+
 	// minServed is the part of the requests that must be served once the fleet has settled.
 	minServed = 0.9
 )
@@ -305,11 +308,17 @@
 	}
 }
 
-// readBack expects the newest acknowledged version at all nodes.
+// readBack expects the newest acknowledged version at all nodes. A single read may fail, so it is repeated for as long
+// as operators do.
 func (s *run) readBack(ctx context.Context) {
 	for _, n := range s.fleet.Nodes {
-		if !s.read(ctx, n) {
-			s.checker.Find("%s doesn't return the plan at the end", n.settings.Place.Name)
+		end := time.Now().Add(readBackFor)
+		for !s.read(ctx, n) {
+			if time.Now().After(end) {
+				s.checker.Find("%s doesn't return the plan at the end", n.settings.Place.Name)
+				break
+			}
+			pause(ctx, 50*time.Millisecond)
 		}
 	}
 }
