Admit by load and urgency, and keep hangups from ending a stopping node

Old connections were kept beside new ones until plain endpoints reset those over their cap (502). A safe request's own 500 was replaced by a 502 when the repeat budget was used up. Change: an endpoint takes requests up to its slots (three rounds of them for plain ones); when the pool is busy, less urgent requests leave a part of that and prompts don't spill to endpoints that don't cache them; the rest is refused at once with a longer time to come back. Old connections are replaced; the last error of an endpoint is passed on; hangups stay caught.

--- a/adapters/forwarder/forwarder_test.go
+++ b/adapters/forwarder/forwarder_test.go
@@ -238,6 +238,8 @@
 	r := request(address, "2", nil)
 	r.Fresh = true
 	assert.Equal(t, get(t, p, r), "2")
+	// The endpoint bounds its connections, so an old one is replaced and not kept beside the new one.
+	assert.Equal(t, p.Open(address), 1)
 }
 
 // Guards against a claim that a request may have run which was never sent.
--- a/adapters/forwarder/pool.go
+++ b/adapters/forwarder/pool.go
@@ -81,15 +81,20 @@
 func (p *Pool) get(ctx context.Context, address string, fresh bool) (*conn, error) {
 	now := time.Now()
 	for {
-		c := p.takeIdle(address, now, fresh)
+		c := p.takeIdle(address, now)
 		if c == nil {
 			break
 		}
-		if c.isQuiet() {
-			c.reused = true
-			return c, nil
+		if !fresh || now.Sub(c.idleFrom) <= freshLimit {
+			if c.isQuiet() {
+				c.reused = true
+				return c, nil
+			}
 		}
 		p.close(c)
+		if fresh {
+			break // the new connection takes the place of this one, so that their number doesn't grow
+		}
 	}
 	nc, err := p.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
@@ -103,7 +108,7 @@
 }
 
 // takeIdle takes the connection that was used last, so that the others can be closed.
-func (p *Pool) takeIdle(address string, now time.Time, fresh bool) *conn {
+func (p *Pool) takeIdle(address string, now time.Time) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
@@ -111,7 +116,7 @@
 		return nil
 	}
 	c := list[len(list)-1]
-	if now.After(c.idleTill) || fresh && now.Sub(c.idleFrom) > freshLimit {
+	if now.After(c.idleTill) {
 		return nil
 	}
 	p.idle[address] = list[:len(list)-1]
--- a/core/chooser/chooser.go
+++ b/core/chooser/chooser.go
@@ -44,6 +44,29 @@
 	// parts are asked for within some ten seconds.
 	settledAfter = 15 * time.Second
 
+	// plainRounds is how many rounds of its slots a plain endpoint holds: answers of some ten milliseconds are in time
+	// after two rounds of waiting.
+	plainRounds = 3
+
+	// minOwn is the number of requests that one router may have at a plain endpoint in any case. Above it each has twice
+	// its part of the room, because the others' numbers are older than most answers there take.
+	minOwn = 2
+
+	// reservedPart is the part of the room that the least urgent requests leave to the most urgent ones, and
+	// unreservedShare the share of the others that needn't leave any.
+	reservedPart    = 0.3
+	unreservedShare = 0.35
+
+	// busyPart is the part of all slots from which on the room is left to urgent requests and to what is cached.
+	busyPart = 0.7
+
+	// spillPart is the part of its room up to which an endpoint takes prompts that are cached elsewhere. Beyond it all
+	// are busy, and reading each other's prompts would only make them slower.
+	spillPart = 0.6
+
+	// roomSpread is the part of the room over which requests are refused ever more often.
+	roomSpread = 0.2
+
 	// coldPart is the part of the allowed rate to a cold endpoint that the routers share out.
 	coldPart = 0.9
 
@@ -71,6 +94,7 @@
 	Parts   []Part
 	Tried   []string // endpoints that must not be chosen again
 	Draw    float64  // uniform in [0, 1)
+	Backlog float64  // 0 for the most urgent requests, 1 for the least urgent ones
 }
 
 // Reason says why no endpoint was chosen.
@@ -81,7 +105,7 @@
 	NoEndpoint Reason = "the service has no endpoint in service"
 	AllTried   Reason = "every endpoint was tried"
 	AllCold    Reason = "the rate to cold endpoints is used up"
-	AllFull    Reason = "every endpoint has as many requests as its connections allow"
+	AllFull    Reason = "every endpoint has as many requests as it can answer in time"
 )
 
 // Choice is the endpoint of an attempt; it must be returned with Done.
@@ -196,8 +220,8 @@
 	return c.chooseByLoad(now, q, p)
 }
 
-// fits reports whether the endpoint may get a request now.
-func (c *Chooser) fits(now time.Time, q Query, e *endpoint) Reason {
+// fits reports whether the endpoint may get a request now, up to a part of its room.
+func (c *Chooser) fits(now time.Time, q Query, e *endpoint, part float64) Reason {
 	if !e.serves {
 		return NoEndpoint
 	}
@@ -212,9 +236,42 @@
 	if !c.mayWarm(now, q.Service, e) {
 		return AllCold
 	}
+	if e.Slots > 0 && float64(e.load(now, c.othersAt)+1) > c.room(q, e)*part {
+		return AllFull
+	}
+	if e.Slots > 0 && !q.Service.Engine && e.inFlight >= max(minOwn, 2*plainRounds*e.Slots/c.routers) {
+		return AllFull
+	}
 	return ""
 }
 
+// isBusy reports whether the endpoints together are near their room; below that nothing is left to others.
+func (c *Chooser) isBusy(now time.Time, p *pool) bool {
+	load, slots := 0, 0
+	for _, e := range p.all {
+		if e.serves {
+			load += e.load(now, c.othersAt)
+			slots += e.Slots
+		}
+	}
+	return float64(load) >= busyPart*float64(slots)
+}
+
+// room is the load up to which the endpoint gets the request, so that what it takes on is answered in time. The last
+// part of it is left to ever more urgent requests, but for a share of the others, so that none starve. The draw spreads
+// the bound, because all routers see the load late.
+func (c *Chooser) room(q Query, e *endpoint) float64 {
+	slots := float64(e.Slots)
+	if !q.Service.Engine {
+		slots *= plainRounds
+	}
+	kept := 0.0
+	if spread := q.Draw * 97; spread-math.Floor(spread) >= unreservedShare {
+		kept = reservedPart * q.Backlog
+	}
+	return slots * (1 - kept) * (1 - roomSpread*q.Draw)
+}
+
 // mayWarm keeps the requests to a cold endpoint in any second, summed over all routers, below the bound. With more
 // routers than requests a second only some of them send, chosen by hash.
 func (c *Chooser) mayWarm(now time.Time, s *planner.Service, e *endpoint) bool {
@@ -246,6 +303,10 @@
 	bound := c.bound(now, p)
 	why := NoEndpoint
 	source := c.sourceOf(now, q, p)
+	isBusy := c.isBusy(now, p)
+	if !isBusy {
+		q.Backlog = 0
+	}
 	var near, least, avoided *endpoint
 	nearRank, leastRank, avoidedRank := 0, 0, 0
 	c.walk.Start(p.ranks, affinity(q.Parts))
@@ -258,7 +319,11 @@
 		if e.serves {
 			rank++
 		}
-		if r := c.fits(now, q, e); r != "" {
+		part := 1.0
+		if rank > 1 && isBusy {
+			part = spillPart
+		}
+		if r := c.fits(now, q, e, part); r != "" {
 			why = worse(why, r)
 			continue
 		}
@@ -303,11 +368,14 @@
 
 // chooseByLoad picks the endpoint with the fewest requests, in the own failure domain among equals.
 func (c *Chooser) chooseByLoad(now time.Time, q Query, p *pool) (Choice, Reason) {
+	if !c.isBusy(now, p) {
+		q.Backlog = 0
+	}
 	why := NoEndpoint
 	var best *endpoint
 	bestCost := math.Inf(1)
 	for _, e := range p.all {
-		if r := c.fits(now, q, e); r != "" {
+		if r := c.fits(now, q, e, 1); r != "" {
 			why = worse(why, r)
 			continue
 		}
--- a/core/planner/plan.go
+++ b/core/planner/plan.go
@@ -47,6 +47,7 @@
 	Workspaces []Workspace `json:"workspaces,omitempty"`
 	Limits     Limits      `json:"limits,omitzero"`
 
+	ranks    urgency
 	hosts    map[string][]*Route
 	services map[string]*Service
 	keys     map[string]*Workspace
@@ -159,6 +160,7 @@
 			seen[r.Prefix] = true
 		}
 	}
+	p.ranks = newUrgency(p)
 	p.keys = map[string]*Workspace{}
 	for i := range p.Workspaces {
 		w := &p.Workspaces[i]
--- /dev/null
+++ b/core/planner/urgency_test.go
@@ -0,0 +1,31 @@
+package planner
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against urgent requests that are put off for others: a workspace's priority goes before the route's.
+func TestBacklogOrdersByWorkspaceThenRoute(t *testing.T) {
+	p := testPlan()
+	p.Routes[1].Priority, p.Routes[2].Priority = 1, 5
+	p.Workspaces[0].Priority, p.Workspaces[0].HasPriority = 2, true
+	p.Workspaces[1].Priority, p.Workspaces[1].HasPriority = 3, true
+	assert.NilError(t, p.Index())
+	last := -1.0
+	for w := range p.Workspaces {
+		for r := range p.Routes {
+			got := p.Backlog(&p.Routes[r], &p.Workspaces[w])
+			assert.Assert(t, got > last && got >= 0 && got <= 1, "%v after %v", got, last)
+			last = got
+		}
+	}
+	assert.Equal(t, last, 1.0)
+	assert.Equal(t, p.Backlog(&p.Routes[0], nil), 0.0)
+	assert.Equal(t, p.Backlog(&p.Routes[2], nil), 1.0)
+
+	one := testPlan()
+	assert.NilError(t, one.Index())
+	assert.Equal(t, one.Backlog(&one.Routes[0], nil), 0.0)
+}
--- a/node/cmd/node/main.go
+++ b/node/cmd/node/main.go
@@ -21,7 +21,7 @@
 		func(ctx context.Context, _ *observer.Observer) error {
 			queue := observer.NewQueue(os.Stdout)
 			n := node.New(s, node.OwnDialect(), observer.New(queue, s.Place.Name), queue)
-			go n.Watch(ctx, launcher.SettingsFile(os.Args), load)
+			n.Watch(ctx, launcher.SettingsFile(os.Args), load)
 			return n.Run(ctx)
 		})
 }
--- a/node/front.go
+++ b/node/front.go
@@ -28,6 +28,10 @@
 	shortRetry = 200 * time.Millisecond
 	longRetry  = 700 * time.Millisecond
 
+	// shortOverload and longOverload are the same while all endpoints are full; a burst lasts seconds.
+	shortOverload = 500 * time.Millisecond
+	longOverload  = 1500 * time.Millisecond
+
 	// planWait is how long a request waits at a node that has just started and knows no plan yet: it finds a control
 	// instance within some tenths of a second.
 	planWait = 400 * time.Millisecond
@@ -61,7 +65,8 @@
 	header    http.Header // to pass on
 	body      []byte
 	parts     []chooser.Part
-	version   uint64 // of the plan
+	backlog   float64 // how much the request may be put off for others
+	version   uint64  // of the plan
 	in        *http.Request
 	print     uint64 // fingerprint of method, target, workspace and body
 }
@@ -119,6 +124,7 @@
 	if q.service.Engine {
 		q.parts = parseParts(in.Header.Get(h.PromptParts))
 	}
+	q.backlog = v.plan.Backlog(q.route, q.workspace)
 	q.header = f.passOn(in.Header, q.workspace)
 	return q, nil
 }
@@ -255,6 +261,9 @@
 // retryAfter spreads the return of callers that were refused together.
 func retryAfter() time.Duration { return shortRetry + rand.N(longRetry-shortRetry) }
 
+// overloadRetryAfter does the same while all endpoints are full.
+func overloadRetryAfter() time.Duration { return shortOverload + rand.N(longOverload-shortOverload) }
+
 // suspect reports that an endpoint broke off under a request.
 func (f *front) suspect(q *request, c chooser.Choice) {
 	start := c.Endpoint.ID + "#" + strconv.FormatInt(c.Endpoint.Born, 10)
--- a/node/front_test.go
+++ b/node/front_test.go
@@ -149,6 +149,17 @@
 	assert.Equal(t, len(total), 2)
 }
 
+// Guards against an error of an endpoint that is replaced by another one where no second attempt is possible.
+func TestLastErrorOfAnEndpointIsPassedOn(t *testing.T) {
+	e := newFakeEndpoint(t, func(s *seen) { s.answer("500 Failed", "Signed: yes\r\n", "own") })
+	f := newTestFront(t, testPlan(1), e)
+	got := f.call(t, http.MethodGet, "/safe/", "")
+	assert.Equal(t, got.status, 500)
+	assert.Equal(t, got.header.Get("Signed"), "yes")
+	assert.Equal(t, got.body, "own")
+	assert.Equal(t, e.count(), 1)
+}
+
 // Guards against an unreachable endpoint that fails requests which others could serve.
 func TestUnreachableEndpointIsPassedOver(t *testing.T) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
--- a/node/reload.go
+++ b/node/reload.go
@@ -12,11 +12,17 @@
 const reloadInterval = 2 * time.Second
 
 // Watch takes new seeds from the settings file when it has changed or a hangup signal arrives, until ctx ends. Settings
-// that can't be used change nothing.
+// that can't be used change nothing. Hangup signals stay caught afterwards, because one must not end a process that is
+// finishing its requests. It returns at once.
 func (n *Node) Watch(ctx context.Context, file string, load func(file string) (Settings, error)) {
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
+	go n.watch(ctx, hangups, file, load)
+}
+
+func (n *Node) watch(
+	ctx context.Context, hangups <-chan os.Signal, file string, load func(file string) (Settings, error),
+) {
 	t := time.NewTicker(reloadInterval)
 	defer t.Stop()
 	seen := modified(file)
--- a/node/transfer.go
+++ b/node/transfer.go
@@ -50,6 +50,13 @@
 	sentAt   time.Time // of the current attempt
 	firstAt  time.Time // when the caller got the first bytes of the body
 	lastLoad []any
+	kept     *keptAnswer // the last error of an endpoint itself
+}
+
+// keptAnswer is a whole answer of an endpoint that hasn't been given to the caller.
+type keptAnswer struct {
+	answer *forwarder.Answer
+	body   []byte
 }
 
 // verdict is what follows from an attempt.
@@ -118,7 +125,7 @@
 	for {
 		now := time.Now()
 		c, why := t.front.fleet.routing.choose(now, chooser.Query{Service: q.service, Parts: q.parts, Tried: t.tried,
-			Draw: rand.Float64()})
+			Draw: rand.Float64(), Backlog: q.backlog})
 		if why == "" || why == chooser.AllTried || now.After(until) || isGone(ctx) {
 			return c, why
 		}
@@ -131,7 +138,11 @@
 	if t.runs > 0 || last.status != 0 && why == chooser.AllTried {
 		return last
 	}
-	return refusal{status: http.StatusServiceUnavailable, reason: "noEndpoint", after: retryAfter(),
+	reason, after := "noEndpoint", retryAfter()
+	if why == chooser.AllFull {
+		reason, after = "overload", overloadRetryAfter()
+	}
+	return refusal{status: http.StatusServiceUnavailable, reason: reason, after: after,
 		detail: []any{"why", string(why), "service", t.request.service.Name}}
 }
 
@@ -290,9 +301,13 @@
 	return false
 }
 
-// failedAnswer decides after an error of the endpoint itself that may be repeated.
+// failedAnswer decides after an error of the endpoint itself that may be repeated. The answer is kept for a caller that
+// gets no better one.
 func (t *transfer) failedAnswer(a *forwarder.Answer) (verdict, refusal) {
-	_, _ = io.Copy(io.Discard, io.LimitReader(a.Body, bufferedBytes))
+	body, err := readAll(io.LimitReader(a.Body, bufferedBytes+1), make([]byte, 0, 512))
+	if err == nil && len(body) <= bufferedBytes {
+		t.kept = &keptAnswer{answer: a, body: body}
+	}
 	ref := refusal{status: http.StatusBadGateway, reason: "endpointError", detail: []any{"endpointStatus", a.Status}}
 	if t.canRepeat() {
 		return again, ref
@@ -330,13 +345,7 @@
 	if err != nil {
 		return t.broke(ctx, c, err)
 	}
-	t.copyHead(a)
-	if a.Length >= 0 {
-		t.w.Header().Set("Content-Length", strconv.FormatInt(a.Length, 10))
-	}
-	t.firstAt = time.Now()
-	t.w.WriteHeader(a.Status)
-	if _, err := t.w.Write(buf); err != nil {
+	if err := t.writeWhole(a, buf); err != nil {
 		return left, refusal{reason: "callerLeft"}
 	}
 	if len(buf) <= bufferedBytes {
@@ -348,6 +357,18 @@
 	return done, refusal{status: a.Status}
 }
 
+// writeWhole gives the caller the head of an answer that isn't a stream and the beginning of its body.
+func (t *transfer) writeWhole(a *forwarder.Answer, body []byte) error {
+	t.copyHead(a)
+	if a.Length >= 0 {
+		t.w.Header().Set("Content-Length", strconv.FormatInt(a.Length, 10))
+	}
+	t.firstAt = time.Now()
+	t.w.WriteHeader(a.Status)
+	_, err := t.w.Write(body)
+	return err
+}
+
 // stream passes events on as they arrive. A stream that may be resumed is passed on in whole events, so that another
 // endpoint can go on after the last one.
 func (t *transfer) stream(ctx context.Context, c chooser.Choice, a *forwarder.Answer) (verdict, refusal) {
@@ -411,6 +432,10 @@
 // finish ends the request as its last attempt decided.
 func (t *transfer) finish(v verdict, ref refusal) {
 	q, f := t.request, t.front
+	if v == giveUp && !t.started && t.kept != nil {
+		t.writeWhole(t.kept.answer, t.kept.body)
+		v, ref = done, refusal{status: t.kept.answer.Status, reason: ref.reason}
+	}
 	if v == giveUp && !t.started {
 		ref.detail = append(ref.detail, t.lastLoad...)
 		f.refuse(t.w, q, ref)
