Check the write of a kept answer

Cause: the linter found an error without a check. Change: a caller that has left ends the request as one that left. Before and after: tests of the request path pass.

--- a/node/transfer.go
+++ b/node/transfer.go
@@ -433,8 +433,10 @@
 func (t *transfer) finish(v verdict, ref refusal) {
 	q, f := t.request, t.front
 	if v == giveUp && !t.started && t.kept != nil {
-		t.writeWhole(t.kept.answer, t.kept.body)
 		v, ref = done, refusal{status: t.kept.answer.Status, reason: ref.reason}
+		if err := t.writeWhole(t.kept.answer, t.kept.body); err != nil {
+			v = left
+		}
 	}
 	if v == giveUp && !t.started {
 		ref.detail = append(ref.detail, t.lastLoad...)
