Test replacement in both orders and the short first election

Cause: the random schedules of the consensus core removed a wiped member before its successor was promoted; open groups promote first and elect early after a start. Change: the schedules draw the order, and half of the starts have the short first election. Before: one order.

--- a/core/replicator/replica_test.go
+++ b/core/replicator/replica_test.go
@@ -63,8 +63,12 @@
 	n := c.nodes[id]
 	c.seq++
 	n.disk.Entries = slices.Clone(n.disk.Entries)
-	n.replica = New(c.now, Config{ID: id, Random: rand.NewPCG(c.seq, uint64(len(id))), Initial: n.disk,
-		MaxAppendBytes: 200, MaxInflight: 3, PromotionLag: 4})
+	cfg := Config{ID: id, Random: rand.NewPCG(c.seq, uint64(len(id))), Initial: n.disk, MaxAppendBytes: 200,
+		MaxInflight: 3, PromotionLag: 4}
+	if c.seq%2 == 0 {
+		cfg.FirstElection = defaultShortElection
+	}
+	n.replica = New(c.now, cfg)
 	n.state = n.snaps[n.disk.Snapshot.Index]
 	n.applied = n.disk.Snapshot.Index
 	n.stalled = time.Time{}
@@ -214,8 +218,13 @@
 	delete(c.nodes, old)
 	c.ids = slices.DeleteFunc(c.ids, func(id string) bool { return id == old })
 	id := c.addNew()
-	for _, ch := range []Change{{Kind: ChangeAddLearner, Member: Member{ID: id}},
-		{Kind: ChangeRemove, Member: Member{ID: old}}, {Kind: ChangePromote, Member: Member{ID: id}}} {
+	changes := []Change{{Kind: ChangeAddLearner, Member: Member{ID: id}},
+		{Kind: ChangeRemove, Member: Member{ID: old}}, {Kind: ChangePromote, Member: Member{ID: id}}}
+	// A fixed group removes the old identity first, an open one promotes the new one first.
+	if rapid.Bool().Draw(c.t, "promoteFirst") {
+		changes[1], changes[2] = changes[2], changes[1]
+	}
+	for _, ch := range changes {
 		c.change(ch)
 		c.settle(2 * time.Second)
 	}
