Exchange loads less often in large fleets

Cause: at 920 endpoints the numbers of requests in flight would take 300 KB a second at each router (computed). Change: the pause between two exchanges grows by 50 ms for each 64 endpoints; up to 63 nothing changes. Before: 300 KB a second.

--- a/adapters/exchanger/client.go
+++ b/adapters/exchanger/client.go
@@ -117,18 +117,21 @@
 func (s *Subscription) reportLoads(ctx context.Context, r Receiver) {
 	t := time.NewTicker(loadInterval)
 	defer t.Stop()
-	told := Loads{}
+	told, toldAt := Loads{}, time.Time{}
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-t.C:
 		}
+		if time.Since(toldAt) < loadPause(len(told)) {
+			continue
+		}
 		loads := r.Loads()
 		if loads == nil || maps.Equal(loads, told) {
 			continue
 		}
-		told = loads
+		told, toldAt = loads, time.Now()
 		if s.conn.Send(ctx, kindLoads, 0, loads) != nil {
 			s.Close()
 			return
--- a/adapters/exchanger/server.go
+++ b/adapters/exchanger/server.go
@@ -157,6 +157,9 @@
 		case <-beat.C:
 			err = sub.conn.Send(ctx, kindBeat, 0, s.source.Beat())
 		case <-load.C:
+			if time.Since(toldAt) < loadPause(len(told)) {
+				continue
+			}
 			loads := s.source.Loads(sub.contact)
 			if maps.Equal(loads, told) && time.Since(toldAt) < loadRefresh {
 				continue
--- a/adapters/exchanger/wire.go
+++ b/adapters/exchanger/wire.go
@@ -28,6 +28,10 @@
 	// at most, and within 150 ms some two requests reach the endpoint of a key that gets a tenth of the traffic.
 	loadInterval = 50 * time.Millisecond
 
+	// loadEntries is the number of endpoints for each of which the pause between two exchanges grows by one interval, so
+	// that the bytes a second stay bounded in large fleets.
+	loadEntries = 64
+
 	// loadRefresh is how often numbers that don't change are repeated; they count for a second.
 	loadRefresh = 600 * time.Millisecond
 
@@ -69,6 +73,9 @@
 // Loads holds requests in flight by endpoint ID.
 type Loads map[string]int
 
+// loadPause returns the least time between two exchanges of so many entries.
+func loadPause(entries int) time.Duration { return loadInterval * time.Duration(entries/loadEntries) }
+
 // Suspect is a request that ran at an endpoint when that one broke off.
 type Suspect struct {
 	Fingerprint uint64 `cbor:"1,keyasint"`
