--- a/core/chooser/chooser.go
+++ b/core/chooser/chooser.go
@@ -272,8 +272,8 @@
 	return slots * (1 - left) * (1 - roomSpread*q.Draw)
 }
 
-// isUnreserved reports whether a request is of the share that needn't leave room to others. It takes other digits of the
-// draw than the spread of the room does, so that the two don't go together.
+// isUnreserved reports whether a request is of the share that needn't leave room to others. It takes other digits of
+// the draw than the spread of the room does, so that the two don't go together.
 func isUnreserved(draw float64) bool {
 	_, digits := math.Modf(draw * 100)
 	return digits < unreservedShare
