Repeat service calls only where the bundle allows it

Cause: a service call outside nonIdempotentPaths could be run again by the fleet, and its Idempotency-Key was ignored: a POST to /refund, beside the listed /refunds, ran three times under one key. Change: bundles list repeatablePaths, compared exactly and by whole segments; any other call runs at most once. A key takes a claim on every path of a service; a chat with a key is refused. nonIdempotentPaths are the paths that need a key. Before: TestCallsRunAgainOnlyWhereTheBundleAllowsIt fails in 5 of 9 cases. After: it passes.

--- a/core/bundler/bundle.go
+++ b/core/bundler/bundle.go
@@ -3,6 +3,10 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"slices"
+	"strings"
+
+	"cactusroute.dev/core/planner"
 )
 
 // PoolKind says what the endpoints of a pool are.
@@ -65,8 +69,30 @@
 	TokenGapTargetMillis int `json:"tokenGapTargetMillis,omitempty"`
 	// TimeoutMillis bounds a request whose caller gave no deadline.
 	TimeoutMillis int `json:"timeoutMillis"`
-	// NonIdempotentPaths are path prefixes of a service whose calls run at most once.
+	// NonIdempotentPaths are path prefixes of a service whose calls need an idempotency key.
 	NonIdempotentPaths []string `json:"nonIdempotentPaths,omitempty"`
+	// RepeatablePaths are paths of a service, each with all paths below it, whose calls the fleet may run again on its
+	// own; any other call runs at most once.
+	RepeatablePaths []string `json:"repeatablePaths,omitempty"`
+}
+
+// NeedsKey reports whether a call of the service's path needs an idempotency key; it ignores case, as some services do.
+func (p *Pool) NeedsKey(path string) bool {
+	return slices.ContainsFunc(p.NonIdempotentPaths, func(prefix string) bool {
+		return len(path) >= len(prefix) && strings.EqualFold(path[:len(prefix)], prefix)
+	})
+}
+
+// KindOf returns the kind of a call of the service's path.
+func (p *Pool) KindOf(path string) planner.Kind {
+	isBelow := func(parent string) bool {
+		rest, ok := strings.CutPrefix(path, strings.TrimSuffix(parent, "/"))
+		return ok && (rest == "" || rest[0] == '/')
+	}
+	if !p.NeedsKey(path) && slices.ContainsFunc(p.RepeatablePaths, isBelow) {
+		return planner.KindRepeatable
+	}
+	return planner.KindOnce
 }
 
 // Workspace is one customer of the fleet.
--- a/core/bundler/bundler_test.go
+++ b/core/bundler/bundler_test.go
@@ -7,6 +7,8 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"cactusroute.dev/core/planner"
 )
 
 const good = `// the first bundle
@@ -47,6 +49,10 @@
 		{`"kind": "service"`, `"kind": "service", "model": "z"`, 7, "/pools/1/model"},
 		{`"kind": "service"`, `"kind": "model", "model": "m"`, 7, "/pools/1/model"},
 		{`["/x"]`, `["x"]`, 7, "/pools/1/nonIdempotentPaths/0"},
+		{`["/x"]`, `["/x"], "repeatablePaths": ["y"]`, 7, "/pools/1/repeatablePaths/0"},
+		{`["/x"]`, `["/x"], "repeatablePaths": ["/y", "/y"]`, 7, "/pools/1/repeatablePaths/1"},
+		{`["/x"]`, `["/x"], "repeatablePaths": ["/X/y"]`, 7, "/pools/1/repeatablePaths/0"},
+		{`"model": "m"`, `"model": "m", "repeatablePaths": ["/y"]`, 6, "/pools/0/repeatablePaths"},
 		{`"maxConcurrency": 4`, `"maxConcurrency": 0`, 6, "/pools/0/maxConcurrency"},
 		{`"timeoutMillis": 1000`, `"timeoutMillis": 0`, 6, "/pools/0/timeoutMillis"},
 		{`"team": "t"`, `"team": "T"`, 10, "/workspaces/0/team"},
@@ -101,3 +107,27 @@
 		assert.Equal(t, Digest(stored), Digest(content))
 	})
 }
+
+// Guards against a call that counts as repeatable because its path resembles a listed one.
+func TestOnlyListedPathsAreRepeatable(t *testing.T) {
+	p := Pool{NonIdempotentPaths: []string{"/refunds", "/stock/orders"}, RepeatablePaths: []string{"/stock", "/search/"}}
+	for _, tt := range []struct {
+		path     string
+		needsKey bool
+		want     planner.Kind
+	}{
+		{"/stock", false, planner.KindRepeatable},
+		{"/stock/12", false, planner.KindRepeatable},
+		{"/search", false, planner.KindRepeatable},
+		{"/stocks", false, planner.KindOnce},
+		{"/Stock", false, planner.KindOnce},
+		{"/stock/orders", true, planner.KindOnce},
+		{"/stock/ORDERS/1", true, planner.KindOnce},
+		{"/refund", false, planner.KindOnce},
+		{"/refunds", true, planner.KindOnce},
+		{"/", false, planner.KindOnce},
+	} {
+		assert.Equal(t, p.NeedsKey(tt.path), tt.needsKey, tt.path)
+		assert.Equal(t, p.KindOf(tt.path), tt.want, tt.path)
+	}
+}
--- a/core/bundler/checker.go
+++ b/core/bundler/checker.go
@@ -110,6 +110,9 @@
 		if len(p.NonIdempotentPaths) > 0 {
 			c.refuse(path+"/nonIdempotentPaths", "not valid for a model pool", "only with kind service")
 		}
+		if len(p.RepeatablePaths) > 0 {
+			c.refuse(path+"/repeatablePaths", "not valid for a model pool", "only with kind service")
+		}
 		c.texts(path+"/adapters", p.Adapters)
 	case PoolService:
 		for _, f := range []struct {
@@ -122,7 +125,14 @@
 				c.refuse(path+"/"+f.name, "not valid for a service pool", "only with kind model")
 			}
 		}
-		c.texts(path+"/nonIdempotentPaths", p.NonIdempotentPaths)
+		c.paths(path+"/nonIdempotentPaths", p.NonIdempotentPaths)
+		c.paths(path+"/repeatablePaths", p.RepeatablePaths)
+		for i, s := range p.RepeatablePaths {
+			if p.NeedsKey(s) {
+				c.refuse(fmt.Sprintf("%s/repeatablePaths/%d", path, i), fmt.Sprintf("%q needs an idempotency key", s),
+					"a path that nonIdempotentPaths does not cover")
+			}
+		}
 	default:
 		c.refuse(path+"/kind", fmt.Sprintf("unknown value %q", p.Kind), "model, service")
 	}
@@ -130,9 +140,14 @@
 	c.within(path+"/timeoutMillis", p.TimeoutMillis, 1, maxTimeoutMillis)
 	c.within(path+"/firstTokenTargetMillis", p.FirstTokenTargetMillis, 0, maxTimeoutMillis)
 	c.within(path+"/tokenGapTargetMillis", p.TokenGapTargetMillis, 0, maxTimeoutMillis)
-	for i, s := range p.NonIdempotentPaths {
+}
+
+// paths checks prefixes of paths.
+func (c *checker) paths(path string, prefixes []string) {
+	c.texts(path, prefixes)
+	for i, s := range prefixes {
 		if !strings.HasPrefix(s, "/") {
-			c.refuse(fmt.Sprintf("%s/nonIdempotentPaths/%d", path, i), "bad path", "a path that starts with '/'")
+			c.refuse(fmt.Sprintf("%s/%d", path, i), "bad path", "a path that starts with '/'")
 		}
 	}
 }
--- a/router/fakes_test.go
+++ b/router/fakes_test.go
@@ -154,6 +154,7 @@
 		}},
 		{Pool: &bundler.Pool{
 			Name: "orders", Kind: bundler.PoolService, TimeoutMillis: 5000, NonIdempotentPaths: []string{"/refunds"},
+			RepeatablePaths: []string{"/stock"},
 		}},
 		{Workspace: &bundler.Workspace{
 			Name: "shop", KeyHashes: []string{bundler.HashKey(testKey)}, Pools: []string{"models", "orders"},
--- a/router/forward.go
+++ b/router/forward.go
@@ -15,6 +15,7 @@
 	"cactusroute.dev/adapters/relayer"
 	"cactusroute.dev/core/bundler"
 	"cactusroute.dev/core/placer"
+	"cactusroute.dev/core/planner"
 	"cactusroute.dev/core/quarantiner"
 	"cactusroute.dev/core/retrier"
 )
@@ -34,7 +35,7 @@
 	errCallerGone   = errors.New("caller is gone")
 )
 
-// exchange is one request of a caller that may be repeated, over all its attempts.
+// exchange is one request of a caller without a claim, over all its attempts.
 type exchange struct {
 	rt    *Router
 	w     http.ResponseWriter
@@ -52,12 +53,16 @@
 // hint is where an agent said that the chat was served last.
 type hint struct{ from, to string }
 
-// forward runs a request that may be repeated and returns its outcome for the metric.
-func (rt *Router) forward(ctx context.Context, w http.ResponseWriter, req relayer.Request, need placer.Need) string {
+// forward runs a request as its kind allows and returns its outcome for the metric.
+func (rt *Router) forward(
+	ctx context.Context, w http.ResponseWriter, req relayer.Request, need placer.Need, kind planner.Kind,
+) string {
 	now := time.Now()
 	x := &exchange{
 		rt: rt, w: w, req: req, begun: now,
-		state: retrier.Request{Workspace: req.Workspace, Repeatable: true, Deadline: req.Deadline},
+		state: retrier.Request{
+			Workspace: req.Workspace, Repeatable: kind == planner.KindRepeatable, Deadline: req.Deadline,
+		},
 		cands: rt.candidates(now, &req, need), need: need,
 	}
 	defer func() { x.cands.close() }()
--- a/router/operation_test.go
+++ b/router/operation_test.go
@@ -155,6 +155,65 @@
 	}
 }
 
+// Guards against a second run of a call whose path the bundle does not list, and against a key that is ignored: a call
+// to /refund, beside the listed /refunds, ran three times under one key.
+func TestCallsRunAgainOnlyWhereTheBundleAllowsIt(t *testing.T) {
+	for _, tt := range []struct {
+		name, path, key string
+		answers         []error
+		status          int
+		want            string
+		notRun          bool
+		runs, claims    int
+	}{
+		{"repeatable", "/stock", "", []error{lost("", true), nil}, 200, "ran", false, 2, 0},
+		{"not listed", "/refund", "", []error{lost("", true), nil}, 409, "unknown_outcome", false, 1, 0},
+		{
+			"not listed, crash", "/refund", "", []error{&relayer.BrokenError{End: relayer.End{Crashed: true}}, nil},
+			409, "unknown_outcome", false, 1, 0,
+		},
+		{"not listed, not sent", "/refund", "", []error{lost("", false), nil}, 200, "ran", false, 2, 0},
+		{"not listed, refused", "/refund", "", []error{refusal(relayer.ReasonOverBound), nil}, 200, "ran", false, 2, 0},
+		{"not listed, with key", "/refund", "k", []error{nil}, 200, "ran", false, 1, 1},
+		{"repeatable, with key", "/stock", "k", []error{nil}, 200, "ran", false, 1, 1},
+		{"listed, no key", "/refunds", "", nil, 400, "invalid_idempotency_key", true, 0, 0},
+		{"key too long", "/stock", strings.Repeat("k", 257), nil, 400, "invalid_idempotency_key", false, 0, 0},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := &fakeRelay{answer: func(_ context.Context, n int, _ string, _ relayer.Request) (Answer, error) {
+					if err := tt.answers[min(n, len(tt.answers))-1]; err != nil {
+						return nil, err
+					}
+					return whole("ran", nil), nil
+				}}
+				control := &fakeControl{claim: granted}
+				rt := testRouter(control, f)
+				c := call{path: "/services/orders" + tt.path, body: "{}", headers: map[string]string{}}
+				if tt.key != "" {
+					c.headers[headerIdempotency] = tt.key
+				}
+				w := c.do(t, rt)
+				rt.calls.wg.Wait()
+				assert.Equal(t, w.Code, tt.status, w.Body.String())
+				assert.Assert(t, strings.Contains(w.Body.String(), tt.want), w.Body.String())
+				assert.Equal(t, w.Header().Get(headerOutcome), outcomeOf(tt.status, tt.notRun))
+				assert.Equal(t, len(f.requests), tt.runs)
+				assert.Equal(t, len(control.claims), tt.claims)
+			})
+		})
+	}
+}
+
+// Guards against a key of a chat that is silently ignored.
+func TestChatRefusesAKey(t *testing.T) {
+	f := &fakeRelay{}
+	w := call{headers: map[string]string{headerIdempotency: "k"}}.do(t, testRouter(&fakeControl{}, f))
+	assert.Equal(t, w.Code, http.StatusBadRequest)
+	assert.Assert(t, strings.Contains(w.Body.String(), "idempotency_key_not_supported"), w.Body.String())
+	assert.Equal(t, len(f.requests), 0)
+}
+
 // Guards against "not run" or no answer for an operation that ran at an endpoint which has left since.
 func TestOperationWithoutEndpoints(t *testing.T) {
 	for _, c := range []struct {
--- a/router/request.go
+++ b/router/request.go
@@ -16,6 +16,7 @@
 	"cactusroute.dev/adapters/relayer"
 	"cactusroute.dev/core/bundler"
 	"cactusroute.dev/core/placer"
+	"cactusroute.dev/core/planner"
 	"cactusroute.dev/core/viewer"
 )
 
@@ -199,6 +200,10 @@
 	if err := json.Unmarshal(body, &req); err != nil || len(req.Messages) == 0 {
 		return "", invalid("invalid_body", "the body is not a chat completion request")
 	}
+	if len(r.Header.Values(headerIdempotency)) > 0 {
+		return "", invalid("idempotency_key_not_supported",
+			"a chat completion takes no Idempotency-Key, because the fleet may run it again; send it without one")
+	}
 	if len(r.Header.Get(headerConversation)) > maxHeaderValue {
 		return "", invalid("invalid_conversation", headerConversation+" exceeds 256 bytes")
 	}
@@ -214,7 +219,7 @@
 	out.ChatKey, out.PrefixKey = uint64(chatKey(&in.workspace, &req, r)), uint64(prefixKey(&in.workspace, &req))
 	ctx, cancel := context.WithDeadline(r.Context(), out.Deadline)
 	defer cancel()
-	return rt.forward(ctx, w, out, needOf(&req)), nil
+	return rt.forward(ctx, w, out, needOf(&req), planner.KindRepeatable), nil
 }
 
 // admitted is a caller that passed authentication and the router's own bounds.
@@ -267,11 +272,17 @@
 	return u.RequestURI(), clean, nil
 }
 
-// needsClaim compares without case, because some services ignore the case of a path.
-func needsClaim(pool *bundler.Pool, p string) bool {
-	return slices.ContainsFunc(pool.NonIdempotentPaths, func(prefix string) bool {
-		return len(p) >= len(prefix) && strings.EqualFold(p[:len(prefix)], prefix)
-	})
+// operationKey returns the idempotency key of a service call, "" if it has none and needs none.
+func operationKey(r *http.Request, pool *bundler.Pool, path string) (string, *failure) {
+	keys := r.Header.Values(headerIdempotency)
+	if len(keys) == 0 && !pool.NeedsKey(path) {
+		return "", nil
+	}
+	if len(keys) != 1 || keys[0] == "" || len(keys[0]) > maxHeaderValue {
+		return "", invalid("invalid_idempotency_key",
+			"the path needs, or the request has, an Idempotency-Key: one header of 1 to 256 bytes is allowed")
+	}
+	return keys[0], nil
 }
 
 // service serves a call to a plain service.
@@ -309,13 +320,13 @@
 	req.ID, req.Path = w.Header().Get(headerRequestID), target
 	ctx, cancel := context.WithDeadline(r.Context(), req.Deadline)
 	defer cancel()
-	if !needsClaim(&pool, clean) {
-		req.ChatKey = uint64(placer.KeyOf(req.ID))
-		return rt.forward(ctx, w, req, placer.NeedNothing), nil
+	key, f := operationKey(r, &pool, clean)
+	if f != nil {
+		return "", f
 	}
-	key := r.Header.Get(headerIdempotency)
-	if key == "" || len(key) > maxHeaderValue {
-		return "", invalid("invalid_idempotency_key", "this path needs an Idempotency-Key header of at most 256 bytes")
+	if key == "" {
+		req.ChatKey = uint64(placer.KeyOf(req.ID))
+		return rt.forward(ctx, w, req, placer.NeedNothing, pool.KindOf(clean)), nil
 	}
 	detached = true
 	return rt.operate(ctx, w, req, key, in.release), nil
