Make the first voters of a group in one change

Change: a lone voter promotes as many learners as the group needs in one entry. Their quorum need not include the lone voter, so it sends entries only once they are stored; a lost unsent entry leaves it alone, a stored one binds it. Before: without that rule TestPromotionByALoneVoterIsSentOnlyOnceStored finds two leaders in one term. After: it passes, and so does TestGroupSurvivesTheLossOfItsFirstDisk.

--- a/core/recruiter/recruiter.go
+++ b/core/recruiter/recruiter.go
@@ -44,25 +44,41 @@
 	if ch, ok := addLearner(in); ok {
 		return ch, true
 	}
-	voters, learner := 0, (*replicator.Member)(nil)
-	for i, m := range in.Members {
+	voters, learners := 0, []replicator.Member(nil)
+	for _, m := range in.Members {
 		switch {
 		case m.Voter:
 			voters++
-		case learner == nil && in.announced(m.ID) && in.IsCaughtUp(m.ID):
-			learner = &in.Members[i]
+		case in.announced(m.ID) && in.IsCaughtUp(m.ID):
+			learners = append(learners, m)
 		}
 	}
 	lost := in.lostVoter()
 	switch {
-	case learner != nil && voters < MaxVoters:
-		return replicator.Change{Kind: replicator.ChangePromote, Member: *learner}, true
-	case lost != nil && (voters > in.MinVoters || learner != nil):
+	case voters == 1 && in.MinVoters > 1:
+		if ch, ok := form(learners, in.MinVoters); ok {
+			return ch, true
+		}
+	case len(learners) > 0 && voters < MaxVoters:
+		return replicator.Change{Kind: replicator.ChangePromote, Member: learners[0]}, true
+	case lost != nil && (voters > in.MinVoters || len(learners) > 0):
 		return replicator.Change{Kind: replicator.ChangeRemove, Member: *lost}, true
 	}
 	return removeLearner(in)
 }
 
+// form makes a lone voter and enough learners the first voters in one change: a group of two could not lose a disk.
+func form(learners []replicator.Member, minVoters int) (replicator.Change, bool) {
+	if 1+len(learners) < minVoters {
+		return replicator.Change{}, false
+	}
+	ch := replicator.Change{Kind: replicator.ChangePromote, Member: learners[0]}
+	for _, m := range learners[1:min(len(learners), MaxVoters-1)] {
+		ch.With = append(ch.With, m.ID)
+	}
+	return ch, true
+}
+
 func addLearner(in Input) (replicator.Change, bool) {
 	for _, c := range in.Candidates {
 		known := false
--- a/core/recruiter/recruiter_test.go
+++ b/core/recruiter/recruiter_test.go
@@ -29,6 +29,7 @@
 		in    Input
 		kind  replicator.ChangeKind
 		id    string
+		with  []string
 		found bool
 	}{
 		{name: "a new instance becomes a learner",
@@ -38,6 +39,14 @@
 			in: Input{Members: []replicator.Member{voter("a"), learner("b")},
 				Candidates: []Candidate{{ID: "b", Name: "nb"}}, Heard: map[string]time.Time{"b": now}},
 			kind: replicator.ChangePromote, id: "b", found: true},
+		{name: "a lone voter waits for as many learners as the group needs",
+			in: Input{Members: []replicator.Member{voter("a"), learner("b")}, MinVoters: 3,
+				Candidates: []Candidate{{ID: "b", Name: "nb"}}, Heard: map[string]time.Time{"b": now}}},
+		{name: "a lone voter and its learners become the first voters at once",
+			in: Input{Members: []replicator.Member{voter("a"), learner("b"), learner("c")}, MinVoters: 3,
+				Candidates: []Candidate{{ID: "b", Name: "nb"}, {ID: "c", Name: "nc"}},
+				Heard:      map[string]time.Time{"b": now, "c": now}},
+			kind: replicator.ChangePromote, id: "b", with: []string{"c"}, found: true},
 		{name: "a learner that is behind waits",
 			in: Input{Members: []replicator.Member{voter("a"), learner("b")}, IsCaughtUp: func(string) bool { return false },
 				Candidates: []Candidate{{ID: "b", Name: "nb"}}, Heard: map[string]time.Time{"b": now}}},
@@ -80,6 +89,7 @@
 		assert.Equal(t, found, c.found, c.name)
 		assert.Equal(t, ch.Kind, c.kind, c.name)
 		assert.Equal(t, ch.Member.ID, c.id, c.name)
+		assert.DeepEqual(t, ch.With, c.with)
 	}
 }
 
--- a/core/replicator/leader.go
+++ b/core/replicator/leader.go
@@ -116,7 +116,9 @@
 		m.Voter = false
 		members = append(members, m)
 	case ChangePromote:
-		members[i].Voter = true
+		for j, m := range members {
+			members[j].Voter = m.Voter || j == i || slices.Contains(c.With, m.ID)
+		}
 	case ChangeRemove:
 		members = slices.Delete(members, i, i+1)
 	}
@@ -146,11 +148,28 @@
 		return RefusedNoChange
 	case c.Kind == ChangePromote && !r.isCaughtUp(c.Member.ID):
 		return RefusedNotCaughtUp
+	case len(c.With) > 0 && (c.Kind != ChangePromote || !isLone(r.members())):
+		return RefusedNotAlone
+	case !r.areLearnersCaughtUp(c.With):
+		return RefusedNotCaughtUp
 	default:
 		return ""
 	}
 }
 
+func (r *Replica) areLearnersCaughtUp(ids []string) bool {
+	for _, id := range ids {
+		i := slices.IndexFunc(r.members(), func(m Member) bool { return m.ID == id && !m.Voter })
+		if i < 0 || !r.isCaughtUp(id) {
+			return false
+		}
+	}
+	return true
+}
+
+// isLone reports whether the members have a single voter.
+func isLone(members []Member) bool { return countVoters(members) == 1 }
+
 // IsCaughtUp reports at the leader whether a learner could be promoted now.
 func (r *Replica) IsCaughtUp(id string) bool { return r.role == Leader && r.isCaughtUp(id) }
 
@@ -286,6 +305,15 @@
 	r.lead.reads = rest
 }
 
+// sendable returns the last entry that may be sent. A lone voter sends only what it has synced: the entry by which it
+// promotes several others would else form a quorum without it while it has lost that entry and goes on alone.
+func (r *Replica) sendable() uint64 {
+	if isLone(r.log.at(r.synced)) {
+		return r.synced
+	}
+	return r.log.last().Index
+}
+
 // sendAppends sends entries as far as the window of the follower allows.
 func (r *Replica) sendAppends(id string, p *progress) {
 	waits := len(p.inflight) > 0 || p.snapshot != nil
@@ -293,7 +321,7 @@
 		r.resend(id, p)
 		return
 	}
-	for p.snapshot == nil && len(p.inflight) < r.window(p) && p.next <= r.log.last().Index {
+	for p.snapshot == nil && len(p.inflight) < r.window(p) && p.next <= r.sendable() {
 		if !r.sendAppend(id, p) {
 			return
 		}
@@ -315,7 +343,7 @@
 		r.sendPiece(id, p)
 		return false
 	}
-	entries := r.log.slice(p.next, r.log.last().Index, r.cfg.MaxAppendBytes)
+	entries := r.log.slice(p.next, r.sendable(), r.cfg.MaxAppendBytes)
 	r.send(id, Message{Kind: MsgAppend, Index: p.next - 1, LogTerm: term, Entries: entries,
 		Commit: r.commit})
 	if len(p.inflight) == 0 {
--- a/core/replicator/replica.go
+++ b/core/replicator/replica.go
@@ -399,12 +399,13 @@
 		slices.ContainsFunc(r.log.members[n-2].members, func(m Member) bool { return m.ID == r.cfg.ID && m.Voter })
 }
 
-func quorum(members []Member) int {
-	voters := 0
+func quorum(members []Member) int { return countVoters(members)/2 + 1 }
+
+func countVoters(members []Member) (n int) {
 	for _, m := range members {
 		if m.Voter {
-			voters++
+			n++
 		}
 	}
-	return voters/2 + 1
+	return n
 }
--- a/core/replicator/replica_test.go
+++ b/core/replicator/replica_test.go
@@ -250,6 +250,27 @@
 	return id
 }
 
+// form makes a lone voter promote all its learners in one change.
+func (c *cluster) form() {
+	l := c.leader()
+	if l == nil || !isLone(l.replica.members()) {
+		return
+	}
+	ch := Change{Kind: ChangePromote}
+	for _, m := range l.replica.members() {
+		switch {
+		case m.Voter:
+		case ch.Member.ID == "":
+			ch.Member = m
+		default:
+			ch.With = append(ch.With, m.ID)
+		}
+	}
+	if len(ch.With) > 0 {
+		c.change(ch)
+	}
+}
+
 // change asks every replica, so that a deposed leader is asked too.
 func (c *cluster) change(ch Change) {
 	ch.Tag = c.tag()
@@ -290,6 +311,7 @@
 			}
 			c.change(Change{Kind: kind, Member: Member{ID: id}})
 		},
+		"form": func(*rapid.T) { c.form() },
 		"depose": func(*rapid.T) {
 			if l := c.leader(); l != nil {
 				c.cut[l.replica.cfg.ID], l.stalled = true, c.now
@@ -364,3 +386,55 @@
 		}
 	})
 }
+
+// newLone returns a lone voter that leads, with learners that have caught up.
+func newLone(t *rapid.T, learners int) *cluster {
+	c := newCluster(t, 1)
+	c.settle(time.Second)
+	for range learners {
+		c.change(Change{Kind: ChangeAddLearner, Member: Member{ID: c.addNew()}})
+		c.settle(time.Second)
+	}
+	return c
+}
+
+// Guards against two groups that commit apart: a lone voter that loses power before it has stored the promotion of the
+// others goes on alone, while they have received the promotion and are a quorum of it.
+func TestPromotionByALoneVoterIsSentOnlyOnceStored(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := newLone(t, rapid.IntRange(2, 4).Draw(t, "learners"))
+		lone := c.leader().replica.cfg.ID
+		ch := Change{Kind: ChangePromote, Member: Member{ID: c.ids[1]}, With: c.ids[2:], Tag: c.tag()}
+		c.step(lone, rapid.Bool().Draw(t, "stored"), ch)
+		c.deliverAll()
+		c.cut[lone] = rapid.Bool().Draw(t, "cut")
+		for range 3 {
+			c.settle(2 * time.Second)
+			for _, id := range c.ids {
+				c.step(id, true, Proposal{Tag: c.tag()})
+			}
+		}
+		c.healAll()
+		c.settle(4 * time.Second)
+	})
+}
+
+// Guards against a group that never forms, or forms twice, when the first voter loses its disk right after it has
+// promoted the others: at no time are there two voters.
+func TestGroupSurvivesTheLossOfItsFirstDisk(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := newLone(t, 2)
+		lone := c.leader().replica.cfg.ID
+		c.form()
+		if rapid.Bool().Draw(t, "one only") {
+			c.net = c.net[:1]
+		}
+		c.deliverAll()
+		delete(c.nodes, lone)
+		c.ids = c.ids[1:]
+		c.settle(3 * time.Second)
+		if l := c.leader(); l == nil || countVoters(l.replica.members()) != 3 {
+			t.Fatal("the others form no group")
+		}
+	})
+}
--- a/core/replicator/types.go
+++ b/core/replicator/types.go
@@ -116,6 +116,8 @@
 	Tag    Tag
 	Kind   ChangeKind
 	Member Member
+	// With names further learners that are promoted in the same entry; only a lone voter may do so.
+	With []string
 }
 
 // Synced reports that the log is durable up to the entry with this index and term.
@@ -142,6 +144,7 @@
 	RefusedUnknown       Refusal = "no such member"
 	RefusedNotCaughtUp   Refusal = "the learner has not caught up"
 	RefusedLosesQuorum   Refusal = "the members that remain reachable would be no quorum"
+	RefusedNotAlone      Refusal = "only a lone voter promotes several learners at once"
 	RefusedNoChange      Refusal = "the membership is already so"
 	RefusedBacklog       Refusal = "too many entries wait for a quorum"
 	RefusedNotCommitting Refusal = "the leader has not committed an entry of its term yet"
--- a/model/log.pml
+++ b/model/log.pml
@@ -1,13 +1,19 @@
 /*
- * Replicated log of the control group: log agreement, and replacement of a replica with an emptied disk.
+ * Replicated log of the control group: log agreement, replacement of a replica with an emptied disk, and the first
+ * voters of an open fleet.
  *
- * Slots 0-2 found the group, slot 3 is the new identity of the replica whose disk is emptied. Steps between two
- * replicas are atomic; lost and late messages are steps that happen late or never. A switch removes a rule:
+ * The first FOUNDERS slots found the group, the last one is the new identity of the replica whose disk is emptied.
+ * Steps between two replicas are atomic; lost and late messages are steps that happen late or never. PROMOTE_FIRST
+ * replaces as open fleets do, which promote the successor before they remove the lost voter. LONE founds with slot 0
+ * alone, which promotes the others in one change. LAG lets a leader send entries before it has stored them.
+ * A switch removes a rule:
  *   NO_LOG_CHECK   a vote does not ask whether the log of the candidate is up to date
  *   NO_SYNC        an entry is acknowledged before it is durable
  *   OLD_IDENTITY   an emptied disk comes back under its old identity
  *   TWO_CHANGES    a membership change need not wait for the one before it
  *   OLD_TERM       a leader counts replicas for entries of an earlier term
+ *   EARLY_SEND     a lone voter sends the promotion of the others before it has stored it
+ *   EARLY_COUNT    a leader counts itself for entries that it has not stored
  *
  * With FIXED no disk is emptied, which leaves room for more terms.
  */
@@ -17,14 +23,25 @@
 #ifndef LEN
 #define LEN 3
 #endif
-#define N 4
+#ifndef FOUNDERS
+#define FOUNDERS 3
+#endif
+#define N (FOUNDERS + 1)
+#define NEW (1 << FOUNDERS)
+#define ALL (NEW - 1)
+#ifdef LONE
+#define INITIAL 1
+#else
+#define INITIAL ALL
+#endif
 #define COMMAND 0
 #define REMOVE 1
 #define PROMOTE 2
+#define FORM 3
 #define TERM(e) ((e) & 7)
 #define KIND(e) ((e) >> 3)
 #define LOG(i, k) ent[(i) * LEN + (k)]
-#define BITS(m) (((m) & 1) + (((m) >> 1) & 1) + (((m) >> 2) & 1) + (((m) >> 3) & 1))
+#define BITS(m) (((m) & 1) + (((m) >> 1) & 1) + (((m) >> 2) & 1) + (((m) >> 3) & 1) + (((m) >> 4) & 1))
 #define LEADER 2
 #define LASTTERM(r) TERM(LOG(r, cnt[r] - 1))
 #ifdef NO_LOG_CHECK
@@ -37,7 +54,12 @@
 #else
 #define OF_THIS_TERM (TERM(LOG(i, p - 1)) == term[i])
 #endif
-#define UP(r) ((r) != wiped && ((r) < 3 || wiped < N))
+#ifdef EARLY_COUNT
+#define OWN cnt[i]
+#else
+#define OWN durable[i]
+#endif
+#define UP(r) ((r) != wiped && ((r) < FOUNDERS || wiped < N))
 
 byte term[N], vote[N], role[N], votes[N], cnt[N], durable[N];
 byte ent[N * LEN];
@@ -50,12 +72,13 @@
 
 /* Sets voting to the voters in the first upto entries of a log. */
 inline voters(r, upto) {
-	voting = 7; prev = 7; k = 0;
+	voting = INITIAL; prev = INITIAL; k = 0;
 	do
 	:: k < upto ->
 		if
-		:: KIND(LOG(r, k)) == REMOVE -> prev = voting; voting = voting & (15 - (1 << wiped))
-		:: KIND(LOG(r, k)) == PROMOTE -> prev = voting; voting = voting | 8
+		:: KIND(LOG(r, k)) == REMOVE -> prev = voting; voting = voting & (ALL + NEW - (1 << wiped))
+		:: KIND(LOG(r, k)) == PROMOTE -> prev = voting; voting = voting | NEW
+		:: KIND(LOG(r, k)) == FORM -> prev = voting; voting = ALL
 		:: else
 		fi;
 		k++
@@ -64,7 +87,8 @@
 }
 
 inline clearmatch(r) {
-	known[r] = 0; match[r * N] = 0; match[r * N + 1] = 0; match[r * N + 2] = 0; match[r * N + 3] = 0
+	known[r] = 0; match[r * N] = 0; match[r * N + 1] = 0; match[r * N + 2] = 0; match[r * N + 3] = 0;
+	match[r * N + N - 1] = 0
 }
 
 inline adopt(r, t) {
@@ -81,6 +105,16 @@
 #endif
 }
 
+/* A leader stores what it proposes while it sends it. */
+inline lead(r, e) {
+	LOG(r, cnt[r]) = e; cnt[r]++;
+#ifndef NO_SYNC
+#ifndef LAG
+	durable[r] = cnt[r]
+#endif
+#endif
+}
+
 inline zero(r, from) {
 	k = from;
 	do
@@ -123,7 +157,7 @@
 	:: else -> break
 	od;
 	if
-	:: cnt[i] < LEN -> store(i, term[i])
+	:: cnt[i] < LEN -> lead(i, term[i])
 	:: else
 	fi
 }
@@ -131,8 +165,12 @@
 inline propose() {
 	role[i] == LEADER && cnt[i] < LEN && cnt[i] > 0;
 	if
-	:: store(i, term[i])
+	:: lead(i, term[i])
+#ifdef LONE
+	:: wiped >= N ->
+#else
 	:: wiped < N ->
+#endif
 		voters(i, cnt[i]);
 		/* One change at a time, and only after an entry of the own term is committed. */
 #ifndef TWO_CHANGES
@@ -149,23 +187,43 @@
 		best == 0 && known[i] > 0;
 #endif
 		if
-		:: (voting & (1 << wiped)) != 0 -> store(i, term[i] + 8 * REMOVE)
-		:: (voting & (1 << wiped)) == 0 && (voting & 8) == 0 -> store(i, term[i] + 8 * PROMOTE)
+#ifdef LONE
+		:: voting == 1 -> lead(i, term[i] + 8 * FORM)
+#else
+#ifdef PROMOTE_FIRST
+		:: (voting & (1 << wiped)) != 0 && (voting & NEW) != 0 -> lead(i, term[i] + 8 * REMOVE)
+		:: (voting & (1 << wiped)) != 0 && (voting & NEW) == 0 -> lead(i, term[i] + 8 * PROMOTE)
+#else
+		:: (voting & (1 << wiped)) != 0 -> lead(i, term[i] + 8 * REMOVE)
+		:: (voting & (1 << wiped)) == 0 && (voting & NEW) == 0 -> lead(i, term[i] + 8 * PROMOTE)
+#endif
+#endif
 		fi
 	fi
 }
 
 inline append() {
-	role[i] == LEADER && i != j && term[j] <= term[i] && match[i * N + j] < cnt[i];
+	role[i] == LEADER && i != j && term[j] <= term[i];
+	n = cnt[i];
+#ifdef LAG
+#ifndef EARLY_SEND
+	voters(i, durable[i]);
+	if
+	:: voting == (1 << i) -> n = durable[i]
+	:: else
+	fi;
+#endif
+#endif
+	match[i * N + j] < n;
 	adopt(j, term[i]);
 	role[j] = 0;
 	p = 0;
 	do
-	:: p < cnt[i] && p < cnt[j] && LOG(i, p) == LOG(j, p) -> p++
+	:: p < n && p < cnt[j] && LOG(i, p) == LOG(j, p) -> p++
 	:: else -> break
 	od;
 	if
-	:: p < cnt[i] ->
+	:: p < n ->
 		if
 		:: p < cnt[j] -> zero(j, p)
 		:: else
@@ -173,7 +231,10 @@
 		store(j, LOG(i, p));
 		match[i * N + j] = p + 1
 	:: else -> match[i * N + j] = p
-	fi
+	fi;
+#ifdef LAG
+	durable[j] = cnt[j]
+#endif
 }
 
 inline commit() {
@@ -186,7 +247,7 @@
 		do
 		:: k < N ->
 			if
-			:: (voting & (1 << k)) != 0 && (k == i || match[i * N + k] >= p) -> n++
+			:: (voting & (1 << k)) != 0 && ((k == i && OWN >= p) || match[i * N + k] >= p) -> n++
 			:: else
 			fi;
 			k++
@@ -217,12 +278,15 @@
 	(role[i] != 0 || durable[i] != cnt[i]);
 #ifdef NO_SYNC
 	zero(i, durable[i]);
+#endif
+#ifdef LAG
+	zero(i, durable[i]);
 #endif
 	role[i] = 0; votes[i] = 0; clearmatch(i)
 }
 
 inline wipe() {
-	wiped == N && i < 3;
+	wiped == N && i < FOUNDERS;
 #ifdef OLD_IDENTITY
 	zero(i, 0); term[i] = 0; vote[i] = 0; role[i] = 0; votes[i] = 0; clearmatch(i);
 	wiped = N + 1
@@ -235,17 +299,20 @@
 init {
 	do
 	:: atomic {
-		select(i : 0 .. 3); select(j : 0 .. 3);
+		select(i : 0 .. (N - 1)); select(j : 0 .. (N - 1));
 		UP(i) && UP(j);
 		if
 #ifndef FIXED
-		:: i == j && i < 3 -> wipe()
+		:: i == j && i < FOUNDERS -> wipe()
 #endif
 		:: i == j -> campaign()
 		:: i == j -> win()
 		:: i == j -> propose()
 		:: i == j -> commit()
 		:: i == j -> crash()
+#ifdef LAG
+		:: i == j && durable[i] < cnt[i] -> durable[i] = cnt[i]
+#endif
 #ifdef NO_SYNC
 		:: i == j && durable[i] < cnt[i] -> durable[i] = cnt[i]
 #endif
