Serve loads, budgets, waits, gaps, sync times and the age of the view as metrics

The metrics of a replica that was opened again after a disk error were lost. Change: histograms of waits, gaps between events, synced writes and round trips of orders; gauges collected when scraped for loads, reports with their age, cold endpoints and budgets.

--- a/adapters/committer/bench_test.go
+++ b/adapters/committer/bench_test.go
@@ -10,12 +10,12 @@
 	dto "github.com/prometheus/client_model/go"
 )
 
-func counted(b *testing.B, c prometheus.Counter) float64 {
+func counted(b *testing.B, h prometheus.Histogram) float64 {
 	var m dto.Metric
-	if err := c.Write(&m); err != nil {
+	if err := h.Write(&m); err != nil {
 		b.Fatal(err)
 	}
-	return m.GetCounter().GetValue()
+	return float64(m.GetHistogram().GetSampleCount())
 }
 
 // BenchmarkPropose commits entries of 256 bytes in a group of three on loopback, proposed at the leader.
--- a/adapters/committer/committer.go
+++ b/adapters/committer/committer.go
@@ -4,6 +4,7 @@
 	"context"
 	crand "crypto/rand"
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"iter"
 	"math/rand/v2"
@@ -127,7 +128,9 @@
 }
 
 type metrics struct {
-	syncs, entries prometheus.Counter
+	syncs   prometheus.Histogram
+	entries prometheus.Counter
+	commits prometheus.Histogram
 }
 
 type confirmation struct {
@@ -208,17 +211,33 @@
 	return c, nil
 }
 
+// syncBuckets span a fast disk to one that holds up the group, in seconds.
+func syncBuckets() []float64 {
+	return []float64{.0005, .001, .002, .005, .01, .025, .05, .1, .25, .5, 1, 2.5}
+}
+
 func newMetrics(reg *prometheus.Registry) metrics {
-	m := metrics{
-		syncs: prometheus.NewCounter(prometheus.CounterOpts{Name: "cactusroute_committer_syncs_total",
-			Help: "Synced writes of the consensus log."}),
-		entries: prometheus.NewCounter(prometheus.CounterOpts{Name: "cactusroute_committer_entries_total",
-			Help: "Entries written to the consensus log."}),
+	return metrics{
+		syncs: registered(reg, prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "cactusroute_committer_sync_seconds", Help: "Time of a synced write of the consensus log.",
+			Buckets: syncBuckets()})),
+		entries: registered(reg, prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "cactusroute_committer_entries_total", Help: "Entries written to the consensus log."})),
+		commits: registered(reg, prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "cactusroute_committer_commit_seconds", Help: "Time from a proposal here until it was applied here.",
+			Buckets: syncBuckets()})),
+	}
+}
+
+// registered registers a collector, or returns the one that an earlier replica of this process has registered.
+func registered[C prometheus.Collector](reg *prometheus.Registry, c C) C {
+	var known prometheus.AlreadyRegisteredError
+	if err := reg.Register(c); errors.As(err, &known) {
+		if old, ok := known.ExistingCollector.(C); ok {
+			return old
+		}
 	}
-	// A second instance in one process, as in devfleet, shares no registry; a repeated one only loses its counters.
-	_ = reg.Register(m.syncs)
-	_ = reg.Register(m.entries)
-	return m
+	return c
 }
 
 func random64() uint64 {
@@ -513,7 +532,7 @@
 			return err
 		}
 	}
-	c.metrics.syncs.Inc()
+	defer func(began time.Time) { c.metrics.syncs.Observe(time.Since(began).Seconds()) }(time.Now())
 	c.metrics.entries.Add(float64(len(out.Entries)))
 	if out.Install == nil {
 		return c.store.Append(out.State, out.Entries)
--- a/adapters/committer/proposals.go
+++ b/adapters/committer/proposals.go
@@ -77,6 +77,9 @@
 	}
 	select {
 	case o := <-w.done:
+		if o.err == nil && w.change == nil {
+			c.metrics.commits.Observe(time.Since(w.since).Seconds())
+		}
 		return o.result, o.err
 	case <-ctx.Done():
 		return nil, &NoQuorumError{Unknown: true, Cause: ctx.Err()}
--- a/core/chooser/chooser.go
+++ b/core/chooser/chooser.go
@@ -1,6 +1,7 @@
 package chooser
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -459,6 +460,40 @@
 	return e
 }
 
+// Load is what this router knows of the requests at one endpoint.
+type Load struct {
+	ID       string
+	Service  string
+	Load     int           // requests of all routers
+	Reported int           // requests running and waiting, as the endpoint said last
+	Age      time.Duration // of the report, negative when there is none
+	IsCold   bool
+	ColdSent int // own requests within the last second while it is cold
+}
+
+// Loads returns what is known of each endpoint that gets requests, in the order of services and ranks.
+func (c *Chooser) Loads(now time.Time) (list []Load) {
+	for _, service := range slices.Sorted(maps.Keys(c.pools)) {
+		for _, e := range c.pools[service].all {
+			if !e.serves {
+				continue
+			}
+			l := Load{ID: e.ID, Service: service, Load: e.load(now, c.othersAt), Reported: e.reported, Age: -1,
+				IsCold: now.Before(e.ColdUntil)}
+			if !e.reportedAt.IsZero() {
+				l.Age = now.Sub(e.reportedAt)
+			}
+			for _, at := range e.coldSent {
+				if now.Sub(at) < coldWindow {
+					l.ColdSent++
+				}
+			}
+			list = append(list, l)
+		}
+	}
+	return list
+}
+
 // InFlight returns the requests of this router by endpoint, to be told to the others.
 func (c *Chooser) InFlight() map[string]int {
 	c.told = map[string]int{}
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -214,6 +214,9 @@
 // BeatReceived implements exchanger.Receiver.
 func (r *receiver) BeatReceived(b exchanger.Beat) {
 	f := r.fleet
+	if b.Quorate && !r.peer {
+		f.confirmed.Store(time.Now().UnixNano())
+	}
 	f.mu.Lock()
 	for _, c := range b.Hubs {
 		// What other instances say of one that this node hears itself is older.
--- a/node/fakes_test.go
+++ b/node/fakes_test.go
@@ -141,7 +141,9 @@
 // testFront is a router without a control group, in front of fake endpoints in the order of their first letters.
 type testFront struct {
 	*front
-	url string
+	url   string
+	queue *observer.Queue
+	obs   *observer.Observer
 }
 
 func testSettings(name string) Settings {
@@ -152,7 +154,12 @@
 }
 
 func newTestFront(t testing.TB, plan *planner.Plan, ends ...*fakeEndpoint) *testFront {
-	queue := observer.NewQueue(io.Discard)
+	return newLoggedFront(t, io.Discard, plan, ends...)
+}
+
+// newLoggedFront returns a front whose lines are written to log when its queue is flushed.
+func newLoggedFront(t testing.TB, out io.Writer, plan *planner.Plan, ends ...*fakeEndpoint) *testFront {
+	queue := observer.NewQueue(out)
 	obs := observer.New(queue, "test")
 	log := newDecisionLog(obs, queue)
 	f := newFleet(testSettings("router"), testDialect(), log)
@@ -170,7 +177,7 @@
 	f.mergeEndpoints(list, "test")
 	srv := httptest.NewServer(fr)
 	t.Cleanup(srv.Close)
-	return &testFront{front: fr, url: srv.URL}
+	return &testFront{front: fr, url: srv.URL, queue: queue, obs: obs}
 }
 
 type reply struct {
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -80,6 +80,8 @@
 	dirty    chan struct{} // with room for one: the memory on disk is out of date
 	report   chan exchanger.Suspect
 
+	confirmed atomic.Int64 // Unix nanoseconds of the last beat of a control instance with a majority
+
 	planKnown chan struct{} // closed when the first plan is in force
 	planOnce  sync.Once
 
@@ -131,6 +133,23 @@
 	return f
 }
 
+// viewAge returns the time since an instance with a majority confirmed what this node knows; a node that never heard of
+// one counts from its start.
+func (f *fleet) viewAge(now time.Time) time.Duration {
+	if f.hub != nil {
+		if c := f.hub.replica.Load(); c != nil {
+			if _, at, ok := c.Confirmed(); ok {
+				return now.Sub(at)
+			}
+		}
+		return now.Sub(f.started)
+	}
+	if at := f.confirmed.Load(); at > 0 {
+		return now.Sub(time.Unix(0, at))
+	}
+	return now.Sub(f.started)
+}
+
 // quorateHubs returns the control instances that have a majority, with this one if it is one.
 func (f *fleet) quorateHubs() []exchanger.Contact {
 	own := f.hub != nil && f.hub.isQuorate()
--- a/node/front.go
+++ b/node/front.go
@@ -102,6 +102,9 @@
 	h := &f.dialect.Headers
 	q := &request{id: in.Header.Get(h.RequestID), began: time.Now(), in: in}
 	v := f.fleet.awaitPlan(in.Context(), planWait)
+	if waited := time.Since(q.began); waited > time.Millisecond {
+		f.metrics.waited.Observe(waited.Seconds())
+	}
 	if v.plan == nil {
 		return q, &refusal{status: http.StatusServiceUnavailable, reason: "noPlan", after: longRetry}
 	}
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"time"
+
 	"github.com/prometheus/client_golang/prometheus"
 
 	"cactusroute.dev/adapters/forwarder"
@@ -11,6 +13,8 @@
 	requests   *prometheus.CounterVec   // outcome, reason
 	firstEvent *prometheus.HistogramVec // kind
 	duration   *prometheus.HistogramVec // kind
+	waited     prometheus.Histogram     // for a plan and for room
+	eventGap   prometheus.Histogram     // between two writes of a stream
 	repeats    *prometheus.CounterVec   // why
 	refused    *prometheus.CounterVec   // reason
 }
@@ -20,6 +24,9 @@
 	return []float64{.005, .01, .02, .04, .08, .15, .3, .6, 1, 2, 4, 8, 16}
 }
 
+// waitBuckets span the waits that admission allows, in seconds.
+func waitBuckets() []float64 { return []float64{.001, .005, .01, .02, .04, .1, .2, .4} }
+
 func newMetrics(obs *observer.Observer, f *fleet, pool *forwarder.Pool, queue *observer.Queue) *metrics {
 	m := &metrics{
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cactusroute_requests_total",
@@ -33,7 +40,12 @@
 		refused: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cactusroute_refusals_total",
 			Help: "Requests that this node answered itself, by reason."}, []string{"reason"}),
 	}
-	obs.Registry.MustRegister(m.requests, m.firstEvent, m.duration, m.repeats, m.refused)
+	m.waited = prometheus.NewHistogram(prometheus.HistogramOpts{Name: "cactusroute_wait_seconds",
+		Help: "Time that a request waited for a plan or for room at an endpoint.", Buckets: waitBuckets()})
+	m.eventGap = prometheus.NewHistogram(prometheus.HistogramOpts{Name: "cactusroute_event_gap_seconds",
+		Help: "Time between two writes of a stream to its caller.", Buckets: latencyBuckets()})
+	obs.Registry.MustRegister(m.requests, m.firstEvent, m.duration, m.waited, m.eventGap, m.repeats, m.refused,
+		newRoutingCollector(f.routing))
 	for _, g := range []struct {
 		name, help string
 		value      func() float64
@@ -47,6 +59,8 @@
 		{"cactusroute_state_index", "Index of the replicated state in force.", func() float64 {
 			return float64(f.view.Load().index)
 		}},
+		{"cactusroute_view_age_seconds", "Time since a control instance with a majority confirmed this node's view.",
+			func() float64 { return f.viewAge(time.Now()).Seconds() }},
 		{"cactusroute_routers", "Nodes that route requests, as far as known.", func() float64 {
 			f.mu.Lock()
 			defer f.mu.Unlock()
@@ -63,3 +77,55 @@
 	}
 	return m
 }
+
+// routingCollector serves what the requests of a node share when it is scraped, so that requests don't pay for it.
+type routingCollector struct {
+	routing *routing
+
+	load, reported, age, cold, budget *prometheus.Desc
+}
+
+func newRoutingCollector(r *routing) *routingCollector {
+	desc := func(name, help string, labels ...string) *prometheus.Desc {
+		return prometheus.NewDesc(name, help, labels, nil)
+	}
+	return &routingCollector{routing: r,
+		load: desc("cactusroute_endpoint_requests", "Requests of all routers at an endpoint, as this node knows.",
+			"service", "endpoint"),
+		reported: desc("cactusroute_endpoint_reported_requests",
+			"Requests running and waiting, as the endpoint said last.", "service", "endpoint"),
+		age: desc("cactusroute_endpoint_report_age_seconds", "Age of what the endpoint said last.", "service", "endpoint"),
+		cold: desc("cactusroute_endpoint_cold_sent",
+			"Requests of this node to a cold endpoint within the last second.", "service", "endpoint"),
+		budget: desc("cactusroute_repeat_budget_left", "Repeats that this node may still make now.", "service"),
+	}
+}
+
+// Describe implements prometheus.Collector.
+func (c *routingCollector) Describe(ch chan<- *prometheus.Desc) {
+	for _, d := range []*prometheus.Desc{c.load, c.reported, c.age, c.cold, c.budget} {
+		ch <- d
+	}
+}
+
+// Collect implements prometheus.Collector.
+func (c *routingCollector) Collect(ch chan<- prometheus.Metric) {
+	now := time.Now()
+	loads, budgets := c.routing.snapshot(now)
+	for _, l := range loads {
+		gauge := func(d *prometheus.Desc, v float64) {
+			ch <- prometheus.MustNewConstMetric(d, prometheus.GaugeValue, v, l.Service, l.ID)
+		}
+		gauge(c.load, float64(l.Load))
+		if l.Age >= 0 {
+			gauge(c.reported, float64(l.Reported))
+			gauge(c.age, l.Age.Seconds())
+		}
+		if l.IsCold {
+			gauge(c.cold, float64(l.ColdSent))
+		}
+	}
+	for service, left := range budgets {
+		ch <- prometheus.MustNewConstMetric(c.budget, prometheus.GaugeValue, left, service)
+	}
+}
--- a/node/transfer.go
+++ b/node/transfer.go
@@ -49,6 +49,7 @@
 	cutter   eventCutter
 	sentAt   time.Time // of the current attempt
 	firstAt  time.Time // when the caller got the first bytes of the body
+	wroteAt  time.Time // when a stream was last written
 	lastLoad []any
 	kept     *keptAnswer // the last error of an endpoint itself
 }
@@ -121,12 +122,14 @@
 // choose picks an endpoint; a request that finds all of them busy waits a moment.
 func (t *transfer) choose(ctx context.Context) (chooser.Choice, chooser.Reason) {
 	q := t.request
-	until := time.Now().Add(chooseWait)
+	began := time.Now()
+	until := began.Add(chooseWait)
 	for {
 		now := time.Now()
 		c, why := t.front.fleet.routing.choose(now, chooser.Query{Service: q.service, Parts: q.parts, Tried: t.tried,
 			Draw: rand.Float64(), Backlog: q.backlog})
 		if why == "" || why == chooser.AllTried || now.After(until) || isGone(ctx) {
+			t.front.metrics.waited.Observe(now.Sub(began).Seconds())
 			return c, why
 		}
 		pause(ctx, choosePause)
@@ -393,9 +396,13 @@
 			}
 		}
 		if len(out) > 0 {
+			now := time.Now()
 			if t.firstAt.IsZero() {
-				t.firstAt = time.Now()
+				t.firstAt = now
+			} else {
+				t.front.metrics.eventGap.Observe(now.Sub(t.wroteAt).Seconds())
 			}
+			t.wroteAt = now
 			if _, werr := t.w.Write(out); werr != nil {
 				return left, refusal{reason: "callerLeft"}
 			}
--- a/node/view.go
+++ b/node/view.go
@@ -95,3 +95,14 @@
 	defer r.mu.Unlock()
 	f(r.chooser)
 }
+
+// snapshot returns what is known of each endpoint and the repeats left for each service.
+func (r *routing) snapshot(now time.Time) ([]chooser.Load, map[string]float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	left := make(map[string]float64, len(r.budgets))
+	for service, b := range r.budgets {
+		left[service] = b.Left(now, r.routers)
+	}
+	return r.chooser.Loads(now), left
+}
