Merge logs of processes into a timeline

Before: TestTimelineOfLogs did not build. Conclusion: one id leads through all processes in one command.

--- /dev/null
+++ b/adapters/logreader/doc.go
@@ -0,0 +1,2 @@
+// Package logreader reads the events of processes from what they have logged.
+package logreader
--- a/adapters/observer/observer.go
+++ b/adapters/observer/observer.go
@@ -1,11 +1,9 @@
 package observer
 
 import (
-	"fmt"
 	"io"
 	"net/http"
 	"runtime/debug"
-	"strconv"
 	"time"
 
 	"github.com/go-kit/log"
@@ -64,36 +62,7 @@
 // details. It is not meant for the path of every request.
 func (o *Observer) Event(msg string, keyvals ...any) {
 	_ = o.Logger.Log(append([]any{"msg", msg}, keyvals...)...)
-	o.Recorder.Record(event(msg, keyvals))
-}
-
-func event(msg string, keyvals []any) recorder.Event {
-	e := recorder.Event{Kind: msg}
-	for i := 0; i < len(keyvals); i += 2 {
-		value := "(missing)"
-		if i+1 < len(keyvals) {
-			value = fmt.Sprint(keyvals[i+1])
-		}
-		switch key := fmt.Sprint(keyvals[i]); key {
-		case "request":
-			e.Request = value
-		case "endpoint":
-			e.Endpoint = value
-		case "failureDomain":
-			e.FailureDomain = value
-		case "cause", "err":
-			e.Cause = value
-		case "version":
-			if n, err := strconv.ParseUint(value, 10, 64); err == nil {
-				e.Version = n
-				continue
-			}
-			fallthrough
-		default:
-			e.Details = append(e.Details, recorder.Detail{Name: key, Value: value})
-		}
-	}
-	return e
+	o.Recorder.Record(recorder.NewEvent(msg, keyvals))
 }
 
 // MetricsHandler serves the metrics in the Prometheus text format.
--- a/adapters/recorder/recorder.go
+++ b/adapters/recorder/recorder.go
@@ -47,6 +47,36 @@
 	Details       []Detail `json:"details,omitempty"`
 }
 
+// NewEvent returns the event of a log line; values without a field of their own become details.
+func NewEvent(kind string, keyvals []any) Event {
+	e := Event{Kind: kind}
+	for i := 0; i < len(keyvals); i += 2 {
+		value := "(missing)"
+		if i+1 < len(keyvals) {
+			value = fmt.Sprint(keyvals[i+1])
+		}
+		switch key := fmt.Sprint(keyvals[i]); key {
+		case "request":
+			e.Request = value
+		case "endpoint":
+			e.Endpoint = value
+		case "failureDomain":
+			e.FailureDomain = value
+		case "cause", "err":
+			e.Cause = value
+		case "version":
+			if n, err := strconv.ParseUint(value, 10, 64); err == nil {
+				e.Version = n
+				continue
+			}
+			fallthrough
+		default:
+			e.Details = append(e.Details, Detail{Name: key, Value: value})
+		}
+	}
+	return e
+}
+
 // Filter selects events; empty fields select all.
 type Filter struct {
 	Request       string
@@ -55,9 +85,11 @@
 	Version       uint64
 }
 
-func (f *Filter) matches(e *Event) bool {
+// Matches reports whether an event is selected. A start of an endpoint, which open fleets write as NAME@ADDRESS,
+// belongs to the endpoint of the name.
+func (f *Filter) Matches(e *Event) bool {
 	return (f.Request == "" || f.Request == e.Request) &&
-		(f.Endpoint == "" || f.Endpoint == e.Endpoint) &&
+		(f.Endpoint == "" || f.Endpoint == e.Endpoint || strings.HasPrefix(e.Endpoint, f.Endpoint+"@")) &&
 		(f.FailureDomain == "" || f.FailureDomain == e.FailureDomain) &&
 		(f.Version == 0 || f.Version == e.Version)
 }
@@ -173,7 +205,7 @@
 	}
 	p.Events = []Event{}
 	for ; at < r.last && len(p.Events) < limit; at++ {
-		if e := &r.ring[at%uint64(len(r.ring))]; f.matches(e) {
+		if e := &r.ring[at%uint64(len(r.ring))]; f.Matches(e) {
 			p.Events = append(p.Events, *e)
 		}
 	}
--- a/cactusctl/main.go
+++ b/cactusctl/main.go
@@ -69,6 +69,7 @@
 
 // app is one run of the command line.
 type app struct {
+	stdin          io.Reader
 	stdout, stderr io.Writer
 	// poll is the time between two reads while waiting or following.
 	poll time.Duration
@@ -81,7 +82,10 @@
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	a := &app{stdout: os.Stdout, stderr: os.Stderr, poll: 500 * time.Millisecond, settle: 2500 * time.Millisecond}
+	a := &app{
+		stdin: os.Stdin, stdout: os.Stdout, stderr: os.Stderr, poll: 500 * time.Millisecond,
+		settle: 2500 * time.Millisecond,
+	}
 	code := a.run(ctx, os.Args)
 	stop()
 	os.Exit(code)
@@ -171,7 +175,12 @@
 
 // leaf returns a command that calls control; argsUsage names its arguments, which must all be given.
 func (a *app) leaf(name, usage, argsUsage string, run action, flags ...cli.Flag) *cli.Command {
-	return a.local(name, usage, argsUsage, func(ctx context.Context, c *call) error {
+	return a.local(name, usage, argsUsage, a.online(run), flags...)
+}
+
+// online gives an action a client of control.
+func (a *app) online(run action) action {
+	return func(ctx context.Context, c *call) error {
 		if err := c.settings.needControl(); err != nil {
 			return err
 		}
@@ -179,7 +188,7 @@
 			Controls: c.settings.Controls, Key: c.settings.key, TLS: c.settings.tls, Pause: a.pause,
 		})
 		return run(ctx, c)
-	}, flags...)
+	}
 }
 
 // local returns a command that works without control.
--- a/cactusctl/main_test.go
+++ b/cactusctl/main_test.go
@@ -67,6 +67,9 @@
 	return n
 }
 
+// testInput is the standard input of every command.
+const testInput = "ts=2026-12-04T07:00:00Z process=piped msg=started\n"
+
 type result struct {
 	code           int
 	stdout, stderr string
@@ -81,7 +84,10 @@
 	}
 	t.Setenv(keyVariable, testKey)
 	var out, errs bytes.Buffer
-	a := &app{stdout: &out, stderr: &errs, poll: 5 * time.Millisecond, settle: time.Millisecond, pause: time.Millisecond}
+	a := &app{
+		stdin: strings.NewReader(testInput), stdout: &out, stderr: &errs, poll: 5 * time.Millisecond,
+		settle: time.Millisecond, pause: time.Millisecond,
+	}
 	code := a.run(ctx, append([]string{"cactusctl", "--control", control}, args...))
 	r := result{code: code, stdout: out.String(), stderr: errs.String()}
 	assert.Assert(t, !strings.Contains(r.stdout+r.stderr, testKey))
@@ -340,6 +346,35 @@
 	assert.Assert(t, cmp.Contains(<-queries, "failureDomain=d1&request=r1&version=7"))
 }
 
+// Guards against logs that can't be merged without a fleet, and against a file that is left out silently.
+func TestTimelineOfLogs(t *testing.T) {
+	dir := t.TempDir()
+	write := func(name, text string) string {
+		file := filepath.Join(dir, name)
+		assert.NilError(t, os.WriteFile(file, []byte(text), 0o600))
+		return file
+	}
+	router := write("router.log",
+		"ts=2026-12-04T07:00:00.000300000Z process=edge msg=\"request refused\" request=r1 status=503\n"+
+			"ts=2026-12-04T07:00:00.000100000Z process=edge msg=\"endpoint silent\" request=r1 endpoint=e1@a:1#2.3\n")
+	other := write("other.log",
+		"ts=2026-12-04T07:00:00.000200000Z process=hub msg=\"request repeated\" request=r1\nnoise\n"+
+			"ts=2026-12-04T07:00:00.000200000Z process=hub msg=\"request served\" request=r2\n")
+	r := run(t, "", "timeline", "-o", "json", "--log", router, "--log", other, "--request", "r1")
+	assert.Equal(t, r.code, exitDone, r.stderr)
+	var got merged
+	assert.NilError(t, json.Unmarshal([]byte(r.stdout), &got))
+	kinds := make([]string, 0, len(got.Events))
+	for _, e := range got.Events {
+		kinds = append(kinds, e.Process+" "+e.Kind)
+	}
+	assert.DeepEqual(t, kinds, []string{"edge endpoint silent", "hub request repeated", "edge request refused"})
+	assert.Assert(t, cmp.Contains(r.stderr, "other.log: 1 lines"))
+	assert.Equal(t, run(t, "", "timeline", "--log", filepath.Join(dir, "none")).code, exitUsage)
+	assert.Equal(t, run(t, "", "timeline", "--log", router, "--follow").code, exitUsage)
+	assert.Assert(t, cmp.Contains(run(t, "", "timeline", "--log", "-").stdout, "piped"))
+}
+
 // Guards against following that shows an effect before a cause which is read a round later, or does not end.
 func TestFollowWaitsForCauses(t *testing.T) {
 	ctx, cancel := context.WithCancel(t.Context())
--- a/cactusctl/timeline.go
+++ b/cactusctl/timeline.go
@@ -9,6 +9,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -17,6 +18,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	"cactusroute.dev/adapters/logreader"
 	"cactusroute.dev/adapters/recorder"
 	"cactusroute.dev/cactusctl/requester"
 	"cactusroute.dev/core/stamper"
@@ -33,7 +35,17 @@
 )
 
 func (a *app) timelineCommand() *cli.Command {
-	return a.leaf("timeline", "show the events of all processes, causes before effects", "", a.timeline,
+	run := func(ctx context.Context, c *call) error {
+		if len(c.StringSlice("log")) > 0 {
+			return a.logTimeline(c)
+		}
+		return a.online(a.timeline)(ctx, c)
+	}
+	return a.local("timeline", "show the events of all processes, causes before effects", "", run,
+		&cli.StringSliceFlag{
+			Name: "log", TakesFile: true,
+			Usage: "read the log `FILE` of one or more processes and not the fleet; may be repeated, - is standard input",
+		},
 		&cli.StringFlag{Name: "request", Usage: "only events of the request `ID`"},
 		&cli.StringFlag{Name: "endpoint", Usage: "only events of the endpoint `NAME`"},
 		&cli.StringFlag{Name: "failure-domain", Usage: "only events of the failure domain `NAME`"},
@@ -93,17 +105,61 @@
 	}
 	a.warn(append(silent, t.dropped...))
 	events := t.take(t.highest)
+	return a.showTimeline(c, &merged{Events: events, Silent: silent, Dropped: t.dropped})
+}
+
+func (a *app) showTimeline(c *call, m *merged) error {
 	if c.String("output") == outputJSON {
-		return a.say(c, merged{Events: events, Silent: silent, Dropped: t.dropped}, "")
+		return a.say(c, m, "")
 	}
 	rows := &table{}
 	rows.add("STAMP", "PROCESS", "EVENT", "REQUEST", "ENDPOINT", "FAILURE DOMAIN", "VERSION", "CAUSE", "DETAILS")
-	for i := range events {
-		rows.add(cells(&events[i])...)
+	for i := range m.Events {
+		rows.add(cells(&m.Events[i])...)
 	}
 	return a.showTable(rows)
 }
 
+// logTimeline merges logs of processes, in the order of their clocks.
+func (a *app) logTimeline(c *call) error {
+	if c.Bool("follow") {
+		return usagef("%s: --follow reads the fleet; allowed without --log", c.FullName())
+	}
+	filter := recorder.Filter{
+		Request: c.String("request"), Endpoint: c.String("endpoint"), FailureDomain: c.String("failure-domain"),
+		Version: c.Uint64("version"),
+	}
+	m := &merged{Events: []recorder.Event{}, Silent: []string{}}
+	for _, name := range c.StringSlice("log") {
+		skipped, err := a.readLog(name, func(e recorder.Event) {
+			if filter.Matches(&e) {
+				m.Events = append(m.Events, e)
+			}
+		})
+		if err != nil {
+			return &usageError{cause: err}
+		}
+		if skipped > 0 {
+			m.Dropped = append(m.Dropped, fmt.Sprintf("%s: %d lines have no time or message", name, skipped))
+		}
+	}
+	a.warn(m.Dropped)
+	slices.SortStableFunc(m.Events, func(x, y recorder.Event) int { return x.Stamp.Compare(y.Stamp) })
+	return a.showTimeline(c, m)
+}
+
+func (a *app) readLog(name string, each func(e recorder.Event)) (skipped int, err error) {
+	if name == "-" {
+		return logreader.Read(a.stdin, each)
+	}
+	file, err := os.Open(name)
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = file.Close() }()
+	return logreader.Read(file, each)
+}
+
 // merged is the timeline for programs.
 type merged struct {
 	Events []recorder.Event `json:"events"`
