Check groups of even size in the model, and log suspensions and steps of the clock

Change: log-even checks four founders and finds the removed rule that half is no quorum; a node logs that it was suspended or that its clock was set. Conclusion: both halves of an even group can't decide; its replacement rests on random schedules of the real code.

--- a/model/log.pml
+++ b/model/log.pml
@@ -13,6 +13,7 @@
  *   TWO_CHANGES    a membership change need not wait for the one before it
  *   OLD_TERM       a leader counts replicas for entries of an earlier term
  *   EARLY_SEND     a lone voter sends the promotion of the others before it has stored it
+ *   HALF           half of the voters are a quorum
  *   EARLY_COUNT    a leader counts itself for entries that it has not stored
  *
  * With FIXED no disk is emptied, which leaves room for more terms.
@@ -54,6 +55,11 @@
 #else
 #define OF_THIS_TERM (TERM(LOG(i, p - 1)) == term[i])
 #endif
+#ifdef HALF
+#define QUORUM(n, of) ((n) * 2 >= (of))
+#else
+#define QUORUM(n, of) ((n) * 2 > (of))
+#endif
 #ifdef EARLY_COUNT
 #define OWN cnt[i]
 #else
@@ -147,7 +153,7 @@
 inline win() {
 	role[i] == 1;
 	voters(i, cnt[i]);
-	BITS(votes[i] & voting) * 2 > BITS(voting);
+	QUORUM(BITS(votes[i] & voting), BITS(voting));
 	role[i] = LEADER; votes[i] = 0;
 	clearmatch(i);
 	/* A new leader holds everything that was committed in earlier terms. */
@@ -254,7 +260,7 @@
 		:: else -> break
 		od;
 		if
-		:: n * 2 > BITS(voting) && OF_THIS_TERM -> best = p
+		:: QUORUM(n, BITS(voting)) && OF_THIS_TERM -> best = p
 		:: else
 		fi;
 		p++
--- a/node/node.go
+++ b/node/node.go
@@ -156,8 +156,18 @@
 
 // tick runs the periodic work of a node until ctx ends.
 func (n *Node) tick(ctx context.Context) error {
-	for ctx.Err() == nil {
-		n.fleet.tick(time.Now())
+	for last := time.Now(); ctx.Err() == nil; {
+		now := time.Now()
+		ran, wall := elapsed(last, now)
+		last = now
+		suspended, stepped := clockFaults(ran, wall, expireInterval)
+		if suspended > 0 {
+			n.fleet.log.belief("process was suspended", "ms", suspended.Milliseconds())
+		}
+		if stepped != 0 {
+			n.fleet.log.belief("clock stepped", "ms", stepped.Milliseconds())
+		}
+		n.fleet.tick(now)
 		n.front.pool.Expire(time.Now(), func(string) bool { return true })
 		pause(ctx, expireInterval)
 	}
