--- a/core/chooser/chooser_test.go
+++ b/core/chooser/chooser_test.go
@@ -203,6 +203,105 @@
 	}
 }
 
+// homes returns the endpoint that each router picks for each of 200 subjects while nothing else runs.
+func (f *fleet) homes(now time.Time) (list []string) {
+	for subject := range 200 {
+		for _, r := range f.routers {
+			c, _ := r.Choose(now, Query{Service: engine, Parts: prompt(subject)})
+			r.Done(c.Endpoint)
+			list = append(list, c.Endpoint.ID)
+		}
+	}
+	return list
+}
+
+func changed(a, b []string) (n int) {
+	for i := range a {
+		if a[i] != b[i] {
+			n++
+		}
+	}
+	return n
+}
+
+// join adds endpoints, of which the routers learn within a second.
+func (f *fleet) join(now time.Time, n int) {
+	f.ends = slotted(len(f.ends) + n)
+	for i, r := range f.routers {
+		r.Update(now.Add(time.Duration(i%10)*100*time.Millisecond), f.ends, nil, len(f.routers))
+	}
+}
+
+func slotted(n int) []registrar.Endpoint {
+	list := endpoints(n)
+	for i := range list {
+		list[i].Slots = 128
+	}
+	return list
+}
+
+// Guards against endpoints that join a calm service, as in a scale-out, and make it read the prompts of a part of all
+// subjects again.
+func TestScaleOutOnACalmDayMovesNoPrompts(t *testing.T) {
+	f := newFleet(13, 0)
+	f.join(start, 9)
+	now := start.Add(10 * time.Second)
+	before := f.homes(now)
+	f.join(now, 2)
+	now = now.Add(2 * time.Second)
+	assert.Equal(t, changed(before, f.homes(now)), 0)
+	// In the end the work is spread over all.
+	after := f.homes(now.Add(adoptAfter))
+	moved := changed(before, after)
+	assert.Assert(t, moved > len(before)/10 && moved < len(before)/3, "%d of %d", moved, len(before))
+}
+
+// Guards against endpoints that join a loaded service and stay idle.
+func TestScaleOutUnderLoadTakesItsShare(t *testing.T) {
+	f := newFleet(1, 0)
+	f.join(start, 8)
+	r := f.routers[0]
+	now := start.Add(10 * time.Second)
+	take := func(n int) map[string]int {
+		got := map[string]int{}
+		for i := range n {
+			c, why := r.Choose(now, Query{Service: engine, Parts: prompt(i), Draw: rand.Float64()})
+			assert.Equal(t, why, Reason(""))
+			got[c.Endpoint.ID]++
+		}
+		return got
+	}
+	take(8 * 30) // twice as much as counts as calm
+	f.join(now, 4)
+	now = now.Add(time.Second)
+	got := take(4 * 30)
+	for _, id := range []string{"e08", "e09", "e10", "e11"} {
+		assert.Assert(t, got[id] >= 5, "%s got %d of %d", id, got[id], 4*30)
+	}
+}
+
+// Guards against all requests at the few endpoints that a fleet has heard of first, at its start or after most have
+// started again.
+func TestMostOfAServiceIsNeverLeftIdle(t *testing.T) {
+	for _, tt := range []struct {
+		name          string
+		first, joined int
+		after         time.Duration
+	}{
+		{"a fleet that starts", 7, 2, joinSpan},
+		{"most have started again", 3, 6, 10 * time.Second},
+	} {
+		f := newFleet(3, 0)
+		f.join(start, tt.first)
+		f.join(start.Add(tt.after), tt.joined)
+		used := map[string]bool{}
+		for _, id := range f.homes(start.Add(tt.after + 2*time.Second)) {
+			used[id] = true
+		}
+		assert.Equal(t, len(used), tt.first+tt.joined, tt.name)
+	}
+}
+
 // Guards against a cold endpoint that gets more requests in a second than it survives, summed over all routers, when
 // a failure domain comes back and every subject wants it at once.
 func TestColdReturnKeepsToTheRateOfAllRouters(t *testing.T) {
