Wait for the first plan at the start of a node, and refuse at once later

A node that stays cut off from control held each request for 0.4 s, beyond its own deadline too. Change: requests wait until 1.5 s after the node's start or their deadline; after that a node without a plan refuses at once. Refusals before a deadline is known no longer log a meaningless leftMs.

--- a/node/fleet.go
+++ b/node/fleet.go
@@ -439,9 +439,10 @@
 	}
 }
 
-// awaitPlan returns the state in force, with a plan if there is one within the limit.
-func (f *fleet) awaitPlan(ctx context.Context, limit time.Duration) *view {
-	if v := f.view.Load(); v.plan != nil {
+// awaitPlan returns the state in force, with a plan if there is one by then.
+func (f *fleet) awaitPlan(ctx context.Context, until time.Time) *view {
+	limit := time.Until(until)
+	if v := f.view.Load(); v.plan != nil || limit <= 0 {
 		return v
 	}
 	t := time.NewTimer(limit)
--- a/node/front.go
+++ b/node/front.go
@@ -32,9 +32,13 @@
 	shortOverload = 500 * time.Millisecond
 	longOverload  = 1500 * time.Millisecond
 
-	// planWait is how long a request waits at a node that has just started and knows no plan yet: it finds a control
-	// instance within some tenths of a second.
-	planWait = 400 * time.Millisecond
+	// planWait is how long after its start a node lets requests wait for the first plan: all machines have power again
+	// within half a second of each other, and a control instance is found within 0.2 s of its own start. A node that
+	// knows no plan later is cut off, and refuses at once.
+	planWait = 1500 * time.Millisecond
+
+	// maxDeadlineMillis is above any route's timeout and below what a time.Duration holds.
+	maxDeadlineMillis = 24 * 60 * 60 * 1000
 
 	// convictedRetry is the time for a request that breaks endpoints.
 	convictedRetry = 30 * time.Second
@@ -101,7 +105,12 @@
 func (f *front) admit(in *http.Request) (*request, *refusal) {
 	h := &f.dialect.Headers
 	q := &request{id: in.Header.Get(h.RequestID), began: time.Now(), in: in}
-	v := f.fleet.awaitPlan(in.Context(), planWait)
+	callerLeft, hasDeadline := deadlineLeft(in.Header.Get(h.DeadlineMillis))
+	waitTill := f.fleet.started.Add(planWait)
+	if till := q.began.Add(callerLeft); hasDeadline && till.Before(waitTill) {
+		waitTill = till
+	}
+	v := f.fleet.awaitPlan(in.Context(), waitTill)
 	if waited := time.Since(q.began); waited > time.Millisecond {
 		f.metrics.waited.Observe(waited.Seconds())
 	}
@@ -120,8 +129,8 @@
 	}
 	q.service = v.plan.Service(q.route.Pick(rand.Float64()))
 	left := time.Duration(q.route.TimeoutMillis) * time.Millisecond
-	if ms, err := strconv.ParseInt(in.Header.Get(h.DeadlineMillis), 10, 64); err == nil {
-		left = min(left, time.Duration(max(0, ms))*time.Millisecond)
+	if hasDeadline {
+		left = min(left, callerLeft)
 	}
 	q.deadline = q.began.Add(left)
 	if q.service.Engine {
@@ -132,6 +141,15 @@
 	return q, nil
 }
 
+// deadlineLeft reads the time that a caller gives a request; ok is false without a number.
+func deadlineLeft(header string) (left time.Duration, ok bool) {
+	ms, err := strconv.ParseInt(header, 10, 64)
+	if err != nil {
+		return 0, false
+	}
+	return time.Duration(min(max(0, ms), maxDeadlineMillis)) * time.Millisecond, true
+}
+
 // passOn returns the headers for the endpoint.
 func (f *front) passOn(in http.Header, ws *planner.Workspace) http.Header {
 	h := &f.dialect.Headers
@@ -246,7 +264,10 @@
 	line := []any{"msg", "request refused", "request", q.id, "status", ref.status, "reason", ref.reason,
 		"ms", time.Since(q.began).Milliseconds(), "version", q.version}
 	if q.route != nil {
-		line = append(line, "route", q.route.Name, "leftMs", time.Until(q.deadline).Milliseconds())
+		line = append(line, "route", q.route.Name)
+	}
+	if !q.deadline.IsZero() {
+		line = append(line, "leftMs", time.Until(q.deadline).Milliseconds())
 	}
 	f.log.failure(append(line, ref.detail...)...)
 	head := w.Header()
--- a/node/front_test.go
+++ b/node/front_test.go
@@ -81,6 +81,20 @@
 	assert.Equal(t, f.call(t, http.MethodPost, "/once/", "x").status, http.StatusOK)
 }
 
+// Guards against callers that are held while nothing can be served: by a node that is cut off from control, and beyond
+// their own deadline.
+func TestHopelessRequestIsRefusedAtOnce(t *testing.T) {
+	const atOnce = 100 * time.Millisecond
+	f := newTestFront(t, nil, newFakeEndpoint(t, ok))
+	began := time.Now()
+	assert.Equal(t, f.call(t, http.MethodPost, "/once/", "x", "Left-Ms", "20").status, http.StatusServiceUnavailable)
+	assert.Assert(t, time.Since(began) < atOnce, "took %s", time.Since(began))
+	f.fleet.started = began.Add(-planWait)
+	began = time.Now()
+	assert.Equal(t, f.call(t, http.MethodPost, "/once/", "x").status, http.StatusServiceUnavailable)
+	assert.Assert(t, time.Since(began) < atOnce, "took %s", time.Since(began))
+}
+
 // Guards against a second run of what may run once, and against a promise "not run" for what has run.
 func TestWhatAFailedAttemptAllows(t *testing.T) {
 	type step func(s *seen)
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -25,7 +25,7 @@
 }
 
 // waitBuckets span the waits that admission allows, in seconds.
-func waitBuckets() []float64 { return []float64{.001, .005, .01, .02, .04, .1, .2, .4} }
+func waitBuckets() []float64 { return []float64{.001, .005, .01, .02, .04, .1, .2, .4, .8, 1.6} }
 
 func newMetrics(obs *observer.Observer, f *fleet, pool *forwarder.Pool, queue *observer.Queue) *metrics {
 	m := &metrics{
