Pack plans for subscribers

Change: a plan is deflated once a version and unpacked by the subscriber, with a bound on its size. The exchange has a new path, because load messages changed too.

--- a/adapters/exchanger/client.go
+++ b/adapters/exchanger/client.go
@@ -148,7 +148,11 @@
 		if err := e.Decode(&m); err != nil {
 			return err
 		}
-		r.StateReceived(m.Index, m.Plan, m.TakenOut)
+		plan, err := unpackPlan(&m)
+		if err != nil {
+			return err
+		}
+		r.StateReceived(m.Index, plan, m.TakenOut)
 	case kindEndpoints:
 		var m endpointsMessage
 		if err := e.Decode(&m); err != nil {
--- /dev/null
+++ b/adapters/exchanger/plans.go
@@ -0,0 +1,69 @@
+package exchanger
+
+import (
+	"bytes"
+	"compress/flate"
+	"errors"
+	"fmt"
+	"io"
+	"sync"
+
+	"cactusroute.dev/core/archivist"
+)
+
+// planPacker packs each version of the plan once for all subscribers; plans are text of which a tenth remains.
+type planPacker struct {
+	mu      sync.Mutex
+	version uint64
+	packed  []byte
+}
+
+func (p *planPacker) pack(doc *archivist.Document) (packed []byte, err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("pack plan %d: %w", doc.Version, err)
+		}
+	}()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.packed != nil && p.version == doc.Version {
+		return p.packed, nil
+	}
+	var buf bytes.Buffer
+	w, err := flate.NewWriter(&buf, flate.BestSpeed)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := w.Write(doc.Content); err != nil {
+		return nil, err
+	}
+	if err := w.Close(); err != nil {
+		return nil, err
+	}
+	p.version, p.packed = doc.Version, buf.Bytes()
+	return p.packed, nil
+}
+
+var errPlanTooLarge = errors.New("the plan is larger than a message may be")
+
+// unpackPlan returns the plan of a state message, nil if it has none.
+func unpackPlan(m *stateMessage) (doc *archivist.Document, err error) {
+	if len(m.Plan) == 0 {
+		return nil, nil
+	}
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("unpack plan %d: %w", m.Version, err)
+		}
+	}()
+	r := flate.NewReader(bytes.NewReader(m.Plan))
+	defer func() { err = errors.Join(err, r.Close()) }()
+	content, err := io.ReadAll(io.LimitReader(r, maxMessageBytes+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(content) > maxMessageBytes {
+		return nil, errPlanTooLarge
+	}
+	return &archivist.Document{Version: m.Version, Content: content}, nil
+}
--- a/adapters/exchanger/server.go
+++ b/adapters/exchanger/server.go
@@ -38,6 +38,7 @@
 type Server struct {
 	opts   messenger.Options
 	source Source
+	plans  planPacker
 
 	mu          sync.Mutex
 	subscribers map[*subscriber]bool
@@ -203,7 +204,11 @@
 	}
 	m := stateMessage{Index: st.Index, Version: st.Plan.Version, TakenOut: slices.Sorted(maps.Keys(st.TakenOut))}
 	if st.Plan.Version != sub.version {
-		m.Plan = &st.Plan
+		packed, err := s.plans.pack(&st.Plan)
+		if err != nil {
+			return err
+		}
+		m.Plan = packed
 	}
 	if err := sub.conn.Send(ctx, kindState, 0, m); err != nil {
 		return err
--- a/adapters/exchanger/wire.go
+++ b/adapters/exchanger/wire.go
@@ -3,13 +3,12 @@
 import (
 	"time"
 
-	"cactusroute.dev/core/archivist"
 	"cactusroute.dev/core/registrar"
 )
 
 const (
 	// Path is where Server is mounted.
-	Path = "/exchange/v1"
+	Path = "/exchange/v2"
 
 	// MeetPath is where a Meeting is mounted.
 	MeetPath = "/meet/v1"
@@ -47,7 +46,6 @@
 	kindEndpoints
 	kindBeat
 	kindSuspects
-	_ // requests in flight with a name for each
 	kindLoads
 )
 
@@ -88,10 +86,10 @@
 
 // stateMessage leaves the plan out when the subscriber holds its version.
 type stateMessage struct {
-	Index    uint64              `cbor:"1,keyasint"`
-	Plan     *archivist.Document `cbor:"2,keyasint,omitempty"`
-	TakenOut []string            `cbor:"3,keyasint,omitempty"`
-	Version  uint64              `cbor:"4,keyasint"`
+	Index    uint64   `cbor:"1,keyasint"`
+	Plan     []byte   `cbor:"2,keyasint,omitempty"` // packed content of the version
+	TakenOut []string `cbor:"3,keyasint,omitempty"`
+	Version  uint64   `cbor:"4,keyasint"`
 }
 
 type endpointsMessage struct {
