Name control instances in beats only when they change

Change: a beat leaves the list out while it is that of the beat before on the connection. Before: 2.6 KB a beat at thirty instances. After: 32 bytes at most (TestBeatsNameControlInstancesOnce).

--- a/adapters/exchanger/client.go
+++ b/adapters/exchanger/client.go
@@ -77,12 +77,12 @@
 	go s.reportLoads(ctx, r)
 	quorateAt := time.Now()
 	var e messenger.Envelope
-	var loads loadDecoder
+	var known decoders
 	for {
 		if err := s.receiveWithin(ctx, &e); err != nil {
 			return err
 		}
-		if err := dispatch(&e, r, &loads, &quorateAt); err != nil {
+		if err := dispatch(&e, r, &known, &quorateAt); err != nil {
 			return err
 		}
 		if needQuorum && time.Since(quorateAt) > silenceLimit {
@@ -141,7 +141,13 @@
 	}
 }
 
-func dispatch(e *messenger.Envelope, r Receiver, known *loadDecoder, quorateAt *time.Time) error {
+// decoders hold what a subscription was told once.
+type decoders struct {
+	loads loadDecoder
+	beats beatDecoder
+}
+
+func dispatch(e *messenger.Envelope, r Receiver, known *decoders, quorateAt *time.Time) error {
 	switch e.Kind {
 	case kindState:
 		var m stateMessage
@@ -170,16 +176,17 @@
 		if err := e.Decode(&m); err != nil {
 			return err
 		}
-		loads, err := known.decode(&m)
+		loads, err := known.loads.decode(&m)
 		if err != nil {
 			return err
 		}
 		r.LoadsReceived(loads)
 	case kindBeat:
-		var b Beat
-		if err := e.Decode(&b); err != nil {
+		var m beatMessage
+		if err := e.Decode(&m); err != nil {
 			return err
 		}
+		b := known.beats.decode(&m)
 		if b.Quorate {
 			*quorateAt = time.Now()
 		}
--- a/adapters/exchanger/server.go
+++ b/adapters/exchanger/server.go
@@ -151,7 +151,8 @@
 	if err := s.flush(ctx, sub); err != nil {
 		return err
 	}
-	if err := sub.conn.Send(ctx, kindBeat, 0, s.source.Beat()); err != nil {
+	var beats beatEncoder
+	if err := sub.conn.Send(ctx, kindBeat, 0, beats.encode(s.source.Beat())); err != nil {
 		return err
 	}
 	for {
@@ -162,7 +163,7 @@
 		case <-sub.wake:
 			err = s.flush(ctx, sub)
 		case <-beat.C:
-			err = sub.conn.Send(ctx, kindBeat, 0, s.source.Beat())
+			err = sub.conn.Send(ctx, kindBeat, 0, beats.encode(s.source.Beat()))
 		case <-load.C:
 			if time.Since(toldAt) < loadPause(len(told)) {
 				continue
--- a/adapters/exchanger/wire.go
+++ b/adapters/exchanger/wire.go
@@ -1,6 +1,7 @@
 package exchanger
 
 import (
+	"slices"
 	"time"
 
 	"cactusroute.dev/core/registrar"
@@ -62,11 +63,44 @@
 // Beat is the periodic message of a control instance.
 type Beat struct {
 	// Quorate is whether a majority of the control group confirmed this instance lately.
-	Quorate bool      `cbor:"1,keyasint"`
-	Routers int       `cbor:"2,keyasint"` // processes that route requests, as far as known
-	Hubs    []Contact `cbor:"3,keyasint"` // control instances that are quorate
+	Quorate bool
+	Routers int       // processes that route requests, as far as known
+	Hubs    []Contact // control instances that are quorate
 	// Attached is the number of subscribers of this instance that are no control instances.
-	Attached int `cbor:"4,keyasint"`
+	Attached int
+}
+
+// beatMessage leaves the control instances out while they are those of the beat before.
+type beatMessage struct {
+	Quorate  bool      `cbor:"1,keyasint"`
+	Routers  int       `cbor:"2,keyasint"`
+	Hubs     []Contact `cbor:"3,keyasint,omitempty"`
+	Attached int       `cbor:"4,keyasint"`
+	SameHubs bool      `cbor:"5,keyasint,omitempty"`
+}
+
+// beatEncoder and beatDecoder hold the control instances of the last beat of a connection.
+type beatEncoder struct {
+	hubs []Contact
+	sent bool
+}
+
+func (e *beatEncoder) encode(b Beat) beatMessage {
+	m := beatMessage{Quorate: b.Quorate, Routers: b.Routers, Hubs: b.Hubs, Attached: b.Attached}
+	if e.sent && slices.Equal(e.hubs, b.Hubs) {
+		m.Hubs, m.SameHubs = nil, true
+	}
+	e.hubs, e.sent = b.Hubs, true
+	return m
+}
+
+type beatDecoder struct{ hubs []Contact }
+
+func (d *beatDecoder) decode(m *beatMessage) Beat {
+	if !m.SameHubs {
+		d.hubs = m.Hubs
+	}
+	return Beat{Quorate: m.Quorate, Routers: m.Routers, Hubs: d.hubs, Attached: m.Attached}
 }
 
 // loadPause returns the least time between two exchanges of so many entries.
--- /dev/null
+++ b/adapters/exchanger/wire_test.go
@@ -0,0 +1,37 @@
+package exchanger
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+	"gotest.tools/v3/assert"
+)
+
+// Guards against beats that name all control instances each time, which is most of the bytes between thirty of them, and
+// against a subscriber that forgets those that a beat leaves out.
+func TestBeatsNameControlInstancesOnce(t *testing.T) {
+	list := make([]Contact, 30)
+	for i := range list {
+		list[i] = Contact{
+			Name: fmt.Sprintf("edge-zone-%d", i), Address: "10.0.0.1:7240", Control: "10.0.0.1:7241", Domain: "zone",
+			Eligible: true,
+		}
+	}
+	var e beatEncoder
+	var d beatDecoder
+	for i, hubs := range [][]Contact{nil, list, list, list[1:], list[1:], nil, nil, list} {
+		want := Beat{Quorate: i%2 == 0, Routers: 300 + i, Hubs: hubs, Attached: i}
+		m := e.encode(want)
+		data, err := cbor.Marshal(m)
+		assert.NilError(t, err)
+		var received beatMessage
+		assert.NilError(t, cbor.Unmarshal(data, &received))
+		got := d.decode(&received)
+		assert.Equal(t, len(got.Hubs), len(hubs))
+		assert.Equal(t, got.Routers, want.Routers)
+		if m.SameHubs {
+			assert.Assert(t, len(data) <= 32, "%d bytes", len(data))
+		}
+	}
+}
