--- a/adapters/exchanger/wire_test.go
+++ b/adapters/exchanger/wire_test.go
@@ -8,7 +8,7 @@
 	"gotest.tools/v3/assert"
 )
 
-// Guards against beats that name all control instances each time, which is most of the bytes between thirty of them, and
+// Guards against beats that name all control instances each time, most of the bytes between thirty of them, and
 // against a subscriber that forgets those that a beat leaves out.
 func TestBeatsNameControlInstancesOnce(t *testing.T) {
 	list := make([]Contact, 30)
