Write requests into the buffers of a connection at once

Cause: a request of more than 4 KB was written by a goroutine of its own, whose end was often noticed only after the answer; the connection was then not kept. Change: what the buffers of the connection take is written without a goroutine; only a rest needs one. After: TestConnectionIsKeptAfterALongRequest dials once for 500 requests of 100 KB.

--- a/adapters/forwarder/exchange.go
+++ b/adapters/forwarder/exchange.go
@@ -14,9 +14,8 @@
 )
 
 const (
-	// inlineBytes is written without a goroutine of its own: it fits the window of a new connection, so that the
-	// write doesn't wait for an endpoint that answers before it has read everything.
-	inlineBytes = 4 << 10
+	// joinedBytes is the size up to which head and body are copied together, which saves a system call.
+	joinedBytes = 32 << 10
 
 	// maxStrays is how many answers to other requests are skipped on one connection.
 	maxStrays = 2
@@ -90,19 +89,30 @@
 }
 
 func (x *exchange) run(r *Request) (*Answer, error) {
-	head := encodeHead(r)
-	if len(head)+len(r.Body) <= inlineBytes {
-		n, err := x.conn.Write(append(head, r.Body...))
+	head, body := encodeHead(r), r.Body
+	if len(head)+len(body) <= joinedBytes {
+		head, body = append(head, body...), nil
+	}
+	// Most requests fit the buffers of the connection whole. Only the rest of others needs a goroutine, because an
+	// endpoint may answer before it has read everything.
+	n, err := x.conn.writeNow(head)
+	if err == nil && n == len(head) && len(body) > 0 {
+		var m int
+		m, err = x.conn.writeNow(body)
+		body = body[m:]
+	}
+	if n > 0 {
+		x.ran = Unknown
+	}
+	if err != nil {
+		close(x.written)
+		return nil, err
+	}
+	if head = head[n:]; len(head)+len(body) == 0 {
 		close(x.written)
-		if n > 0 {
-			x.ran = Unknown
-		}
-		if err != nil {
-			return nil, err
-		}
 	} else {
 		x.ran = Unknown
-		go x.write(head, r.Body)
+		go x.write(head, body)
 	}
 	return x.readAnswer(r)
 }
--- a/adapters/forwarder/forwarder_test.go
+++ b/adapters/forwarder/forwarder_test.go
@@ -121,7 +121,8 @@
 // Guards against bytes of another request where the rest of a body is due: an endpoint may answer before it has read
 // everything and read on later.
 func TestEarlyAnswerDoesNotMixBodies(t *testing.T) {
-	body := bytes.Repeat([]byte("x"), 4<<20)
+	// More than the buffers of both ends hold, so that the rest is still due when the answer ends.
+	body := bytes.Repeat([]byte("x"), 64<<20)
 	mixed := atomic.Bool{}
 	address := serve(t, func(_ int, c net.Conn, br *bufio.Reader) {
 		r, err := http.ReadRequest(br)
@@ -192,7 +193,7 @@
 	})
 	p := NewPool()
 	assert.Equal(t, get(t, p, request(address, "1", nil)), "whole")
-	assert.Equal(t, p.Open(address), 0)
+	assert.Equal(t, opened(p, address), 0)
 }
 
 // Guards against a request that is lost on a connection that the endpoint has closed while it was idle.
@@ -239,7 +240,7 @@
 	r.Fresh = true
 	assert.Equal(t, get(t, p, r), "2")
 	// The endpoint bounds its connections, so an old one is replaced and not kept beside the new one.
-	assert.Equal(t, p.Open(address), 1)
+	assert.Equal(t, opened(p, address), 1)
 }
 
 // Guards against a claim that a request may have run which was never sent.
@@ -329,3 +330,30 @@
 		_ = a.Body.Close()
 	}
 }
+
+// opened returns the number of connections to an address.
+func opened(p *Pool, address string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.open[address]
+}
+
+// Guards against a new connection for every longer request: the end of its write was often noticed after the answer, so
+// that the connection was not kept.
+func TestConnectionIsKeptAfterALongRequest(t *testing.T) {
+	address := serve(t, func(_ int, c net.Conn, br *bufio.Reader) {
+		for {
+			r, _ := readRequest(br)
+			if r == nil {
+				return
+			}
+			_, _ = io.WriteString(c, whole(r.Header.Get("X-Id"), "answer"))
+		}
+	})
+	p := NewPool()
+	body := bytes.Repeat([]byte("x"), 100<<10)
+	for range 500 {
+		assert.Equal(t, get(t, p, request(address, "1", body)), "answer")
+	}
+	assert.Equal(t, p.Dialed(), uint64(1))
+}
--- a/adapters/forwarder/pool.go
+++ b/adapters/forwarder/pool.go
@@ -3,7 +3,9 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -48,6 +50,38 @@
 	reused   bool
 }
 
+// writeNow writes what the buffers of the connection take without waiting, and returns its length.
+func (c *conn) writeNow(b []byte) (n int, err error) {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return 0, nil
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	for n < len(b) {
+		var m int
+		var werr error
+		if err := raw.Write(func(fd uintptr) bool {
+			m, werr = unix.Write(int(fd), b[n:])
+			return true
+		}); err != nil {
+			return n, err
+		}
+		switch {
+		case errors.Is(werr, unix.EAGAIN):
+			return n, nil
+		case errors.Is(werr, unix.EINTR):
+		case werr != nil:
+			return n, os.NewSyscallError("write", werr)
+		default:
+			n += m
+		}
+	}
+	return n, nil
+}
+
 // Pool keeps idle connections to endpoints.
 type Pool struct {
 	dialer net.Dialer
@@ -141,13 +175,6 @@
 	}
 }
 
-// Open returns the number of connections to an address.
-func (p *Pool) Open(address string) int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.open[address]
-}
-
 // Dialed returns the number of connections that were opened so far.
 func (p *Pool) Dialed() uint64 {
 	p.mu.Lock()
--- a/core/replicator/types.go
+++ b/core/replicator/types.go
@@ -1,6 +1,9 @@
 package replicator
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Member is one replica of the group; a learner receives the log but does not count in a quorum.
 type Member struct {
@@ -230,19 +233,12 @@
 )
 
 func (c Config) withDefaults() Config {
-	setDefault(&c.ElectionMin, defaultShortElection)
-	setDefault(&c.ElectionMax, defaultLongElection)
-	setDefault(&c.Heartbeat, defaultHeartbeat)
-	setDefault(&c.MaxAppendBytes, defaultMaxAppendBytes)
-	setDefault(&c.MaxInflight, defaultMaxInflight)
-	setDefault(&c.MaxUncommitted, defaultMaxUncommitted)
-	setDefault(&c.PromotionLag, defaultPromotionLag)
+	c.ElectionMin = cmp.Or(c.ElectionMin, defaultShortElection)
+	c.ElectionMax = cmp.Or(c.ElectionMax, defaultLongElection)
+	c.Heartbeat = cmp.Or(c.Heartbeat, defaultHeartbeat)
+	c.MaxAppendBytes = cmp.Or(c.MaxAppendBytes, defaultMaxAppendBytes)
+	c.MaxInflight = cmp.Or(c.MaxInflight, defaultMaxInflight)
+	c.MaxUncommitted = cmp.Or(c.MaxUncommitted, defaultMaxUncommitted)
+	c.PromotionLag = cmp.Or(c.PromotionLag, defaultPromotionLag)
 	return c
 }
-
-func setDefault[T comparable](v *T, d T) {
-	var zero T
-	if *v == zero {
-		*v = d
-	}
-}
--- a/node/dialect.go
+++ b/node/dialect.go
@@ -22,7 +22,6 @@
 	Key            string // of the workspace; never passed on
 	Workspace      string // name of the workspace, for the endpoint
 	Expected       string // ID of the endpoint that a request is meant for
-	Signature      string // set by endpoints on their answers
 	NotRun         string // set by endpoints that rejected a request without running it
 	Load           string // requests running, requests waiting and slots of the endpoint
 	PromptParts    string // ID:tokens of each part of the prompt, separated by commas
--- a/node/fakes_test.go
+++ b/node/fakes_test.go
@@ -26,7 +26,7 @@
 const testLimit = 30 * time.Second
 
 var testHeaders = Headers{RequestID: "Req-Id", DeadlineMillis: "Left-Ms", Key: "Api-Key", Workspace: "Workspace",
-	Expected: "Expected-Endpoint", Signature: "Signed", NotRun: "Not-Run", Load: "Load", PromptParts: "Parts",
+	Expected: "Expected-Endpoint", NotRun: "Not-Run", Load: "Load", PromptParts: "Parts",
 	FetchFrom: "Fetch", EventID: "Last-Event-Id", Priority: "Urgency", Reserved: []string{"Hold"}}
 
 // testDialect has short headers, one of them reserved.
--- a/node/settings.go
+++ b/node/settings.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"errors"
 
 	"cactusroute.dev/adapters/configurer"
@@ -98,21 +99,15 @@
 }
 
 func (s *Settings) setDefaults() {
-	setDefault(&s.Listen.Advertise, s.Listen.Exchange)
-	setDefault(&s.MinVoters, defaultMinVoters)
-	setDefault(&s.HeartbeatMillis, defaultHeartbeatMillis)
-	setDefault(&s.GraceMillis, defaultGraceMillis)
-	setDefault(&s.RetryBudget,
+	s.Listen.Advertise = cmp.Or(s.Listen.Advertise, s.Listen.Exchange)
+	s.MinVoters = cmp.Or(s.MinVoters, defaultMinVoters)
+	s.HeartbeatMillis = cmp.Or(s.HeartbeatMillis, defaultHeartbeatMillis)
+	s.GraceMillis = cmp.Or(s.GraceMillis, defaultGraceMillis)
+	s.RetryBudget = cmp.Or(s.RetryBudget,
 		RetryBudget{Ratio: defaultBudgetRatio, Slack: defaultBudgetSlack, WindowMillis: defaultBudgetMillis})
-	setDefault(&s.Load, LoadLimits{ColdOver: defaultColdOver, ColdSlack: defaultColdSlack,
-		LoadOver: defaultLoadOver, LoadSlack: defaultLoadSlack})
-}
-
-func setDefault[T comparable](v *T, d T) {
-	var zero T
-	if *v == zero {
-		*v = d
-	}
+	s.Load = cmp.Or(s.Load, LoadLimits{
+		ColdOver: defaultColdOver, ColdSlack: defaultColdSlack, LoadOver: defaultLoadOver, LoadSlack: defaultLoadSlack,
+	})
 }
 
 func (l LoadLimits) limits() chooser.Limits {
