--- a/core/chooser/chooser.go
+++ b/core/chooser/chooser.go
@@ -45,17 +45,6 @@
 	// parts are asked for within some ten seconds.
 	settledAfter = 15 * time.Second
 
-	// adoptAfter is how long an endpoint that joins a service leaves the prompts to the former endpoints while those have
-	// little to do: most parts that they cache are asked for again within that time, and would be read again.
-	adoptAfter = time.Minute
-
-	// joinSpan is the span within which endpoints count as started together: one heartbeat lost, and one late.
-	joinSpan = 5 * time.Second
-
-	// calmPart is the part of its slots up to which an endpoint has little to do: steps are a tenth slower there than
-	// alone.
-	calmPart = 0.125
-
 	// plainRounds is how many rounds of its slots a plain endpoint holds: answers of some ten milliseconds are in time
 	// after two rounds of waiting.
 	plainRounds = 3
@@ -149,29 +138,8 @@
 }
 
 type pool struct {
-	ranks  *placer.Subset // all endpoints of the service, with those that get no new requests
-	all    []*endpoint    // in the order of ranks
-	oldest time.Time      // when the first of those that serve was learned of, by this router or at its start
-}
-
-// hasJoined reports whether the endpoint came to a service that others served already.
-func (p *pool) hasJoined(now time.Time, e *endpoint) bool {
-	return now.Sub(e.since) < adoptAfter && e.since.Sub(p.oldest) > joinSpan
-}
-
-// areFormerEnough reports whether half of the endpoints that serve were there before the others joined.
-func (p *pool) areFormerEnough(now time.Time) bool {
-	former, joined := 0, 0
-	for _, e := range p.all {
-		switch {
-		case !e.serves:
-		case p.hasJoined(now, e):
-			joined++
-		default:
-			former++
-		}
-	}
-	return joined > 0 && former >= joined
+	ranks *placer.Subset // all endpoints of the service, with those that get no new requests
+	all   []*endpoint    // in the order of ranks
 }
 
 // Chooser holds the endpoints as this router sees them; it is not safe for concurrent use.
@@ -184,7 +152,6 @@
 	pools   map[string]*pool
 	walk    placer.Walk
 
-	began    time.Time // when the first endpoints were learned of
 	othersAt time.Time // when the numbers of the other routers were received
 	told     map[string]int
 }
@@ -199,9 +166,6 @@
 // requests.
 func (c *Chooser) Update(now time.Time, serving, others []registrar.Endpoint, routers int) {
 	c.routers = max(1, routers)
-	if len(c.byID) == 0 {
-		c.began = now
-	}
 	old := c.byID
 	c.byID = make(map[string]*endpoint, len(serving)+len(others))
 	members := map[string][]placer.Endpoint{}
@@ -220,25 +184,14 @@
 	c.pools = make(map[string]*pool, len(members))
 	for service, names := range members {
 		ranks := placer.NewPool(names)
-		p := &pool{ranks: ranks.All(), oldest: now}
+		p := &pool{ranks: ranks.All()}
 		for i := range ranks.Len() {
-			e := c.byID[ranks.Name(i)]
-			p.all = append(p.all, e)
-			if e.serves && e.since.Before(p.oldest) {
-				p.oldest = later(e.since, c.began)
-			}
+			p.all = append(p.all, c.byID[ranks.Name(i)])
 		}
 		c.pools[service] = p
 	}
 }
 
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // load is the number of requests at the endpoint as far as known: those of all routers, or what the endpoint itself
 // said while the other routers' aren't known.
 func (e *endpoint) load(now time.Time, othersAt time.Time) int {
@@ -361,9 +314,6 @@
 	isBusy := c.isBusy(now, p)
 	if !isBusy {
 		q.Backlog = 0
-		if e, rank := c.formerHome(now, q, p, bound); e != nil {
-			return c.take(now, e, rank, source), ""
-		}
 	}
 	var near, least, avoided *endpoint
 	nearRank, leastRank, avoidedRank := 0, 0, 0
@@ -409,33 +359,6 @@
 	return Choice{}, why
 }
 
-// formerHome returns the endpoint that was first in the order of the key before others joined, if it has little to do.
-func (c *Chooser) formerHome(now time.Time, q Query, p *pool, bound float64) (e *endpoint, rank int) {
-	if !p.areFormerEnough(now) {
-		return nil, 0
-	}
-	c.walk.Start(p.ranks, affinity(q.Parts))
-	for rank = 0; ; {
-		i, ok := c.walk.Next()
-		if !ok {
-			return nil, 0
-		}
-		if e = p.all[i]; !e.serves {
-			continue
-		}
-		if p.hasJoined(now, e) {
-			rank++
-			continue
-		}
-		load := float64(e.load(now, c.othersAt) + 1)
-		if c.fits(now, q, e, 1) != "" || e.isAvoided(now) || load > calmPart*float64(e.Slots) ||
-			load > (fullPart-q.Draw*(fullPart-freePart))*bound {
-			return nil, 0
-		}
-		return e, rank
-	}
-}
-
 // affinity is the key of the part that other requests share: the last but one.
 func affinity(parts []Part) placer.ChatKey {
 	return placer.KeyOf(parts[max(0, len(parts)-2)].ID)
