Make the memory durable, and send routers past instances that know nothing

Change: the folder is synced after the rename; an instance without a state and without a majority takes no routers. Before: TestMemorySurvivesTheLossOfPower reads index 0 in place of 2; TestInstanceThatKnowsNothingTakesNoRouters stays subscribed. After: both pass.

--- a/adapters/exchanger/exchanger_test.go
+++ b/adapters/exchanger/exchanger_test.go
@@ -25,7 +25,9 @@
 	endpoints []registrar.Endpoint
 	quorate   bool
 	loads     Loads
-	got       []string
+
+	knowsNothing bool
+	got          []string
 }
 
 func (s *fakeSource) State() archivist.State {
@@ -68,6 +70,8 @@
 
 func (s *fakeSource) Loads(Contact) Loads { return s.loads }
 
+func (s *fakeSource) MayServe() bool { return !s.knowsNothing }
+
 func (s *fakeSource) AllSuspects() []Suspect { return []Suspect{{Fingerprint: 9, Endpoint: "e"}} }
 
 // fakeReceiver notes what a subscription hands over.
@@ -161,6 +165,27 @@
 	eventually(t, "detached", func() bool { return s.has("detached router") })
 }
 
+// Guards against routers that stay with an instance which has lost its disk and knows nothing yet, while others serve:
+// after a loss of power eight routers had no plan for half a second longer.
+func TestInstanceThatKnowsNothingTakesNoRouters(t *testing.T) {
+	s, r := &fakeSource{knowsNothing: true}, &fakeReceiver{}
+	hs := httptest.NewServer(NewServer(messenger.Options{}, s))
+	t.Cleanup(hs.Close)
+	hub := Contact{Name: "hub", Address: strings.TrimPrefix(hs.URL, "http://")}
+	ctx, cancel := context.WithTimeout(t.Context(), silenceLimit/2)
+	defer cancel()
+	sub, err := Subscribe(ctx, hub, Contact{Name: "router"}, messenger.Options{}, r, nil)
+	if err == nil {
+		err = sub.Receive(ctx, r, true)
+	}
+	assert.Assert(t, err != nil && ctx.Err() == nil, "still subscribed: %v", err)
+	assert.Assert(t, !s.has("attached router"))
+	peer, err := Subscribe(ctx, hub, Contact{Name: "peer", Eligible: true}, messenger.Options{}, r, nil)
+	assert.NilError(t, err)
+	t.Cleanup(peer.Close)
+	eventually(t, "attached", func() bool { return s.has("attached peer") })
+}
+
 // Guards against two founders, and against a founder that nobody named.
 func TestOnlyTheFoundingProcessNamesAFounder(t *testing.T) {
 	none := func() []Contact { return nil }
--- a/adapters/exchanger/server.go
+++ b/adapters/exchanger/server.go
@@ -30,6 +30,9 @@
 	// Loads returns what a subscriber is told: for another control instance the requests of this one and of its
 	// subscribers, for a router those of all routers.
 	Loads(to Contact) Loads
+	// MayServe reports whether routers may subscribe: an instance without a majority and without a state has nothing to
+	// tell them, while others may.
+	MayServe() bool
 	// AllSuspects returns what new subscribers must know.
 	AllSuspects() []Suspect
 }
@@ -77,7 +80,7 @@
 		return
 	}
 	var h hello
-	if e.Decode(&h) != nil {
+	if e.Decode(&h) != nil || !h.Contact.Eligible && !s.source.MayServe() {
 		return
 	}
 	sub := &subscriber{conn: conn, contact: h.Contact, wake: make(chan struct{}, 1), index: h.Index, version: h.Version,
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -20,6 +20,9 @@
 	return archivist.State{Index: f.held.index, Plan: f.held.plan, TakenOut: f.held.takenOut}
 }
 
+// MayServe implements exchanger.Source.
+func (f *fleet) MayServe() bool { return f.State().Index > 0 || f.hub.isQuorate() }
+
 // Endpoints implements exchanger.Source.
 func (f *fleet) Endpoints() []registrar.Endpoint {
 	f.mu.Lock()
--- a/node/memory.go
+++ b/node/memory.go
@@ -11,6 +11,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"cactusroute.dev/adapters/storer"
 	"cactusroute.dev/core/archivist"
 	"cactusroute.dev/core/registrar"
 )
@@ -34,11 +35,15 @@
 // remember writes the memory whenever something has changed, until ctx ends.
 func (f *fleet) remember(ctx context.Context) error {
 	name := filepath.Join(f.settings.DataFolder, memoryFile)
+	var fsys storer.FS = storer.DiskFS{}
+	if f.hub.fs != nil {
+		fsys = f.hub.fs
+	}
 	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
 		case <-f.dirty:
-			if err := writeMemory(name, f.memory()); err != nil {
+			if err := writeMemory(fsys, name, f.memory()); err != nil {
 				f.log.failure("msg", "memory not written", "file", name, "err", err)
 			}
 			pause(ctx, rememberInterval)
@@ -92,8 +97,8 @@
 	return m, cbor.Unmarshal(data, &m)
 }
 
-// writeMemory replaces the file, so that a crash leaves the old one or the new one whole.
-func writeMemory(name string, m memory) (err error) {
+// writeMemory replaces the file, so that a crash or the loss of power leaves the old one or the new one whole.
+func writeMemory(fsys storer.FS, name string, m memory) (err error) {
 	defer func() {
 		if err != nil {
 			err = fmt.Errorf("write %s: %w", name, err)
@@ -104,16 +109,19 @@
 		return err
 	}
 	tmp := name + ".tmp"
-	file, err := os.OpenFile(tmp, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o600)
+	file, err := fsys.OpenFile(tmp, os.O_CREATE|os.O_TRUNC|os.O_WRONLY)
 	if err != nil {
 		return err
 	}
-	_, err = file.Write(data)
+	_, err = file.WriteAt(data, 0)
 	if err == nil {
 		err = file.Sync()
 	}
 	if err = errors.Join(err, file.Close()); err != nil {
 		return err
 	}
-	return os.Rename(tmp, name)
+	if err := fsys.Rename(tmp, name); err != nil {
+		return err
+	}
+	return fsys.SyncDir(filepath.Dir(name)) // without it the loss of power undoes the rename
 }
--- a/node/memory_test.go
+++ b/node/memory_test.go
@@ -8,6 +8,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"cactusroute.dev/adapters/storer"
+	"cactusroute.dev/core/archivist"
 	"cactusroute.dev/core/registrar"
 )
 
@@ -50,7 +52,7 @@
 // Guards against a damaged memory that keeps an instance from starting.
 func TestDamagedMemoryIsIgnored(t *testing.T) {
 	name := filepath.Join(t.TempDir(), memoryFile)
-	assert.NilError(t, writeMemory(name, memory{Endpoints: []registrar.Endpoint{{ID: "e", Born: 7}}}))
+	assert.NilError(t, writeMemory(storer.DiskFS{}, name, memory{Endpoints: []registrar.Endpoint{{ID: "e", Born: 7}}}))
 	m, err := readMemory(name)
 	assert.NilError(t, err)
 	assert.Equal(t, m.Endpoints[0].Born, int64(7))
@@ -65,3 +67,40 @@
 	f.startAll()
 	f.putPlan(1, f.nodes)
 }
+
+// unsyncedNames undoes renames whose folder was not synced when the power is lost.
+type unsyncedNames struct {
+	storer.DiskFS
+	former map[string][]byte // by the name that was replaced
+}
+
+func (u *unsyncedNames) Rename(from, to string) error {
+	if data, err := os.ReadFile(to); err == nil && u.former[to] == nil {
+		u.former[to] = data
+	}
+	return u.DiskFS.Rename(from, to)
+}
+
+func (u *unsyncedNames) SyncDir(name string) error {
+	clear(u.former)
+	return u.DiskFS.SyncDir(name)
+}
+
+func (u *unsyncedNames) losePower(t *testing.T) {
+	for name, data := range u.former {
+		assert.NilError(t, os.WriteFile(name, data, 0o600))
+	}
+}
+
+// Guards against an instance that serves from an old memory, or an empty one, after the loss of power.
+func TestMemorySurvivesTheLossOfPower(t *testing.T) {
+	disk := &unsyncedNames{former: map[string][]byte{}}
+	name := filepath.Join(t.TempDir(), memoryFile)
+	for index := range uint64(3) {
+		assert.NilError(t, writeMemory(disk, name, memory{State: archivist.State{Index: index}}))
+	}
+	disk.losePower(t)
+	m, err := readMemory(name)
+	assert.NilError(t, err)
+	assert.Equal(t, m.State.Index, uint64(2))
+}
