--- a/node/exchange.go
+++ b/node/exchange.go
@@ -218,7 +218,7 @@
 func (r *receiver) BeatReceived(b exchanger.Beat) {
 	f := r.fleet
 	if b.Quorate && !r.peer {
-		f.confirmed.Store(time.Now().UnixNano())
+		f.confirmed.Store(int64(time.Since(f.started)))
 	}
 	f.mu.Lock()
 	for _, c := range b.Hubs {
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -80,7 +80,7 @@
 	dirty    chan struct{} // with room for one: the memory on disk is out of date
 	report   chan exchanger.Suspect
 
-	confirmed atomic.Int64 // Unix nanoseconds of the last beat of a control instance with a majority
+	confirmed atomic.Int64 // nanoseconds from the start to the last beat of a control instance with a majority
 
 	planKnown chan struct{} // closed when the first plan is in force
 	planOnce  sync.Once
@@ -144,10 +144,7 @@
 		}
 		return now.Sub(f.started)
 	}
-	if at := f.confirmed.Load(); at > 0 {
-		return now.Sub(time.Unix(0, at))
-	}
-	return now.Sub(f.started)
+	return now.Sub(f.started) - time.Duration(f.confirmed.Load())
 }
 
 // quorateHubs returns the control instances that have a majority, with this one if it is one.
