--- /dev/null
+++ b/adapters/pauser/doc.go
@@ -0,0 +1,2 @@
+// Package pauser waits for a time that a context may cut short.
+package pauser
--- /dev/null
+++ b/adapters/pauser/pauser.go
@@ -0,0 +1,16 @@
+package pauser
+
+import (
+	"context"
+	"time"
+)
+
+// Pause returns after d, or when ctx ends.
+func Pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- a/loader/measurer/load.go
+++ b/loader/measurer/load.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"cactusroute.dev/adapters/pauser"
 	"cactusroute.dev/fakeengine"
 	"cactusroute.dev/loader/caller"
 	"cactusroute.dev/loader/tracer"
@@ -158,7 +159,7 @@
 				l.add(sample{at: at, kind: k, result: r})
 			}
 		})
-		pause(ctx, probePause/2)
+		pauser.Pause(ctx, probePause/2)
 	}
 }
 
@@ -177,7 +178,7 @@
 				if ctx.Err() == nil {
 					l.add(sample{at: at, kind: kindSurge, result: r})
 				}
-				pause(ctx, 10*time.Millisecond)
+				pauser.Pause(ctx, 10*time.Millisecond)
 			}
 		})
 	}
@@ -193,7 +194,7 @@
 			IdempotencyKey: fmt.Sprintf("op-%d-%d", l.seed, n), Body: fmt.Sprintf(`{"order":%d}`, n),
 		}
 		l.wg.Go(func() { l.operateOnce(context.WithoutCancel(ctx), &op) })
-		pause(ctx, operationsPause)
+		pauser.Pause(ctx, operationsPause)
 	}
 }
 
@@ -210,10 +211,3 @@
 	defer l.mu.Unlock()
 	l.operations = append(l.operations, operation{key: op.IdempotencyKey, results: results})
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/loader/measurer/phase.go
+++ b/loader/measurer/phase.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 	"time"
+
+	"cactusroute.dev/adapters/pauser"
 )
 
 // phase is a part of the run with its own figures.
@@ -38,7 +40,7 @@
 func (l *load) play(ctx context.Context, events []event, progress func(string)) error {
 	var errs []error
 	for _, e := range events {
-		pause(ctx, e.at-l.since())
+		pauser.Pause(ctx, e.at-l.since())
 		if ctx.Err() != nil {
 			return errors.Join(errs...)
 		}
@@ -151,7 +153,7 @@
 			if err == nil && isEverywhere(&l, b.Version, r.processes()) {
 				break
 			}
-			pause(ctx, 20*time.Millisecond)
+			pauser.Pause(ctx, 20*time.Millisecond)
 		}
 		r.bundleTime = time.Since(begun)
 		return nil
--- a/loader/measurer/run.go
+++ b/loader/measurer/run.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"cactusroute.dev/adapters/pauser"
 	"cactusroute.dev/loader/caller"
 	"cactusroute.dev/loader/reporter"
 	"cactusroute.dev/loader/spawner"
@@ -102,7 +103,7 @@
 		if ctx.Err() != nil {
 			return fmt.Errorf("no service: chat %s %q, operation %d %q", chat.Outcome, chat.Problem, done.Status, done.Answer)
 		}
-		pause(ctx, 200*time.Millisecond)
+		pauser.Pause(ctx, 200*time.Millisecond)
 	}
 }
 
@@ -213,7 +214,7 @@
 				n += st.Crashes
 				break
 			}
-			pause(ctx, 100*time.Millisecond)
+			pauser.Pause(ctx, 100*time.Millisecond)
 		}
 	}
 	return n
--- a/loader/measurer/slope.go
+++ b/loader/measurer/slope.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"cactusroute.dev/adapters/observer"
+	"cactusroute.dev/adapters/pauser"
 	"cactusroute.dev/adapters/subscriber"
 	"cactusroute.dev/core/bundler"
 	"cactusroute.dev/loader/reporter"
@@ -139,7 +140,7 @@
 	if err := f.awaitProcesses(ctx, n+1, 1); err != nil {
 		return nil, err
 	}
-	pause(ctx, 3*time.Second)
+	pauser.Pause(ctx, 3*time.Second)
 	if list, err = f.measureWindow(ctx, agents); err != nil {
 		return nil, err
 	}
@@ -170,7 +171,7 @@
 			rng := rand.New(rand.NewPCG(1, uint64(i)))
 			for ctx.Err() == nil {
 				c.SetLoad(subscriber.Load{InFlight: 5 + rng.IntN(6), Limit: 64})
-				pause(ctx, loadChange)
+				pauser.Pause(ctx, loadChange)
 			}
 		}()
 	}
@@ -193,7 +194,7 @@
 		if ctx.Err() != nil {
 			return fmt.Errorf("%d of %d processes with version %d: %w", len(l.Items), n, version, errors.Join(err, ctx.Err()))
 		}
-		pause(ctx, 50*time.Millisecond)
+		pauser.Pause(ctx, 50*time.Millisecond)
 	}
 }
 
@@ -242,7 +243,7 @@
 		return nil, err
 	}
 	begun := time.Now()
-	pause(ctx, slopeWindow)
+	pauser.Pause(ctx, slopeWindow)
 	after, err := f.usage(ctx, agents)
 	if err != nil {
 		return nil, err
--- a/loader/measurer/watch.go
+++ b/loader/measurer/watch.go
@@ -12,6 +12,8 @@
 	dto "github.com/prometheus/client_model/go"
 	"github.com/prometheus/common/expfmt"
 	"github.com/prometheus/common/model"
+
+	"cactusroute.dev/adapters/pauser"
 )
 
 const (
@@ -107,7 +109,7 @@
 		w.mu.Lock()
 		w.samples = append(w.samples, s)
 		w.mu.Unlock()
-		pause(ctx, watchPause)
+		pauser.Pause(ctx, watchPause)
 	}
 }
 
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -9,6 +9,7 @@
 	"cactusroute.dev/adapters/committer"
 	"cactusroute.dev/adapters/exchanger"
 	"cactusroute.dev/adapters/messenger"
+	"cactusroute.dev/adapters/pauser"
 	"cactusroute.dev/core/archivist"
 	"cactusroute.dev/core/registrar"
 )
@@ -209,7 +210,7 @@
 func (f *fleet) shareLoads(ctx context.Context) error {
 	for ctx.Err() == nil {
 		f.routing.total(f.Loads(exchanger.Contact{}))
-		pause(ctx, shareInterval)
+		pauser.Pause(ctx, shareInterval)
 	}
 	return ctx.Err()
 }
@@ -249,7 +250,7 @@
 	for ctx.Err() == nil {
 		c, ok := f.nextHub()
 		if !ok {
-			pause(ctx, seekInterval/2)
+			pauser.Pause(ctx, seekInterval/2)
 			continue
 		}
 		err := f.follow(ctx, c, false)
@@ -350,7 +351,7 @@
 			go f.followPeer(ctx, h)
 		}
 		f.mu.Unlock()
-		pause(ctx, seekInterval)
+		pauser.Pause(ctx, seekInterval)
 	}
 	return ctx.Err()
 }
@@ -374,7 +375,7 @@
 		if time.Since(began) > time.Second && ctx.Err() == nil {
 			f.log.belief("peer instance lost", "instance", c.Name, "address", c.Address, "err", err)
 		}
-		pause(ctx, seekInterval)
+		pauser.Pause(ctx, seekInterval)
 	}
 }
 
@@ -394,7 +395,7 @@
 				c.Found()
 			}
 		}
-		pause(ctx, seekInterval)
+		pauser.Pause(ctx, seekInterval)
 	}
 	return ctx.Err()
 }
@@ -431,12 +432,3 @@
 
 // inviteEvery is the number of rounds between two introductions to a router that was attached here.
 const inviteEvery = 10
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/node/memory.go
+++ b/node/memory.go
@@ -11,6 +11,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"cactusroute.dev/adapters/pauser"
 	"cactusroute.dev/adapters/storer"
 	"cactusroute.dev/core/archivist"
 	"cactusroute.dev/core/registrar"
@@ -46,7 +47,7 @@
 			if err := writeMemory(fsys, name, f.memory()); err != nil {
 				f.log.failure("msg", "memory not written", "file", name, "err", err)
 			}
-			pause(ctx, rememberInterval)
+			pauser.Pause(ctx, rememberInterval)
 		}
 	}
 	return ctx.Err()
--- a/node/node.go
+++ b/node/node.go
@@ -16,6 +16,7 @@
 	"cactusroute.dev/adapters/messenger"
 	"cactusroute.dev/adapters/observer"
 	"cactusroute.dev/adapters/recorder"
+	"cactusroute.dev/adapters/pauser"
 	"cactusroute.dev/adapters/server"
 	"cactusroute.dev/core/archivist"
 	"cactusroute.dev/core/planner"
@@ -169,7 +170,7 @@
 		}
 		n.fleet.tick(now)
 		n.front.pool.Expire(time.Now(), func(string) bool { return true })
-		pause(ctx, expireInterval)
+		pauser.Pause(ctx, expireInterval)
 	}
 	return ctx.Err()
 }
--- a/node/transfer.go
+++ b/node/transfer.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"cactusroute.dev/adapters/forwarder"
+	"cactusroute.dev/adapters/pauser"
 	"cactusroute.dev/core/chooser"
 	"cactusroute.dev/core/planner"
 )
@@ -132,7 +133,7 @@
 			t.front.metrics.waited.Observe(now.Sub(began).Seconds())
 			return c, why
 		}
-		pause(ctx, choosePause)
+		pauser.Pause(ctx, choosePause)
 	}
 }
 
--- a/router/control_test.go
+++ b/router/control_test.go
@@ -12,6 +12,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"cactusroute.dev/adapters/pauser"
 	"cactusroute.dev/adapters/relayer"
 	"cactusroute.dev/adapters/subscriber"
 	"cactusroute.dev/core/sharer"
@@ -191,7 +192,7 @@
 	wg.Go(func() { _ = client.Serve(ctx) })
 	t.Cleanup(func() { cancel(); wg.Wait() })
 	for !client.IsFresh(time.Now()) {
-		pause(ctx, 10*time.Millisecond)
+		pauser.Pause(ctx, 10*time.Millisecond)
 	}
 	return rt
 }
--- a/router/forward.go
+++ b/router/forward.go
@@ -12,6 +12,7 @@
 	"strings"
 	"time"
 
+	"cactusroute.dev/adapters/pauser"
 	"cactusroute.dev/adapters/relayer"
 	"cactusroute.dev/core/bundler"
 	"cactusroute.dev/core/placer"
@@ -124,7 +125,7 @@
 		case retrier.ResumeSame:
 			at.need = placer.NeedNothing
 		case retrier.Again:
-			pause(ctx, x.retryAfter)
+			pauser.Pause(ctx, x.retryAfter)
 		case retrier.Wait:
 			if end := x.renew(ctx, o); end != "" {
 				return end
@@ -138,7 +139,7 @@
 // caller and returns the outcome for the metric.
 func (x *exchange) renew(ctx context.Context, o retrier.Outcome) string {
 	for d := (retrier.Decision{Action: retrier.Wait}); d.Action == retrier.Wait; {
-		pause(ctx, renewPause)
+		pauser.Pause(ctx, renewPause)
 		if ctx.Err() != nil {
 			return x.ended(ctx, o)
 		}
--- a/router/operation.go
+++ b/router/operation.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"cactusroute.dev/adapters/pauser"
 	"cactusroute.dev/adapters/relayer"
 	"cactusroute.dev/adapters/subscriber"
 	"cactusroute.dev/core/placer"
@@ -157,7 +158,7 @@
 		if wait.Err() != nil || isRefused(err) {
 			return reply, o.unclaimed()
 		}
-		pause(wait, claimPause)
+		pauser.Pause(wait, claimPause)
 		var refused *subscriber.CallError
 		if errors.As(err, &refused) && refused.Code == subscriber.CodeStale {
 			o.restarted()
@@ -238,7 +239,7 @@
 		// The endpoint has left, or joined after this view, and another router may run it there. Control ends the
 		// claims of an endpoint that is gone, so the claim is read until then.
 		o.mayHaveRun = true
-		pause(ctx, claimPause)
+		pauser.Pause(ctx, claimPause)
 		return result{}, false
 	}
 	o.claim.NotRun = 0
@@ -283,7 +284,7 @@
 	default:
 		o.mayHaveRun = true
 	}
-	pause(ctx, claimPause)
+	pauser.Pause(ctx, claimPause)
 	return result{}, false
 }
 
@@ -334,12 +335,3 @@
 		Message: "the operation has not ended before the deadline; a retry under the same key joins it",
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/router/router.go
+++ b/router/router.go
@@ -17,6 +17,7 @@
 	"cactusroute.dev/adapters/certifier"
 	"cactusroute.dev/adapters/messenger"
 	"cactusroute.dev/adapters/observer"
+	"cactusroute.dev/adapters/pauser"
 	"cactusroute.dev/adapters/recorder"
 	"cactusroute.dev/adapters/relayer"
 	"cactusroute.dev/adapters/server"
@@ -274,5 +275,5 @@
 func (rt *Router) drain(ctx context.Context) {
 	rt.draining.Store(true)
 	rt.obs.Event("draining", "inFlight", rt.gate.count())
-	pause(ctx, time.Duration(rt.settings.DrainNoticeMillis)*time.Millisecond)
+	pauser.Pause(ctx, time.Duration(rt.settings.DrainNoticeMillis)*time.Millisecond)
 }
--- a/soaker/caller.go
+++ b/soaker/caller.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"strings"
 	"time"
+
+	"cactusroute.dev/adapters/pauser"
 )
 
 const (
@@ -27,7 +29,7 @@
 		kind := []string{"/once/", "/safe/", "/stream/"}[rng.IntN(3)]
 		n := f.Nodes[rng.IntN(len(f.Nodes))]
 		one(f, client, n, kind, fmt.Sprintf("%s-%d", name, i))
-		pause(ctx, time.Duration(rng.ExpFloat64()*float64(callPause)))
+		pauser.Pause(ctx, time.Duration(rng.ExpFloat64()*float64(callPause)))
 	}
 }
 
--- a/soaker/endpoint.go
+++ b/soaker/endpoint.go
@@ -14,6 +14,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"cactusroute.dev/adapters/pauser"
 )
 
 const (
@@ -163,7 +165,7 @@
 func (e *Endpoint) beat(ctx context.Context) {
 	for seq := uint64(1); ctx.Err() == nil; seq++ {
 		e.register(ctx, seq, false)
-		pause(ctx, beatInterval)
+		pauser.Pause(ctx, beatInterval)
 		e.mu.Lock()
 		drained := !e.drained.IsZero()
 		e.mu.Unlock()
@@ -183,7 +185,7 @@
 			e.checker.Drained(e)
 			return
 		}
-		pause(ctx, beatInterval)
+		pauser.Pause(ctx, beatInterval)
 	}
 }
 
@@ -195,10 +197,3 @@
 	}
 	return e.fleet.Order(ctx, http.MethodPut, "/v1/endpoints/"+e.id, bytes.Clone(body)) == http.StatusOK
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/soaker/faults.go
+++ b/soaker/faults.go
@@ -8,6 +8,8 @@
 	"path/filepath"
 	"syscall"
 	"time"
+
+	"cactusroute.dev/adapters/pauser"
 )
 
 // restartPause is how long a killed process stays down.
@@ -24,7 +26,7 @@
 		{"kill", func(ctx context.Context, s *run, n *Node, d time.Duration) {
 			n.Signal(syscall.SIGKILL)
 			n.Await(time.Second)
-			pause(ctx, d/2)
+			pauser.Pause(ctx, d/2)
 			s.start(n)
 		}},
 		{"terminate", func(_ context.Context, s *run, n *Node, _ time.Duration) {
@@ -34,7 +36,7 @@
 		}},
 		{"pause", func(ctx context.Context, _ *run, n *Node, d time.Duration) {
 			n.Signal(syscall.SIGSTOP)
-			pause(ctx, d)
+			pauser.Pause(ctx, d)
 			n.Signal(syscall.SIGCONT)
 		}},
 		{"silence", proxied(Silence)},
@@ -46,7 +48,7 @@
 			n.Signal(syscall.SIGKILL)
 			n.Await(time.Second)
 			s.tearLog(n)
-			pause(ctx, restartPause)
+			pauser.Pause(ctx, restartPause)
 			s.start(n)
 		}},
 	}
@@ -55,7 +57,7 @@
 func proxied(m Mode) func(ctx context.Context, s *run, n *Node, d time.Duration) {
 	return func(ctx context.Context, _ *run, n *Node, d time.Duration) {
 		n.proxy.Set(m)
-		pause(ctx, d)
+		pauser.Pause(ctx, d)
 		n.proxy.Set(Pass)
 	}
 }
@@ -82,7 +84,7 @@
 	if err := os.RemoveAll(n.settings.DataFolder); err != nil {
 		s.checker.Find("disk of %s can't be removed: %v", n.settings.Place.Name, err)
 	}
-	pause(ctx, restartPause)
+	pauser.Pause(ctx, restartPause)
 	s.start(n)
 }
 
@@ -94,7 +96,7 @@
 	for _, n := range s.fleet.Nodes {
 		n.Await(time.Second)
 	}
-	pause(ctx, restartPause)
+	pauser.Pause(ctx, restartPause)
 	for _, n := range s.fleet.Nodes {
 		s.start(n)
 	}
--- a/soaker/run.go
+++ b/soaker/run.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"cactusroute.dev/adapters/pauser"
 	"cactusroute.dev/core/planner"
 )
 
@@ -99,7 +100,7 @@
 		if err := s.fleet.Start(s.fleet.Nodes[i]); err != nil {
 			return err
 		}
-		pause(ctx, between(s.rng, 0, 60*time.Millisecond))
+		pauser.Pause(ctx, between(s.rng, 0, 60*time.Millisecond))
 	}
 	for end := time.Now().Add(startTimeout); s.checker.AckedVersion() == 0; {
 		if time.Now().After(end) {
@@ -167,7 +168,7 @@
 		} else {
 			s.read(ctx, s.fleet.Nodes[rng.IntN(len(s.fleet.Nodes))])
 		}
-		pause(ctx, between(rng, 50*time.Millisecond, 400*time.Millisecond))
+		pauser.Pause(ctx, between(rng, 50*time.Millisecond, 400*time.Millisecond))
 	}
 }
 
@@ -206,7 +207,7 @@
 			s.note("wipe " + n.settings.Place.Name)
 			s.checker.FaultUntil(time.Now().Add(calmFor))
 			s.wipe(ctx, n)
-			pause(ctx, 2*calmFor)
+			pauser.Pause(ctx, 2*calmFor)
 		case pick == len(all)+1:
 			wg.Wait()
 			s.note("kill all")
@@ -217,7 +218,7 @@
 		default:
 			s.faultyEndpoint(ctx, &wg, d)
 		}
-		pause(ctx, between(s.rng, 100*time.Millisecond, 1200*time.Millisecond))
+		pauser.Pause(ctx, between(s.rng, 100*time.Millisecond, 1200*time.Millisecond))
 	}
 	wg.Wait()
 }
@@ -261,9 +262,9 @@
 	}
 	go func() {
 		defer cancel()
-		pause(ctx, d)
+		pauser.Pause(ctx, d)
 		e.Drain(endCtx)
-		pause(ctx, drainFor)
+		pauser.Pause(ctx, drainFor)
 	}()
 }
 
@@ -281,7 +282,7 @@
 	e.SetFaulty(true)
 	wg.Go(func() {
 		defer cancel()
-		pause(ctx, d)
+		pauser.Pause(ctx, d)
 	})
 }
 
@@ -295,12 +296,12 @@
 					settleFor, filepath.Join(n.folder, "log"))
 				return
 			}
-			pause(ctx, 50*time.Millisecond)
+			pauser.Pause(ctx, 50*time.Millisecond)
 		}
 	}
-	pause(ctx, time.Second)
+	pauser.Pause(ctx, time.Second)
 	served, refused, failed := s.checker.Counts()
-	pause(ctx, time.Second)
+	pauser.Pause(ctx, time.Second)
 	served2, refused2, failed2 := s.checker.Counts()
 	all := served2 - served + refused2 - refused + failed2 - failed
 	if got := served2 - served; all == 0 || float64(got) < minServed*float64(all) {
@@ -318,7 +319,7 @@
 				s.checker.Find("%s doesn't return the plan at the end", n.settings.Place.Name)
 				break
 			}
-			pause(ctx, 50*time.Millisecond)
+			pauser.Pause(ctx, 50*time.Millisecond)
 		}
 	}
 }
