Tell loads both ways with the same state

Cause: router and control instance each kept what they had told last, when, and the numbers of the connection. Change: loadTeller serves both; a comment named the wrong method. Before and after: the same messages at the same times; the tests of the package pass.

--- a/adapters/exchanger/client.go
+++ b/adapters/exchanger/client.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"maps"
 	"time"
 
 	"cactusroute.dev/adapters/messenger"
@@ -13,7 +12,7 @@
 
 // Receiver takes what a control instance sends; its methods are called by one goroutine of the subscription.
 type Receiver interface {
-	// State returns the index of the state and the version of the plan that are held already.
+	// Held returns the index of the state and the version of the plan that are held already.
 	Held() (index, version uint64)
 	// StateReceived takes a newer state; plan is nil when the held version is in force.
 	StateReceived(index uint64, plan *archivist.Document, takenOut []string)
@@ -118,23 +117,21 @@
 func (s *Subscription) reportLoads(ctx context.Context, r Receiver) {
 	t := time.NewTicker(loadInterval)
 	defer t.Stop()
-	told, toldAt := Loads{}, time.Time{}
-	var known loadEncoder
+	var teller loadTeller
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-t.C:
 		}
-		if time.Since(toldAt) < loadPause(len(told)) {
+		if !teller.isDue() {
 			continue
 		}
 		loads := r.Loads()
-		if loads == nil || maps.Equal(loads, told) {
+		if loads == nil || !teller.hasChanged(loads) {
 			continue
 		}
-		told, toldAt = loads, time.Now()
-		if s.conn.Send(ctx, kindLoads, 0, known.encode(loads)) != nil {
+		if s.conn.Send(ctx, kindLoads, 0, teller.message(loads)) != nil {
 			s.Close()
 			return
 		}
--- a/adapters/exchanger/loads.go
+++ b/adapters/exchanger/loads.go
@@ -5,6 +5,7 @@
 	"errors"
 	"maps"
 	"slices"
+	"time"
 )
 
 // spareNumbers is how many numbers of endpoints that are gone a connection keeps beyond those in use; their names take
@@ -48,6 +49,26 @@
 	return m
 }
 
+// loadTeller holds what one direction of a connection was told last.
+type loadTeller struct {
+	encoder loadEncoder
+	told    Loads
+	toldAt  time.Time
+}
+
+// isDue reports whether the pause that the size of the last message asks for has passed.
+func (t *loadTeller) isDue() bool { return time.Since(t.toldAt) >= loadPause(len(t.told)) }
+
+func (t *loadTeller) hasChanged(loads Loads) bool { return !maps.Equal(loads, t.told) }
+
+// isOld reports whether the numbers have to be repeated, because they count for a second only.
+func (t *loadTeller) isOld() bool { return time.Since(t.toldAt) >= loadRefresh }
+
+func (t *loadTeller) message(loads Loads) loadsMessage {
+	t.told, t.toldAt = loads, time.Now()
+	return t.encoder.encode(loads)
+}
+
 // loadDecoder holds the names behind the numbers of one direction of a connection.
 type loadDecoder struct{ names []string }
 
--- a/adapters/exchanger/server.go
+++ b/adapters/exchanger/server.go
@@ -148,9 +148,7 @@
 	defer beat.Stop()
 	load := time.NewTicker(loadInterval)
 	defer load.Stop()
-	var told Loads
-	var toldAt time.Time
-	var known loadEncoder
+	var teller loadTeller
 	if err := s.flush(ctx, sub); err != nil {
 		return err
 	}
@@ -168,15 +166,14 @@
 		case <-beat.C:
 			err = sub.conn.Send(ctx, kindBeat, 0, beats.encode(s.source.Beat()))
 		case <-load.C:
-			if time.Since(toldAt) < loadPause(len(told)) {
+			if !teller.isDue() {
 				continue
 			}
 			loads := s.source.Loads(sub.contact)
-			if maps.Equal(loads, told) && time.Since(toldAt) < loadRefresh {
+			if !teller.hasChanged(loads) && !teller.isOld() {
 				continue
 			}
-			told, toldAt = loads, time.Now()
-			err = sub.conn.Send(ctx, kindLoads, 0, known.encode(loads))
+			err = sub.conn.Send(ctx, kindLoads, 0, teller.message(loads))
 		}
 		if err != nil {
 			return err
