--- a/adapters/forwarder/exchange.go
+++ b/adapters/forwarder/exchange.go
@@ -48,7 +48,6 @@
 	// Length is the length of the body, -1 when it isn't known.
 	Length int64
 	Body   io.ReadCloser
-	Reused bool // the connection was idle before
 }
 
 // Send sends a request and returns the head of its answer, or an *Error. The connection ends with ctx.
@@ -70,7 +69,6 @@
 		}
 		return nil, &Error{Ran: x.ran, Cause: err}
 	}
-	a.Reused = c.reused
 	return a, nil
 }
 
--- a/adapters/forwarder/pool.go
+++ b/adapters/forwarder/pool.go
@@ -47,7 +47,6 @@
 	address  string
 	idleFrom time.Time
 	idleTill time.Time
-	reused   bool
 }
 
 // writeNow writes what the buffers of the connection take without waiting, and returns its length.
@@ -121,7 +120,6 @@
 		}
 		if !fresh || now.Sub(c.idleFrom) <= freshLimit {
 			if c.isQuiet() {
-				c.reused = true
 				return c, nil
 			}
 		}
