Start nodes in one place, and parse the command line once

Change: node.Serve starts a node; launcher hands the settings file to serve through its context. The hand-written parser is removed; a test covers both forms of the flag.

--- a/adapters/launcher/launcher.go
+++ b/adapters/launcher/launcher.go
@@ -8,7 +8,6 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
-	"strings"
 	"syscall"
 
 	"github.com/urfave/cli/v3"
@@ -34,6 +33,16 @@
 	ProcessName() string
 }
 
+// fileKey is the key of the settings file in the context of serve.
+type fileKey struct{}
+
+// SettingsFile returns the file that the settings were read from, for a program that reads it again; ctx is that of
+// serve.
+func SettingsFile(ctx context.Context) string {
+	file, _ := ctx.Value(fileKey{}).(string) // empty outside of serve
+	return file
+}
+
 // usageError is an error of the command line or the settings.
 type usageError struct{ cause error }
 
@@ -51,19 +60,6 @@
 	}
 }
 
-// SettingsFile returns the settings file that a command line names, for programs that read it again.
-func SettingsFile(args []string) string {
-	for i, a := range args {
-		if v, ok := strings.CutPrefix(strings.TrimLeft(a, "-"), "config="); ok {
-			return v
-		}
-		if strings.TrimLeft(a, "-") == "config" && i+1 < len(args) {
-			return args[i+1]
-		}
-	}
-	return ""
-}
-
 func run(
 	ctx context.Context, name, usage string, s Settings, serve func(ctx context.Context, obs *observer.Observer) error,
 	args []string, stdout, stderr io.Writer,
@@ -116,7 +112,7 @@
 				process = n.ProcessName()
 			}
 			obs := observer.New(stderr, process)
-			if err := serve(ctx, obs); err != nil && !errors.Is(err, context.Canceled) {
+			if err := serve(context.WithValue(ctx, fileKey{}, file), obs); err != nil && !errors.Is(err, context.Canceled) {
 				return err
 			}
 			return nil
--- a/adapters/launcher/launcher_test.go
+++ b/adapters/launcher/launcher_test.go
@@ -58,3 +58,19 @@
 		})
 	}
 }
+
+// Guards against a program that looks for its settings elsewhere when it reads them again.
+func TestServeLearnsTheSettingsFile(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "settings.json")
+	assert.NilError(t, os.WriteFile(file, []byte(`{"place": {"name": "a", "region": "b", "failureDomain": "c"}}`), 0o600))
+	for _, args := range [][]string{{"prog", "--config", file}, {"prog", "-config=" + file}} {
+		var out strings.Builder
+		got := ""
+		serve := func(ctx context.Context, _ *observer.Observer) error {
+			got = SettingsFile(ctx)
+			return nil
+		}
+		assert.Equal(t, run(t.Context(), "prog", "", &testSettings{}, serve, args, &out, &out), 0, out.String())
+		assert.Equal(t, got, file)
+	}
+}
--- a/node/cmd/node/main.go
+++ b/node/cmd/node/main.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"os"
 
 	"cactusroute.dev/adapters/configurer"
 	"cactusroute.dev/adapters/launcher"
@@ -19,9 +18,6 @@
 	var s node.Settings
 	launcher.Run("node", "route requests to endpoints that register themselves", &s,
 		func(ctx context.Context, _ *observer.Observer) error {
-			queue := observer.NewQueue(os.Stdout)
-			n := node.New(s, node.OwnDialect(), observer.New(queue, s.Place.Name), queue)
-			n.Watch(ctx, launcher.SettingsFile(os.Args), load)
-			return n.Run(ctx)
+			return node.Serve(ctx, s, node.OwnDialect(), launcher.SettingsFile(ctx), load)
 		})
 }
--- a/node/node.go
+++ b/node/node.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"os"
 	"runtime"
 	"time"
 
@@ -15,8 +16,8 @@
 	"cactusroute.dev/adapters/forwarder"
 	"cactusroute.dev/adapters/messenger"
 	"cactusroute.dev/adapters/observer"
-	"cactusroute.dev/adapters/recorder"
 	"cactusroute.dev/adapters/pauser"
+	"cactusroute.dev/adapters/recorder"
 	"cactusroute.dev/adapters/server"
 	"cactusroute.dev/core/archivist"
 	"cactusroute.dev/core/planner"
@@ -63,6 +64,16 @@
 	return n
 }
 
+// Serve runs a node that logs to standard output and takes new seeds from the settings file, which load reads.
+func Serve(
+	ctx context.Context, s Settings, d Dialect, file string, load func(file string) (Settings, error),
+) error {
+	queue := observer.NewQueue(os.Stdout)
+	n := New(s, d, observer.New(queue, s.Place.Name), queue)
+	n.Watch(ctx, file, load)
+	return n.Run(ctx)
+}
+
 // Run serves until ctx ends and returns after the requests in progress have ended.
 func (n *Node) Run(ctx context.Context) error {
 	n.obs.Event("node started", "settings", fmt.Sprintf("%+v", n.settings), "cpus", runtime.NumCPU())
