Share the set-up of benchmarks

Cause: two benchmarks of the agent and two of the node repeated their set-up and their request. Change: newBenchAgent and post. The measured loops are the same.

--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -721,11 +721,10 @@
 	assert.Equal(t, d.movedTo(1, now), "")
 }
 
-// BenchmarkHandle compares a whole answer of one token through the agent's checks with a call of the engine.
-func BenchmarkHandle(b *testing.B) {
-	e := fakeengine.New(fakeengine.Config{Model: "m", Tokens: 1})
-	srv := httptest.NewServer(e)
-	defer srv.Close()
+// newBenchAgent returns a ready agent of the pool "pool" beside a fake engine.
+func newBenchAgent(b *testing.B, engine fakeengine.Config) *Agent {
+	srv := httptest.NewServer(fakeengine.New(engine))
+	b.Cleanup(srv.Close)
 	c := &fakeControl{incarnation: 3, view: *viewer.NewView()}
 	c.view.Pools["pool"] = bundler.Pool{Name: "pool", Kind: bundler.PoolModel, Model: "m", MaxConcurrency: 8}
 	c.view.Endpoints["e1"] = viewer.Endpoint{Name: "e1", Pool: "pool"}
@@ -733,6 +732,12 @@
 	s.Place.Name = "e1"
 	a := newAgent(b.Context(), s, observer.New(io.Discard, "agent"), c, nil)
 	a.monitor.isReady.Store(true)
+	return a
+}
+
+// BenchmarkHandle compares a whole answer of one token through the agent's checks with a call of the engine.
+func BenchmarkHandle(b *testing.B) {
+	a := newBenchAgent(b, fakeengine.Config{Model: "m", Tokens: 1})
 	req := chat("wool")
 	req.Deadline = time.Now().Add(time.Hour)
 	b.Run("agent", func(b *testing.B) {
@@ -746,7 +751,7 @@
 	b.Run("direct", func(b *testing.B) {
 		b.ReportAllocs()
 		for b.Loop() {
-			resp, err := a.endpoint.requests.Post(srv.URL+req.Path, req.Type, bytes.NewReader(req.Body))
+			resp, err := a.endpoint.requests.Post(a.settings.Endpoint+req.Path, req.Type, bytes.NewReader(req.Body))
 			if err != nil {
 				b.Fatal(err)
 			}
--- a/agent/path_test.go
+++ b/agent/path_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http/httptest"
 	"strings"
 	"sync/atomic"
@@ -12,25 +11,14 @@
 	"time"
 
 	"cactusroute.dev/adapters/messenger"
-	"cactusroute.dev/adapters/observer"
 	"cactusroute.dev/adapters/relayer"
-	"cactusroute.dev/core/bundler"
-	"cactusroute.dev/core/viewer"
 	"cactusroute.dev/fakeengine"
 )
 
 // BenchmarkPath runs whole requests of 100 tokens from a router's client through an agent to an engine over loopback,
 // and probes for a chat that is not cached.
 func BenchmarkPath(b *testing.B) {
-	srv := httptest.NewServer(fakeengine.New(fakeengine.Config{Model: "m", Tokens: 100, TokenGap: time.Microsecond}))
-	defer srv.Close()
-	c := &fakeControl{incarnation: 3, view: *viewer.NewView()}
-	c.view.Pools["pool"] = bundler.Pool{Name: "pool", Kind: bundler.PoolModel, Model: "m", MaxConcurrency: 8}
-	c.view.Endpoints["e1"] = viewer.Endpoint{Name: "e1", Pool: "pool"}
-	s := Settings{Endpoint: srv.URL, Pool: "pool"}
-	s.Place.Name = "e1"
-	a := newAgent(b.Context(), s, observer.New(io.Discard, "agent"), c, nil)
-	a.monitor.isReady.Store(true)
+	a := newBenchAgent(b, fakeengine.Config{Model: "m", Tokens: 100, TokenGap: time.Microsecond})
 	port := httptest.NewServer(a.Handler())
 	defer port.Close()
 	ctx, cancel := context.WithCancel(b.Context())
--- a/node/bench_test.go
+++ b/node/bench_test.go
@@ -13,6 +13,20 @@
 // benchEvents is the number of events of a stream in BenchmarkEvent.
 const benchEvents = 1000
 
+// post sends a request with the usual headers and drops its answer.
+func post(b *testing.B, url string, body io.Reader) {
+	b.Helper()
+	r, err := http.NewRequest(http.MethodPost, url, body)
+	assert.NilError(b, err)
+	r.Host = "h.example"
+	r.Header.Set("Req-Id", "id-1")
+	r.Header.Set("Api-Key", "key")
+	resp, err := http.DefaultClient.Do(r)
+	assert.NilError(b, err)
+	_, _ = io.Copy(io.Discard, resp.Body)
+	_ = resp.Body.Close()
+}
+
 // BenchmarkRequest gives the cost of a request with a body of 2 KB, with that of the caller and the endpoint in the
 // same process.
 func BenchmarkRequest(b *testing.B) {
@@ -20,15 +34,7 @@
 	body := strings.Repeat("x", 2<<10)
 	b.ReportAllocs()
 	for b.Loop() {
-		r, err := http.NewRequest(http.MethodPost, f.url+"/safe/", strings.NewReader(body))
-		assert.NilError(b, err)
-		r.Host = "h.example"
-		r.Header.Set("Req-Id", "id-1")
-		r.Header.Set("Api-Key", "key")
-		resp, err := http.DefaultClient.Do(r)
-		assert.NilError(b, err)
-		_, _ = io.Copy(io.Discard, resp.Body)
-		_ = resp.Body.Close()
+		post(b, f.url+"/safe/", strings.NewReader(body))
 	}
 }
 
@@ -51,15 +57,7 @@
 		if n%benchEvents != 0 {
 			continue
 		}
-		r, err := http.NewRequest(http.MethodPost, f.url+"/resume/", nil)
-		assert.NilError(b, err)
-		r.Host = "h.example"
-		r.Header.Set("Req-Id", "id-1")
-		r.Header.Set("Api-Key", "key")
-		resp, err := http.DefaultClient.Do(r)
-		assert.NilError(b, err)
-		_, _ = io.Copy(io.Discard, resp.Body)
-		_ = resp.Body.Close()
+		post(b, f.url+"/resume/", nil)
 	}
 }
 
