Remove twins from the decisions of a node

Cause: a read of the whole change found: plans and other orders were proposed and logged by two pieces of code; three ends of an attempt decided alike about a repeat; three takers of suspects told the subscribers; the names of kinds stood twice; a beat with the list of control instances was made twice a second for one number of it; the costs of choosing a control instance were bare numbers; a time in the view was read nowhere. Change: propose, brokeOff and repeatOrEnd, addSuspects, Kind.String, attachedRouters, named constants with their reasons. Before and after: the same decisions; the tests of node, platform and soaker pass unchanged.

--- a/node/control.go
+++ b/node/control.go
@@ -68,19 +68,21 @@
 	if plan.Version <= h.archive.State().Plan.Version {
 		return nil // a newer or the same version is in force
 	}
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
-	defer cancel()
-	err = h.propose(ctx, archivist.Command{Plan: &archivist.Document{Version: plan.Version, Content: content}})
-	f.logOrder("plan", plan.Version, err)
-	return err
+	return f.propose(ctx, h, "plan", plan.Version,
+		archivist.Command{Plan: &archivist.Document{Version: plan.Version, Content: content}})
 }
 
-func (f *fleet) logOrder(order string, what any, err error) {
+// propose has an operator's order committed, and logs how it ended.
+func (f *fleet) propose(ctx context.Context, h *hub, order string, what any, cmd archivist.Command) error {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	err := h.propose(ctx, cmd)
 	if err != nil {
 		f.log.failure("msg", "operator order not acknowledged", "order", order, "value", what, "err", err)
-		return
+		return err
 	}
 	f.log.belief("operator order committed", "order", order, "value", what)
+	return nil
 }
 
 // Plan implements Control.
@@ -116,11 +118,7 @@
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
-	defer cancel()
-	err = h.propose(ctx, cmd)
-	f.logOrder(name, domain, err)
-	return err
+	return f.propose(ctx, h, name, domain, cmd)
 }
 
 // Register implements Control. A draining endpoint is acknowledged only by an instance with a majority, because the
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -34,21 +34,26 @@
 // Beat implements exchanger.Source.
 func (f *fleet) Beat() exchanger.Beat {
 	b := exchanger.Beat{Quorate: f.hub.isQuorate(), Hubs: f.quorateHubs()}
-	now := time.Now()
+	b.Attached, b.Routers = f.attachedRouters(time.Now())
+	return b
+}
+
+// attachedRouters returns the routers that are subscribed here, and all nodes that route requests, as far as known.
+func (f *fleet) attachedRouters(now time.Time) (here, all int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for name, a := range f.attached {
 		if _, isHub := f.hubs[name]; a.count > 0 && !isHub {
-			b.Attached++
+			here++
 		}
 	}
-	b.Routers = b.Attached + 1
+	all = here + 1
 	for name, h := range f.hubs {
 		if name != f.self.Name && now.Sub(h.quorate) <= hubFor {
-			b.Routers += h.attached + 1
+			all += h.attached + 1
 		}
 	}
-	return b
+	return here, all
 }
 
 // Attached implements exchanger.Source.
@@ -102,17 +107,12 @@
 	if to.Eligible {
 		return sum
 	}
-	f.addPeerLoads(sum)
-	return sum
-}
-
-// addPeerLoads adds the requests at the other control instances and their routers; the caller holds mu.
-func (f *fleet) addPeerLoads(sum exchanger.Loads) {
 	for name, h := range f.hubs {
 		if name != f.self.Name {
 			addLoads(sum, h.loads)
 		}
 	}
+	return sum
 }
 
 func addLoads(sum, more exchanger.Loads) {
@@ -122,11 +122,7 @@
 }
 
 // Suspects implements exchanger.Source.
-func (f *fleet) Suspects(list []exchanger.Suspect) {
-	if f.addSuspects(list) {
-		f.hub.server.SuspectsChanged(list)
-	}
-}
+func (f *fleet) Suspects(list []exchanger.Suspect) { f.addSuspects(list) }
 
 // AllSuspects implements exchanger.Source.
 func (f *fleet) AllSuspects() (list []exchanger.Suspect) {
@@ -178,11 +174,7 @@
 }
 
 // SuspectsReceived implements exchanger.Receiver.
-func (r *receiver) SuspectsReceived(list []exchanger.Suspect) {
-	if r.fleet.addSuspects(list) && r.fleet.hub != nil {
-		r.fleet.hub.server.SuspectsChanged(list)
-	}
-}
+func (r *receiver) SuspectsReceived(list []exchanger.Suspect) { r.fleet.addSuspects(list) }
 
 // Loads implements exchanger.Receiver.
 func (r *receiver) Loads() exchanger.Loads {
@@ -299,6 +291,23 @@
 	}
 }
 
+// The costs by which control instances are compared, in that order of weight: one that failed just now, one without a
+// majority, one in another failure domain.
+const (
+	costFailed     = 1000
+	costNotQuorate = 100
+	costAway       = 1
+
+	// failedFor is the time over which the cost of a failure falls to nothing; restarts are shorter.
+	failedFor = 10 * time.Second
+
+	// costTooSoon is what a failure costs after a second: before that, none is tried again.
+	costTooSoon = 900
+
+	// steadyAfter is how long a subscription has lasted whose end is worth a line.
+	steadyAfter = time.Second
+)
+
 // nextHub returns the control instance to try next: one that is said to have a majority, that didn't fail lately, in
 // the own failure domain.
 func (f *fleet) nextHub() (best exchanger.Contact, ok bool) {
@@ -313,20 +322,19 @@
 		}
 		cost := 0.0
 		if now.Sub(h.quorate) > hubFor {
-			cost += 100
+			cost += costNotQuorate
 		}
-		if d := now.Sub(h.failed); !h.failed.IsZero() && d < 10*time.Second {
-			cost += 1000 - 100*d.Seconds()
+		if d := now.Sub(h.failed); !h.failed.IsZero() && d < failedFor {
+			cost += costFailed * float64(failedFor-d) / float64(failedFor)
 		}
 		if h.Domain != f.self.Domain {
-			cost++
+			cost += costAway
 		}
 		if !ok || cost < bestCost {
 			best, bestCost, ok = h.Contact, cost, true
 		}
 	}
-	if ok && bestCost > 900 {
-		// All were tried within the last second.
+	if ok && bestCost > costTooSoon {
 		return exchanger.Contact{}, false
 	}
 	return best, ok
@@ -372,7 +380,7 @@
 		if gone {
 			return
 		}
-		if time.Since(began) > time.Second && ctx.Err() == nil {
+		if time.Since(began) > steadyAfter && ctx.Err() == nil {
 			f.log.belief("peer instance lost", "instance", c.Name, "address", c.Address, "err", err)
 		}
 		pauser.Pause(ctx, seekInterval)
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -340,7 +340,7 @@
 		held := f.held
 		f.mu.Unlock()
 		old := f.view.Load()
-		v := &view{plan: old.plan, index: held.index, takenOut: held.takenOut, at: time.Now()}
+		v := &view{plan: old.plan, index: held.index, takenOut: held.takenOut}
 		if held.plan.Version > 0 && (old.plan == nil || held.plan.Version > old.plan.Version) {
 			plan, err := f.dialect.DecodePlan(held.plan.Content)
 			if err != nil {
@@ -383,17 +383,22 @@
 	if !f.addSuspects([]exchanger.Suspect{s}) {
 		return
 	}
-	if f.hub != nil {
-		f.hub.server.SuspectsChanged([]exchanger.Suspect{s})
-	}
 	select {
 	case f.report <- s:
 	default: // the reports are an estimate; a later one makes up for a lost one
 	}
 }
 
-// addSuspects returns whether anything was new.
+// addSuspects takes suspects, tells the subscribers of a control instance, and returns whether anything was new.
 func (f *fleet) addSuspects(list []exchanger.Suspect) (isNew bool) {
+	isNew = f.noteSuspects(list)
+	if isNew && f.hub != nil {
+		f.hub.server.SuspectsChanged(list)
+	}
+	return isNew
+}
+
+func (f *fleet) noteSuspects(list []exchanger.Suspect) (isNew bool) {
 	now := time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -432,7 +437,8 @@
 		f.endpointsChanged(changed, "noHeartbeat")
 	}
 	if f.hub != nil {
-		f.countRouters(f.Beat().Routers)
+		_, all := f.attachedRouters(now)
+		f.countRouters(all)
 	}
 }
 
--- a/node/transfer.go
+++ b/node/transfer.go
@@ -241,12 +241,21 @@
 		}
 		return again, ref
 	}
-	f.suspect(q, c)
-	ref := refusal{status: http.StatusBadGateway, reason: "endpointBroke", detail: []any{"err", err}}
+	return t.brokeOff(c, err)
+}
+
+// brokeOff decides after an attempt that may have run and has no whole answer.
+func (t *transfer) brokeOff(c chooser.Choice, err error) (verdict, refusal) {
+	t.front.suspect(t.request, c)
+	return t.repeatOrEnd(), refusal{status: http.StatusBadGateway, reason: "endpointBroke", detail: []any{"err", err}}
+}
+
+// repeatOrEnd tells what follows from an attempt that has run without success.
+func (t *transfer) repeatOrEnd() verdict {
 	if t.canRepeat() {
-		return again, ref
+		return again
 	}
-	return t.end(), ref
+	return t.end()
 }
 
 // learn takes what an answer says of its endpoint.
@@ -312,11 +321,8 @@
 	if err == nil && len(body) <= bufferedBytes {
 		t.kept = &keptAnswer{answer: a, body: body}
 	}
-	ref := refusal{status: http.StatusBadGateway, reason: "endpointError", detail: []any{"endpointStatus", a.Status}}
-	if t.canRepeat() {
-		return again, ref
-	}
-	return t.end(), ref
+	return t.repeatOrEnd(), refusal{status: http.StatusBadGateway, reason: "endpointError",
+		detail: []any{"endpointStatus", a.Status}}
 }
 
 // copyHead gives the caller the head of the answer, once.
@@ -425,16 +431,11 @@
 	if isGone(ctx) {
 		return left, refusal{reason: "callerLeft"}
 	}
-	ref := refusal{status: http.StatusBadGateway, reason: "endpointBroke", detail: []any{"err", err}}
 	if !time.Now().Before(t.request.deadline) {
 		return t.end(), refusal{status: http.StatusGatewayTimeout, reason: "deadline", detail: []any{"err", err}}
 	}
 	t.front.fleet.routing.with(func(ch *chooser.Chooser) { ch.Failed(time.Now(), c.Endpoint) })
-	t.front.suspect(t.request, c)
-	if t.canRepeat() {
-		return again, ref
-	}
-	return t.end(), ref
+	return t.brokeOff(c, err)
 }
 
 // finish ends the request as its last attempt decided.
@@ -459,7 +460,7 @@
 	case left:
 		outcome = "callerLeft"
 	}
-	kind := [...]string{"once", "repeatable", "stream"}[q.route.Kind]
+	kind := q.route.Kind.String()
 	firstMs := int64(-1)
 	if !t.firstAt.IsZero() {
 		f.metrics.firstEvent.WithLabelValues(kind).Observe(t.firstAt.Sub(q.began).Seconds())
--- a/node/view.go
+++ b/node/view.go
@@ -17,7 +17,6 @@
 	plan     *planner.Plan // nil until one is known
 	index    uint64        // of the replicated state
 	takenOut map[string]bool
-	at       time.Time
 }
 
 // routing is what the requests of this node share: endpoints as this node sees them and the retry budget.
