Bound what an endpoint may send in one exchange

Cause: http.ReadResponse read from the connection without a limit, so a header line, fields, 1xx responses or garbage without end were kept in memory until the deadline of the request; the event splitter of node kept a stream without an empty line whole and searched it from its start on every read.

Change: the forwarder reads heads line by line within bounds on bytes, fields and informational responses, passes only complete heads to the HTTP parser, and reads bodies, chunk framing and trailers itself, each with a bound. The event splitter scans each byte once, knows LF, CR and CR LF and bounds one event. Error and rejection bodies above the buffer count as broken. Bounds are settings (endpointLimits), one log line and a metric name the bound that was exceeded.

Also: on a reused connection a failure without a request ID is no longer taken for the answer, a head that contains another status line is malformed, a response with two IDs belongs to nobody, and a request without an ID gets a new connection.

Conclusion: one endpoint can no longer exhaust a router by its response.

--- a/adapters/forwarder/exchange.go
+++ b/adapters/forwarder/exchange.go
@@ -1,11 +1,9 @@
 package forwarder
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -13,16 +11,8 @@
 	"time"
 )
 
-const (
-	// maxJoinedBytes is the size up to which the header and the body are copied into one buffer, to save a system call.
-	maxJoinedBytes = 32 << 10
-
-	// maxSkippedResponses bounds the responses to other requests that are skipped before the right one.
-	maxSkippedResponses = 2
-
-	// maxSkippedBodyBytes bounds the body of a skipped response.
-	maxSkippedBodyBytes = 1 << 20
-)
+// maxJoinedBytes is the size up to which the header and the body are copied into one buffer, to save a system call.
+const maxJoinedBytes = 32 << 10
 
 // Request is one request to an endpoint.
 type Request struct {
@@ -54,7 +44,7 @@
 // exchange, also while the body is read.
 func (p *Pool) Send(ctx context.Context, r *Request) (*Response, error) {
 	dialCtx, cancel := context.WithDeadline(ctx, r.Deadline)
-	c, err := p.get(dialCtx, r.Address, r.FreshConn)
+	c, err := p.get(dialCtx, r)
 	cancel()
 	if err != nil {
 		return nil, &Error{Outcome: NotSent, Cause: err}
@@ -82,7 +72,7 @@
 	writeErr       error         // valid once written is closed
 	outcome        Outcome
 	idleTimeout    time.Duration
-	body           io.ReadCloser
+	body           io.Reader
 	bodyRead       bool
 	closed         bool
 }
@@ -151,44 +141,49 @@
 
 // readResponse reads the header of the response to r. It skips late responses to earlier requests.
 func (x *exchange) readResponse(r *Request) (*Response, error) {
-	for range maxSkippedResponses + 1 {
-		resp, err := readFinalResponse(x.conn.br, r.Method) //nolint:bodyclose // read to its end here, or by the caller
+	limits := &x.pool.limits
+	for skipped := int64(0); ; {
+		resp, err := x.readFinalHead(r.Method) //nolint:bodyclose // has the head only
 		if err != nil {
 			return nil, err
 		}
-		if id, ok := resp.Header[r.IDHeader]; ok && len(id) > 0 && id[0] == r.ID ||
-			!ok && resp.StatusCode >= http.StatusBadRequest {
-			return x.newResponse(resp), nil
+		body, err := x.conn.newBody(resp, limits)
+		if err != nil {
+			return nil, err
 		}
-		if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
-			return nil, errors.New("response to another request is delimited by the end of the connection")
+		if x.isResponseTo(r, resp) {
+			return x.newResponse(resp, body), nil
 		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxSkippedBodyBytes)); err != nil {
+		skipped++
+		if err := checkLimit(BoundSkippedResponses, limits.SkippedResponses, skipped); err != nil {
 			return nil, err
 		}
-	}
-	return nil, errors.New("received only responses to other requests")
-}
-
-func readFinalResponse(br *bufio.Reader, method string) (*http.Response, error) {
-	for {
-		resp, err := http.ReadResponse(br, &http.Request{Method: method})
+		if _, ok := body.(*closeDelimitedBody); ok {
+			return nil, errors.New("response to another request is delimited by the end of the connection")
+		}
+		n, err := io.Copy(io.Discard, io.LimitReader(body, limits.SkippedBodyBytes+1))
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode < http.StatusContinue || resp.StatusCode == http.StatusSwitchingProtocols {
-			return nil, fmt.Errorf("invalid response status %d", resp.StatusCode)
-		}
-		if resp.StatusCode >= http.StatusOK {
-			return resp, nil
+		if err := checkLimit(BoundSkippedBodyBytes, limits.SkippedBodyBytes, n); err != nil {
+			return nil, err
 		}
 	}
 }
 
-func (x *exchange) newResponse(resp *http.Response) *Response {
-	x.body = resp.Body
-	closeDelimited := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
-	if !resp.Close && !closeDelimited && resp.ProtoAtLeast(1, 1) {
+// isResponseTo reports whether a response belongs to r. A failure without an ID is accepted on a new connection only:
+// on a reused one it may be a late response to an earlier request.
+func (x *exchange) isResponseTo(r *Request, resp *http.Response) bool {
+	if id, ok := resp.Header[r.IDHeader]; ok {
+		return len(id) == 1 && id[0] == r.ID
+	}
+	return !x.conn.reused && (resp.StatusCode >= http.StatusBadRequest || r.ID == "")
+}
+
+func (x *exchange) newResponse(resp *http.Response, body io.Reader) *Response {
+	x.body = body
+	_, isCloseDelimited := body.(*closeDelimitedBody)
+	if !resp.Close && !isCloseDelimited && resp.ProtoAtLeast(1, 1) {
 		x.idleTimeout = parseIdleTimeout(resp.Header.Get("Keep-Alive"))
 	}
 	return &Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Body: x}
--- a/adapters/forwarder/forwarder_test.go
+++ b/adapters/forwarder/forwarder_test.go
@@ -84,7 +84,7 @@
 			_, _ = io.WriteString(c, formatResponse(r.Header.Get("X-Id"), strconv.FormatBool(ok)))
 		}
 	})
-	p := NewPool()
+	p := NewPool(DefaultLimits())
 	for range 3 {
 		assert.Equal(t, sendAndRead(t, p, newRequest(address, "1", body)), "true")
 	}
@@ -111,7 +111,7 @@
 				}
 			}
 		})
-		p := NewPool()
+		p := NewPool(DefaultLimits())
 		for _, id := range []string{"1", "2", "3"} {
 			assert.Equal(t, sendAndRead(t, p, newRequest(address, id, nil)), "response "+id, "late %v", late)
 			time.Sleep(5 * time.Millisecond) // lets an extra response arrive
@@ -137,7 +137,7 @@
 			mixed.Store(true)
 		}
 	})
-	p := NewPool()
+	p := NewPool(DefaultLimits())
 	assert.Equal(t, sendAndRead(t, p, newRequest(address, "1", body)), "early")
 	assert.Equal(t, sendAndRead(t, p, newRequest(address, "2", body)), "early")
 	assert.Assert(t, !mixed.Load())
@@ -172,7 +172,7 @@
 				_ = conn.(*net.TCPConn).SetLinger(0)
 			}
 		})
-		resp, err := NewPool().Send(context.Background(), newRequest(address, "1", []byte("body")))
+		resp, err := NewPool(DefaultLimits()).Send(context.Background(), newRequest(address, "1", []byte("body")))
 		var sendErr *Error
 		if c.sendFails {
 			assert.Assert(t, errors.As(err, &sendErr), c.name)
@@ -193,7 +193,7 @@
 			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\nwhole")
 		}
 	})
-	p := NewPool()
+	p := NewPool(DefaultLimits())
 	assert.Equal(t, sendAndRead(t, p, newRequest(address, "1", nil)), "whole")
 	assert.Equal(t, openCount(p, address), 0)
 }
@@ -215,7 +215,7 @@
 			}
 		}
 	})
-	p := NewPool()
+	p := NewPool(DefaultLimits())
 	assert.Equal(t, sendAndRead(t, p, newRequest(address, "1", nil)), "1")
 	<-closed
 	time.Sleep(10 * time.Millisecond) // lets the end of the connection arrive
@@ -233,7 +233,7 @@
 			_, _ = io.WriteString(c, formatResponse(r.Header.Get("X-Id"), strconv.Itoa(n)))
 		}
 	})
-	p := NewPool()
+	p := NewPool(DefaultLimits())
 	assert.Equal(t, sendAndRead(t, p, newRequest(address, "1", nil)), "1")
 	p.mu.Lock()
 	p.idle[address][0].idleSince = time.Now().Add(-2 * maxFreshIdleTime)
@@ -251,7 +251,7 @@
 	assert.NilError(t, err)
 	address := ln.Addr().String()
 	assert.NilError(t, ln.Close())
-	_, err = NewPool().Send(context.Background(), newRequest(address, "1", nil))
+	_, err = NewPool(DefaultLimits()).Send(context.Background(), newRequest(address, "1", nil))
 	var sendErr *Error
 	assert.Assert(t, errors.As(err, &sendErr))
 	assert.Equal(t, sendErr.Outcome, NotSent)
@@ -270,7 +270,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() {
-		_, err := NewPool().Send(ctx, newRequest(address, "1", nil))
+		_, err := NewPool(DefaultLimits()).Send(ctx, newRequest(address, "1", nil))
 		done <- err
 	}()
 	<-arrived
@@ -321,7 +321,7 @@
 			}()
 		}
 	}()
-	p := NewPool()
+	p := NewPool(DefaultLimits())
 	r := newRequest(ln.Addr().String(), "1", make([]byte, 2<<10))
 	b.ReportAllocs()
 	for b.Loop() {
@@ -353,7 +353,7 @@
 			_, _ = io.WriteString(c, formatResponse(r.Header.Get("X-Id"), "answer"))
 		}
 	})
-	p := NewPool()
+	p := NewPool(DefaultLimits())
 	body := bytes.Repeat([]byte("x"), 100<<10)
 	for range 500 {
 		assert.Equal(t, sendAndRead(t, p, newRequest(address, "1", body)), "answer")
--- a/adapters/forwarder/pool.go
+++ b/adapters/forwarder/pool.go
@@ -37,7 +37,8 @@
 	// the connection meanwhile, it is unknown whether it has executed the request.
 	maxFreshIdleTime = 250 * time.Millisecond
 
-	// readBufferBytes is enough for the header and the first events of most responses.
+	// readBufferBytes is enough for the header and the first events of most responses, and for a chunk size of the
+	// longest allowed length.
 	readBufferBytes = 4 << 10
 )
 
@@ -45,7 +46,9 @@
 type conn struct {
 	net.Conn
 	br        *bufio.Reader
+	head      []byte // buffer of the head that is being read
 	address   string
+	reused    bool // an earlier request was sent on the connection
 	idleSince time.Time
 	idleUntil time.Time
 }
@@ -85,6 +88,7 @@
 // Pool keeps idle connections to endpoints for reuse.
 type Pool struct {
 	dialer net.Dialer
+	limits Limits
 
 	mu        sync.Mutex
 	idle      map[string][]*conn
@@ -93,8 +97,8 @@
 }
 
 // NewPool returns a pool without connections.
-func NewPool() *Pool {
-	return &Pool{
+func NewPool(limits Limits) *Pool {
+	return &Pool{limits: limits,
 		dialer: net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle,
 			Interval: keepAliveInterval, Count: keepAliveCount}, Control: setUserTimeout},
 		idle: map[string][]*conn{}, openCount: map[string]int{},
@@ -111,33 +115,34 @@
 	return err
 }
 
-// get returns an idle or new connection to the address; fresh requires one that was idle for at most maxFreshIdleTime.
-func (p *Pool) get(ctx context.Context, address string, fresh bool) (*conn, error) {
+// get returns an idle or new connection for a request.
+func (p *Pool) get(ctx context.Context, r *Request) (*conn, error) {
 	now := time.Now()
-	for {
-		c := p.popIdle(address, now)
+	for r.ID != "" { // without an ID, only a new connection can't have the response to another request
+		c := p.popIdle(r.Address, now)
 		if c == nil {
 			break
 		}
-		if !fresh || now.Sub(c.idleSince) <= maxFreshIdleTime {
+		if !r.FreshConn || now.Sub(c.idleSince) <= maxFreshIdleTime {
 			if c.isReusable() {
+				c.reused = true
 				return c, nil
 			}
 		}
 		p.close(c)
-		if fresh {
+		if r.FreshConn {
 			break // a new connection replaces the closed one, so that their number doesn't grow
 		}
 	}
-	nc, err := p.dialer.DialContext(ctx, "tcp", address)
+	nc, err := p.dialer.DialContext(ctx, "tcp", r.Address)
 	if err != nil {
 		return nil, err
 	}
 	p.mu.Lock()
-	p.openCount[address]++
+	p.openCount[r.Address]++
 	p.dialCount++
 	p.mu.Unlock()
-	return &conn{Conn: nc, br: bufio.NewReaderSize(nc, readBufferBytes), address: address}, nil
+	return &conn{Conn: nc, br: bufio.NewReaderSize(nc, readBufferBytes), address: r.Address}, nil
 }
 
 // popIdle removes and returns the most recently used idle connection, so that the least recently used ones expire.
--- a/node/bench_test.go
+++ b/node/bench_test.go
@@ -62,10 +62,12 @@
 
 // BenchmarkEventSplitter measures the splitting of one event.
 func BenchmarkEventSplitter(b *testing.B) {
-	var splitter eventSplitter
+	splitter := eventSplitter{maxEventBytes: defaultEventBytes}
 	data := []byte(testEvent(123456))
 	b.ReportAllocs()
 	for b.Loop() {
-		splitter.split(data)
+		if _, err := splitter.split(data); err != nil {
+			b.Fatal(err)
+		}
 	}
 }
--- a/node/fakes_test.go
+++ b/node/fakes_test.go
@@ -162,8 +162,9 @@
 	queue := observer.NewAsyncWriter(out)
 	obs := observer.New(queue, "test")
 	log := newRateLimitedLog(obs, queue)
-	f := newFleet(testSettings("router"), testDialect(), log)
-	pool := forwarder.NewPool()
+	settings := testSettings("router")
+	f := newFleet(settings, testDialect(), log)
+	pool := forwarder.NewPool(settings.EndpointLimits.Limits)
 	p := &proxy{dialect: testDialect(), fleet: f, pool: pool, log: log, metrics: newMetrics(obs, f, pool, queue)}
 	if plan != nil {
 		assert.NilError(t, plan.Index())
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -17,6 +17,7 @@
 	eventGap  prometheus.Histogram     // between writes of a stream
 	retries   *prometheus.CounterVec   // cause
 	refusals  *prometheus.CounterVec   // reason
+	limits    *prometheus.CounterVec   // bound
 }
 
 // latencyBuckets range from a local response to the longest stream, in seconds.
@@ -40,12 +41,14 @@
 			Help: "Retries of requests by cause."}, []string{"cause"}),
 		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cactusroute_refusals_total",
 			Help: "Requests refused by this node by reason."}, []string{"reason"}),
+		limits: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cactusroute_endpoint_limits_total",
+			Help: "Exchanges ended because an endpoint sent more than a bound allows, by bound."}, []string{"bound"}),
 	}
 	m.waitTime = prometheus.NewHistogram(prometheus.HistogramOpts{Name: "cactusroute_wait_seconds",
 		Help: "Time that a request waited for the first plan or an available endpoint.", Buckets: waitBuckets()})
 	m.eventGap = prometheus.NewHistogram(prometheus.HistogramOpts{Name: "cactusroute_event_gap_seconds",
 		Help: "Time between consecutive writes of a stream to its caller.", Buckets: latencyBuckets()})
-	obs.Registry.MustRegister(m.requests, m.firstByte, m.duration, m.waitTime, m.eventGap, m.retries, m.refusals,
+	obs.Registry.MustRegister(m.requests, m.firstByte, m.duration, m.waitTime, m.eventGap, m.retries, m.refusals, m.limits,
 		newRoutingCollector(f.routing))
 	for _, g := range []struct {
 		name, help string
--- a/node/node.go
+++ b/node/node.go
@@ -52,7 +52,7 @@
 		})
 		f.control.server = exchanger.NewServer(messenger.Options{}, f)
 	}
-	pool := forwarder.NewPool()
+	pool := forwarder.NewPool(s.EndpointLimits.Limits)
 	n := &Node{settings: s, obs: obs, queue: queue, fleet: f}
 	n.front = &proxy{dialect: d, fleet: f, pool: pool, log: log, metrics: newMetrics(obs, f, pool, queue)}
 	n.ready.Check = func() error {
--- a/node/proxy.go
+++ b/node/proxy.go
@@ -97,7 +97,8 @@
 		return
 	}
 	p.fleet.routing.countFirstAttempt(q.receivedAt, q.service.Name)
-	t := &transfer{proxy: p, request: q, w: w}
+	t := &transfer{proxy: p, request: q, w: w,
+		splitter: eventSplitter{maxEventBytes: p.fleet.settings.EndpointLimits.EventBytes}}
 	t.run(r.Context())
 }
 
--- a/node/settings.go
+++ b/node/settings.go
@@ -5,6 +5,7 @@
 	"errors"
 
 	"cactusroute.dev/adapters/configurer"
+	"cactusroute.dev/adapters/forwarder"
 	"cactusroute.dev/core/chooser"
 )
 
@@ -20,6 +21,7 @@
 	defaultLoadOver           = 2
 	defaultLoadSlack          = 3
 	defaultMinVoters          = 1
+	defaultEventBytes         = 256 << 10
 )
 
 // Settings are the settings of a node.
@@ -42,6 +44,8 @@
 	RetryBudget RetryBudget `json:"retryBudget,omitzero"`
 	// Load bounds the requests in flight at one endpoint, summed over all nodes.
 	Load LoadLimits `json:"load,omitzero"`
+	// EndpointLimits bound what an endpoint may send in one exchange.
+	EndpointLimits EndpointLimits `json:"endpointLimits,omitzero"`
 }
 
 // Listen holds the host:port of each interface; an empty one disables the interface. The exchange is required.
@@ -70,6 +74,14 @@
 	LoadSlack float64 `json:"loadSlack"`
 }
 
+// EndpointLimits bound the responses of endpoints; an exchange beyond a bound ends.
+type EndpointLimits struct {
+	forwarder.Limits
+
+	// EventBytes bounds one event of a stream.
+	EventBytes int64 `json:"eventBytes,omitempty"`
+}
+
 // ProcessName returns the process name in log lines.
 func (s *Settings) ProcessName() string { return s.Place.Name }
 
@@ -87,6 +99,15 @@
 		{"minVoters", float64(s.MinVoters)}, {"heartbeatMillis", float64(s.HeartbeatMillis)},
 		{"graceMillis", float64(s.GraceMillis)}, {"retryBudget/windowMillis", float64(s.RetryBudget.WindowMillis)},
 		{"load/coldOver", s.Load.ColdOver}, {"load/loadOver", s.Load.LoadOver},
+		{"endpointLimits/headBytes", float64(s.EndpointLimits.HeadBytes)},
+		{"endpointLimits/headerFields", float64(s.EndpointLimits.HeaderFields)},
+		{"endpointLimits/informationalResponses", float64(s.EndpointLimits.InformationalResponses)},
+		{"endpointLimits/skippedResponses", float64(s.EndpointLimits.SkippedResponses)},
+		{"endpointLimits/skippedBodyBytes", float64(s.EndpointLimits.SkippedBodyBytes)},
+		{"endpointLimits/bodyBytes", float64(s.EndpointLimits.BodyBytes)},
+		{"endpointLimits/chunkLineBytes", float64(s.EndpointLimits.ChunkLineBytes)},
+		{"endpointLimits/trailerBytes", float64(s.EndpointLimits.TrailerBytes)},
+		{"endpointLimits/eventBytes", float64(s.EndpointLimits.EventBytes)},
 	} {
 		if f.value <= 0 {
 			errs = append(errs, &configurer.SettingError{Field: f.field, Problem: "out of range", Allowed: "above 0"})
@@ -108,6 +129,8 @@
 	s.Load = cmp.Or(s.Load, LoadLimits{
 		ColdOver: defaultColdOver, ColdSlack: defaultColdSlack, LoadOver: defaultLoadOver, LoadSlack: defaultLoadSlack,
 	})
+	s.EndpointLimits.Limits = s.EndpointLimits.WithDefaults()
+	s.EndpointLimits.EventBytes = cmp.Or(s.EndpointLimits.EventBytes, defaultEventBytes)
 }
 
 func (l LoadLimits) chooserLimits() chooser.Limits {
--- a/node/transfer.go
+++ b/node/transfer.go
@@ -24,6 +24,9 @@
 	// request can be retried if the response ends early.
 	maxBufferedBytes = 256 << 10
 
+	// boundBufferedBytes is the name of the bound maxBufferedBytes on responses that are not forwarded as they arrive.
+	boundBufferedBytes = "bufferedBytes"
+
 	// streamBufferBytes is the buffer size for streams; an event has a few hundred bytes.
 	streamBufferBytes = 8 << 10
 
@@ -171,7 +174,7 @@
 	}
 	t.runs++
 	if resp.Status >= http.StatusInternalServerError && (t.canRetry() || t.headerSent) {
-		return t.handleServerError(resp)
+		return t.handleServerError(c, resp)
 	}
 	if t.isMisleadingStatus(resp) {
 		return refuseRequest, refusal{status: http.StatusBadGateway, reason: "endpointStatus",
@@ -233,10 +236,7 @@
 		}
 		return t.finalDecision(), refusal{status: http.StatusGatewayTimeout, reason: "deadline", logFields: []any{"err", err}}
 	}
-	var avoidUntil time.Time
-	p.fleet.routing.withChooser(func(ch *chooser.Chooser) { avoidUntil = ch.RecordFailure(time.Now(), c.Endpoint) })
-	p.log.failure("msg", "endpoint failed", "request", q.id, "endpoint", describeEndpoint(&c.Endpoint), "ran", outcome,
-		"avoidMs", time.Until(avoidUntil).Milliseconds(), "err", err)
+	t.recordFailure(c, outcome, err)
 	if outcome == forwarder.NotSent {
 		ref := refusal{status: http.StatusServiceUnavailable, reason: "unreachable", retryAfter: retryAfter()}
 		if t.runs > 0 {
@@ -247,6 +247,19 @@
 	return t.handleLostResponse(c, err)
 }
 
+// recordFailure records and logs the failure of an endpoint.
+func (t *transfer) recordFailure(c chooser.Choice, outcome forwarder.Outcome, err error) {
+	p := t.proxy
+	var limitErr *forwarder.LimitError
+	if errors.As(err, &limitErr) {
+		p.metrics.limits.WithLabelValues(limitErr.Bound).Inc()
+	}
+	var avoidUntil time.Time
+	p.fleet.routing.withChooser(func(ch *chooser.Chooser) { avoidUntil = ch.RecordFailure(time.Now(), c.Endpoint) })
+	p.log.failure("msg", "endpoint failed", "request", t.request.id, "endpoint", describeEndpoint(&c.Endpoint),
+		"ran", outcome, "avoidMs", time.Until(avoidUntil).Milliseconds(), "err", err)
+}
+
 // handleLostResponse decides how to proceed after an attempt that may have been executed and whose response was lost.
 func (t *transfer) handleLostResponse(c chooser.Choice, err error) (decision, refusal) {
 	t.proxy.reportSuspect(t.request, c)
@@ -299,7 +312,9 @@
 	if resp.Header.Get(t.proxy.dialect.Headers.NotRun) == "" && resp.Status != http.StatusMisdirectedRequest {
 		return finishRequest, refusal{}, false
 	}
-	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxBufferedBytes))
+	if _, err := readBounded(resp.Body); err != nil {
+		t.recordFailure(c, forwarder.Rejected, err)
+	}
 	ref = refusal{status: http.StatusServiceUnavailable, reason: "endpointRejected", retryAfter: retryAfter(),
 		logFields: []any{"endpoint", describeEndpoint(&c.Endpoint), "endpointStatus", resp.Status}}
 	if t.runs > 0 {
@@ -317,11 +332,22 @@
 	return false
 }
 
+// readBounded reads a body of up to maxBufferedBytes; it returns a *forwarder.LimitError for a longer one.
+func readBounded(r io.Reader) ([]byte, error) {
+	body, err := readAll(io.LimitReader(r, maxBufferedBytes+1), make([]byte, 0, 512))
+	if err == nil && len(body) > maxBufferedBytes {
+		err = &forwarder.LimitError{Bound: boundBufferedBytes, Limit: maxBufferedBytes, Seen: int64(len(body))}
+	}
+	return body, err
+}
+
 // handleServerError decides how to proceed after a 5xx response. It buffers the response, which is forwarded if no
 // retry succeeds.
-func (t *transfer) handleServerError(resp *forwarder.Response) (decision, refusal) {
-	body, err := readAll(io.LimitReader(resp.Body, maxBufferedBytes+1), make([]byte, 0, 512))
-	if err == nil && len(body) <= maxBufferedBytes {
+func (t *transfer) handleServerError(c chooser.Choice, resp *forwarder.Response) (decision, refusal) {
+	body, err := readBounded(resp.Body)
+	if err != nil {
+		t.recordFailure(c, forwarder.Unknown, err)
+	} else {
 		t.lastError = &bufferedResponse{response: resp, body: body}
 	}
 	return t.retryOrEnd(), refusal{status: http.StatusBadGateway, reason: "endpointError",
@@ -366,6 +392,10 @@
 		return finishRequest, refusal{status: resp.Status}
 	}
 	if _, err := io.Copy(t.w, resp.Body); err != nil {
+		if isDisconnected(ctx) {
+			return abandonRequest, refusal{reason: "callerLeft"}
+		}
+		t.recordFailure(c, forwarder.Unknown, err)
 		return abortResponse, refusal{reason: "endpointBroke", logFields: []any{"err", err}}
 	}
 	return finishRequest, refusal{status: resp.Status}
@@ -394,14 +424,17 @@
 		}
 		t.w.WriteHeader(resp.Status)
 	}
-	t.splitter.partial = nil
+	t.splitter.reset()
 	rc := http.NewResponseController(t.w)
 	buf := make([]byte, streamBufferBytes)
 	for {
 		n, err := resp.Body.Read(buf)
 		out := buf[:n]
 		if t.request.route.Resumable {
-			out = t.splitter.split(out)
+			var splitErr error
+			if out, splitErr = t.splitter.split(out); splitErr != nil {
+				err = splitErr
+			}
 			if errors.Is(err, io.EOF) {
 				out = append(out, t.splitter.partial...)
 			}
@@ -438,7 +471,7 @@
 	if !time.Now().Before(t.request.deadline) {
 		return t.finalDecision(), refusal{status: http.StatusGatewayTimeout, reason: "deadline", logFields: []any{"err", err}}
 	}
-	t.proxy.fleet.routing.withChooser(func(ch *chooser.Chooser) { ch.RecordFailure(time.Now(), c.Endpoint) })
+	t.recordFailure(c, forwarder.Unknown, err)
 	return t.handleLostResponse(c, err)
 }
 
