--- a/adapters/forwarder/limits.go
+++ b/adapters/forwarder/limits.go
@@ -17,6 +17,12 @@
 	BoundTrailerBytes           = "trailerBytes"
 )
 
+// Bounds returns the names of all bounds.
+func Bounds() []string {
+	return []string{BoundHeadBytes, BoundHeaderFields, BoundInformationalResponses, BoundSkippedResponses,
+		BoundSkippedBodyBytes, BoundBodyBytes, BoundChunkLineBytes, BoundTrailerBytes}
+}
+
 // Limits bound what an endpoint may send in one exchange. A response beyond a bound ends the exchange and closes its
 // connection.
 type Limits struct {
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -44,6 +44,9 @@
 		limits: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cactusroute_endpoint_limits_total",
 			Help: "Exchanges ended because an endpoint sent more than a bound allows, by bound."}, []string{"bound"}),
 	}
+	for _, bound := range append(forwarder.Bounds(), boundEventBytes, boundBufferedBytes) {
+		m.limits.WithLabelValues(bound)
+	}
 	m.waitTime = prometheus.NewHistogram(prometheus.HistogramOpts{Name: "cactusroute_wait_seconds",
 		Help: "Time that a request waited for the first plan or an available endpoint.", Buckets: waitBuckets()})
 	m.eventGap = prometheus.NewHistogram(prometheus.HistogramOpts{Name: "cactusroute_event_gap_seconds",
