Tell seeds of the control instances while there is a quorum

Routers that were subscribed before are not remembered by a control instance that restarts.

Change: a control instance with a quorum contacts each seed every 0.2 s until it has answered, and every 2 s after that.

Ruled out: a deadlock (the routers' contacts with each other succeeded).

Before: the routers of TestRoutersFindControlThroughSeedsThatAreRouters have no plan after 30 s. After: within 4 s, usually 0.3 s.

--- a/node/exchange.go
+++ b/node/exchange.go
@@ -394,11 +394,7 @@
 func (f *fleet) discover(ctx context.Context) error {
 	for ctx.Err() == nil {
 		for _, address := range f.discoveryTargets() {
-			go func() {
-				if err := f.discovery.ExchangeContacts(ctx, address); err != nil {
-					f.log.debug("msg", "contacts not exchanged with node", "address", address, "err", err)
-				}
-			}()
+			go f.exchangeContacts(ctx, address)
 		}
 		if f.control != nil && f.settings.FirstStart && f.discovery.Bootstrapper() == f.self.Name {
 			if c := f.control.replica.Load(); c != nil {
@@ -410,6 +406,23 @@
 	return ctx.Err()
 }
 
+// exchangeContacts exchanges contacts with the node at an address.
+func (f *fleet) exchangeContacts(ctx context.Context, address string) {
+	isQuorate := f.control != nil && f.control.isQuorate()
+	if err := f.discovery.ExchangeContacts(ctx, address); err != nil {
+		f.log.debug("msg", "contacts not exchanged with node", "address", address, "err", err)
+		return
+	}
+	if !isQuorate {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if slices.Contains(f.seeds, address) {
+		f.seedsInformedAt[address] = time.Now()
+	}
+}
+
 // discoveryTargets returns the addresses of the nodes to exchange contacts with.
 func (f *fleet) discoveryTargets() []string {
 	withoutQuorum := f.control != nil && !f.control.isQuorate()
@@ -427,6 +440,14 @@
 			targets[inst.Address] = true
 		}
 	}
+	if f.control != nil {
+		// Routers may know no other node than seeds that are routers, too.
+		for _, s := range f.seeds {
+			if now.Sub(f.seedsInformedAt[s]) > seedInformInterval {
+				targets[s] = true
+			}
+		}
+	}
 	for name, sub := range f.subscribers {
 		switch {
 		case sub.subscriptions > 0:
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -37,6 +37,10 @@
 	// lostSubscriberRetention is how long a former subscriber is contacted: the addresses that it knows may all be stale.
 	lostSubscriberRetention = 5 * time.Minute
 
+	// seedInformInterval is how often a quorate control instance tells each seed of the control instances. Until a seed
+	// has been told, it is contacted every discoveryInterval.
+	seedInformInterval = 2 * time.Second
+
 	// failbackDelay is how long a subscription to another failure domain is kept while an instance in the router's own
 	// domain is available.
 	failbackDelay = 5 * time.Second
@@ -89,16 +93,18 @@
 
 	routingUpdateMu sync.Mutex // locked before mu
 
-	mu           sync.Mutex
-	seeds        []string
-	endpoints    *registrar.Registrar
-	received     receivedState
-	instances    map[string]*knownInstance
-	subscribedTo string                 // name of the control instance that this router is subscribed to
-	subscribers  map[string]*subscriber // current and former subscribers of this instance
-	routerCounts []routerCount
-	suspects     map[uint64]*suspect
-	started      time.Time
+	mu    sync.Mutex
+	seeds []string
+	// seedsInformedAt is when this control instance, while quorate, last exchanged contacts with an address.
+	seedsInformedAt map[string]time.Time
+	endpoints       *registrar.Registrar
+	received        receivedState
+	instances       map[string]*knownInstance
+	subscribedTo    string                 // name of the control instance that this router is subscribed to
+	subscribers     map[string]*subscriber // current and former subscribers of this instance
+	routerCounts    []routerCount
+	suspects        map[uint64]*suspect
+	started         time.Time
 }
 
 // receivedState is the newest replicated state received.
@@ -127,7 +133,8 @@
 		self: exchanger.Contact{Name: s.Place.Name, Address: s.Listen.Advertise, Control: s.Listen.Control,
 			Domain: s.Place.FailureDomain, Eligible: s.DataFolder != ""},
 		seeds: s.Seeds, endpoints: registrar.New(time.Duration(s.HeartbeatMillis) * time.Millisecond),
-		instances: map[string]*knownInstance{}, subscribers: map[string]*subscriber{}, suspects: map[uint64]*suspect{},
+		instances: map[string]*knownInstance{}, subscribers: map[string]*subscriber{},
+		seedsInformedAt: map[string]time.Time{}, suspects: map[uint64]*suspect{},
 		started: time.Now()}
 	f.view.Store(&view{})
 	choosesBootstrapper := s.FirstStart && len(s.Seeds) > 0 && slices.Min(s.Seeds) == s.Listen.Advertise
@@ -223,6 +230,7 @@
 func (f *fleet) setSeeds(seeds []string) {
 	f.mu.Lock()
 	f.seeds = seeds
+	maps.DeleteFunc(f.seedsInformedAt, func(s string, _ time.Time) bool { return !slices.Contains(seeds, s) })
 	f.mu.Unlock()
 	f.log.event("settings reloaded", "seeds", strings.Join(seeds, ","))
 }
--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -348,6 +348,34 @@
 	})
 }
 
+// Guards against routers that stay disconnected after a restart of the whole fleet, because all their seeds are routers
+// that started after the control group had a quorum.
+func TestRoutersFindControlThroughSeedsThatAreRouters(t *testing.T) {
+	f := newTestFleet(t, 3, 4)
+	f.startAll()
+	f.putPlan(1, f.nodes)
+	f.awaitPlan(1, f.nodes)
+	routers, instances := f.nodes[3:], f.nodes[:3]
+	seeds := make([]string, 0, 3)
+	for _, n := range routers[:3] {
+		seeds = append(seeds, n.settings.Listen.Exchange)
+	}
+	for _, n := range f.nodes {
+		n.stop()
+	}
+	for _, n := range instances {
+		f.start(n, seeds, false)
+	}
+	eventually(t, "a quorum", func() bool { return len(instances[0].fleet.quorateInstances()) == 3 })
+	time.Sleep(time.Second) // the instances stop to look for each other
+	start := time.Now()
+	for _, n := range routers {
+		f.start(n, seeds, false)
+	}
+	f.awaitPlan(1, routers)
+	assert.Assert(t, time.Since(start) < 2*seedInformInterval, "%v", time.Since(start))
+}
+
 // Guards against a router that stays disconnected because all its seeds are wrong: the control instances that it was
 // subscribed to must contact it.
 func TestRouterWithWrongSeedsIsContacted(t *testing.T) {
