Share the room that old loads show among the routers

Cause: with 70 routers, the loads that one router knows are 0.2 to 0.4 s old. The random thresholds of each router did not help, since their spread is small against the arrivals within the delay.

Change: a router estimates the arrivals of all routers until the loads include them, from the durations of requests, the interval of the reports and the wanted requests by endpoint, which routers now report (loads message, a field that older nodes ignore). It accepts that fraction of the requests for an endpoint that brings its load to the target; what the first endpoint doesn't accept is expected at the next ones at once. Calls to plain endpoints are spread so that the loads are level when the next reports arrive. Targets stay 1.8 standard deviations of random arrivals below the bound. Reservations begin gradually, because a threshold made all routers change at the same time.

Conclusion: the bound holds by what the routers know together, not by a threshold for one size of fleet.

--- a/adapters/exchanger/exchanger_test.go
+++ b/adapters/exchanger/exchanger_test.go
@@ -100,7 +100,7 @@
 
 func (r *fakeReceiver) LoadsReceived(loads Loads) { r.record(fmt.Sprint(loads)) }
 
-func (r *fakeReceiver) Loads() Loads { return Loads{"e": 2} }
+func (r *fakeReceiver) Loads() Loads { return Loads{"e": {Requests: 2}} }
 
 func waitFor(t *testing.T, what string, cond func() bool) {
 	t.Helper()
@@ -132,17 +132,17 @@
 // Guards against a subscriber that misses a change, and against a restarted instance that doesn't receive the endpoints
 // and suspects known to its subscribers.
 func TestSubscriberAndInstanceExchangeState(t *testing.T) {
-	s := &fakeSource{quorate: true, loads: Loads{"e": 5},
+	s := &fakeSource{quorate: true, loads: Loads{"e": {Requests: 5}},
 		state: fleetapplier.State{Index: 4, Plan: fleetapplier.EncodedPlan{Version: 4},
 			TakenOut: map[string]bool{"d": true}},
 		endpoints: []registrar.Endpoint{{ID: "a", State: registrar.Ready, ColdUntil: time.Now().Add(time.Minute)}}}
 	r := &fakeReceiver{}
 	server, _ := subscribe(t, s, r, true)
 	for _, want := range []string{"a ready full true cold true", "state 4 plan true out [d]", "suspects 1", "routers 3",
-		"map[e:5]"} {
+		"map[e:{5 0}]"} {
 		waitFor(t, want, func() bool { return r.hasRecorded(want) })
 	}
-	for _, want := range []string{"attached router", "endpoint known", "suspect 77", "router map[e:2]"} {
+	for _, want := range []string{"attached router", "endpoint known", "suspect 77", "router map[e:{2 0}]"} {
 		waitFor(t, want, func() bool { return s.hasRecorded(want) })
 	}
 	server.PublishEndpoints([]registrar.Endpoint{{ID: "a", State: registrar.Draining}})
--- a/adapters/exchanger/loads.go
+++ b/adapters/exchanger/loads.go
@@ -4,25 +4,35 @@
 	"encoding/binary"
 	"errors"
 	"maps"
+	"math"
 	"slices"
 	"time"
+
+	"cactusroute.dev/core/chooser"
 )
 
 // maxUnusedNumbers bounds the numbers of removed endpoints that a connection keeps; each ID takes some 20 bytes at both
 // ends.
 const maxUnusedNumbers = 256
 
-// Loads holds requests in flight by endpoint ID.
-type Loads map[string]int
+// Loads holds the load of endpoints by ID.
+type Loads = chooser.Loads
 
-// loadsMessage carries the requests in flight of endpoints. The ID of an endpoint is sent once on a connection and
-// gets the next number, which identifies it in later messages.
+// loadsMessage carries the loads of endpoints. The ID of an endpoint is sent once on a connection and gets the next
+// number, which identifies it in later messages.
 type loadsMessage struct {
 	Reset  bool     `cbor:"1,keyasint,omitempty"` // all earlier numbers are dropped
 	NewIDs []string `cbor:"2,keyasint,omitempty"` // endpoint IDs, which get the next numbers
 	Counts []byte   `cbor:"3,keyasint,omitempty"` // varint pairs: delta = number - (previous number + 1), and requests
+	// Wanted is encoded as Counts, for endpoints whose wanted requests are far above the average; the other endpoints in
+	// Counts have WantedMean.
+	Wanted     []byte  `cbor:"4,keyasint,omitempty"`
+	WantedMean float64 `cbor:"5,keyasint,omitempty"`
 }
 
+// wantedFactor is the multiple of the mean from which the wanted requests of an endpoint are sent.
+const wantedFactor = 1.5
+
 // loadEncoder encodes loads for one direction of a connection; numbers are by endpoint ID.
 type loadEncoder struct{ numbers map[string]uint64 }
 
@@ -30,7 +40,7 @@
 	if e.numbers == nil || len(e.numbers) > 2*len(loads)+maxUnusedNumbers {
 		e.numbers, m.Reset = map[string]uint64{}, true
 	}
-	byNumber := make(map[uint64]int, len(loads))
+	requests := make(map[uint64]int, len(loads))
 	for _, id := range slices.Sorted(maps.Keys(loads)) {
 		n, known := e.numbers[id]
 		if !known {
@@ -38,16 +48,40 @@
 			e.numbers[id] = n
 			m.NewIDs = append(m.NewIDs, id)
 		}
-		byNumber[n] = loads[id]
+		requests[n] = loads[id].Requests
+	}
+	m.Counts = encodeCounts(requests)
+	m.Wanted, m.WantedMean = e.encodeWanted(loads)
+	return m
+}
+
+// encodeWanted returns the wanted requests of the endpoints far above the mean, and the mean of the others.
+func (e *loadEncoder) encodeWanted(loads Loads) (counts []byte, mean float64) {
+	total := 0.0
+	for _, l := range loads {
+		total += l.Wanted
+	}
+	threshold := wantedFactor * total / float64(max(1, len(loads)))
+	above := map[uint64]int{}
+	for id, l := range loads {
+		if n := int(math.Round(l.Wanted)); l.Wanted > threshold && n > 0 {
+			above[e.numbers[id]] = n
+			total -= l.Wanted
+		}
 	}
-	m.Counts = make([]byte, 0, 2*len(loads))
+	return encodeCounts(above), total / float64(max(1, len(loads)-len(above)))
+}
+
+// encodeCounts encodes counts by the number of an endpoint.
+func encodeCounts(counts map[uint64]int) []byte {
+	encoded := make([]byte, 0, 2*len(counts))
 	next := uint64(0)
-	for _, n := range slices.Sorted(maps.Keys(byNumber)) {
-		m.Counts = binary.AppendUvarint(m.Counts, n-next)
-		m.Counts = binary.AppendUvarint(m.Counts, uint64(max(0, byNumber[n])))
+	for _, n := range slices.Sorted(maps.Keys(counts)) {
+		encoded = binary.AppendUvarint(encoded, n-next)
+		encoded = binary.AppendUvarint(encoded, uint64(max(0, counts[n])))
 		next = n + 1
 	}
-	return m
+	return encoded
 }
 
 // loadSender decides when loads are sent in one direction of a connection, and encodes them.
@@ -62,7 +96,10 @@
 	return time.Since(s.lastSentAt) >= minLoadInterval(len(s.lastSent))
 }
 
-func (s *loadSender) hasChanged(loads Loads) bool { return !maps.Equal(loads, s.lastSent) }
+// hasChanged reports whether requests have begun or ended; the wanted requests change more often, and less.
+func (s *loadSender) hasChanged(loads Loads) bool {
+	return !maps.EqualFunc(loads, s.lastSent, func(a, b chooser.Load) bool { return a.Requests == b.Requests })
+}
 
 // needsRefresh reports whether unchanged loads must be sent again, because the receiver uses them for 1 s only.
 func (s *loadSender) needsRefresh() bool { return time.Since(s.lastSentAt) >= loadRefreshInterval }
@@ -82,22 +119,38 @@
 		d.ids = nil
 	}
 	d.ids = append(d.ids, m.NewIDs...)
+	if m.WantedMean < 0 || m.WantedMean > maxRequests || math.IsNaN(m.WantedMean) {
+		return nil, errInvalidLoads
+	}
 	loads := make(Loads, len(m.Counts)/2)
+	err := d.decodeCounts(m.Counts, func(id string, n int) {
+		loads[id] = chooser.Load{Requests: n, Wanted: m.WantedMean}
+	})
+	if err != nil {
+		return nil, err
+	}
+	err = d.decodeCounts(m.Wanted, func(id string, n int) {
+		loads[id] = chooser.Load{Requests: loads[id].Requests, Wanted: float64(n)}
+	})
+	return loads, err
+}
+
+func (d *loadDecoder) decodeCounts(counts []byte, each func(id string, n int)) error {
 	number := uint64(0)
-	for rest := m.Counts; len(rest) > 0; number++ {
+	for rest := counts; len(rest) > 0; number++ {
 		delta, n := binary.Uvarint(rest)
 		if n <= 0 || delta >= uint64(len(d.ids)) {
-			return nil, errInvalidLoads
+			return errInvalidLoads
 		}
 		count, k := binary.Uvarint(rest[n:])
 		number += delta
 		if k <= 0 || number >= uint64(len(d.ids)) || count > maxRequests {
-			return nil, errInvalidLoads
+			return errInvalidLoads
 		}
-		loads[d.ids[number]] = int(count)
+		each(d.ids[number], int(count))
 		rest = rest[n+k:]
 	}
-	return loads, nil
+	return nil
 }
 
 // maxRequests is more than any endpoint can have in flight.
--- a/adapters/exchanger/loads_test.go
+++ b/adapters/exchanger/loads_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	"cactusroute.dev/core/chooser"
 )
 
 // Guards against requests that are counted for the wrong endpoint when endpoints are added and removed.
@@ -19,7 +22,8 @@
 			first := rapid.IntRange(0, 2000).Draw(t, "first")
 			loads := Loads{}
 			for i := range rapid.IntRange(0, 40).Draw(t, "endpoints") {
-				loads[fmt.Sprintf("i-%d", first+i*rapid.IntRange(1, 3).Draw(t, "step"))] = rapid.IntRange(0, 500).Draw(t, "n")
+				id := fmt.Sprintf("i-%d", first+i*rapid.IntRange(1, 3).Draw(t, "step"))
+				loads[id] = chooser.Load{Requests: rapid.IntRange(0, 500).Draw(t, "n")}
 			}
 			m := e.encode(loads)
 			got, err := d.decode(&m)
@@ -31,6 +35,34 @@
 	})
 }
 
+// Guards against a hot subject that the routers don't learn of: the endpoints with the most wanted requests arrive with
+// their number, and the sum over all is kept.
+func TestWantedRequestsArrive(t *testing.T) {
+	loads := Loads{"hot": {Requests: 3, Wanted: 90}, "idle": {Wanted: 2}}
+	total := 92.0
+	for i := range 40 {
+		l := chooser.Load{Requests: i % 4, Wanted: float64(4 + i%3)}
+		loads[fmt.Sprintf("i-%d", i)] = l
+		total += l.Wanted
+	}
+	var e loadEncoder
+	var d loadDecoder
+	for range 2 {
+		m := e.encode(loads)
+		got, err := d.decode(&m)
+		assert.NilError(t, err)
+		assert.Equal(t, len(got), len(loads))
+		assert.Equal(t, got["hot"], loads["hot"])
+		sum := 0.0
+		for id, l := range got {
+			assert.Equal(t, l.Requests, loads[id].Requests)
+			sum += l.Wanted
+		}
+		assert.Assert(t, math.Abs(sum-total) < 0.01, "%f", sum)
+		assert.Assert(t, len(m.Wanted) <= 10, "%d bytes", len(m.Wanted))
+	}
+}
+
 // Guards against a corrupt or hostile message that crashes the process or counts requests for the wrong endpoint.
 func TestInvalidLoadsAreRejected(t *testing.T) {
 	for _, counts := range [][]byte{
@@ -44,7 +76,9 @@
 	}
 	rapid.Check(t, func(t *rapid.T) {
 		d := loadDecoder{ids: []string{"a", "b"}}
-		_, _ = d.decode(&loadsMessage{Counts: rapid.SliceOf(rapid.Byte()).Draw(t, "counts")}) // must not panic
+		// Must not panic.
+		_, _ = d.decode(&loadsMessage{Counts: rapid.SliceOf(rapid.Byte()).Draw(t, "counts"),
+			Wanted: rapid.SliceOf(rapid.Byte()).Draw(t, "wanted"), WantedMean: rapid.Float64().Draw(t, "mean")})
 	})
 }
 
@@ -55,12 +89,12 @@
 	for _, entries := range []int{1, 12, 63, 64, 200, 920} {
 		loads := Loads{}
 		for i := range entries {
-			loads[fmt.Sprintf("endpoint-%04d", i)] = 3 + i%40
+			loads[fmt.Sprintf("endpoint-%04d", i)] = chooser.Load{Requests: 3 + i%40, Wanted: float64(i % 7)}
 		}
 		var e loadEncoder
 		_ = e.encode(loads)
 		for id := range loads {
-			loads[id]++
+			loads[id] = chooser.Load{Requests: loads[id].Requests + 1, Wanted: loads[id].Wanted}
 		}
 		data, err := cbor.Marshal(e.encode(loads))
 		assert.NilError(t, err)
--- a/core/chooser/chooser.go
+++ b/core/chooser/chooser.go
@@ -33,14 +33,6 @@
 	// remoteLoadTTL is how long the loads of the other routers are valid; they arrive several times a second.
 	remoteLoadTTL = time.Second
 
-	// minAffinityFraction and maxAffinityFraction limit the random fraction of the load bound up to which an endpoint is
-	// selected by its rank. Loads are observed with a delay: with a fixed threshold all routers would keep sending until
-	// all of them observe that it is exceeded. If no endpoint is below the random threshold, the highest-ranked one below
-	// fallbackFraction is selected, not the least loaded one, which would be the same for all routers.
-	minAffinityFraction = 0.7
-	maxAffinityFraction = 0.9
-	fallbackFraction    = 0.85
-
 	// cacheFillTime is how long an endpoint must be known before it is assumed to cache the prompt parts for which it
 	// ranks first. Most parts are requested within about ten seconds.
 	cacheFillTime = 15 * time.Second
@@ -59,19 +51,21 @@
 	reservedFraction = 0.3
 	exemptFraction   = 0.35
 
-	// busyFraction is the fraction of slots in use above which capacity is reserved by priority and for cached prompts.
-	busyFraction = 0.7
+	// busyFraction is the fraction of slots in use at which capacity is fully reserved by priority and for cached prompts.
+	// The reservation begins busyRange below it: a threshold would make all routers change at the same time.
+	busyFraction = 0.8
+	busyRange    = 0.2
 
 	// spillFraction is the fraction of its admission limit up to which an endpoint accepts prompts that are cached
 	// elsewhere while the service is busy. Above it, computing prompts of other endpoints would slow down all endpoints.
 	spillFraction = 0.6
 
-	// limitSpread is the fraction of the admission limit over which the probability of a refusal increases.
-	limitSpread = 0.2
-
 	// coldRateFraction is the fraction of the allowed rate to a cold endpoint that is divided among the routers.
 	coldRateFraction = 0.9
 
+	// coldDeviations bounds the probability that too many routers are selected to send to a cold endpoint.
+	coldDeviations = 3
+
 	// coldWindow is the sliding window in which requests to a cold endpoint are counted.
 	coldWindow = time.Second
 )
@@ -119,14 +113,16 @@
 	// CacheSource is the address from which the endpoint can fetch the cached shared parts of the prompt; empty if they
 	// are expected at the endpoint itself or the source is unknown.
 	CacheSource string
+	At          time.Time // when it was selected
 }
 
 // endpoint is the state of one endpoint as known to this router.
 type endpoint struct {
 	registrar.Endpoint
 	inFlight            int
-	remoteInFlight      int // requests of the other routers
-	reported            int // requests running and waiting
+	remoteInFlight      int  // requests of the other routers
+	known               Load // of all routers, last reported
+	reported            int  // requests running and waiting
 	reportedAt          time.Time
 	sentSinceReport     int       // requests of this router that the last report doesn't include
 	inService           bool      // may receive new requests
@@ -136,11 +132,17 @@
 	failureRate         float64
 	nextProbe           time.Time // earliest time of the next probe above greyFailureRate
 	coldSent            []time.Time
+	firstAttempts       []time.Time   // requests of this router for which it ranks first, within wantedWindow
+	otherAttempts       decayingCount // those that endpoints of a higher rank did not accept
 }
 
 type pool struct {
 	members   *placer.Subset // all endpoints of the service, also those out of service
 	endpoints []*endpoint    // by index in members
+	attempts  decayingCount  // calls of Choose
+	recent    decayingCount  // calls of Choose, over growthWindow
+	accepted  decayingCount  // those that selected an endpoint
+	holdTime  float64        // average duration of a request in seconds; 0 until one has ended
 }
 
 // Chooser selects endpoints by the state known to one router; it is not safe for concurrent use.
@@ -153,8 +155,11 @@
 	pools    map[string]*pool
 	iterator placer.MemberIterator
 
-	remoteAt  time.Time      // when the loads of the other routers were received
-	published map[string]int // last result of InFlight
+	candidates []candidate // buffer of chooseByLoad
+
+	remoteAt       time.Time     // when the loads of the other routers were received
+	reportInterval time.Duration // average time between two receipts
+	published      Loads         // last result of OwnLoads
 }
 
 // New returns a chooser without endpoints for the named router in a failure domain.
@@ -182,10 +187,15 @@
 		c.byID[e.ID] = known
 		membersByService[e.Service] = append(membersByService[e.Service], placer.Endpoint{Name: e.ID})
 	}
+	oldPools := c.pools
 	c.pools = make(map[string]*pool, len(membersByService))
 	for service, members := range membersByService {
 		memberPool := placer.NewPool(members)
-		p := &pool{members: memberPool.All()}
+		p := &pool{}
+		if known := oldPools[service]; known != nil {
+			*p = pool{attempts: known.attempts, recent: known.recent, accepted: known.accepted, holdTime: known.holdTime}
+		}
+		p.members = memberPool.All()
 		for i := range memberPool.Len() {
 			p.endpoints = append(p.endpoints, c.byID[memberPool.Name(i)])
 		}
@@ -216,15 +226,23 @@
 	if p == nil || len(p.endpoints) == 0 {
 		return Choice{}, NoEndpoint
 	}
+	p.attempts.add(now, demandWindow)
+	p.recent.add(now, growthWindow)
+	var choice Choice
+	var reason Reason
 	if q.Service.Engine && len(q.Parts) > 0 {
-		return c.chooseByAffinity(now, q, p)
+		choice, reason = c.chooseByAffinity(now, q, p)
+	} else {
+		choice, reason = c.chooseByLoad(now, q, p)
+	}
+	if reason == "" {
+		p.accepted.add(now, demandWindow)
 	}
-	return c.chooseByLoad(now, q, p)
+	return choice, reason
 }
 
-// checkAdmission returns the reason why the endpoint can't accept the request within a fraction of its admission limit,
-// or "" if it can.
-func (c *Chooser) checkAdmission(now time.Time, q Query, e *endpoint, fraction float64) Reason {
+// checkAdmission returns the reason why the endpoint can't receive the request at any load, or "" if it can.
+func (c *Chooser) checkAdmission(now time.Time, q Query, e *endpoint) Reason {
 	if !e.inService {
 		return NoEndpoint
 	}
@@ -239,32 +257,45 @@
 	if !c.isWithinColdRate(now, q.Service, e) {
 		return ColdRateExhausted
 	}
-	if e.Slots > 0 && float64(e.load(now, c.remoteAt)+1) > c.admissionLimit(q, e)*fraction {
-		return AllAtCapacity
-	}
 	if e.Slots > 0 && !q.Service.Engine && e.inFlight >= max(minRouterLimit, 2*plainSlotFactor*e.Slots/c.routers) {
 		return AllAtCapacity
 	}
 	return ""
 }
 
-// isBusy reports whether the load of the pool has reached busyFraction; below it no capacity is reserved.
-func (c *Chooser) isBusy(now time.Time, p *pool) bool {
-	load, slots := 0, 0
+// poolLoad is the load of a pool as known to this router.
+type poolLoad struct {
+	total     int     // requests in flight at all endpoints
+	mean      float64 // over all endpoints, also those out of service
+	busy      float64 // from 0 to 1, the part of the reservations that applies
+	loadBound float64 // the load that an endpoint should not exceed
+}
+
+func (c *Chooser) poolLoad(now time.Time, p *pool) (l poolLoad) {
+	inService, slots := 0, 0
 	for _, e := range p.endpoints {
+		n := e.load(now, c.remoteAt)
+		l.total += n
 		if e.inService {
-			load += e.load(now, c.remoteAt)
+			inService += n
 			slots += e.Slots
 		}
 	}
-	return float64(load) >= busyFraction*float64(slots)
+	if slots > 0 {
+		l.busy = min(1, max(0, 1-(busyFraction-float64(inService)/float64(slots))/busyRange))
+	}
+	l.mean = float64(l.total) / float64(len(p.endpoints))
+	l.loadBound = c.limits.LoadFactor*l.mean + c.limits.LoadSlack
+	return l
 }
 
 // admissionLimit returns the load up to which the endpoint accepts the request, so that accepted requests are answered
-// in time. A fraction is reserved by priority, except for some requests, so that no priority starves. The limit is
-// randomized because all routers observe the load with a delay.
+// in time. A fraction is reserved by priority, except for some requests, so that no priority starves.
 func (c *Chooser) admissionLimit(q Query, e *endpoint) float64 {
 	slots := float64(e.Slots)
+	if e.Slots <= 0 {
+		return math.Inf(1)
+	}
 	if !q.Service.Engine {
 		slots *= plainSlotFactor
 	}
@@ -272,7 +303,7 @@
 	if isExemptFromReserve(q.Random) {
 		reserved = 0
 	}
-	return slots * (1 - reserved) * (1 - limitSpread*q.Random)
+	return slots * (1 - reserved)
 }
 
 // isExemptFromReserve reports whether the reservation by priority does not apply to a request. It uses the lower digits
@@ -292,33 +323,49 @@
 	quota := int(allowed / float64(c.routers))
 	if quota == 0 {
 		h := uint64(placer.KeyOf(c.name, e.ID))
-		if float64(h>>11)/(1<<53) >= allowed/float64(c.routers) {
+		if float64(h>>11)/(1<<53) >= sampledFraction(allowed, float64(c.routers)) {
 			return false
 		}
 		quota = 1
 	}
-	recent := e.coldSent[:0]
-	for _, at := range e.coldSent {
-		if now.Sub(at) < coldWindow {
-			recent = append(recent, at)
+	e.coldSent = recent(e.coldSent, now, coldWindow)
+	return len(e.coldSent) < quota
+}
+
+// recent removes the times before the window.
+func recent(times []time.Time, now time.Time, window time.Duration) []time.Time {
+	kept := times[:0]
+	for _, at := range times {
+		if now.Sub(at) < window {
+			kept = append(kept, at)
 		}
 	}
-	e.coldSent = recent
-	return len(recent) < quota
+	return kept
 }
 
-// chooseByAffinity selects the highest-ranked endpoint below the load bound for the prompt's shared part. The ranking
-// is the same at all routers, so that requests with the same part go to the endpoint that caches it.
+// sampledFraction returns the fraction of n routers of which at most the allowed number is selected, if each is
+// selected independently: the expected number is coldDeviations standard deviations below it.
+func sampledFraction(allowed, n float64) float64 {
+	// Solves expected + coldDeviations*sqrt(expected*(1-expected/n)) = allowed.
+	const variance = coldDeviations * coldDeviations
+	a, b := 1+variance/n, 2*allowed+variance
+	expected := (b - math.Sqrt(max(0, b*b-4*a*allowed*allowed))) / (2 * a)
+	return expected / n
+}
+
+// chooseByAffinity selects the highest-ranked endpoint with room for the prompt's shared part. The ranking is the same
+// at all routers, so that requests with the same part go to the endpoint that caches it. Each router uses only its part
+// of the room that the last reports showed.
 func (c *Chooser) chooseByAffinity(now time.Time, q Query, p *pool) (Choice, Reason) {
-	bound := c.loadBound(now, p)
+	load := c.poolLoad(now, p)
+	f := c.newForecast(now, p, load.total)
 	reason := NoEndpoint
 	source := c.cacheSource(now, q, p)
-	isBusy := c.isBusy(now, p)
-	if !isBusy {
-		q.Priority = 0
-	}
-	var fallback, leastLoaded, avoided *endpoint
-	fallbackRank, leastLoadedRank, avoidedRank := 0, 0, 0
+	q.Priority *= load.busy
+	random := newSequence(q.Random)
+	var avoided *endpoint
+	avoidedRank := 0
+	c.candidates = c.candidates[:0]
 	c.iterator.Reset(p.members, affinityKey(q.Parts))
 	for rank := 0; ; {
 		i, ok := c.iterator.Next()
@@ -329,33 +376,46 @@
 		if e.inService {
 			rank++
 		}
-		fraction := 1.0
-		if rank > 1 && isBusy {
-			fraction = spillFraction
-		}
-		if r := c.checkAdmission(now, q, e, fraction); r != "" {
+		if r := c.checkAdmission(now, q, e); r != "" {
 			reason = preferReason(reason, r)
 			continue
 		}
-		switch load := e.load(now, c.remoteAt); {
-		case e.isAvoided(now):
+		if e.isAvoided(now) {
 			if avoided == nil || e.avoidUntil.Before(avoided.avoidUntil) {
 				avoided, avoidedRank = e, rank-1
 			}
-		case float64(load+1) <= (maxAffinityFraction-q.Random*(maxAffinityFraction-minAffinityFraction))*bound:
+			continue
+		}
+		limit := c.admissionLimit(q, e)
+		n := float64(e.load(now, c.remoteAt))
+		isFirst := rank == 1
+		target := min(slotFraction*limit, fillTarget(load.loadBound))
+		if !isFirst {
+			target *= 1 - load.busy*(1-spillFraction)
+		}
+		accepted := 0.0
+		if isFirst {
+			accepted = f.acceptFirst(n, target, e.known.Wanted)
+			e.firstAttempts = append(recent(e.firstAttempts, now, wantedWindow), now)
+		} else {
+			accepted = f.acceptOther(n, target, e.known.Wanted, e.otherAttempts.get(now, demandWindow))
+			e.otherAttempts.add(now, demandWindow)
+		}
+		if random.next() < accepted {
 			return c.assign(now, e, rank-1, source), ""
-		case fallback == nil && float64(load+1) <= fallbackFraction*bound:
-			fallback, fallbackRank = e, rank-1
-		case leastLoaded == nil || load < leastLoaded.load(now, c.remoteAt):
-			leastLoaded, leastLoadedRank = e, rank-1
 		}
+		if n+1 <= limit {
+			c.candidates = append(c.candidates, candidate{endpoint: e, rank: rank - 1, load: n, limit: math.Inf(1)})
+		}
+		reason = preferReason(reason, AllAtCapacity)
 	}
 	switch {
-	case fallback != nil:
-		return c.assign(now, fallback, fallbackRank, source), ""
-	case leastLoaded != nil:
-		return c.assign(now, leastLoaded, leastLoadedRank, source), ""
-	case avoided != nil:
+	case len(c.candidates) > 0 && random.next() >= load.busy:
+		// The expected requests exceed the targets of the loads, but not the slots.
+		if picked := pickByRoom(&f, c.candidates, random.next()); picked != nil {
+			return c.assign(now, picked.endpoint, picked.rank, source), ""
+		}
+	case avoided != nil && reason != AllAtCapacity:
 		return c.assign(now, avoided, avoidedRank, source), ""
 	}
 	return Choice{}, reason
@@ -366,41 +426,49 @@
 	return placer.KeyOf(parts[max(0, len(parts)-2)].ID)
 }
 
-// loadBound returns the load that an endpoint of the pool should not exceed.
-func (c *Chooser) loadBound(now time.Time, p *pool) float64 {
-	total := 0
-	for _, e := range p.endpoints {
-		total += e.load(now, c.remoteAt)
-	}
-	mean := float64(total) / float64(len(p.endpoints))
-	return c.limits.LoadFactor*mean + c.limits.LoadSlack + 1
-}
-
-// chooseByLoad selects the endpoint with the lowest load; among equals it prefers the router's own failure domain.
+// chooseByLoad selects an endpoint with a low load, preferably in the router's own failure domain. The routers spread
+// the requests that they expect from all of them, so that the loads are equal when the next reports arrive.
 func (c *Chooser) chooseByLoad(now time.Time, q Query, p *pool) (Choice, Reason) {
-	if !c.isBusy(now, p) {
-		q.Priority = 0
-	}
+	load := c.poolLoad(now, p)
+	f := c.newForecast(now, p, load.total)
+	q.Priority *= load.busy
 	reason := NoEndpoint
 	var best *endpoint
 	bestCost := math.Inf(1)
+	c.candidates = c.candidates[:0]
 	for _, e := range p.endpoints {
-		if r := c.checkAdmission(now, q, e, 1); r != "" {
+		if r := c.checkAdmission(now, q, e); r != "" {
 			reason = preferReason(reason, r)
 			continue
 		}
-		// One more request costs 2, another failure domain 1.
-		cost := float64(e.load(now, c.remoteAt)) * 2
+		n, limit := float64(e.load(now, c.remoteAt)), c.admissionLimit(q, e)
+		if f.isExact && n+1 > limit {
+			reason = preferReason(reason, AllAtCapacity)
+			continue
+		}
+		isAvoided := e.isAvoided(now) || e.State == registrar.Silent && e.consecutiveFailures > 0
+		// Another failure domain costs as much as half a request.
+		cost := n
 		if e.Domain != c.domain {
-			cost++
+			cost += 0.5
 		}
-		if e.isAvoided(now) || e.State == registrar.Silent && e.consecutiveFailures > 0 {
+		if !isAvoided && !f.isExact {
+			c.candidates = append(c.candidates, candidate{endpoint: e, load: cost, limit: limit})
+		}
+		if isAvoided {
 			cost += 1e6 + float64(e.avoidUntil.UnixMilli()%1e9)/1e6
 		}
 		if cost < bestCost {
 			best, bestCost = e, cost
 		}
 	}
+	if len(c.candidates) > 0 {
+		picked := pickByRoom(&f, c.candidates, q.Random)
+		if picked == nil {
+			return Choice{}, AllAtCapacity
+		}
+		best = picked.endpoint
+	}
 	if best == nil {
 		return Choice{}, reason
 	}
@@ -435,7 +503,7 @@
 }
 
 func (c *Chooser) assign(now time.Time, e *endpoint, rank int, source *endpoint) Choice {
-	choice := Choice{Endpoint: e.Endpoint, Load: e.load(now, c.remoteAt), ReportAge: -1, Rank: rank}
+	choice := Choice{Endpoint: e.Endpoint, Load: e.load(now, c.remoteAt), ReportAge: -1, Rank: rank, At: now}
 	if source != nil && source != e {
 		choice.CacheSource = source.Address
 	}
@@ -496,28 +564,64 @@
 	return list
 }
 
-// InFlight returns this router's requests in flight by endpoint ID, to be published to the other routers.
-func (c *Chooser) InFlight() map[string]int {
-	c.published = map[string]int{}
+// Load is what routers tell each other about an endpoint.
+type Load struct {
+	Requests int // in flight
+	// Wanted is the number of requests within wantedWindow for which the endpoint ranks first, including those that it did
+	// not receive.
+	Wanted float64
+}
+
+// Loads holds the load of endpoints by ID.
+type Loads map[string]Load
+
+// Add adds other loads.
+func (l Loads) Add(other Loads) {
+	for id, n := range other {
+		sum := l[id]
+		l[id] = Load{Requests: sum.Requests + n.Requests, Wanted: sum.Wanted + n.Wanted}
+	}
+}
+
+// OwnLoads returns the load of each endpoint by this router, to be published to the other routers.
+func (c *Chooser) OwnLoads(now time.Time) Loads {
+	c.published = Loads{}
 	for id, e := range c.byID {
-		if e.inFlight > 0 {
-			c.published[id] = e.inFlight
+		e.firstAttempts = recent(e.firstAttempts, now, wantedWindow)
+		l := Load{Requests: e.inFlight, Wanted: float64(len(e.firstAttempts))}
+		if l != (Load{}) {
+			c.published[id] = l
 		}
 	}
 	return c.published
 }
 
-// SetTotalInFlight sets the requests of all routers by endpoint ID; they include the last result of InFlight.
-func (c *Chooser) SetTotalInFlight(now time.Time, total map[string]int) {
+// SetTotalLoads sets the load of each endpoint by all routers; it includes the last result of OwnLoads.
+func (c *Chooser) SetTotalLoads(now time.Time, total Loads) {
+	switch interval := now.Sub(c.remoteAt); {
+	case interval > remoteLoadTTL:
+	case c.reportInterval == 0:
+		c.reportInterval = interval
+	default:
+		c.reportInterval += time.Duration(reportIntervalWeight * float64(interval-c.reportInterval))
+	}
 	c.remoteAt = now
 	for id, e := range c.byID {
-		e.remoteInFlight = max(0, total[id]-c.published[id])
+		e.remoteInFlight = max(0, total[id].Requests-c.published[id].Requests)
+		e.known = total[id]
 	}
 }
 
 // Done ends a request that Choose has counted.
-func (c *Chooser) Done(target registrar.Endpoint) {
-	if e := c.lookup(target); e != nil {
+func (c *Chooser) Done(now time.Time, choice Choice) {
+	if p := c.pools[choice.Endpoint.Service]; p != nil {
+		d := now.Sub(choice.At).Seconds()
+		if p.holdTime == 0 {
+			p.holdTime = d
+		}
+		p.holdTime += holdTimeWeight * (d - p.holdTime)
+	}
+	if e := c.lookup(choice.Endpoint); e != nil {
 		e.inFlight = max(0, e.inFlight-1)
 		e.sentSinceReport = max(0, e.sentSinceReport-1)
 	}
--- a/core/chooser/chooser_test.go
+++ b/core/chooser/chooser_test.go
@@ -48,15 +48,18 @@
 }
 
 func (f *fleet) exchange(now time.Time) {
-	total := map[string]int{}
+	total := f.totalLoads(now)
 	for _, c := range f.routers {
-		for id, n := range c.InFlight() {
-			total[id] += n
-		}
+		c.SetTotalLoads(now, total)
 	}
+}
+
+func (f *fleet) totalLoads(now time.Time) Loads {
+	total := Loads{}
 	for _, c := range f.routers {
-		c.SetTotalInFlight(now, total)
+		total.Add(c.OwnLoads(now))
 	}
+	return total
 }
 
 // hotSubject is a load of 200 requests per second that take 300 ms each, of which a share has the same subject. They
@@ -69,9 +72,9 @@
 }
 
 type completion struct {
-	at       time.Time
-	router   *Chooser
-	endpoint registrar.Endpoint
+	at     time.Time
+	router *Chooser
+	choice Choice
 }
 
 func (h *hotSubject) run(seconds int, each func(now time.Time, c Choice, mean float64)) {
@@ -85,8 +88,8 @@
 		for len(h.ends) > 0 && !now.Before(h.ends[0].at) {
 			done := h.ends[0]
 			h.ends = h.ends[1:]
-			done.router.Done(done.endpoint)
-			h.inFlight[done.endpoint.ID]--
+			done.router.Done(now, done.choice)
+			h.inFlight[done.choice.Endpoint.ID]--
 		}
 		if ms%5 != 0 {
 			continue
@@ -102,7 +105,7 @@
 		}
 		each(now, c, float64(len(h.ends))/float64(len(h.fleet.ends)))
 		h.inFlight[c.Endpoint.ID]++
-		h.ends = append(h.ends, completion{now.Add(300 * time.Millisecond), router, c.Endpoint})
+		h.ends = append(h.ends, completion{now.Add(300 * time.Millisecond), router, c})
 	}
 }
 
@@ -156,7 +159,7 @@
 				primary = c.Endpoint.ID
 			}
 			assert.Equal(t, c.Endpoint.ID, primary)
-			r.Done(c.Endpoint)
+			r.Done(start, c)
 		}
 	}
 }
@@ -171,7 +174,7 @@
 		q := Query{Service: engine, Parts: testPrompt(subject)}
 		r.Update(now, f.ends, nil, 1)
 		primary, _ := r.Choose(now, q)
-		r.Done(primary.Endpoint)
+		r.Done(start, primary)
 		assert.Equal(t, primary.CacheSource, "")
 
 		var inService, outOfService []registrar.Endpoint
@@ -184,7 +187,7 @@
 		}
 		r.Update(now, inService, outOfService, 1)
 		next, reason := r.Choose(now, q)
-		r.Done(next.Endpoint)
+		r.Done(start, next)
 		assert.Equal(t, reason, Reason(""))
 		assert.Assert(t, next.Endpoint.ID != primary.Endpoint.ID)
 		assert.Equal(t, next.CacheSource, primary.Endpoint.Address)
@@ -193,11 +196,11 @@
 		outOfService[0].Born++
 		r.Update(now, append(inService, outOfService...), nil, 1)
 		restarted, _ := r.Choose(now, q)
-		r.Done(restarted.Endpoint)
+		r.Done(start, restarted)
 		assert.Equal(t, restarted.Endpoint.ID, primary.Endpoint.ID)
 		assert.Equal(t, restarted.CacheSource, next.Endpoint.Address)
 		filled, _ := r.Choose(now.Add(cacheFillTime), q)
-		r.Done(filled.Endpoint)
+		r.Done(start, filled)
 		assert.Equal(t, filled.CacheSource, "")
 		r.Update(now, f.ends, nil, 1)
 		now = now.Add(time.Minute)
@@ -220,7 +223,7 @@
 			for range 4 {
 				if c, reason := r.Choose(now, Query{Service: engine, Parts: testPrompt(1)}); reason == "" {
 					sent = append(sent, now)
-					r.Done(c.Endpoint)
+					r.Done(start, c)
 				} else {
 					assert.Equal(t, reason, ColdRateExhausted)
 				}
@@ -239,20 +242,52 @@
 	}
 }
 
+// Guards against too many routers that each send one request per second to a cold endpoint: which ones may depends on
+// the endpoint, so that their number varies.
+func TestColdEndpointsAreSharedByFewEnoughRouters(t *testing.T) {
+	const routers, endpoints = 70, 200
+	service := &planner.Service{Name: "llm", Engine: true, ColdPerSecond: 19}
+	f := newFleet(routers, endpoints)
+	for i := range f.ends {
+		f.ends[i].ColdUntil = start.Add(10 * time.Second)
+	}
+	senders := map[string]int{}
+	for _, r := range f.routers {
+		r.Update(start, f.ends, nil, routers)
+		q := Query{Service: service, Parts: testPrompt(1)}
+		for {
+			c, reason := r.Choose(start, q)
+			if reason != "" {
+				break
+			}
+			senders[c.Endpoint.ID]++
+			q.Tried = append(q.Tried, c.Endpoint.ID)
+		}
+	}
+	bound := int(service.ColdPerSecond*limits.ColdFactor + limits.ColdSlack)
+	total := 0
+	for id, n := range senders {
+		assert.Assert(t, n <= bound, "%d routers may send to %s, %d requests are allowed", n, id, bound)
+		total += n
+	}
+	// At least half of the allowed rate is used.
+	assert.Assert(t, 2*total >= endpoints*bound, "%d requests at %d endpoints", total, endpoints)
+}
+
 // Guards against requests to an endpoint that is down while others are available, and against an endpoint that is never
 // tried again.
 func TestCrashedEndpointIsAvoidedAndTriedAgain(t *testing.T) {
 	f := newFleet(1, 3)
 	r := f.routers[0]
 	primary, _ := r.Choose(start, Query{Service: engine, Parts: testPrompt(7)})
-	r.Done(primary.Endpoint)
+	r.Done(start, primary)
 	until := r.RecordFailure(start, primary.Endpoint)
 	next, _ := r.Choose(start.Add(time.Millisecond), Query{Service: engine, Parts: testPrompt(7)})
 	assert.Assert(t, next.Endpoint.ID != primary.Endpoint.ID)
-	r.Done(next.Endpoint)
+	r.Done(start, next)
 	again, _ := r.Choose(until, Query{Service: engine, Parts: testPrompt(7)})
 	assert.Equal(t, again.Endpoint.ID, primary.Endpoint.ID)
-	r.Done(again.Endpoint)
+	r.Done(start, again)
 
 	// A restarted endpoint is not avoided.
 	r.RecordFailure(until, primary.Endpoint)
@@ -284,7 +319,7 @@
 			failures++
 		}
 		r.RecordResponse(c.Endpoint, isFaulty)
-		r.Done(c.Endpoint)
+		r.Done(start, c)
 	}
 	// Of 400 requests in 8 s, an equal share would be 133; a probe every 400 ms makes 20.
 	assert.Assert(t, failures <= 21, "%d requests to the faulty endpoint, at most 21 expected", failures)
@@ -312,6 +347,6 @@
 	b.ReportAllocs()
 	for b.Loop() {
 		c, _ := f.routers[0].Choose(start, Query{Service: engine, Parts: parts})
-		f.routers[0].Done(c.Endpoint)
+		f.routers[0].Done(start, c)
 	}
 }
--- a/core/chooser/overload_test.go
+++ b/core/chooser/overload_test.go
@@ -36,8 +36,8 @@
 		for len(f.ends) > 0 && !now.Before(f.ends[0].at) {
 			done := f.ends[0]
 			f.ends = f.ends[1:]
-			done.router.Done(done.endpoint)
-			f.inFlight[done.endpoint.ID]--
+			done.router.Done(now, done.choice)
+			f.inFlight[done.choice.Endpoint.ID]--
 		}
 		for due += float64(f.perSecond) / 1000; due >= 1; due-- {
 			router := f.routers[min(f.rng.IntN(len(f.routers)), f.rng.IntN(len(f.routers)))]
@@ -49,7 +49,7 @@
 			c, reason := router.Choose(now, q)
 			if reason == "" {
 				f.inFlight[c.Endpoint.ID]++
-				f.ends = append(f.ends, completion{now.Add(f.duration), router, c.Endpoint})
+				f.ends = append(f.ends, completion{now.Add(f.duration), router, c})
 			}
 			each(priority, c, reason)
 		}
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -96,12 +96,12 @@
 
 // Loads implements exchanger.Source.
 func (f *fleet) Loads(to exchanger.Contact) exchanger.Loads {
-	total := f.routing.inFlight()
+	total := f.routing.ownLoads()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for name, sub := range f.subscribers {
 		if f.instances[name] == nil && sub.subscriptions > 0 {
-			addLoads(total, sub.loads)
+			total.Add(sub.loads)
 		}
 	}
 	if to.Eligible {
@@ -109,18 +109,12 @@
 	}
 	for name, inst := range f.instances {
 		if name != f.self.Name {
-			addLoads(total, inst.loads)
+			total.Add(inst.loads)
 		}
 	}
 	return total
 }
 
-func addLoads(total, loads exchanger.Loads) {
-	for id, n := range loads {
-		total[id] += n
-	}
-}
-
 // SuspectsReceived implements exchanger.Source.
 func (f *fleet) SuspectsReceived(list []exchanger.Suspect) { f.addSuspects(list) }
 
@@ -182,14 +176,14 @@
 	if r.isPeer {
 		return nil
 	}
-	return r.fleet.routing.inFlight()
+	return r.fleet.routing.ownLoads()
 }
 
 // LoadsReceived implements exchanger.Receiver.
 func (r *receiver) LoadsReceived(loads exchanger.Loads) {
 	f := r.fleet
 	if !r.isPeer {
-		f.routing.setTotalInFlight(loads)
+		f.routing.setTotalLoads(loads)
 		return
 	}
 	f.mu.Lock()
@@ -203,7 +197,7 @@
 // until ctx ends.
 func (f *fleet) aggregateLoads(ctx context.Context) error {
 	for ctx.Err() == nil {
-		f.routing.setTotalInFlight(f.Loads(exchanger.Contact{}))
+		f.routing.setTotalLoads(f.Loads(exchanger.Contact{}))
 		sleeper.Pause(ctx, loadAggregationInterval)
 	}
 	return ctx.Err()
--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -268,7 +268,7 @@
 		q := chooser.Query{Service: n.fleet.view.Load().plan.Service("s")}
 		c, reason := n.fleet.routing.choose(time.Now(), q)
 		if reason == "" {
-			n.fleet.routing.withChooser(func(ch *chooser.Chooser) { ch.Done(c.Endpoint) })
+			n.fleet.routing.withChooser(func(ch *chooser.Chooser) { ch.Done(time.Now(), c) })
 		}
 		return reason == ""
 	}
--- a/node/transfer.go
+++ b/node/transfer.go
@@ -162,7 +162,7 @@
 	t.tried = append(t.tried, c.Endpoint.ID)
 	t.choiceLogFields = []any{"endpoint", c.Endpoint.ID, "load", c.Load,
 		"loadAgeMs", c.ReportAge.Milliseconds(), "rank", c.Rank}
-	defer p.fleet.routing.withChooser(func(ch *chooser.Chooser) { ch.Done(c.Endpoint) })
+	defer p.fleet.routing.withChooser(func(ch *chooser.Chooser) { ch.Done(time.Now(), c) })
 	resp, err := p.pool.Send(ctx, t.endpointRequest(c))
 	if err != nil {
 		return t.handleSendError(ctx, c, err)
--- a/node/view.go
+++ b/node/view.go
@@ -75,18 +75,18 @@
 	return r.chooser.Choose(now, q)
 }
 
-// inFlight returns this router's requests in flight by endpoint.
-func (r *routingState) inFlight() exchanger.Loads {
+// ownLoads returns the load of each endpoint by this router.
+func (r *routingState) ownLoads() exchanger.Loads {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return maps.Clone(r.chooser.InFlight())
+	return maps.Clone(r.chooser.OwnLoads(time.Now()))
 }
 
-// setTotalInFlight sets the requests in flight of all routers by endpoint.
-func (r *routingState) setTotalInFlight(loads exchanger.Loads) {
+// setTotalLoads sets the load of each endpoint by all routers.
+func (r *routingState) setTotalLoads(loads exchanger.Loads) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.chooser.SetTotalInFlight(time.Now(), loads)
+	r.chooser.SetTotalLoads(time.Now(), loads)
 }
 
 // withChooser calls f with the chooser while the lock is held.
