--- a/control/admin.go
+++ b/control/admin.go
@@ -229,11 +229,15 @@
 
 func (c *adminCall) readBody(limit int64) ([]byte, error) {
 	data, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limit))
-	if err != nil {
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
 		return nil, &APIError{
 			Status: http.StatusRequestEntityTooLarge, Code: "too-large",
 			Message: fmt.Sprintf("body too large; allowed: at most %d bytes", limit),
 		}
+	case err != nil:
+		return nil, &APIError{Status: http.StatusBadRequest, Code: "body", Message: "body not read: " + err.Error()}
 	}
 	return data, nil
 }
--- a/control/control.go
+++ b/control/control.go
@@ -128,6 +128,13 @@
 	done := sup.ServeBackground(ctx)
 	var wg sync.WaitGroup
 	defer wg.Wait()
+	// The committer closes the log store when the supervisor ends; only then may another process open the data folder.
+	supervised := make(chan struct{})
+	var supervisorErr error
+	wg.Go(func() {
+		supervisorErr = <-done
+		close(supervised)
+	})
 	defer cancel()
 	wg.Go(func() { c.runPeriodically(ctx, broadcastInterval, c.broadcastSoftState) })
 	wg.Go(func() { c.runPeriodically(ctx, presenceInterval, c.refreshPresence) })
@@ -136,8 +143,8 @@
 	case <-c.state.applyFailed:
 		c.obs.Event("state machine failed", "err", c.state.err())
 		return fmt.Errorf("state machine: %w", c.state.err())
-	case err := <-done:
-		return err
+	case <-supervised:
+		return supervisorErr
 	case <-ctx.Done():
 		c.stopping.Store(true)
 		c.softState.closeConnections()
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -353,10 +353,11 @@
 		if received.plan.Version > 0 && (old.plan == nil || received.plan.Version > old.plan.Version) {
 			plan, err := f.dialect.DecodePlan(received.plan.Content)
 			if err != nil {
+				// The former plan stays in force; the rest of the state does not depend on it.
 				f.log.failure("msg", "received plan cannot be decoded", "version", received.plan.Version, "err", err)
-				continue
+			} else {
+				v.plan = plan
 			}
-			v.plan = plan
 		}
 		f.view.Store(v)
 		if v.plan != nil {
--- a/node/front_server.go
+++ b/node/front_server.go
@@ -5,7 +5,9 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"cactusroute.dev/core/planner"
@@ -35,12 +37,31 @@
 	grace   time.Duration
 	onStop  func()
 
+	// onAcceptError is called after a failed accept, for example for lack of file descriptors.
+	onAcceptError func(err error)
+
 	mu            sync.Mutex
-	servers       []*http.Server
+	servers       []*limitedServer
 	listener      *connListener
 	currentLimits planner.Limits
 }
 
+// limitedServer is a server with the limits of one plan.
+type limitedServer struct {
+	*http.Server
+
+	conns atomic.Int64 // open connections
+}
+
+func (s *limitedServer) countConn(_ net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateNew:
+		s.conns.Add(1)
+	case http.StateClosed, http.StateHijacked:
+		s.conns.Add(-1)
+	}
+}
+
 // connListener is a net.Listener that accepts connections from a channel.
 type connListener struct {
 	conns chan net.Conn
@@ -98,6 +119,7 @@
 	limits := s.limits()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.removeUnusedServers()
 	if s.listener != nil && limits == s.currentLimits {
 		return
 	}
@@ -106,7 +128,9 @@
 	}
 	s.currentLimits = limits
 	s.listener = &connListener{conns: make(chan net.Conn), addr: addr, done: make(chan struct{})}
-	hs := &http.Server{Handler: s.handler, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout}
+	hs := &limitedServer{Server: &http.Server{Handler: s.handler, ReadHeaderTimeout: defaultHeaderTimeout,
+		IdleTimeout: defaultIdleTimeout}}
+	hs.ConnState = hs.countConn
 	if limits.HeaderTimeoutMillis > 0 {
 		hs.ReadHeaderTimeout = time.Duration(limits.HeaderTimeoutMillis) * time.Millisecond
 	}
@@ -120,6 +144,15 @@
 	go func(l net.Listener) { _ = hs.Serve(l) }(s.listener)
 }
 
+// removeUnusedServers removes former servers without connections; the caller holds mu.
+func (s *frontServer) removeUnusedServers() {
+	if len(s.servers) == 0 {
+		return
+	}
+	current := s.servers[len(s.servers)-1]
+	s.servers = slices.DeleteFunc(s.servers, func(hs *limitedServer) bool { return hs != current && hs.conns.Load() == 0 })
+}
+
 func (s *frontServer) acceptLoop(ln net.Listener) {
 	for {
 		c, err := ln.Accept()
@@ -127,6 +160,7 @@
 			return
 		}
 		if err != nil {
+			s.onAcceptError(err)
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -73,15 +73,14 @@
 			defer f.mu.Unlock()
 			return float64(f.maxRecentRouters())
 		}},
-		{"cactusroute_connections_dialed_total", "Connections opened to endpoints.", func() float64 {
-			return float64(pool.DialCount())
-		}},
-		{"cactusroute_log_lines_dropped_total", "Log lines dropped by the rate limit or a full queue.", func() float64 {
-			return float64(queue.Dropped())
-		}},
 	} {
 		obs.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: g.name, Help: g.help}, g.value))
 	}
+	obs.Registry.MustRegister(
+		prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "cactusroute_connections_dialed_total",
+			Help: "Connections opened to endpoints."}, func() float64 { return float64(pool.DialCount()) }),
+		prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "cactusroute_log_lines_dropped_total",
+			Help: "Log lines dropped by the rate limit or a full queue."}, func() float64 { return float64(queue.Dropped()) }))
 	return m
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -124,6 +124,7 @@
 			}
 			return planner.Limits{}
 		},
+		onAcceptError: func(err error) { n.fleet.log.failure("msg", "connection of a caller not accepted", "err", err) },
 		onStop: func() {
 			n.ready.SetNotReady()
 			n.front.stopping.Store(true)
