--- /dev/null
+++ b/adapters/exchanger/fuzz_test.go
@@ -0,0 +1,54 @@
+package exchanger
+
+import (
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"cactusroute.dev/adapters/messenger"
+)
+
+// Guards against a message of another node that crashes the process.
+func FuzzMessages(f *testing.F) {
+	var loads loadEncoder
+	for kind, m := range map[uint8]any{
+		kindLoads:     loads.encode(Loads{"a": {Requests: 3, Wanted: 9}, "b": {Requests: 1}}),
+		kindEndpoints: endpointsMessage{Full: true, Records: []endpointRecord{{ID: "a", Service: "s", Sequence: 1}}},
+		kindHeartbeat: heartbeatMessage{Quorate: true, QuorateInstances: []Contact{{Name: "n"}}},
+		kindState:     stateMessage{Index: 3, Version: 2, Plan: []byte{1, 2}},
+		kindSuspects:  []Suspect{{Fingerprint: 1, Endpoint: "a#1"}},
+	} {
+		body, err := cbor.Marshal(m)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(kind, body)
+	}
+	f.Fuzz(func(_ *testing.T, kind uint8, body []byte) {
+		var dec decoders
+		dec.loads.ids = []string{"a", "b"}
+		switch e := (messenger.Envelope{Kind: kind, Body: body}); kind {
+		case kindLoads:
+			var m loadsMessage
+			if e.Decode(&m) == nil {
+				_, _ = dec.loads.decode(&m)
+			}
+		case kindHeartbeat:
+			var m heartbeatMessage
+			if e.Decode(&m) == nil {
+				_ = dec.heartbeats.decode(&m)
+			}
+		case kindState:
+			var m stateMessage
+			if e.Decode(&m) == nil {
+				_, _ = decompressPlan(&m)
+			}
+		case kindEndpoints:
+			var m endpointsMessage
+			_ = e.Decode(&m)
+		case kindSuspects:
+			var list []Suspect
+			_ = e.Decode(&list)
+		}
+	})
+}
--- a/adapters/forwarder/exchange.go
+++ b/adapters/forwarder/exchange.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 )
 
@@ -38,6 +39,8 @@
 	// Length is the length of the body, or -1 if it is unknown.
 	Length int64
 	Body   io.ReadCloser
+	// SetReadDeadline limits reads of the body, up to the deadline of the request.
+	SetReadDeadline func(t time.Time)
 }
 
 // Send sends a request and returns its response once the header has arrived, or an *Error. The end of ctx aborts the
@@ -49,9 +52,9 @@
 	if err != nil {
 		return nil, &Error{Outcome: NotSent, Cause: err}
 	}
-	x := &exchange{pool: p, conn: c, written: make(chan struct{})}
+	x := &exchange{pool: p, conn: c, written: make(chan struct{}), deadline: r.Deadline}
 	_ = c.SetDeadline(r.Deadline)
-	x.stopCancelHook = context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
+	x.stopCancelHook = context.AfterFunc(ctx, x.cancel)
 	resp, err := x.send(r)
 	if err != nil {
 		x.abort()
@@ -75,6 +78,30 @@
 	body           io.Reader
 	bodyRead       bool
 	closed         bool
+
+	mu         sync.Mutex
+	deadline   time.Time // of the request
+	isCanceled bool
+}
+
+// cancel makes all reads and writes fail.
+func (x *exchange) cancel() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.isCanceled = true
+	_ = x.conn.SetDeadline(time.Unix(1, 0))
+}
+
+func (x *exchange) setReadDeadline(t time.Time) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.isCanceled {
+		return
+	}
+	if t.After(x.deadline) {
+		t = x.deadline
+	}
+	_ = x.conn.SetReadDeadline(t)
 }
 
 func (x *exchange) send(r *Request) (*Response, error) {
@@ -186,7 +213,8 @@
 	if !resp.Close && !isCloseDelimited && resp.ProtoAtLeast(1, 1) {
 		x.idleTimeout = parseIdleTimeout(resp.Header.Get("Keep-Alive"))
 	}
-	return &Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Body: x}
+	return &Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Body: x,
+		SetReadDeadline: x.setReadDeadline}
 }
 
 // parseIdleTimeout returns how long a connection may be idle, from the endpoint's Keep-Alive header in whole seconds.
--- a/core/planner/plan.go
+++ b/core/planner/plan.go
@@ -9,6 +9,7 @@
 	"io"
 	"slices"
 	"strings"
+	"time"
 )
 
 // Kind states whether the fleet may retry a request on its own.
@@ -64,12 +65,34 @@
 	TimeoutMillis   int     `json:"timeoutMillis"`             // until the complete response
 	TargetMillis    int     `json:"targetMillis,omitempty"`    // until the response or the first event of a stream
 	GapTargetMillis int     `json:"gapTargetMillis,omitempty"` // between two events of a stream
+	StallMillis     int     `json:"stallMillis,omitempty"`     // without an event, after which a stream ends; see StallTimeout
 	Priority        int     `json:"priority,omitempty"`        // 0 is served first
 	MaxAttempts     int     `json:"maxAttempts,omitempty"`     // per request, over all endpoints
 	Public          bool    `json:"public,omitempty"`
 	Shares          []Share `json:"shares"`
 }
 
+// The default StallTimeout is the longest of minStallTimeout and these multiples of the targets; callers that wait for
+// an event give up after about as long.
+const (
+	minStallTimeout   = 2 * time.Second
+	stallTargetFactor = 4
+	stallGapFactor    = 8
+)
+
+// StallTimeout returns how long a stream of the route may go without a complete event before it counts as stalled; 0
+// means until the route's timeout. It is StallMillis or, for a route with a gap target, a multiple of its targets.
+func (r *Route) StallTimeout() time.Duration {
+	if r.StallMillis > 0 {
+		return time.Duration(r.StallMillis) * time.Millisecond
+	}
+	if r.GapTargetMillis <= 0 {
+		return 0
+	}
+	return max(minStallTimeout, stallTargetFactor*time.Duration(r.TargetMillis)*time.Millisecond,
+		stallGapFactor*time.Duration(r.GapTargetMillis)*time.Millisecond)
+}
+
 // Share is the fraction of a route's requests that a service receives, relative to the sum of the weights.
 type Share struct {
 	Service string `json:"service"`
@@ -182,6 +205,9 @@
 	if r.TimeoutMillis <= 0 {
 		return invalidf("timeout of route %q is %d ms; must be positive", r.Name, r.TimeoutMillis)
 	}
+	if r.StallMillis < 0 {
+		return invalidf("stall timeout of route %q is %d ms; must be 0 or more", r.Name, r.StallMillis)
+	}
 	total := 0
 	for _, s := range r.Shares {
 		if p.servicesByName[s.Service] == nil {
--- a/core/planner/plan_test.go
+++ b/core/planner/plan_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -51,6 +52,7 @@
 		{"zero weight", func(p *Plan) { p.Routes[0].Shares[0].Weight = 0 }},
 		{"negative weight", func(p *Plan) { p.Routes[1].Shares[0].Weight = -1 }},
 		{"no timeout", func(p *Plan) { p.Routes[0].TimeoutMillis = 0 }},
+		{"negative stall timeout", func(p *Plan) { p.Routes[0].StallMillis = -1 }},
 		{"duplicate key", func(p *Plan) { p.Workspaces[1].Keys[0] = "k1" }},
 		{"duplicate service", func(p *Plan) { p.Services[1].Name = "a" }},
 		{"prefix without slash", func(p *Plan) { p.Routes[0].Prefix = "/x" }},
@@ -62,6 +64,24 @@
 	}
 }
 
+// Guards against streams that are cut on routes that state no targets, or before their targets allow.
+func TestStallTimeout(t *testing.T) {
+	for _, c := range []struct {
+		route Route
+		want  time.Duration
+	}{
+		{Route{}, 0},
+		{Route{TargetMillis: 900}, 0},
+		{Route{GapTargetMillis: 100}, 2 * time.Second},
+		{Route{GapTargetMillis: 300}, 2400 * time.Millisecond},
+		{Route{GapTargetMillis: 300, TargetMillis: 1000}, 4 * time.Second},
+		{Route{GapTargetMillis: 300, StallMillis: 700}, 700 * time.Millisecond},
+		{Route{StallMillis: 700}, 700 * time.Millisecond},
+	} {
+		assert.Equal(t, c.route.StallTimeout(), c.want, "%+v", c.route)
+	}
+}
+
 // Guards against off-by-one errors at the boundaries between weights.
 func TestPickServiceFollowsTheWeights(t *testing.T) {
 	p := testPlan()
--- a/node/event_splitter.go
+++ b/node/event_splitter.go
@@ -31,6 +31,9 @@
 	s.lineHasBytes, s.eventHasBytes, s.afterCR = false, false, false
 }
 
+// observe counts the events in data of a stream that is forwarded without being split.
+func (s *eventSplitter) observe(data []byte) { s.scan(data) }
+
 // split appends data to the stream and returns the bytes up to the end of the last complete event, which are valid
 // until the next call. It returns a *forwarder.LimitError for an event above maxEventBytes.
 func (s *eventSplitter) split(data []byte) (events []byte, err error) {
--- /dev/null
+++ b/node/stalled_stream_test.go
@@ -0,0 +1,96 @@
+package node
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"regexp"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// testStallMillis is the stall timeout of the streams in these tests.
+const testStallMillis = 150
+
+var emptyLines = regexp.MustCompile(`\n{3,}`)
+
+// Guards against slow but sound streams that are cut, and against stalled ones that never end because a byte arrives now
+// and then.
+func TestStalledStreamsEnd(t *testing.T) {
+	const stall = testStallMillis * time.Millisecond
+	trickle := func(part string) func(req *receivedRequest) {
+		return func(req *receivedRequest) {
+			startStream(req, testEvent(1))
+			for {
+				if _, err := fmt.Fprintf(req.conn, "%x\r\n%s\r\n", len(part), part); err != nil {
+					return
+				}
+				time.Sleep(stall / 10)
+			}
+		}
+	}
+	slow := func(req *receivedRequest) {
+		startStream(req)
+		for n := 1; n <= 5; n++ {
+			// Each event arrives in two halves and takes most of the stall timeout.
+			e := testEvent(n)
+			for _, half := range []string{e[:5], e[5:]} {
+				time.Sleep(stall / 3)
+				_, _ = fmt.Fprintf(req.conn, "%x\r\n%s\r\n", len(half), half)
+			}
+		}
+		endStream(req)
+	}
+	all := ""
+	for n := 1; n <= 5; n++ {
+		all += testEvent(n)
+	}
+	for _, c := range []struct {
+		name   string
+		handle func(req *receivedRequest)
+		ends   bool
+	}{
+		{"slow but sound", slow, false},
+		{"silent", func(req *receivedRequest) {
+			startStream(req, testEvent(1))
+			_, _ = req.conn.Read(make([]byte, 1))
+		}, true},
+		{"a byte now and then", trickle("x"), true},
+		{"comments now and then", trickle(": still here\n"), true},
+		{"empty lines", trickle("\n"), true},
+	} {
+		for _, path := range []string{"/stream/", "/resume/"} {
+			t.Run(c.name+" "+path, func(t *testing.T) {
+				t.Parallel()
+				plan := testPlan(1)
+				for i := range plan.Routes {
+					plan.Routes[i].StallMillis = testStallMillis
+				}
+				first := make(chan bool, 1)
+				first <- true
+				handle := func(req *receivedRequest) {
+					select {
+					case <-first:
+						c.handle(req)
+					default: // resumes after the first event
+						startStream(req, testEvent(2), testEvent(3), testEvent(4), testEvent(5))
+						endStream(req)
+					}
+				}
+				p := newTestProxy(t, plan, newFakeEndpoint(t, handle), newFakeEndpoint(t, handle))
+				start := time.Now()
+				got := p.call(t, http.MethodPost, path, "x")
+				if path == "/resume/" || !c.ends {
+					assert.NilError(t, got.err)
+					// Empty lines between events have no meaning.
+					assert.Equal(t, emptyLines.ReplaceAllString(got.body, "\n\n"), all)
+				} else {
+					assert.ErrorIs(t, got.err, io.ErrUnexpectedEOF)
+					assert.Assert(t, time.Since(start) < 2*time.Second, "%v", time.Since(start))
+				}
+			})
+		}
+	}
+}
--- a/node/transfer.go
+++ b/node/transfer.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -427,10 +429,13 @@
 	t.splitter.reset()
 	rc := http.NewResponseController(t.w)
 	buf := make([]byte, streamBufferBytes)
+	stall := newStallTimer(t.request.route.StallTimeout(), resp)
 	for {
 		n, err := resp.Body.Read(buf)
 		out := buf[:n]
-		if t.request.route.Resumable {
+		if !t.request.route.Resumable {
+			t.splitter.observe(out)
+		} else {
 			var splitErr error
 			if out, splitErr = t.splitter.split(out); splitErr != nil {
 				err = splitErr
@@ -439,7 +444,7 @@
 				out = append(out, t.splitter.partial...)
 			}
 		}
-		if len(out) > 0 {
+		if err = stall.update(t.splitter.events, err); len(out) > 0 {
 			now := time.Now()
 			if t.firstByteAt.IsZero() {
 				t.firstByteAt = now
@@ -463,6 +468,53 @@
 	}
 }
 
+// stallTimer ends a stream without complete events. Other bytes do not extend it.
+type stallTimer struct {
+	timeout  time.Duration // 0 means none
+	response *forwarder.Response
+	events   uint64
+	deadline time.Time
+}
+
+func newStallTimer(timeout time.Duration, resp *forwarder.Response) *stallTimer {
+	s := &stallTimer{timeout: timeout, response: resp}
+	s.extend()
+	return s
+}
+
+func (s *stallTimer) extend() {
+	if s.timeout <= 0 {
+		return
+	}
+	s.deadline = time.Now().Add(s.timeout)
+	s.response.SetReadDeadline(s.deadline)
+}
+
+// update is called after each read with the number of events so far and the error of the read, which it returns. A
+// timeout of the read becomes a *stalledError.
+func (s *stallTimer) update(events uint64, err error) error {
+	switch {
+	case s.timeout <= 0:
+	case errors.Is(err, os.ErrDeadlineExceeded) && !time.Now().Before(s.deadline):
+		return &stalledError{timeout: s.timeout, events: events}
+	case err == nil && events > s.events:
+		s.events = events
+		s.extend()
+	}
+	return err
+}
+
+// stalledError means that a stream had no complete event for the stall timeout of its route.
+type stalledError struct {
+	timeout time.Duration
+	events  uint64
+}
+
+// Error implements error.
+func (e *stalledError) Error() string {
+	return fmt.Sprintf("stream stalled: no event for %v after %d events", e.timeout, e.events)
+}
+
 // handleReadError decides how to proceed after a response that ended early.
 func (t *transfer) handleReadError(ctx context.Context, c chooser.Choice, err error) (decision, refusal) {
 	if isDisconnected(ctx) {
