Bound the bodies of all requests in progress together

Cause: a router buffers each request's body (4 MiB by the plan's limit) and nothing bounded their number: 50 callers with large bodies reach the memory limit of 184 MB, above which the process is killed with all its requests.

Bodies of unknown length reserve as they grow.

After: 503 with the reason memory; the reservation ends with the request.

--- a/node/node.go
+++ b/node/node.go
@@ -55,6 +55,7 @@
 	pool := forwarder.NewPool(s.EndpointLimits.Limits)
 	n := &Node{settings: s, obs: obs, queue: queue, fleet: f}
 	n.front = &proxy{dialect: d, fleet: f, pool: pool, log: log, metrics: newMetrics(obs, f, pool, queue)}
+	n.front.bodies.limit = s.BodyMemoryBytes
 	n.ready.Check = func() error {
 		if !f.isReady() {
 			return errors.New("no plan received yet")
--- a/node/proxy.go
+++ b/node/proxy.go
@@ -56,6 +56,7 @@
 	log      *rateLimitedLog
 	metrics  *metrics
 	stopping atomic.Bool
+	bodies   byteBudget
 }
 
 // request is one request of a caller.
@@ -68,6 +69,7 @@
 	workspace   *planner.Workspace
 	header      http.Header // forwarded to endpoints
 	body        []byte
+	reserved    int64 // bytes of proxy.bodies
 	promptParts []chooser.PromptPart
 	priority    float64 // from 0 for the highest to 1 for the lowest
 	planVersion uint64
@@ -89,6 +91,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	q, ref := p.admit(r)
+	defer func() { p.bodies.release(q.reserved) }()
 	if ref == nil {
 		ref = p.readBody(w, q)
 	}
@@ -210,9 +213,12 @@
 		if size < 0 {
 			size = initialBodyBufferBytes
 		}
+		if !p.reserve(q, size) {
+			return bodyRefusal(errBodyBudget)
+		}
 		buf := make([]byte, 0, size+1)
 		var err error
-		if q.body, err = readAll(r, buf); err != nil {
+		if q.body, err = readAll(r, buf, func(n int64) bool { return p.reserve(q, n) }); err != nil {
 			return bodyRefusal(err)
 		}
 	}
@@ -224,7 +230,22 @@
 	return nil
 }
 
+// errBodyBudget means that the bodies of all requests together exceed their limit.
+var errBodyBudget = errors.New("the bodies of all requests exceed their memory limit")
+
+// reserve takes memory for the body of a request.
+func (p *proxy) reserve(q *request, n int64) bool {
+	if !p.bodies.take(n) {
+		return false
+	}
+	q.reserved += n
+	return true
+}
+
 func bodyRefusal(err error) *refusal {
+	if errors.Is(err, errBodyBudget) {
+		return &refusal{status: http.StatusServiceUnavailable, reason: "memory", retryAfter: overloadRetryAfter()}
+	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "bodyTooLarge"}
@@ -232,7 +253,8 @@
 	return &refusal{status: http.StatusRequestTimeout, reason: "bodyIncomplete", logFields: []any{"err", err}}
 }
 
-func readAll(r io.Reader, buf []byte) ([]byte, error) {
+// readAll reads r into buf, which grows as grow permits.
+func readAll(r io.Reader, buf []byte, grow func(n int64) bool) ([]byte, error) {
 	for {
 		n, err := r.Read(buf[len(buf):cap(buf)])
 		buf = buf[:len(buf)+n]
@@ -243,6 +265,9 @@
 			return nil, err
 		}
 		if len(buf) == cap(buf) {
+			if !grow(int64(len(buf))) {
+				return nil, errBodyBudget
+			}
 			buf = slices.Grow(buf, len(buf))
 		}
 	}
--- a/node/settings.go
+++ b/node/settings.go
@@ -22,6 +22,7 @@
 	defaultLoadSlack          = 3
 	defaultMinVoters          = 1
 	defaultEventBytes         = 256 << 10
+	defaultBodyMemoryBytes    = 64 << 20
 )
 
 // Settings are the settings of a node.
@@ -44,6 +45,8 @@
 	RetryBudget RetryBudget `json:"retryBudget,omitzero"`
 	// Load bounds the requests in flight at one endpoint, summed over all nodes.
 	Load LoadLimits `json:"load,omitzero"`
+	// BodyMemoryBytes bounds the bodies of all requests in progress together.
+	BodyMemoryBytes int64 `json:"bodyMemoryBytes,omitempty"`
 	// EndpointLimits bound what an endpoint may send in one exchange.
 	EndpointLimits EndpointLimits `json:"endpointLimits,omitzero"`
 }
@@ -99,6 +102,7 @@
 		{"minVoters", float64(s.MinVoters)}, {"heartbeatMillis", float64(s.HeartbeatMillis)},
 		{"graceMillis", float64(s.GraceMillis)}, {"retryBudget/windowMillis", float64(s.RetryBudget.WindowMillis)},
 		{"load/coldOver", s.Load.ColdOver}, {"load/loadOver", s.Load.LoadOver},
+		{"bodyMemoryBytes", float64(s.BodyMemoryBytes)},
 		{"endpointLimits/headBytes", float64(s.EndpointLimits.HeadBytes)},
 		{"endpointLimits/headerFields", float64(s.EndpointLimits.HeaderFields)},
 		{"endpointLimits/informationalResponses", float64(s.EndpointLimits.InformationalResponses)},
@@ -129,6 +133,7 @@
 	s.Load = cmp.Or(s.Load, LoadLimits{
 		ColdOver: defaultColdOver, ColdSlack: defaultColdSlack, LoadOver: defaultLoadOver, LoadSlack: defaultLoadSlack,
 	})
+	s.BodyMemoryBytes = cmp.Or(s.BodyMemoryBytes, defaultBodyMemoryBytes)
 	s.EndpointLimits.Limits = s.EndpointLimits.WithDefaults()
 	s.EndpointLimits.EventBytes = cmp.Or(s.EndpointLimits.EventBytes, defaultEventBytes)
 }
