Compute rates from the start of counting

Change: an average covers the time since the first request of a pool where that is shorter than its window; what a router remembers of a pool is one struct.

--- a/core/chooser/chooser.go
+++ b/core/chooser/chooser.go
@@ -136,13 +136,20 @@
 	otherAttempts       decayingCount // those that endpoints of a higher rank did not accept
 }
 
+// history is what a router remembers of its requests for a service.
+type history struct {
+	firstAt  time.Time     // of the first call of Choose
+	attempts decayingCount // calls of Choose
+	recent   decayingCount // calls of Choose, over growthWindow
+	accepted decayingCount // those that selected an endpoint
+	holdTime float64       // average duration of a request in seconds; 0 until one has ended
+}
+
 type pool struct {
+	history
+
 	members   *placer.Subset // all endpoints of the service, also those out of service
 	endpoints []*endpoint    // by index in members
-	attempts  decayingCount  // calls of Choose
-	recent    decayingCount  // calls of Choose, over growthWindow
-	accepted  decayingCount  // those that selected an endpoint
-	holdTime  float64        // average duration of a request in seconds; 0 until one has ended
 }
 
 // Chooser selects endpoints by the state known to one router; it is not safe for concurrent use.
@@ -193,7 +200,7 @@
 		memberPool := placer.NewPool(members)
 		p := &pool{}
 		if known := oldPools[service]; known != nil {
-			*p = pool{attempts: known.attempts, recent: known.recent, accepted: known.accepted, holdTime: known.holdTime}
+			p.history = known.history
 		}
 		p.members = memberPool.All()
 		for i := range memberPool.Len() {
@@ -226,6 +233,9 @@
 	if p == nil || len(p.endpoints) == 0 {
 		return Choice{}, NoEndpoint
 	}
+	if p.firstAt.IsZero() {
+		p.firstAt = now
+	}
 	p.attempts.add(now, demandWindow)
 	p.recent.add(now, growthWindow)
 	var choice Choice
--- a/core/chooser/forecast.go
+++ b/core/chooser/forecast.go
@@ -14,6 +14,9 @@
 	// growthWindow is the time constant of the average that shows a growing rate before the loads do.
 	growthWindow = time.Second
 
+	// minCountSpan is the shortest time over which a rate is computed.
+	minCountSpan = 100 * time.Millisecond
+
 	// boundDeviations is the number of standard deviations by which the target of a load is below the load bound.
 	boundDeviations = 1.8
 
@@ -57,6 +60,11 @@
 	d.value, d.at = d.get(now, window)+1, now
 }
 
+// effectiveWindow returns the seconds that a decayingCount covers if events are counted since a time span.
+func effectiveWindow(window, span time.Duration) float64 {
+	return window.Seconds() * (1 - math.Exp(-max(minCountSpan, span).Seconds()/window.Seconds()))
+}
+
 // fillTarget returns the mean load that is boundDeviations standard deviations of random arrivals below the bound.
 func fillTarget(bound float64) float64 {
 	root := (math.Sqrt(boundDeviations*boundDeviations+4*bound) - boundDeviations) / 2
@@ -96,7 +104,9 @@
 	f.ratePerRequest = 1 / (hold * (1 - f.remaining))
 	accepted := max(1, p.accepted.get(now, demandWindow))
 	f.attempts = max(1, p.attempts.get(now, demandWindow))
-	growth := p.recent.get(now, growthWindow) / growthWindow.Seconds() / (f.attempts / demandWindow.Seconds())
+	span := now.Sub(p.firstAt)
+	growth := p.recent.get(now, growthWindow) / effectiveWindow(growthWindow, span) /
+		(f.attempts / effectiveWindow(demandWindow, span))
 	acceptedRate := max(float64(totalLoad)/hold, accepted/demandWindow.Seconds()*float64(c.routers))
 	f.rate = acceptedRate * f.attempts / accepted * max(1, growth)
 	return f
