Count no confirmation of the quorum from before a suspension

Cause: confirmations age by the monotonic clock, which stands still while a machine is suspended. After waking up, an instance counted as confirmed for up to 1.2 s and could acknowledge that an endpoint is draining, although the group had moved on without it.

Change: an instance compares CLOCK_BOOTTIME with CLOCK_MONOTONIC on each check, and counts only confirmations that are newer than the last suspension. Reads were safe before: they need a confirmation that began after the read.

Before: TestConfirmationEndsWithASuspension finds the confirmation valid. After: it ends with the suspension. A process that is stopped by a signal needs nothing of this; the monotonic clock goes on.

Not covered: a suspension between the check and the acknowledgement.

--- a/node/clock_test.go
+++ b/node/clock_test.go
@@ -29,3 +29,27 @@
 	assert.Equal(t, monotonic, time.Second)
 	assert.Equal(t, wall, time.Second)
 }
+
+// Guards against a control instance that acts on a confirmation of its quorum after its machine was suspended: the clock
+// by which the confirmation ages stood still.
+func TestConfirmationEndsWithASuspension(t *testing.T) {
+	total := 5 * time.Second
+	d := &suspensionDetector{suspended: func() (time.Duration, error) { return total, nil }, last: total}
+	ci := &controlInstance{suspensions: d}
+	now := time.Now()
+	confirmedAt := now.Add(-100 * time.Millisecond)
+	assert.Assert(t, ci.isCurrent(confirmedAt, now))
+	total += 4 * time.Second
+	resumed := now.Add(10 * time.Millisecond)
+	assert.Assert(t, !ci.isCurrent(confirmedAt, resumed))
+	assert.Assert(t, !ci.isCurrent(confirmedAt, resumed.Add(time.Millisecond)))
+	assert.Assert(t, ci.isCurrent(resumed.Add(50*time.Millisecond), resumed.Add(60*time.Millisecond)))
+	assert.Assert(t, !ci.isCurrent(resumed.Add(50*time.Millisecond), resumed.Add(50*time.Millisecond+2*maxConfirmationAge)))
+}
+
+// Guards against a clock that the system doesn't have.
+func TestSuspendedTimeIsKnown(t *testing.T) {
+	total, err := suspendedTime()
+	assert.NilError(t, err)
+	assert.Assert(t, total >= 0)
+}
--- a/node/control_instance.go
+++ b/node/control_instance.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -43,6 +44,8 @@
 	replica           atomic.Pointer[committer.Committer]
 	eligibleInstances func() []exchanger.Contact // the known eligible instances
 	fs                storer.FS                  // nil means the disk
+	suspensions       *suspensionDetector
+	clockErrOnce      sync.Once
 }
 
 // String returns the service name for the supervisor.
@@ -136,14 +139,25 @@
 	c.Handler().ServeHTTP(w, r)
 }
 
-// isQuorate reports whether a quorum confirmed this instance within maxConfirmationAge.
+// isQuorate reports whether a quorum confirmed this instance within maxConfirmationAge, and since the machine was last
+// suspended.
 func (ci *controlInstance) isQuorate() bool {
 	c := ci.replica.Load()
 	if c == nil {
 		return false
 	}
 	_, at, ok := c.Confirmed()
-	return ok && time.Since(at) <= maxConfirmationAge
+	return ok && ci.isCurrent(at, time.Now())
+}
+
+// isCurrent reports whether a confirmation still holds.
+func (ci *controlInstance) isCurrent(confirmedAt, now time.Time) bool {
+	resumedAt, err := ci.suspensions.lastResume(now)
+	if err != nil {
+		ci.clockErrOnce.Do(func() { ci.obs.Event("suspensions cannot be detected", "err", err) })
+		return false
+	}
+	return now.Sub(confirmedAt) <= maxConfirmationAge && confirmedAt.After(resumedAt)
 }
 
 // propose commits a command and waits until it is applied here; it fails while fewer than MinVoters voters have joined.
--- a/node/node.go
+++ b/node/node.go
@@ -45,7 +45,8 @@
 	log := newRateLimitedLog(obs, queue)
 	f := newFleet(s, d, log)
 	if s.DataFolder != "" {
-		f.control = &controlInstance{settings: s, obs: obs, eligibleInstances: f.eligibleInstances}
+		f.control = &controlInstance{settings: s, obs: obs, eligibleInstances: f.eligibleInstances,
+			suspensions: newSuspensionDetector()}
 		f.control.stateMachine = fleetapplier.New(func(st fleetapplier.State) {
 			f.receiveState(st.Index, &st.Plan, st.TakenOut)
 			f.control.server.PublishState()
