--- a/core/planner/plan.go
+++ b/core/planner/plan.go
@@ -65,7 +65,7 @@
 	TimeoutMillis   int     `json:"timeoutMillis"`             // until the complete response
 	TargetMillis    int     `json:"targetMillis,omitempty"`    // until the response or the first event of a stream
 	GapTargetMillis int     `json:"gapTargetMillis,omitempty"` // between two events of a stream
-	StallMillis     int     `json:"stallMillis,omitempty"`     // without an event, after which a stream ends; see StallTimeout
+	StallMillis     int     `json:"stallMillis,omitempty"`     // see StallTimeout
 	Priority        int     `json:"priority,omitempty"`        // 0 is served first
 	MaxAttempts     int     `json:"maxAttempts,omitempty"`     // per request, over all endpoints
 	Public          bool    `json:"public,omitempty"`
--- a/node/clock.go
+++ b/node/clock.go
@@ -11,7 +11,8 @@
 // ones make requests miss their latency objectives.
 const clockTolerance = 300 * time.Millisecond
 
-// minSuspension is the shortest suspension that a suspensionDetector reports; shorter ones don't outlast a confirmation.
+// minSuspension is the shortest suspension that a suspensionDetector reports; shorter ones don't outlast a
+// confirmation.
 const minSuspension = 100 * time.Millisecond
 
 // suspensionDetector finds out when the machine was suspended: the monotonic clock, by which confirmations age, stands
--- a/node/clock_test.go
+++ b/node/clock_test.go
@@ -30,8 +30,8 @@
 	assert.Equal(t, wall, time.Second)
 }
 
-// Guards against a control instance that acts on a confirmation of its quorum after its machine was suspended: the clock
-// by which the confirmation ages stood still.
+// Guards against a control instance that acts on a confirmation of its quorum after its machine was suspended: the
+// clock by which the confirmation ages stood still.
 func TestConfirmationEndsWithASuspension(t *testing.T) {
 	total := 5 * time.Second
 	d := &suspensionDetector{suspended: func() (time.Duration, error) { return total, nil }, last: total}
@@ -44,7 +44,8 @@
 	assert.Assert(t, !ci.isCurrent(confirmedAt, resumed))
 	assert.Assert(t, !ci.isCurrent(confirmedAt, resumed.Add(time.Millisecond)))
 	assert.Assert(t, ci.isCurrent(resumed.Add(50*time.Millisecond), resumed.Add(60*time.Millisecond)))
-	assert.Assert(t, !ci.isCurrent(resumed.Add(50*time.Millisecond), resumed.Add(50*time.Millisecond+2*maxConfirmationAge)))
+	confirmedAt = resumed.Add(50 * time.Millisecond)
+	assert.Assert(t, !ci.isCurrent(confirmedAt, confirmedAt.Add(2*maxConfirmationAge)))
 }
 
 // Guards against a clock that the system doesn't have.
--- a/node/fuzz_test.go
+++ b/node/fuzz_test.go
@@ -28,8 +28,8 @@
 				return
 			}
 		}
-		if whole := append(got, s.partial...); !bytes.Equal(whole, data) {
-			t.Fatalf("got %q of %q", whole, data)
+		if got = append(got, s.partial...); !bytes.Equal(got, data) {
+			t.Fatalf("got %q of %q", got, data)
 		}
 	})
 }
