--- a/node/front_server_test.go
+++ b/node/front_server_test.go
@@ -13,8 +13,8 @@
 	"cactusroute.dev/core/planner"
 )
 
-// Guards against servers of former limits that are kept for ever, and against one that is dropped with open connections,
-// which a shutdown would cut off.
+// Guards against servers of former limits that are kept for ever, and against one that is dropped with open
+// connections, which a shutdown would cut off.
 func TestServersOfFormerLimitsAreRemoved(t *testing.T) {
 	limits := planner.Limits{}
 	s := &frontServer{handler: http.NotFoundHandler(), limits: func() planner.Limits { return limits }}
--- a/node/stalled_stream_test.go
+++ b/node/stalled_stream_test.go
@@ -16,8 +16,8 @@
 
 var emptyLines = regexp.MustCompile(`\n{3,}`)
 
-// Guards against slow but sound streams that are cut, and against stalled ones that never end because a byte arrives now
-// and then.
+// Guards against slow but sound streams that are cut, and against stalled ones that never end because a byte arrives
+// now and then.
 func TestStalledStreamsEnd(t *testing.T) {
 	const stall = testStallMillis * time.Millisecond
 	trickle := func(part string) func(req *receivedRequest) {
