Count the messages between nodes by kind

Change: cactusroute_exchange_messages_total and cactusroute_exchange_bytes_total by kind and direction.

--- a/adapters/exchanger/wire.go
+++ b/adapters/exchanger/wire.go
@@ -50,6 +50,12 @@
 	kindLoads
 )
 
+// KindNames are the names of the kinds of messages, by kind, for metrics.
+func KindNames() map[uint8]string {
+	return map[uint8]string{kindHello: "hello", kindPing: "ping", kindState: "state", kindEndpoints: "endpoints",
+		kindHeartbeat: "heartbeat", kindSuspects: "suspects", kindLoads: "loads"}
+}
+
 // Contact is the identity of a process and its addresses.
 type Contact struct {
 	Name    string `cbor:"1,keyasint"`
--- a/adapters/messenger/conn.go
+++ b/adapters/messenger/conn.go
@@ -128,6 +128,8 @@
 	Header  http.Header
 	// WriteTimeout limits one write, after which the connection is closed; 0 means 5 s.
 	WriteTimeout time.Duration
+	// OnMessage is called for each message with its size, without the framing; it may be nil.
+	OnMessage func(kind uint8, bytes int, isSent bool)
 	// Clock is used by the protocols on top of this package; nil means that their messages have no timestamps.
 	Clock Clock
 }
@@ -139,6 +141,7 @@
 	header          http.Header
 	maxMessageBytes int64
 	writeTimeout    time.Duration
+	onMessage       func(kind uint8, bytes int, isSent bool)
 	readBuffer      bytes.Buffer
 
 	mu          sync.Mutex // held while a message is encoded and written
@@ -207,7 +210,10 @@
 }
 
 func newConn(ws *websocket.Conn, opts Options) *Conn {
-	c := &Conn{ws: ws, maxMessageBytes: opts.MaxMessageBytes, writeTimeout: opts.WriteTimeout}
+	c := &Conn{ws: ws, maxMessageBytes: opts.MaxMessageBytes, writeTimeout: opts.WriteTimeout, onMessage: opts.OnMessage}
+	if c.onMessage == nil {
+		c.onMessage = func(uint8, int, bool) {}
+	}
 	if c.maxMessageBytes == 0 {
 		c.maxMessageBytes = DefaultMaxMessageBytes
 	}
@@ -246,6 +252,7 @@
 	c.writeTimer.Reset(c.writeTimeout)
 	err = c.ws.Write(context.Background(), websocket.MessageBinary, c.writeBuffer.Bytes())
 	c.writeTimer.Stop()
+	c.onMessage(kind, c.writeBuffer.Len(), true)
 	if c.writeBuffer.Cap() > maxRetainedBufferBytes {
 		c.writeBuffer = bytes.Buffer{}
 	}
@@ -276,6 +283,7 @@
 		return fmt.Errorf("read message: %w", err)
 	}
 	err = decodeEnvelope(c.readBuffer.Bytes(), e)
+	c.onMessage(e.Kind, c.readBuffer.Len(), false)
 	if c.readBuffer.Cap() > maxRetainedBufferBytes {
 		c.readBuffer = bytes.Buffer{}
 	}
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -8,7 +8,6 @@
 
 	"cactusroute.dev/adapters/committer"
 	"cactusroute.dev/adapters/exchanger"
-	"cactusroute.dev/adapters/messenger"
 	"cactusroute.dev/adapters/sleeper"
 	"cactusroute.dev/core/fleetapplier"
 	"cactusroute.dev/core/registrar"
@@ -260,7 +259,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	r := &receiver{fleet: f, instance: c, isPeer: isPeer, failBack: cancel}
-	sub, err := exchanger.Subscribe(ctx, c, f.self, messenger.Options{}, r, f.Endpoints())
+	sub, err := exchanger.Subscribe(ctx, c, f.self, f.exchangeOptions, r, f.Endpoints())
 	if err != nil {
 		return err
 	}
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"cactusroute.dev/adapters/exchanger"
+	"cactusroute.dev/adapters/messenger"
 	"cactusroute.dev/core/fleetapplier"
 	"cactusroute.dev/core/registrar"
 )
@@ -86,6 +87,8 @@
 	cacheDirty     chan struct{} // capacity 1: the state cache on disk is out of date
 	suspectReports chan exchanger.Suspect
 
+	exchangeOptions messenger.Options // of connections to other nodes
+
 	confirmedNanos atomic.Int64 // nanoseconds from the start to the last confirmation by a quorate control instance
 
 	planKnown chan struct{} // closed when the first plan is in force
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -5,6 +5,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"cactusroute.dev/adapters/exchanger"
 	"cactusroute.dev/adapters/forwarder"
 	"cactusroute.dev/adapters/observer"
 )
@@ -20,6 +21,48 @@
 	limits    *prometheus.CounterVec   // bound
 }
 
+// The values of the label direction.
+const (
+	directionSent     = "sent"
+	directionReceived = "received"
+)
+
+// exchangeMetrics count the messages between nodes.
+type exchangeMetrics struct {
+	messages, bytes *prometheus.CounterVec // kind, direction
+	kinds           map[uint8]string
+}
+
+func newExchangeMetrics(obs *observer.Observer) *exchangeMetrics {
+	labels := []string{"kind", "direction"}
+	m := &exchangeMetrics{kinds: exchanger.KindNames(),
+		messages: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cactusroute_exchange_messages_total",
+			Help: "Messages exchanged with other nodes by kind and direction."}, labels),
+		bytes: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cactusroute_exchange_bytes_total",
+			Help: "Bytes of messages exchanged with other nodes by kind and direction."}, labels)}
+	for _, kind := range m.kinds {
+		for _, direction := range []string{directionSent, directionReceived} {
+			m.messages.WithLabelValues(kind, direction)
+			m.bytes.WithLabelValues(kind, direction)
+		}
+	}
+	obs.Registry.MustRegister(m.messages, m.bytes)
+	return m
+}
+
+func (m *exchangeMetrics) count(kind uint8, bytes int, isSent bool) {
+	direction := directionReceived
+	if isSent {
+		direction = directionSent
+	}
+	name, ok := m.kinds[kind]
+	if !ok {
+		name = "unknown"
+	}
+	m.messages.WithLabelValues(name, direction).Inc()
+	m.bytes.WithLabelValues(name, direction).Add(float64(bytes))
+}
+
 // latencyBuckets range from a local response to the longest stream, in seconds.
 func latencyBuckets() []float64 {
 	return []float64{.005, .01, .02, .04, .08, .15, .3, .6, 1, 2, 4, 8, 16}
--- a/node/node.go
+++ b/node/node.go
@@ -44,6 +44,7 @@
 func New(s Settings, d Dialect, obs *observer.Observer, queue *observer.AsyncWriter) *Node {
 	log := newRateLimitedLog(obs, queue)
 	f := newFleet(s, d, log)
+	f.exchangeOptions = messenger.Options{OnMessage: newExchangeMetrics(obs).count}
 	if s.DataFolder != "" {
 		f.control = &controlInstance{settings: s, obs: obs, eligibleInstances: f.eligibleInstances,
 			suspensions: newSuspensionDetector()}
@@ -51,7 +52,7 @@
 			f.receiveState(st.Index, &st.Plan, st.TakenOut)
 			f.control.server.PublishState()
 		})
-		f.control.server = exchanger.NewServer(messenger.Options{}, f)
+		f.control.server = exchanger.NewServer(f.exchangeOptions, f)
 	}
 	pool := forwarder.NewPool(s.EndpointLimits.Limits)
 	n := &Node{settings: s, obs: obs, queue: queue, fleet: f}
