Fill endpoints up to the load bound where loads are exact

Cause: the target below the bound allows for arrivals from other routers. A single router, or one without recent loads of the others, used it as well and sent the second of two simultaneous requests of a subject to another endpoint.

Change: with exact loads the target is the load bound and the admission limit; constants and comments of the reading.

Before: TestKnownLoadsAreFilledUpToTheBound fails at the second request. After: it passes.

--- a/core/chooser/chooser.go
+++ b/core/chooser/chooser.go
@@ -37,6 +37,9 @@
 	// ranks first. Most parts are requested within about ten seconds.
 	cacheFillTime = 15 * time.Second
 
+	// remoteDomainCost is the number of requests to which another failure domain is equivalent.
+	remoteDomainCost = 0.5
+
 	// plainSlotFactor is the number of requests per slot of an endpoint that is not an engine: responses that take tens
 	// of milliseconds are still on time after waiting for two others.
 	plainSlotFactor = 3
@@ -399,7 +402,7 @@
 		limit := c.admissionLimit(q, e)
 		n := float64(e.load(now, c.remoteAt))
 		isFirst := rank == 1
-		target := min(slotFraction*limit, fillTarget(load.loadBound))
+		target := f.target(limit, load.loadBound)
 		if !isFirst {
 			target *= 1 - load.busy*(1-spillFraction)
 		}
@@ -457,10 +460,9 @@
 			continue
 		}
 		isAvoided := e.isAvoided(now) || e.State == registrar.Silent && e.consecutiveFailures > 0
-		// Another failure domain costs as much as half a request.
 		cost := n
 		if e.Domain != c.domain {
-			cost += 0.5
+			cost += remoteDomainCost
 		}
 		if !isAvoided && !f.isExact {
 			c.candidates = append(c.candidates, candidate{endpoint: e, load: cost, limit: limit})
--- a/core/chooser/chooser_test.go
+++ b/core/chooser/chooser_test.go
@@ -164,6 +164,21 @@
 	}
 }
 
+// Guards against a single router, or one that knows nothing of the others, that spreads the requests of a subject over
+// many endpoints although its endpoint is far below the load bound.
+func TestKnownLoadsAreFilledUpToTheBound(t *testing.T) {
+	f := newFleet(1, 9)
+	primary := ""
+	for n := range int(limits.LoadSlack) {
+		c, reason := f.routers[0].Choose(start, Query{Service: engine, Parts: testPrompt(1)})
+		assert.Equal(t, reason, Reason(""))
+		if n == 0 {
+			primary = c.Endpoint.ID
+		}
+		assert.Equal(t, c.Endpoint.ID, primary, "request %d", n)
+	}
+}
+
 // Guards against recomputing a prompt that another endpoint caches: one that is leaving or out of service, or that was
 // the primary before an endpoint joined.
 func TestCacheSourceIsTheFormerPrimary(t *testing.T) {
--- a/core/chooser/forecast.go
+++ b/core/chooser/forecast.go
@@ -43,7 +43,7 @@
 	reportIntervalWeight = 0.1
 )
 
-// decayingCount counts events; older ones lose weight with time constant demandWindow.
+// decayingCount counts events; older ones lose weight with the time constant window, the same one in all calls.
 type decayingCount struct {
 	value float64
 	at    time.Time
@@ -65,6 +65,14 @@
 	return window.Seconds() * (1 - math.Exp(-max(minCountSpan, span).Seconds()/window.Seconds()))
 }
 
+// target returns the load up to which an endpoint with an admission limit is filled.
+func (f *forecast) target(admissionLimit, loadBound float64) float64 {
+	if f.isExact {
+		return min(admissionLimit, loadBound)
+	}
+	return min(slotFraction*admissionLimit, fillTarget(loadBound))
+}
+
 // fillTarget returns the mean load that is boundDeviations standard deviations of random arrivals below the bound.
 func fillTarget(bound float64) float64 {
 	root := (math.Sqrt(boundDeviations*boundDeviations+4*bound) - boundDeviations) / 2
@@ -84,7 +92,8 @@
 	rate float64
 	// attempts is the recent number of requests of this router, including refused ones.
 	attempts float64
-	// surplus is the rate of the requests that the endpoints considered so far do not accept.
+	// surplus is the rate of the requests that the endpoints considered so far do not accept; acceptFirst and acceptOther
+	// update it.
 	surplus float64
 }
 
