--- a/core/chooser/forecast.go
+++ b/core/chooser/forecast.go
@@ -18,7 +18,7 @@
 	minCountSpan = 100 * time.Millisecond
 
 	// boundDeviations is the number of standard deviations by which the target of a load is below the load bound.
-	boundDeviations = 1.8
+	boundDeviations = 2.4
 
 	// slotFraction is the fraction of its slots up to which an endpoint is filled. A few requests may wait for a slot.
 	slotFraction = 0.97
