Keep only what is used of the loads in the chooser

The mean load of a pool was stored and used in one place, of the known load of an endpoint only the wanted requests were read, and Loads counted the recent requests to a cold endpoint with a loop of its own where recent does.

--- a/core/chooser/chooser.go
+++ b/core/chooser/chooser.go
@@ -123,9 +123,9 @@
 type endpoint struct {
 	registrar.Endpoint
 	inFlight            int
-	remoteInFlight      int  // requests of the other routers
-	known               Load // of all routers, last reported
-	reported            int  // requests running and waiting
+	remoteInFlight      int     // requests of the other routers
+	wanted              float64 // Load.Wanted of all routers, last reported
+	reported            int     // requests running and waiting
 	reportedAt          time.Time
 	sentSinceReport     int       // requests of this router that the last report doesn't include
 	inService           bool      // may receive new requests
@@ -165,7 +165,7 @@
 	pools    map[string]*pool
 	iterator placer.MemberIterator
 
-	candidates []candidate // buffer of chooseByLoad
+	candidates []candidate // buffer of chooseByAffinity and chooseByLoad
 
 	remoteAt       time.Time     // when the loads of the other routers were received
 	reportInterval time.Duration // average time between two receipts
@@ -279,7 +279,6 @@
 // poolLoad is the load of a pool as known to this router.
 type poolLoad struct {
 	total     int     // requests in flight at all endpoints
-	mean      float64 // over all endpoints, also those out of service
 	busy      float64 // from 0 to 1, the part of the reservations that applies
 	loadBound float64 // the load that an endpoint should not exceed
 }
@@ -297,8 +296,8 @@
 	if slots > 0 {
 		l.busy = min(1, max(0, 1-(busyFraction-float64(inService)/float64(slots))/busyRange))
 	}
-	l.mean = float64(l.total) / float64(len(p.endpoints))
-	l.loadBound = c.limits.LoadFactor*l.mean + c.limits.LoadSlack
+	mean := float64(l.total) / float64(len(p.endpoints)) // also of those out of service
+	l.loadBound = c.limits.LoadFactor*mean + c.limits.LoadSlack
 	return l
 }
 
@@ -408,10 +407,10 @@
 		}
 		accepted := 0.0
 		if isFirst {
-			accepted = f.acceptFirst(n, target, e.known.Wanted)
+			accepted = f.acceptFirst(n, target, e.wanted)
 			e.firstAttempts = append(recent(e.firstAttempts, now, wantedWindow), now)
 		} else {
-			accepted = f.acceptOther(n, target, e.known.Wanted, e.otherAttempts.get(now, demandWindow))
+			accepted = f.acceptOther(n, target, e.wanted, e.otherAttempts.get(now, demandWindow))
 			e.otherAttempts.add(now, demandWindow)
 		}
 		if random.next() < accepted {
@@ -565,11 +564,8 @@
 			if !e.reportedAt.IsZero() {
 				l.ReportAge = now.Sub(e.reportedAt)
 			}
-			for _, at := range e.coldSent {
-				if now.Sub(at) < coldWindow {
-					l.ColdSent++
-				}
-			}
+			e.coldSent = recent(e.coldSent, now, coldWindow)
+			l.ColdSent = len(e.coldSent)
 			list = append(list, l)
 		}
 	}
@@ -620,7 +616,7 @@
 	c.remoteAt = now
 	for id, e := range c.byID {
 		e.remoteInFlight = max(0, total[id].Requests-c.published[id].Requests)
-		e.known = total[id]
+		e.wanted = total[id].Wanted
 	}
 }
 
