Log the suspects of a lost answer with the parts of their prompts

Adds 'request suspected' (fingerprint, events before the end, parts, starts), 'suspect received' at control instances and cactusroute_suspects_total.

--- a/node/exchange.go
+++ b/node/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"slices"
+	"strconv"
 	"time"
 
 	"cactusroute.dev/adapters/committer"
@@ -115,7 +116,14 @@
 }
 
 // SuspectsReceived implements exchanger.Source.
-func (f *fleet) SuspectsReceived(list []exchanger.Suspect) { f.addSuspects(list) }
+func (f *fleet) SuspectsReceived(list []exchanger.Suspect) {
+	isNew := f.addSuspects(list)
+	for _, s := range list {
+		starts, _ := f.isConvicted(s.Fingerprint)
+		f.log.failure("msg", "suspect received", "fingerprint", strconv.FormatUint(s.Fingerprint, 16), "endpoint", s.Endpoint,
+			"starts", starts, "new", isNew)
+	}
+}
 
 // AllSuspects implements exchanger.Source.
 func (f *fleet) AllSuspects() (list []exchanger.Suspect) {
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -19,6 +19,7 @@
 	retries   *prometheus.CounterVec   // cause
 	refusals  *prometheus.CounterVec   // reason
 	limits    *prometheus.CounterVec   // bound
+	suspects  prometheus.Counter
 }
 
 // The values of the label direction.
@@ -86,6 +87,8 @@
 			Help: "Requests refused by this node by reason."}, []string{"reason"}),
 		limits: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cactusroute_endpoint_limits_total",
 			Help: "Exchanges ended because an endpoint sent more than a bound allows, by bound."}, []string{"bound"}),
+		suspects: prometheus.NewCounter(prometheus.CounterOpts{Name: "cactusroute_suspects_total",
+			Help: "Requests whose endpoint ended the connection before the end of the response."}),
 	}
 	for _, bound := range append(forwarder.Bounds(), boundEventBytes, boundBufferedBytes) {
 		m.limits.WithLabelValues(bound)
@@ -95,7 +98,7 @@
 	m.eventGap = prometheus.NewHistogram(prometheus.HistogramOpts{Name: "cactusroute_event_gap_seconds",
 		Help: "Time between consecutive writes of a stream to its caller.", Buckets: latencyBuckets()})
 	obs.Registry.MustRegister(m.requests, m.firstByte, m.duration, m.waitTime, m.eventGap, m.retries, m.refusals, m.limits,
-		newRoutingCollector(f.routing))
+		m.suspects, newRoutingCollector(f.routing))
 	for _, g := range []struct {
 		name, help string
 		value      func() float64
--- a/node/proxy.go
+++ b/node/proxy.go
@@ -317,10 +317,23 @@
 	return minOverloadRetryAfter + rand.N(maxOverloadRetryAfter-minOverloadRetryAfter)
 }
 
-// reportSuspect reports a request during which an endpoint closed the connection before the end of its response.
-func (p *proxy) reportSuspect(q *request, c chooser.Choice) {
+// maxLoggedPromptParts bounds the parts of a prompt in one log line.
+const maxLoggedPromptParts = 8
+
+// reportSuspect reports a request during which an endpoint closed the connection before the end of its response, after
+// the given number of events.
+func (p *proxy) reportSuspect(q *request, c chooser.Choice, events uint64) {
 	start := c.Endpoint.ID + "#" + strconv.FormatInt(c.Endpoint.Born, 10)
 	p.fleet.reportSuspect(exchanger.Suspect{Fingerprint: q.fingerprint, Endpoint: start})
+	p.metrics.suspects.Inc()
+	starts, _ := p.fleet.isConvicted(q.fingerprint)
+	parts := make([]string, 0, maxLoggedPromptParts)
+	for _, part := range q.promptParts[:min(len(q.promptParts), maxLoggedPromptParts)] {
+		parts = append(parts, part.ID)
+	}
+	p.log.failure("msg", "request suspected", "request", q.id, "endpoint", start,
+		"fingerprint", strconv.FormatUint(q.fingerprint, 16), "starts", starts, "events", events,
+		"parts", strings.Join(parts, ","), "partCount", len(q.promptParts))
 }
 
 // isDisconnected reports whether the caller has disconnected.
--- a/node/transfer.go
+++ b/node/transfer.go
@@ -264,7 +264,7 @@
 
 // handleLostResponse decides how to proceed after an attempt that may have been executed and whose response was lost.
 func (t *transfer) handleLostResponse(c chooser.Choice, err error) (decision, refusal) {
-	t.proxy.reportSuspect(t.request, c)
+	t.proxy.reportSuspect(t.request, c, t.splitter.events)
 	return t.retryOrEnd(), refusal{status: http.StatusBadGateway, reason: "endpointBroke", logFields: []any{"err", err}}
 }
 
