Refuse requests with a prompt part that crashes endpoints

What callers saw: engines ended one after the other, up to seven of nine at once, and with each the answers of all requests there; prompts were late, refused or cut for tens of seconds.

Cause: a suspect was identified by the hash of the whole request. Requests that share one part of their prompt and nothing else never added up.

Change: core/attributor attributes crashes to prompt parts. Suspects are requests that awaited their answers at an endpoint that then refuses connections. A part is convicted by crashes at different times, of different endpoints, during different requests, since it was last answered; crashes that a convicted part explains don't count against others. All nodes exchange the evidence, control instances decide and keep convictions on disk, routers check before each attempt. An answer lifts a conviction; the leader lets one request try a convicted part.

--- a/adapters/exchanger/client.go
+++ b/adapters/exchanger/client.go
@@ -20,6 +20,7 @@
 	// EndpointsReceived handles endpoint records; full is set if the list has all endpoints.
 	EndpointsReceived(list []registrar.Endpoint, full bool)
 	SuspectsReceived([]Suspect)
+	EvidenceReceived(Evidence)
 	HeartbeatReceived(Heartbeat)
 	LoadsReceived(Loads)
 	// Loads returns the requests in flight of this process, or nil if they are not reported to the instance.
@@ -34,10 +35,10 @@
 // errNotQuorate ends a subscription to a control instance that has lost its quorum.
 var errNotQuorate = errors.New("control instance has no quorum")
 
-// Subscribe connects to a control instance and sends it the endpoints known here, because an instance that has just
-// started knows none.
+// Subscribe connects to a control instance and sends it the endpoints and the evidence known here, because an instance
+// that has just started knows none.
 func Subscribe(ctx context.Context, instance, self Contact, opts messenger.Options, r Receiver,
-	endpoints []registrar.Endpoint) (*Subscription, error) {
+	endpoints []registrar.Endpoint, evidence Evidence) (*Subscription, error) {
 	opts.MaxMessageBytes = maxMessageBytes
 	opts.WriteTimeout = silenceTimeout
 	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
@@ -53,6 +54,9 @@
 		m := endpointsMessage{Records: encodeEndpoints(time.Now(), endpoints)}
 		err = conn.Send(ctx, kindEndpoints, 0, m)
 	}
+	if err == nil && evidence.Len() > 0 {
+		err = conn.Send(ctx, kindEvidence, 0, encodeEvidence(time.Now(), evidence))
+	}
 	if err != nil {
 		_ = conn.Close()
 		return nil, err
@@ -65,6 +69,11 @@
 	return s.conn.Send(ctx, kindSuspects, 0, list)
 }
 
+// ReportEvidence sends evidence to the control instance.
+func (s *Subscription) ReportEvidence(ctx context.Context, e Evidence) error {
+	return s.conn.Send(ctx, kindEvidence, 0, encodeEvidence(time.Now(), e))
+}
+
 // Close ends the subscription.
 func (s *Subscription) Close() { _ = s.conn.Close() }
 
@@ -170,6 +179,16 @@
 			return err
 		}
 		r.SuspectsReceived(list)
+	case kindEvidence:
+		var m evidenceMessage
+		if err := e.Decode(&m); err != nil {
+			return err
+		}
+		evidence, err := decodeEvidence(time.Now(), &m)
+		if err != nil {
+			return err
+		}
+		r.EvidenceReceived(evidence)
 	case kindLoads:
 		var m loadsMessage
 		if err := e.Decode(&m); err != nil {
--- a/adapters/exchanger/exchanger_test.go
+++ b/adapters/exchanger/exchanger_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"cactusroute.dev/adapters/messenger"
+	"cactusroute.dev/core/attributor"
 	"cactusroute.dev/core/fleetapplier"
 	"cactusroute.dev/core/registrar"
 )
@@ -74,6 +75,14 @@
 
 func (s *fakeSource) AcceptsRouters() bool { return !s.refusesRouters }
 
+func (s *fakeSource) EvidenceReceived(from Contact, e Evidence) {
+	s.record(fmt.Sprint("evidence of ", from.Name, " ", e.Suspects[0].Start))
+}
+
+func (s *fakeSource) AllEvidence() Evidence {
+	return Evidence{Convictions: []attributor.Conviction{{Part: 5, Revision: 1}}}
+}
+
 func (s *fakeSource) AllSuspects() []Suspect { return []Suspect{{Fingerprint: 9, Endpoint: "e"}} }
 
 // fakeReceiver is a Receiver that records its calls as text.
@@ -96,6 +105,10 @@
 
 func (r *fakeReceiver) SuspectsReceived(list []Suspect) { r.record(fmt.Sprint("suspects ", len(list))) }
 
+func (r *fakeReceiver) EvidenceReceived(e Evidence) {
+	r.record(fmt.Sprint("convictions ", len(e.Convictions)))
+}
+
 func (r *fakeReceiver) HeartbeatReceived(h Heartbeat) { r.record(fmt.Sprint("routers ", h.Routers)) }
 
 func (r *fakeReceiver) LoadsReceived(loads Loads) { r.record(fmt.Sprint(loads)) }
@@ -121,7 +134,8 @@
 	})
 	instance := Contact{Name: "hub", Address: strings.TrimPrefix(hs.URL, "http://")}
 	known := []registrar.Endpoint{{ID: "known", State: registrar.Draining}}
-	sub, err := Subscribe(ctx, instance, Contact{Name: "router"}, messenger.Options{}, r, known)
+	sub, err := Subscribe(ctx, instance, Contact{Name: "router"}, messenger.Options{}, r, known,
+		Evidence{Suspects: []attributor.Suspect{{Start: "e#1", Parts: []attributor.Part{5}}}})
 	assert.NilError(t, err)
 	ended := make(chan error, 1)
 	go func() { ended <- sub.Receive(ctx, r, needQuorum) }()
@@ -142,9 +156,15 @@
 		"map[e:{5 0}]"} {
 		waitFor(t, want, func() bool { return r.hasRecorded(want) })
 	}
-	for _, want := range []string{"attached router", "endpoint known", "suspect 77", "router map[e:{2 0}]"} {
+	for _, want := range []string{"attached router", "endpoint known", "suspect 77", "router map[e:{2 0}]",
+		"evidence of router e#1"} {
 		waitFor(t, want, func() bool { return s.hasRecorded(want) })
 	}
+	// A router that becomes ready with the state knows the convictions.
+	r.mu.Lock()
+	recorded := strings.Join(r.recorded, "\n")
+	r.mu.Unlock()
+	assert.Assert(t, strings.Index(recorded, "convictions 1") < strings.Index(recorded, "state 4"), recorded)
 	server.PublishEndpoints([]registrar.Endpoint{{ID: "a", State: registrar.Draining}})
 	waitFor(t, "draining", func() bool { return r.hasRecorded("a draining full false") })
 	// A plan that the subscriber has received isn't sent again.
@@ -177,13 +197,13 @@
 	instance := Contact{Name: "hub", Address: strings.TrimPrefix(hs.URL, "http://")}
 	ctx, cancel := context.WithTimeout(t.Context(), silenceTimeout/2)
 	defer cancel()
-	sub, err := Subscribe(ctx, instance, Contact{Name: "router"}, messenger.Options{}, r, nil)
+	sub, err := Subscribe(ctx, instance, Contact{Name: "router"}, messenger.Options{}, r, nil, Evidence{})
 	if err == nil {
 		err = sub.Receive(ctx, r, true)
 	}
 	assert.Assert(t, err != nil && ctx.Err() == nil, "subscription did not end: %v", err)
 	assert.Assert(t, !s.hasRecorded("attached router"))
-	peer, err := Subscribe(ctx, instance, Contact{Name: "peer", Eligible: true}, messenger.Options{}, r, nil)
+	peer, err := Subscribe(ctx, instance, Contact{Name: "peer", Eligible: true}, messenger.Options{}, r, nil, Evidence{})
 	assert.NilError(t, err)
 	t.Cleanup(peer.Close)
 	waitFor(t, "attached", func() bool { return s.hasRecorded("attached peer") })
--- a/adapters/exchanger/fuzz_test.go
+++ b/adapters/exchanger/fuzz_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
 	"cactusroute.dev/adapters/messenger"
+	"cactusroute.dev/core/attributor"
 )
 
 // Guards against a message of another node that crashes the process.
@@ -17,6 +19,8 @@
 		kindHeartbeat: heartbeatMessage{Quorate: true, QuorateInstances: []Contact{{Name: "n"}}},
 		kindState:     stateMessage{Index: 3, Version: 2, Plan: []byte{1, 2}},
 		kindSuspects:  []Suspect{{Fingerprint: 1, Endpoint: "a#1"}},
+		kindEvidence: evidenceMessage{Suspects: []suspectRecord{{Start: "a#1", Parts: []attributor.Part{1}}},
+			Answers: []answerRecord{{Part: 1, AgeMillis: 5}}, Convictions: []convictionRecord{{Part: 1, Revision: 1}}},
 	} {
 		body, err := cbor.Marshal(m)
 		if err != nil {
@@ -49,6 +53,11 @@
 		case kindSuspects:
 			var list []Suspect
 			_ = e.Decode(&list)
+		case kindEvidence:
+			var m evidenceMessage
+			if e.Decode(&m) == nil {
+				_, _ = decodeEvidence(time.Now(), &m)
+			}
 		}
 	})
 }
--- a/adapters/exchanger/server.go
+++ b/adapters/exchanger/server.go
@@ -26,6 +26,8 @@
 	EndpointsReceived([]registrar.Endpoint)
 	// SuspectsReceived handles the suspects that a subscriber reports.
 	SuspectsReceived([]Suspect)
+	// EvidenceReceived handles the evidence that a subscriber reports.
+	EvidenceReceived(from Contact, e Evidence)
 	// LoadsReceived handles the requests in flight of a subscriber.
 	LoadsReceived(from Contact, loads Loads)
 	// Loads returns the requests in flight that a subscriber is sent: those of this instance and its subscribers to
@@ -36,6 +38,8 @@
 	AcceptsRouters() bool
 	// AllSuspects returns the suspects to send to a new subscriber.
 	AllSuspects() []Suspect
+	// AllEvidence returns the evidence to send to a new subscriber.
+	AllEvidence() Evidence
 }
 
 // Server sends the state of a control instance to its subscribers.
@@ -56,6 +60,8 @@
 	mu       sync.Mutex
 	pending  map[string]registrar.Endpoint // newest unsent record by endpoint ID
 	suspects []Suspect                     // unsent
+	evidence Evidence                      // unsent
+	resync   bool                          // all evidence is to be sent
 	index    uint64                        // of the last state sent
 	version  uint64                        // of the last plan sent
 }
@@ -119,6 +125,16 @@
 				return
 			}
 			s.source.SuspectsReceived(list)
+		case kindEvidence:
+			var m evidenceMessage
+			if e.Decode(&m) != nil {
+				return
+			}
+			evidence, err := decodeEvidence(time.Now(), &m)
+			if err != nil {
+				return
+			}
+			s.source.EvidenceReceived(sub.contact, evidence)
 		case kindEndpoints:
 			var m endpointsMessage
 			if e.Decode(&m) != nil {
@@ -147,6 +163,7 @@
 		return err
 	}
 	sub.addSuspects(s.source.AllSuspects())
+	sub.addEvidence(s.source.AllEvidence())
 	heartbeatTicker := time.NewTicker(heartbeatInterval)
 	defer heartbeatTicker.Stop()
 	loadTicker := time.NewTicker(loadInterval)
@@ -190,7 +207,12 @@
 	clear(sub.pending)
 	suspects := sub.suspects
 	sub.suspects = nil
+	evidence, resync := sub.evidence, sub.resync
+	sub.evidence, sub.resync = Evidence{}, false
 	sub.mu.Unlock()
+	if resync {
+		evidence = s.source.AllEvidence()
+	}
 	if len(changed) > 0 {
 		m := endpointsMessage{Records: encodeEndpoints(time.Now(), changed)}
 		if err := sub.conn.Send(ctx, kindEndpoints, 0, m); err != nil {
@@ -202,6 +224,12 @@
 			return err
 		}
 	}
+	if evidence.Len() > 0 {
+		// Sent before the state, with which a router becomes ready.
+		if err := sub.conn.Send(ctx, kindEvidence, 0, encodeEvidence(time.Now(), evidence)); err != nil {
+			return err
+		}
+	}
 	st := s.source.State()
 	if st.Index <= sub.index {
 		return nil
@@ -248,6 +276,21 @@
 	sub.suspects = append(sub.suspects, list...)
 }
 
+// PublishEvidence sends new evidence to all subscribers.
+func (s *Server) PublishEvidence(e Evidence) {
+	s.forEachSubscriber(func(sub *subscriber) { sub.addEvidence(e) })
+}
+
+func (sub *subscriber) addEvidence(e Evidence) {
+	sub.mu.Lock()
+	defer sub.mu.Unlock()
+	if sub.resync || sub.evidence.Len()+e.Len() > maxPendingEvidence {
+		sub.evidence, sub.resync = Evidence{}, true
+		return
+	}
+	sub.evidence.Add(e)
+}
+
 func (s *Server) forEachSubscriber(update func(*subscriber)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/adapters/exchanger/wire.go
+++ b/adapters/exchanger/wire.go
@@ -48,12 +48,13 @@
 	kindHeartbeat
 	kindSuspects
 	kindLoads
+	kindEvidence
 )
 
 // KindNames are the names of the kinds of messages, by kind, for metrics.
 func KindNames() map[uint8]string {
 	return map[uint8]string{kindHello: "hello", kindPing: "ping", kindState: "state", kindEndpoints: "endpoints",
-		kindHeartbeat: "heartbeat", kindSuspects: "suspects", kindLoads: "loads"}
+		kindHeartbeat: "heartbeat", kindSuspects: "suspects", kindLoads: "loads", kindEvidence: "evidence"}
 }
 
 // Contact is the identity of a process and its addresses.
--- a/adapters/forwarder/pool.go
+++ b/adapters/forwarder/pool.go
@@ -145,6 +145,19 @@
 	return &conn{Conn: nc, br: bufio.NewReaderSize(nc, readBufferBytes), address: r.Address}, nil
 }
 
+// Refuses reports whether an address refuses connections: the process that listened there has ended.
+func (p *Pool) Refuses(ctx context.Context, address string) bool {
+	nc, err := p.dialer.DialContext(ctx, "tcp", address)
+	if err == nil {
+		_ = nc.Close()
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.dialCount++
+		return false
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // popIdle removes and returns the most recently used idle connection, so that the least recently used ones expire.
 func (p *Pool) popIdle(address string, now time.Time) *conn {
 	p.mu.Lock()
--- a/node/control.go
+++ b/node/control.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"cactusroute.dev/adapters/exchanger"
+	"cactusroute.dev/core/attributor"
 	"cactusroute.dev/core/fleetapplier"
 	"cactusroute.dev/core/registrar"
 )
@@ -31,6 +32,10 @@
 	Register(ctx context.Context, e registrar.Endpoint) (next string, err error)
 	// Deregister records that an endpoint has left.
 	Deregister(ctx context.Context, id string) error
+	// Convictions returns the prompt parts that this node knows as convicted or lifted.
+	Convictions() []attributor.Conviction
+	// LiftConviction ends the conviction of a prompt part at all nodes; it returns a *NotConvictedError if there is none.
+	LiftConviction(part attributor.Part) error
 }
 
 // RedirectError holds the control address of the node that can handle the call.
@@ -45,6 +50,14 @@
 // Error implements error.
 func (e *UnavailableError) Error() string { return "control is unavailable: " + e.Reason }
 
+// NotConvictedError names a prompt part that this node does not know as convicted.
+type NotConvictedError struct{ Part attributor.Part }
+
+// Error implements error.
+func (e *NotConvictedError) Error() string {
+	return "prompt part " + e.Part.String() + " is not convicted"
+}
+
 // localControl returns this node's control instance if it is quorate; otherwise the error redirects the caller if
 // possible.
 func (f *fleet) localControl() (*controlInstance, error) {
@@ -160,6 +173,17 @@
 	return nil
 }
 
+// Convictions implements Control.
+func (f *fleet) Convictions() []attributor.Conviction { return f.evidence.all().Convictions }
+
+// LiftConviction implements Control.
+func (f *fleet) LiftConviction(part attributor.Part) error {
+	if !f.evidence.lift(part) {
+		return &NotConvictedError{Part: part}
+	}
+	return nil
+}
+
 // preferredInstance returns another quorate control instance, preferably in the failure domain.
 func (f *fleet) preferredInstance(domain string) (best exchanger.Contact, ok bool) {
 	for _, c := range f.quorateInstances() {
--- a/node/control_handlers.go
+++ b/node/control_handlers.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"cactusroute.dev/core/attributor"
 	"cactusroute.dev/core/planner"
 	"cactusroute.dev/core/registrar"
 )
@@ -61,6 +62,42 @@
 	writeResult(w, r, c.control.Deregister(r.Context(), r.PathValue("id")))
 }
 
+// convictionBody is one element of the response to GetConvictions.
+type convictionBody struct {
+	Part             string `json:"part"`
+	Lifted           bool   `json:"lifted"`
+	Crashes          int    `json:"crashes"` // that pointed to the part at its conviction
+	AgeMillis        int64  `json:"ageMillis"`
+	RefusedAgeMillis int64  `json:"refusedAgeMillis"` // since a request was last refused for it
+	RefusedBy        string `json:"refusedBy,omitempty"`
+	Trials           int    `json:"trials"`
+	TrialBy          string `json:"trialBy,omitempty"`
+}
+
+// GetConvictions responds with the convictions of prompt parts that the node knows.
+func (c *ControlHandlers) GetConvictions(w http.ResponseWriter, _ *http.Request) {
+	now := time.Now()
+	convictions := c.control.Convictions()
+	list := make([]convictionBody, 0, len(convictions))
+	for _, conv := range convictions {
+		list = append(list, convictionBody{Part: conv.Part.String(), Lifted: conv.Lifted, Crashes: conv.Crashes,
+			AgeMillis: now.Sub(conv.At).Milliseconds(), RefusedAgeMillis: now.Sub(conv.RefusedAt).Milliseconds(),
+			RefusedBy: conv.RefusedBy, Trials: conv.Trials, TrialBy: conv.TrialBy})
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(list)
+}
+
+// LiftConviction ends the conviction of a prompt part.
+func (c *ControlHandlers) LiftConviction(w http.ResponseWriter, r *http.Request) {
+	part, err := attributor.ParsePart(r.PathValue("part"))
+	if err != nil {
+		writeResult(w, r, &BadRequestError{Reason: err.Error()})
+		return
+	}
+	writeResult(w, r, c.control.LiftConviction(part))
+}
+
 // Register returns the handler of heartbeats, which decode parses. It responds with the result of encode for next, the
 // address to which the next heartbeats should be sent.
 func (c *ControlHandlers) Register(
@@ -101,6 +138,7 @@
 		invalid     *planner.InvalidError
 		badRequest  *BadRequestError
 		tooLarge    *http.MaxBytesError
+		unknown     *NotConvictedError
 	)
 	switch {
 	case err == nil:
@@ -110,6 +148,8 @@
 		w.WriteHeader(http.StatusTemporaryRedirect)
 	case errors.As(err, &invalid), errors.As(err, &badRequest):
 		http.Error(w, err.Error(), http.StatusBadRequest)
+	case errors.As(err, &unknown):
+		http.Error(w, err.Error(), http.StatusNotFound)
 	case errors.As(err, &tooLarge):
 		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
 	case errors.As(err, &unavailable):
--- a/node/control_instance.go
+++ b/node/control_instance.go
@@ -17,6 +17,7 @@
 	"cactusroute.dev/adapters/observer"
 	"cactusroute.dev/adapters/storer"
 	"cactusroute.dev/core/fleetapplier"
+	"cactusroute.dev/core/replicator"
 )
 
 const (
@@ -150,6 +151,12 @@
 	return ok && ci.isCurrent(at, time.Now())
 }
 
+// isLeader reports whether this instance leads the control group, confirmed by a quorum.
+func (ci *controlInstance) isLeader() bool {
+	c := ci.replica.Load()
+	return c != nil && c.Status().Role == replicator.Leader.String() && ci.isQuorate()
+}
+
 // isCurrent reports whether a confirmation still holds.
 func (ci *controlInstance) isCurrent(confirmedAt, now time.Time) bool {
 	resumedAt, err := ci.suspensions.lastResume(now)
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -137,6 +137,14 @@
 	return list
 }
 
+// EvidenceReceived implements exchanger.Source.
+func (f *fleet) EvidenceReceived(from exchanger.Contact, e exchanger.Evidence) {
+	f.evidence.merge(e, from.Name)
+}
+
+// AllEvidence implements exchanger.Source.
+func (f *fleet) AllEvidence() exchanger.Evidence { return f.evidence.all() }
+
 // EndpointsReceived implements exchanger.Source.
 func (f *fleet) EndpointsReceived(list []registrar.Endpoint) { f.mergeEndpoints(list, "subscriber") }
 
@@ -178,6 +186,9 @@
 // SuspectsReceived implements exchanger.Receiver.
 func (r *receiver) SuspectsReceived(list []exchanger.Suspect) { r.fleet.addSuspects(list) }
 
+// EvidenceReceived implements exchanger.Receiver.
+func (r *receiver) EvidenceReceived(e exchanger.Evidence) { r.fleet.evidence.merge(e, r.instance.Name) }
+
 // Loads implements exchanger.Receiver.
 func (r *receiver) Loads() exchanger.Loads {
 	if r.isPeer {
@@ -267,7 +278,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	r := &receiver{fleet: f, instance: c, isPeer: isPeer, failBack: cancel}
-	sub, err := exchanger.Subscribe(ctx, c, f.self, f.exchangeOptions, r, f.Endpoints())
+	sub, err := exchanger.Subscribe(ctx, c, f.self, f.exchangeOptions, r, f.Endpoints(), f.AllEvidence())
 	if err != nil {
 		return err
 	}
@@ -277,6 +288,7 @@
 		f.subscribedTo = c.Name
 		f.mu.Unlock()
 		go f.sendSuspectReports(ctx, sub)
+		go f.evidence.report(ctx, sub.ReportEvidence)
 	}
 	return sub.Receive(ctx, r, !isPeer)
 }
--- a/node/fakes_test.go
+++ b/node/fakes_test.go
@@ -68,6 +68,7 @@
 // fakeEndpoint is an HTTP server that records the requests it receives.
 type fakeEndpoint struct {
 	address  string
+	listener net.Listener
 	mu       sync.Mutex
 	requests []*http.Request
 	bodies   []string
@@ -96,7 +97,7 @@
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = ln.Close() })
-	e := &fakeEndpoint{address: ln.Addr().String()}
+	e := &fakeEndpoint{address: ln.Addr().String(), listener: ln}
 	go func() {
 		for {
 			c, err := ln.Accept()
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -86,6 +86,7 @@
 	decodeSignal   chan struct{} // capacity 1: a received state is not yet decoded
 	cacheDirty     chan struct{} // capacity 1: the state cache on disk is out of date
 	suspectReports chan exchanger.Suspect
+	evidence       *evidence
 
 	exchangeOptions messenger.Options // of connections to other nodes
 
@@ -138,7 +139,7 @@
 		seeds: s.Seeds, endpoints: registrar.New(time.Duration(s.HeartbeatMillis) * time.Millisecond),
 		instances: map[string]*knownInstance{}, subscribers: map[string]*subscriber{},
 		seedsInformedAt: map[string]time.Time{}, suspects: map[uint64]*suspect{},
-		started: time.Now()}
+		evidence: newEvidence(s.Place.Name, s.DataFolder != "", log), started: time.Now()}
 	f.view.Store(&view{})
 	choosesBootstrapper := s.FirstStart && len(s.Seeds) > 0 && slices.Min(s.Seeds) == s.Listen.Advertise
 	f.discovery = exchanger.NewDiscovery(f.self, choosesBootstrapper, f.quorateInstances, f.recordContacts)
@@ -431,7 +432,8 @@
 	return isNew
 }
 
-// expire expires endpoints, suspects and known instances, and updates the router count of a control instance.
+// expire expires endpoints, suspects, evidence and known instances. A control instance also updates the router count,
+// and the leader grants trials.
 func (f *fleet) expire(now time.Time) {
 	f.mu.Lock()
 	changed := f.endpoints.Expire(now)
@@ -449,9 +451,13 @@
 	if len(changed) > 0 {
 		f.publishEndpoints(changed, "noHeartbeat")
 	}
+	f.evidence.expire(now)
 	if f.control != nil {
 		_, total := f.connectedRouters(now)
 		f.recordRouterCount(total)
+		if f.control.isLeader() {
+			f.evidence.grantTrials(now)
+		}
 	}
 }
 
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -114,6 +114,9 @@
 		}},
 		{"cactusroute_view_age_seconds", "Time since a control instance with a quorum confirmed this node's view.",
 			func() float64 { return f.viewAge(time.Now()).Seconds() }},
+		{"cactusroute_convicted_parts", "Prompt parts for which requests are refused.", func() float64 {
+			return float64(f.evidence.convictions.Load())
+		}},
 		{"cactusroute_routers", "Known nodes that route requests.", func() float64 {
 			f.mu.Lock()
 			defer f.mu.Unlock()
--- a/node/native_dialect.go
+++ b/node/native_dialect.go
@@ -48,6 +48,8 @@
 		return heartbeatResponse{Next: next}
 	}))
 	mux.HandleFunc("DELETE /v1/endpoints/{id}", handlers.Deregister)
+	mux.HandleFunc("GET /v1/convictions", handlers.GetConvictions)
+	mux.HandleFunc("DELETE /v1/convictions/{part}", handlers.LiftConviction)
 	return mux
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -53,6 +53,10 @@
 			f.control.server.PublishState()
 		})
 		f.control.server = exchanger.NewServer(f.exchangeOptions, f)
+		f.evidence.publish = func(e exchanger.Evidence) {
+			f.control.server.PublishEvidence(e)
+			f.markCacheDirty()
+		}
 	}
 	pool := forwarder.NewPool(s.EndpointLimits.Limits)
 	n := &Node{settings: s, obs: obs, queue: queue, fleet: f}
@@ -151,6 +155,7 @@
 		sup.Add(service{"peers", f.subscribeToPeers})
 		sup.Add(service{"loads", f.aggregateLoads})
 		sup.Add(service{"memory", f.persistStateCache})
+		sup.Add(service{"crashes", f.evidence.evaluate})
 		exchange.Handle(transporter.Path, f.control)
 		exchange.Handle(exchanger.SubscriptionPath, f.control.server)
 	} else {
--- a/node/proxy.go
+++ b/node/proxy.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"hash/fnv"
 	"io"
 	"math/rand/v2"
@@ -15,8 +16,11 @@
 
 	"cactusroute.dev/adapters/exchanger"
 	"cactusroute.dev/adapters/forwarder"
+	"cactusroute.dev/adapters/sleeper"
+	"cactusroute.dev/core/attributor"
 	"cactusroute.dev/core/chooser"
 	"cactusroute.dev/core/planner"
+	"cactusroute.dev/core/registrar"
 )
 
 const (
@@ -71,7 +75,8 @@
 	body        []byte
 	reserved    int64 // bytes of proxy.bodies
 	promptParts []chooser.PromptPart
-	priority    float64 // from 0 for the highest to 1 for the lowest
+	sharedParts []attributor.Part // that other requests may have, too
+	priority    float64           // from 0 for the highest to 1 for the lowest
 	planVersion uint64
 	inbound     *http.Request
 	fingerprint uint64 // of method, host, target, workspace and body
@@ -139,6 +144,7 @@
 	q.deadline = q.receivedAt.Add(remaining)
 	if q.service.Engine {
 		q.promptParts = parsePromptParts(r.Header.Get(h.PromptParts))
+		q.sharedParts = attributor.SharedParts(q.service.Name, partIDs(q.promptParts))
 	}
 	q.priority = v.plan.NormalizedPriority(q.route, q.workspace)
 	q.header = p.forwardedHeader(r.Header, q.workspace)
@@ -195,6 +201,14 @@
 	return parts
 }
 
+func partIDs(parts []chooser.PromptPart) []string {
+	ids := make([]string, 0, len(parts))
+	for _, part := range parts {
+		ids = append(ids, part.ID)
+	}
+	return ids
+}
+
 // readBody buffers the body, so that it can be resent and the server detects a disconnect of the caller.
 func (p *proxy) readBody(w http.ResponseWriter, q *request) *refusal {
 	limit := p.fleet.view.Load().plan.Limits.BodyBytes
@@ -327,14 +341,28 @@
 	p.fleet.reportSuspect(exchanger.Suspect{Fingerprint: q.fingerprint, Endpoint: start})
 	p.metrics.suspects.Inc()
 	starts, _ := p.fleet.isConvicted(q.fingerprint)
-	parts := make([]string, 0, maxLoggedPromptParts)
-	for _, part := range q.promptParts[:min(len(q.promptParts), maxLoggedPromptParts)] {
-		parts = append(parts, part.ID)
-	}
+	parts := partIDs(q.promptParts[:min(len(q.promptParts), maxLoggedPromptParts)])
 	p.log.failure("msg", "request suspected", "request", q.id, "endpoint", start,
 		"fingerprint", strconv.FormatUint(q.fingerprint, 16), "starts", starts, "events", events,
 		"parts", strings.Join(parts, ","), "partCount", len(q.promptParts))
 }
 
+// reportCrash reports a request that awaited its answer at an endpoint that has ended.
+func (p *proxy) reportCrash(q *request, e registrar.Endpoint, at time.Time) {
+	if len(q.sharedParts) == 0 {
+		return
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), at.Add(crashCheckTimeout))
+	defer cancel()
+	sleeper.Pause(ctx, crashCheckDelay)
+	if !p.pool.Refuses(ctx, e.Address) {
+		return
+	}
+	start := e.ID + "#" + strconv.FormatInt(e.Born, 10)
+	p.log.failure("msg", "endpoint crashed", "request", q.id, "endpoint", start, "parts", fmt.Sprint(q.sharedParts))
+	p.fleet.evidence.merge(exchanger.Evidence{Suspects: []attributor.Suspect{{Start: start, At: at,
+		Fingerprint: q.fingerprint, Parts: q.sharedParts}}}, p.fleet.self.Name)
+}
+
 // isDisconnected reports whether the caller has disconnected.
 func isDisconnected(ctx context.Context) bool { return ctx.Err() != nil }
--- a/node/state_cache.go
+++ b/node/state_cache.go
@@ -11,8 +11,10 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"cactusroute.dev/adapters/exchanger"
 	"cactusroute.dev/adapters/sleeper"
 	"cactusroute.dev/adapters/storer"
+	"cactusroute.dev/core/attributor"
 	"cactusroute.dev/core/fleetapplier"
 	"cactusroute.dev/core/registrar"
 )
@@ -32,6 +34,8 @@
 type stateCache struct {
 	State     fleetapplier.State   `cbor:"1,keyasint"`
 	Endpoints []registrar.Endpoint `cbor:"2,keyasint"`
+	// Convictions hold through a restart of the whole fleet.
+	Convictions []attributor.Conviction `cbor:"3,keyasint,omitempty"`
 }
 
 // persistStateCache writes the state cache after changes until ctx ends.
@@ -66,7 +70,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	cache := stateCache{State: fleetapplier.State{Index: f.received.index, Plan: f.received.plan,
-		TakenOut: f.received.takenOut}}
+		TakenOut: f.received.takenOut}, Convictions: f.evidence.all().Convictions}
 	for _, e := range f.endpoints.All() {
 		// These times are meaningless after a restart.
 		e.ColdUntil, e.Changed = time.Time{}, time.Time{}
@@ -89,6 +93,13 @@
 	f.log.event("memory read", "index", cache.State.Index, "version", cache.State.Plan.Version,
 		"endpoints", len(cache.Endpoints))
 	f.mergeEndpoints(cache.Endpoints, "memory")
+	now := time.Now()
+	for i := range cache.Convictions {
+		// The clock may have been stepped.
+		c := &cache.Convictions[i]
+		c.At, c.RefusedAt, c.TrialAt = now, now, now
+	}
+	f.evidence.merge(exchanger.Evidence{Convictions: cache.Convictions}, "memory")
 	f.receiveState(cache.State.Index, &cache.State.Plan, cache.State.TakenOut)
 }
 
--- a/node/transfer.go
+++ b/node/transfer.go
@@ -8,12 +8,14 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
 
 	"cactusroute.dev/adapters/forwarder"
 	"cactusroute.dev/adapters/sleeper"
+	"cactusroute.dev/core/attributor"
 	"cactusroute.dev/core/chooser"
 	"cactusroute.dev/core/planner"
 )
@@ -54,6 +56,8 @@
 	runs            int      // attempts that an endpoint may have executed
 	headerSent      bool     // the response header was sent to the caller
 	splitter        eventSplitter
+	eventsBefore    uint64            // events of earlier attempts
+	answered        bool              // recorded as evidence that its prompt is sound
 	sentAt          time.Time         // start of the current attempt
 	firstByteAt     time.Time         // when the first bytes of the body were sent to the caller
 	lastWriteAt     time.Time         // of a stream
@@ -83,6 +87,10 @@
 	q, p := t.request, t.proxy
 	var ref refusal
 	for {
+		if c, ok := p.fleet.evidence.check(q.sharedParts); !ok {
+			t.finish(t.finalDecision(), t.convictedRefusal(c))
+			return
+		}
 		choice, reason := t.choose(ctx)
 		if reason != "" {
 			t.finish(refuseRequest, t.noEndpointRefusal(reason, ref))
@@ -126,6 +134,21 @@
 	return refuseRequest
 }
 
+// convictedRefusal returns the refusal of a request with a convicted prompt part.
+func (t *transfer) convictedRefusal(c attributor.Conviction) refusal {
+	q, now := t.request, time.Now()
+	id := ""
+	if i := slices.Index(q.sharedParts, c.Part); i >= 0 && len(q.sharedParts) == len(q.promptParts)-1 {
+		id = q.promptParts[i].ID
+	}
+	ref := refusal{status: http.StatusServiceUnavailable, reason: "breaksEndpoints", retryAfter: convictedRetryAfter,
+		logFields: []any{"part", c.Part, "partID", id, "crashes", c.Crashes, "ageMs", now.Sub(c.At).Milliseconds()}}
+	if t.runs > 0 {
+		ref.status, ref.retryAfter = http.StatusBadGateway, 0
+	}
+	return ref
+}
+
 // choose selects an endpoint, and waits up to chooseTimeout if none is available.
 func (t *transfer) choose(ctx context.Context) (chooser.Choice, chooser.Reason) {
 	q := t.request
@@ -161,6 +184,7 @@
 	q, p := t.request, t.proxy
 	t.sends++
 	t.sentAt = time.Now()
+	t.eventsBefore = t.splitter.events
 	t.tried = append(t.tried, c.Endpoint.ID)
 	t.choiceLogFields = []any{"endpoint", c.Endpoint.ID, "load", c.Load,
 		"loadAgeMs", c.ReportAge.Milliseconds(), "rank", c.Rank}
@@ -264,7 +288,11 @@
 
 // handleLostResponse decides how to proceed after an attempt that may have been executed and whose response was lost.
 func (t *transfer) handleLostResponse(c chooser.Choice, err error) (decision, refusal) {
-	t.proxy.reportSuspect(t.request, c, t.splitter.events)
+	events := t.splitter.events - t.eventsBefore
+	t.proxy.reportSuspect(t.request, c, events)
+	if events < soundEvents {
+		go t.proxy.reportCrash(t.request, c.Endpoint, time.Now())
+	}
 	return t.retryOrEnd(), refusal{status: http.StatusBadGateway, reason: "endpointBroke", logFields: []any{"err", err}}
 }
 
@@ -394,6 +422,7 @@
 		return abandonRequest, refusal{reason: "callerLeft"}
 	}
 	if len(buf) <= maxBufferedBytes {
+		t.recordAnswered(resp)
 		return finishRequest, refusal{status: resp.Status}
 	}
 	if _, err := io.Copy(t.w, resp.Body); err != nil {
@@ -462,6 +491,9 @@
 				return abandonRequest, refusal{reason: "callerLeft"}
 			}
 		}
+		if errors.Is(err, io.EOF) || t.splitter.events-t.eventsBefore >= soundEvents {
+			t.recordAnswered(resp)
+		}
 		if errors.Is(err, io.EOF) {
 			return finishRequest, refusal{status: resp.Status}
 		}
@@ -471,6 +503,15 @@
 	}
 }
 
+// recordAnswered records once that the endpoint has begun to answer the prompt and is still up.
+func (t *transfer) recordAnswered(resp *forwarder.Response) {
+	if t.answered || resp.Status >= http.StatusMultipleChoices {
+		return
+	}
+	t.answered = true
+	t.proxy.fleet.evidence.recordAnswers(t.request.sharedParts)
+}
+
 // stallTimer ends a stream without complete events. Other bytes do not extend it.
 type stallTimer struct {
 	timeout  time.Duration // 0 means none
