Treat a stream without framing that ends inside an event as broken off

What callers saw: a stream whose endpoint failed was passed on as complete if the response had neither a length nor chunks: the close of the connection is its only end, and a process that dies closes it, too.

Cause: the end of the body was taken for the end of the stream, whatever the events said. It also counted as an answer to the prompt, which would clear a prompt part that crashes endpoints.

Change: forwarder.Response tells that the body ends with its connection. Such a stream is complete only after a complete event; otherwise it is resumed where the route allows, or the connection to the caller ends. Framed streams are passed on as before: their framing shows the end.

No connection with such a response was kept for reuse before (TestCloseDelimitedResponseEndsWithConnection).

--- a/adapters/forwarder/exchange.go
+++ b/adapters/forwarder/exchange.go
@@ -38,7 +38,10 @@
 	Header http.Header
 	// Length is the length of the body, or -1 if it is unknown.
 	Length int64
-	Body   io.ReadCloser
+	// EndsWithConn is set if the body has no framing: it is complete when the endpoint closes the connection, also if it
+	// does so because it fails.
+	EndsWithConn bool
+	Body         io.ReadCloser
 	// SetReadDeadline limits reads of the body, up to the deadline of the request.
 	SetReadDeadline func(t time.Time)
 }
@@ -213,8 +216,8 @@
 	if !resp.Close && !isCloseDelimited && resp.ProtoAtLeast(1, 1) {
 		x.idleTimeout = parseIdleTimeout(resp.Header.Get("Keep-Alive"))
 	}
-	return &Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Body: x,
-		SetReadDeadline: x.setReadDeadline}
+	return &Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
+		EndsWithConn: isCloseDelimited, Body: x, SetReadDeadline: x.setReadDeadline}
 }
 
 // parseIdleTimeout returns how long a connection may be idle, from the endpoint's Keep-Alive header in whole seconds.
--- a/node/event_splitter.go
+++ b/node/event_splitter.go
@@ -31,6 +31,9 @@
 	s.lineHasBytes, s.eventHasBytes, s.afterCR = false, false, false
 }
 
+// isInsideEvent reports whether an event has begun and not ended.
+func (s *eventSplitter) isInsideEvent() bool { return s.lineHasBytes || s.eventHasBytes }
+
 // observe counts the events in data of a stream that is forwarded without being split.
 func (s *eventSplitter) observe(data []byte) { s.scan(data) }
 
--- a/node/evidence_test.go
+++ b/node/evidence_test.go
@@ -138,6 +138,7 @@
 		{"after the first event", head + chunk("id: 1\ndata: a\n\n"), true, "/stream/", "first:10,bad:20,tail:5", 1},
 		{"after the second event", head + chunk("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"), true, "/stream/",
 			"first:10,bad:20,tail:5", 0},
+		{"without framing", "HTTP/1.1 200 OK\r\nReq-Id: id-1\r\n\r\n", true, "/stream/", "first:10,bad:20,tail:5", 1},
 		{"endpoint is up", "", false, "/stream/", "first:10,bad:20,tail:5", 0},
 		{"inside a body", "HTTP/1.1 200 OK\r\nReq-Id: id-1\r\nContent-Length: 9\r\n\r\nx", true, "/once/",
 			"first:10,bad:20,tail:5", 1},
--- /dev/null
+++ b/node/stream_end_test.go
@@ -0,0 +1,84 @@
+package node
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a stream without framing that ends inside an event, or before its first one, and is forwarded as
+// complete, and against complete streams that are taken for broken ones: with a length or chunks, the framing tells.
+func TestStreamThatEndsInsideAnEventIsBroken(t *testing.T) {
+	const events = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+	framings := []struct {
+		name   string
+		frames bool
+		frame  func(body string) string // header fields and body
+	}{
+		{"no framing", false, func(body string) string { return "\r\n" + body }},
+		{"chunks", true, func(body string) string {
+			if body == "" {
+				return "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+			}
+			return fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(body), body)
+		}},
+		{"length", true, func(body string) string { return "Content-Length: " + itoa(len(body)) + "\r\n\r\n" + body }},
+	}
+	for _, c := range []struct {
+		name     string
+		body     string
+		complete bool
+		resumeAt string // Last-Event-Id of the second attempt where the route allows one
+	}{
+		{"complete", events, true, ""},
+		{"complete with CR LF", strings.ReplaceAll(events, "\n", "\r\n"), true, ""},
+		{"inside the data of the second event", events[:len(events)-5], false, "1"},
+		{"before the empty line of the second event", events[:len(events)-1], false, "1"},
+		{"inside the first event", "id: 1\nda", false, ""},
+		{"before the first event", "", false, ""},
+	} {
+		for _, f := range framings {
+			for _, path := range []string{"/stream/", "/resume/"} {
+				t.Run(c.name+" "+f.name+" "+path, func(t *testing.T) {
+					broken := newFakeEndpoint(t, func(req *receivedRequest) {
+						_, _ = req.conn.Write([]byte("HTTP/1.1 200 OK\r\nReq-Id: id-1\r\nContent-Type: text/event-stream\r\n" +
+							f.frame(c.body)))
+						_ = req.conn.Close()
+					})
+					resumedAt := "none"
+					sound := newFakeEndpoint(t, func(req *receivedRequest) {
+						resumedAt = req.r.Header.Get("Last-Event-Id")
+						rest := events
+						if resumedAt == "1" {
+							rest = events[len(events)/2:]
+						}
+						req.respond("200 OK", "Content-Type: text/event-stream\r\n", rest)
+					})
+					p := newTestProxy(t, testPlan(1), broken, sound)
+					for broken.count() == 0 {
+						resumedAt = "none"
+						got := p.call(t, http.MethodPost, path, "")
+						if broken.count() == 0 {
+							continue // the sound endpoint was chosen first
+						}
+						switch {
+						case c.complete || f.frames:
+							assert.NilError(t, got.err)
+							assert.Equal(t, got.body, c.body)
+							assert.Equal(t, resumedAt, "none")
+						case path == "/resume/":
+							assert.NilError(t, got.err)
+							assert.Equal(t, got.body, events)
+							assert.Equal(t, resumedAt, c.resumeAt)
+						default:
+							assert.Assert(t, got.err != nil || got.status == http.StatusBadGateway, "%d %q", got.status, got.body)
+						}
+					}
+				})
+			}
+		}
+	}
+}
--- a/node/transfer.go
+++ b/node/transfer.go
@@ -422,7 +422,9 @@
 		return abandonRequest, refusal{reason: "callerLeft"}
 	}
 	if len(buf) <= maxBufferedBytes {
-		t.recordAnswered(resp)
+		if !resp.EndsWithConn {
+			t.recordAnswered(resp)
+		}
 		return finishRequest, refusal{status: resp.Status}
 	}
 	if _, err := io.Copy(t.w, resp.Body); err != nil {
@@ -472,7 +474,11 @@
 			if out, splitErr = t.splitter.split(out); splitErr != nil {
 				err = splitErr
 			}
-			if errors.Is(err, io.EOF) {
+		}
+		if errors.Is(err, io.EOF) {
+			if t.isInsideEvent(resp) {
+				err = errInsideEvent
+			} else {
 				out = append(out, t.splitter.partial...)
 			}
 		}
@@ -491,7 +497,7 @@
 				return abandonRequest, refusal{reason: "callerLeft"}
 			}
 		}
-		if errors.Is(err, io.EOF) || t.splitter.events-t.eventsBefore >= soundEvents {
+		if errors.Is(err, io.EOF) && !resp.EndsWithConn || t.splitter.events-t.eventsBefore >= soundEvents {
 			t.recordAnswered(resp)
 		}
 		if errors.Is(err, io.EOF) {
@@ -503,6 +509,21 @@
 	}
 }
 
+// errInsideEvent means that a stream without framing ended before its first event or inside one.
+var errInsideEvent = errors.New("stream ended inside an event")
+
+// eventStreamType is the media type of a stream of server-sent events.
+const eventStreamType = "text/event-stream"
+
+// isInsideEvent reports whether a stream that has ended was broken off, although its framing doesn't show it.
+func (t *transfer) isInsideEvent(resp *forwarder.Response) bool {
+	contentType, _, _ := strings.Cut(resp.Header.Get("Content-Type"), ";")
+	if !resp.EndsWithConn || contentType != "" && !strings.EqualFold(strings.TrimSpace(contentType), eventStreamType) {
+		return false
+	}
+	return t.splitter.events == t.eventsBefore || t.splitter.isInsideEvent()
+}
+
 // recordAnswered records once that the endpoint has begun to answer the prompt and is still up.
 func (t *transfer) recordAnswered(resp *forwarder.Response) {
 	if t.answered || resp.Status >= http.StatusMultipleChoices {
