--- a/devfleet/poison_test.go
+++ b/devfleet/poison_test.go
@@ -99,3 +99,29 @@
 	assert.Assert(t, completed.Load() > 100)
 	assert.Assert(t, poisonRejected.Load() > 0)
 }
+
+// Guards against engines that crash one after the other because chats that share one message, and nothing else, are not
+// recognized as the cause: at most three more such requests may reach engines after five have crashed.
+func TestMessageThatCrashesEnginesIsRefused(t *testing.T) {
+	const maxCrashes = 5 + 3
+	f := newTestFleet(t, 5, 2, fakeengine.Config{
+		Tokens: 20, FirstToken: 10 * time.Millisecond, TokenGap: 4 * time.Millisecond, RestartTime: 100 * time.Millisecond,
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 12*time.Second)
+	defer cancel()
+	var wg sync.WaitGroup
+	for i := range 40 {
+		wg.Go(func() {
+			chat := fmt.Sprintf("chat-%d", i)
+			_, _, err := f.sendPrompt(ctx, i, chat, "<crash> now", fmt.Sprintf("question %d", i), fmt.Sprintf("answer %d", i))
+			assert.Check(t, err)
+		})
+		time.Sleep(100 * time.Millisecond)
+	}
+	wg.Wait()
+	crashes := 0
+	for _, e := range f.engines {
+		crashes += e.Stats().Crashes
+	}
+	assert.Assert(t, crashes <= maxCrashes, "%d engines crashed", crashes)
+}
