Log and export the rate limits that endpoints name

The last response that counts is recorded; a response without a limit ends it only if its request was sent after the limit was last named. The choice of endpoints does not use it yet.

--- a/core/chooser/chooser.go
+++ b/core/chooser/chooser.go
@@ -135,6 +135,8 @@
 	failureRate         float64
 	nextProbe           time.Time // earliest time of the next probe above greyFailureRate
 	coldSent            []time.Time
+	limit               rateLimit
+	sent                []time.Time   // requests of this router within rateWindow
 	firstAttempts       []time.Time   // requests of this router for which it ranks first, within wantedWindow
 	otherAttempts       decayingCount // those that endpoints of a higher rank did not accept
 }
@@ -523,6 +525,7 @@
 	}
 	e.inFlight++
 	e.sentSinceReport++
+	e.sent = append(recent(e.sent, now, rateWindow), now)
 	if e.failureRate > greyFailureRate {
 		e.nextProbe = now.Add(greyProbeInterval)
 	}
@@ -549,7 +552,9 @@
 	Reported  int           // requests running and waiting in the endpoint's last report
 	ReportAge time.Duration // negative without a report
 	IsCold    bool
-	ColdSent  int // requests of this router within the last second, sent while the endpoint was cold
+	ColdSent  int     // requests of this router within the last second, sent while the endpoint was cold
+	RateLimit float64 // requests per second that the endpoint has named, negative without a limit
+	Sent      int     // requests of this router within rateWindow
 }
 
 // Loads returns the load of each endpoint in service, sorted by service and endpoint ID.
@@ -560,7 +565,12 @@
 				continue
 			}
 			l := EndpointLoad{ID: e.ID, Service: service, Load: e.load(now, c.remoteAt), Reported: e.reported, ReportAge: -1,
-				IsCold: now.Before(e.ColdUntil)}
+				IsCold: now.Before(e.ColdUntil), RateLimit: -1}
+			if e.limit.isNamed {
+				l.RateLimit = e.limit.perSecond
+			}
+			e.sent = recent(e.sent, now, rateWindow)
+			l.Sent = len(e.sent)
 			if !e.reportedAt.IsZero() {
 				l.ReportAge = now.Sub(e.reportedAt)
 			}
--- a/node/log_test.go
+++ b/node/log_test.go
@@ -67,7 +67,7 @@
 	documented := name.FindAllString(section, -1)
 
 	reporting := newFakeEndpoint(t, func(req *receivedRequest) {
-		req.respond("200 OK", "Signed: yes\r\nLoad: 1,0\r\n", "answer")
+		req.respond("200 OK", "Signed: yes\r\nLoad: 1,0\r\nRate-Limit: 90\r\n", "answer")
 	})
 	disconnecting := newFakeEndpoint(t, func(req *receivedRequest) { _ = req.conn.Close() })
 	p := newTestProxy(t, testPlan(1), reporting, disconnecting)
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -137,7 +137,7 @@
 type routingCollector struct {
 	routing *routingState
 
-	load, reportedLoad, reportAge, coldSent, retryBudget *prometheus.Desc
+	load, reportedLoad, reportAge, coldSent, rateLimit, sent, retryBudget *prometheus.Desc
 }
 
 func newRoutingCollector(r *routingState) *routingCollector {
@@ -153,6 +153,10 @@
 			"service", "endpoint"),
 		coldSent: desc("cactusroute_endpoint_cold_sent",
 			"Requests that this node sent to a cold endpoint within the last second.", "service", "endpoint"),
+		rateLimit: desc("cactusroute_endpoint_rate_limit",
+			"Requests per second that the endpoint has said that it takes; absent without a limit.", "service", "endpoint"),
+		sent: desc("cactusroute_endpoint_sent",
+			"Requests that this node sent within the last two seconds to an endpoint with a rate limit.", "service", "endpoint"),
 		retryBudget: desc("cactusroute_repeat_budget_left", "Retries that remain to this node in the current window.",
 			"service"),
 	}
@@ -160,7 +164,8 @@
 
 // Describe implements prometheus.Collector.
 func (c *routingCollector) Describe(ch chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{c.load, c.reportedLoad, c.reportAge, c.coldSent, c.retryBudget} {
+	for _, d := range []*prometheus.Desc{c.load, c.reportedLoad, c.reportAge, c.coldSent, c.rateLimit, c.sent,
+		c.retryBudget} {
 		ch <- d
 	}
 }
@@ -181,6 +186,10 @@
 		if l.IsCold {
 			gauge(c.coldSent, float64(l.ColdSent))
 		}
+		if l.RateLimit >= 0 {
+			gauge(c.rateLimit, l.RateLimit)
+			gauge(c.sent, float64(l.Sent))
+		}
 	}
 	for service, left := range budgets {
 		ch <- prometheus.MustNewConstMetric(c.retryBudget, prometheus.GaugeValue, left, service)
--- a/node/transfer.go
+++ b/node/transfer.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"os"
@@ -308,6 +309,8 @@
 func (t *transfer) recordResponse(c chooser.Choice, resp *forwarder.Response) {
 	h := &t.proxy.dialect.Headers
 	running, waiting, known := parseLoad(resp.Header.Get(h.Load))
+	limit, isLimited, valid := parseRateLimit(resp.Header[h.RateLimit])
+	var limitChanged bool
 	notRun := resp.Header.Get(h.NotRun) != "" || resp.Status == http.StatusMisdirectedRequest
 	t.proxy.fleet.routing.withChooser(func(ch *chooser.Chooser) {
 		if !notRun {
@@ -318,8 +321,33 @@
 		}
 		if resp.Status == http.StatusMisdirectedRequest {
 			ch.RecordMisdirected(time.Now(), c.Endpoint)
+		} else if valid {
+			limitChanged = ch.RecordRateLimit(time.Now(), c.Endpoint, t.sentAt, limit, isLimited)
 		}
 	})
+	if limitChanged {
+		t.proxy.fleet.log.event("rate limit of endpoint changed", "request", t.request.id,
+			"endpoint", describeEndpoint(&c.Endpoint), "limited", isLimited, "perSecond", limit, "status", resp.Status)
+	}
+	if !valid {
+		t.proxy.log.failure("msg", "invalid rate limit of endpoint", "request", t.request.id,
+			"endpoint", describeEndpoint(&c.Endpoint), "value", strings.Join(resp.Header[h.RateLimit], ","))
+	}
+}
+
+// parseRateLimit parses the values of a rate limit header; the lowest one counts. Without a value there is no limit;
+// valid is false if a value is not a number of requests.
+func parseRateLimit(values []string) (perSecond float64, isLimited, valid bool) {
+	for _, value := range values {
+		n, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
+		if err != nil || !(n >= 0) || math.IsInf(n, 0) {
+			return 0, false, false
+		}
+		if !isLimited || n < perSecond {
+			perSecond, isLimited = n, true
+		}
+	}
+	return perSecond, isLimited, true
 }
 
 // parseLoad parses the numbers of running and waiting requests from a load header.
