--- a/node/prompt_part_test.go
+++ b/node/prompt_part_test.go
@@ -193,10 +193,16 @@
 }
 
 func (p *promptTraffic) call(n int64, subject string) (ok bool) {
-	body := fmt.Sprintf("%s question %d", subject, n)
-	r, err := http.NewRequest(http.MethodPost, p.urls[n%int64(len(p.urls))]+"/resume/", strings.NewReader(body))
+	body, err := callPrompt(p.urls[n%int64(len(p.urls))], "/resume/", n, subject)
+	return err == nil && strings.Contains(body, "id: 3")
+}
+
+// callPrompt sends a prompt with its own last part, and returns the body of a complete 200 response.
+func callPrompt(url, path string, n int64, subject string) (body string, err error) {
+	question := fmt.Sprintf("%s question %d", subject, n)
+	r, err := http.NewRequest(http.MethodPost, url+path, strings.NewReader(question))
 	if err != nil {
-		return false
+		return "", err
 	}
 	r.Host = "h.example"
 	r.Header.Set("Req-Id", fmt.Sprintf("id-%d", n))
@@ -204,11 +210,14 @@
 	r.Header.Set("Parts", fmt.Sprintf("instructions:100,%s:400,tail%d:20", subject, n))
 	resp, err := http.DefaultClient.Do(r)
 	if err != nil {
-		return false
+		return "", err
 	}
 	defer func() { _ = resp.Body.Close() }()
 	data, err := io.ReadAll(resp.Body)
-	return err == nil && resp.StatusCode == http.StatusOK && strings.Contains(string(data), "id: 3")
+	if err == nil && resp.StatusCode != http.StatusOK {
+		err = fmt.Errorf("status %d: %s", resp.StatusCode, data)
+	}
+	return string(data), err
 }
 
 // Guards against engines that crash one after the other because requests that share one part of their prompts, and
--- a/node/rate_limit_test.go
+++ b/node/rate_limit_test.go
@@ -1,11 +1,18 @@
 package node
 
 import (
+	"context"
+	"fmt"
 	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"cactusroute.dev/core/registrar"
 )
 
 // Guards against a value that is taken for a limit, or for the end of one, although it is no number of requests.
@@ -62,3 +69,86 @@
 		assert.Equal(t, loads[0].RateLimit, c.want, c.name)
 	}
 }
+
+// Guards against an endpoint that gets more requests than it has said that it takes, because each node knows the limit
+// only from its own responses, or sends as if it were alone.
+func TestNamedLimitHoldsOverAllNodes(t *testing.T) {
+	const (
+		perSecond  = 5
+		namedAfter = 1500 * time.Millisecond
+		settleTime = 3 * time.Second
+		span       = 4 * time.Second
+		allowed    = 1.5*perSecond*4 + 5 // requests within span
+		duration   = 10 * time.Second
+		tick       = 8 * time.Millisecond
+	)
+	f := newTestFleet(t, 3, 4)
+	f.startAll()
+	f.retryCommand("plan", f.nodes[:3], func(c Control) error {
+		return c.PutPlan(context.Background(), encodePlan(t, engineTestPlan(1)))
+	})
+	f.awaitPlan(1, f.nodes)
+	start := time.Now()
+	var mu sync.Mutex
+	arrivals := map[string][]time.Duration{}
+	for i := range 5 {
+		id := fmt.Sprintf("e%d", i)
+		e := newFakeEndpoint(t, func(req *receivedRequest) {
+			at := time.Since(start)
+			mu.Lock()
+			arrivals[id] = append(arrivals[id], at)
+			mu.Unlock()
+			header := ""
+			if i < 3 && at >= namedAfter {
+				header = "Rate-Limit: " + itoa(perSecond) + "\r\n"
+			}
+			req.respond("200 OK", header, "answer")
+		})
+		f.retryCommand("endpoint", f.nodes[:1], func(c Control) error {
+			_, err := c.Register(context.Background(), registrar.Endpoint{ID: id, Service: "s", Address: e.address, Domain: "d",
+				Slots: 32, State: registrar.Ready, Born: 1, Sequence: 1})
+			return err
+		})
+	}
+	urls := make([]string, 0, len(f.nodes))
+	for _, n := range f.nodes {
+		srv := httptest.NewServer(n.front)
+		t.Cleanup(srv.Close)
+		urls = append(urls, srv.URL)
+	}
+	var calls sync.WaitGroup
+	var served, total atomic.Int64
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for n := 0; time.Since(start) < duration; n++ {
+		<-ticker.C
+		calls.Go(func() {
+			total.Add(1)
+			if _, err := callPrompt(urls[n%len(urls)], "/safe/", int64(n), fmt.Sprintf("subject%d", n%50)); err == nil {
+				served.Add(1)
+			}
+		})
+	}
+	calls.Wait()
+	mu.Lock()
+	defer mu.Unlock()
+	for id, times := range arrivals {
+		worst := 0
+		for i, from := range times {
+			n := 0
+			for _, at := range times[i:] {
+				if at-from < span {
+					n++
+				}
+			}
+			if from >= namedAfter+settleTime && from < duration-span {
+				worst = max(worst, n)
+			}
+		}
+		t.Logf("%s: %d requests, at most %d within %v", id, len(times), worst, span)
+		if id < "e3" {
+			assert.Check(t, worst <= allowed, "%s: %d requests within %v, %v are allowed", id, worst, span, allowed)
+		}
+	}
+	assert.Check(t, served.Load() >= total.Load()*9/10, "%d of %d requests served", served.Load(), total.Load())
+}
