Keep to the rate limits that endpoints name, over all nodes

What callers saw: nothing yet; endpoints in need got up to twice the requests that they had said that they take, which is how they come to fail.

Cause: nothing read the limit. The class of fault is a statement of an endpoint about itself that holds for the whole fleet and that no router, or each router for itself, acts on.

Change: routers tell each other the limits and their requests within 2 s with the loads. Each accepts the fraction of its requests that the wanted requests of all routers leave, urgent ones first, and all together are held to the limit within 2 s; the rest goes elsewhere by the usual choice or is refused at once with a return time that grows with the overload. Without reports, equal shares. The levelling of loads takes rates into account.

--- a/adapters/exchanger/client.go
+++ b/adapters/exchanger/client.go
@@ -194,7 +194,7 @@
 		if err := e.Decode(&m); err != nil {
 			return err
 		}
-		loads, err := dec.loads.decode(&m)
+		loads, err := dec.loads.decode(time.Now(), &m)
 		if err != nil {
 			return err
 		}
--- a/adapters/exchanger/exchanger_test.go
+++ b/adapters/exchanger/exchanger_test.go
@@ -68,7 +68,7 @@
 }
 
 func (s *fakeSource) LoadsReceived(from Contact, loads Loads) {
-	s.record(fmt.Sprint(from.Name, " ", loads))
+	s.record(fmt.Sprintf("%s e: %d requests", from.Name, loads["e"].Requests))
 }
 
 func (s *fakeSource) Loads(Contact) Loads { return s.loads }
@@ -111,7 +111,9 @@
 
 func (r *fakeReceiver) HeartbeatReceived(h Heartbeat) { r.record(fmt.Sprint("routers ", h.Routers)) }
 
-func (r *fakeReceiver) LoadsReceived(loads Loads) { r.record(fmt.Sprint(loads)) }
+func (r *fakeReceiver) LoadsReceived(loads Loads) {
+	r.record(fmt.Sprintf("e: %d requests", loads["e"].Requests))
+}
 
 func (r *fakeReceiver) Loads() Loads { return Loads{"e": {Requests: 2}} }
 
@@ -153,10 +155,10 @@
 	r := &fakeReceiver{}
 	server, _ := subscribe(t, s, r, true)
 	for _, want := range []string{"a ready full true cold true", "state 4 plan true out [d]", "suspects 1", "routers 3",
-		"map[e:{5 0}]"} {
+		"e: 5 requests"} {
 		waitFor(t, want, func() bool { return r.hasRecorded(want) })
 	}
-	for _, want := range []string{"attached router", "endpoint known", "suspect 77", "router map[e:{2 0}]",
+	for _, want := range []string{"attached router", "endpoint known", "suspect 77", "router e: 2 requests",
 		"evidence of router e#1"} {
 		waitFor(t, want, func() bool { return s.hasRecorded(want) })
 	}
--- a/adapters/exchanger/fuzz_test.go
+++ b/adapters/exchanger/fuzz_test.go
@@ -8,13 +8,15 @@
 
 	"cactusroute.dev/adapters/messenger"
 	"cactusroute.dev/core/attributor"
+	"cactusroute.dev/core/chooser"
 )
 
 // Guards against a message of another node that crashes the process.
 func FuzzMessages(f *testing.F) {
 	var loads loadEncoder
 	for kind, m := range map[uint8]any{
-		kindLoads:     loads.encode(Loads{"a": {Requests: 3, Wanted: 9}, "b": {Requests: 1}}),
+		kindLoads: loads.encode(time.Now(), Loads{"a": {Requests: 3, Wanted: 9}, "b": {Requests: 1,
+			Rate: chooser.RateLoad{PerSecond: 8, IsNamed: true, ObservedAt: time.Now(), Sent: 3}}}),
 		kindEndpoints: endpointsMessage{Full: true, Records: []endpointRecord{{ID: "a", Service: "s", Sequence: 1}}},
 		kindHeartbeat: heartbeatMessage{Quorate: true, QuorateInstances: []Contact{{Name: "n"}}},
 		kindState:     stateMessage{Index: 3, Version: 2, Plan: []byte{1, 2}},
@@ -35,7 +37,7 @@
 		case kindLoads:
 			var m loadsMessage
 			if e.Decode(&m) == nil {
-				_, _ = dec.loads.decode(&m)
+				_, _ = dec.loads.decode(time.Now(), &m)
 			}
 		case kindHeartbeat:
 			var m heartbeatMessage
--- a/adapters/exchanger/loads.go
+++ b/adapters/exchanger/loads.go
@@ -28,17 +28,39 @@
 	// Counts have WantedMean.
 	Wanted     []byte  `cbor:"4,keyasint,omitempty"`
 	WantedMean float64 `cbor:"5,keyasint,omitempty"`
+	// Limits holds the rate limits that have changed since the last message, and the numbers of the endpoints.
+	Limits []limitRecord `cbor:"6,keyasint,omitempty"`
+	// Sent is encoded as Counts, for endpoints with a rate limit: their requests within the window of the limits. Without
+	// it, those of the last message hold.
+	Sent []byte `cbor:"7,keyasint,omitempty"`
 }
 
+// limitRecord is what routers know of the rate limit of an endpoint.
+type limitRecord struct {
+	Number    uint64  `cbor:"1,keyasint"`
+	Born      int64   `cbor:"2,keyasint,omitempty"`
+	PerSecond float64 `cbor:"3,keyasint,omitempty"`
+	IsNamed   bool    `cbor:"4,keyasint,omitempty"`
+	AgeMillis int64   `cbor:"5,keyasint"` // of the response that named or ended it
+}
+
+// sentInterval is how often the requests to endpoints with a rate limit are sent; it bounds the bytes while many
+// endpoints name limits.
+const sentInterval = 200 * time.Millisecond
+
 // wantedFactor is the multiple of the mean from which the wanted requests of an endpoint are sent.
 const wantedFactor = 1.5
 
 // loadEncoder encodes loads for one direction of a connection; numbers are by endpoint ID.
-type loadEncoder struct{ numbers map[string]uint64 }
+type loadEncoder struct {
+	numbers map[string]uint64
+	limits  map[string]chooser.RateLoad // as the receiver knows them, by endpoint ID
+	sentAt  time.Time                   // when Sent was last sent
+}
 
-func (e *loadEncoder) encode(loads Loads) (m loadsMessage) {
+func (e *loadEncoder) encode(now time.Time, loads Loads) (m loadsMessage) {
 	if e.numbers == nil || len(e.numbers) > 2*len(loads)+maxUnusedNumbers {
-		e.numbers, m.Reset = map[string]uint64{}, true
+		e.numbers, e.limits, e.sentAt, m.Reset = map[string]uint64{}, map[string]chooser.RateLoad{}, time.Time{}, true
 	}
 	requests := make(map[uint64]int, len(loads))
 	for _, id := range slices.Sorted(maps.Keys(loads)) {
@@ -52,9 +74,53 @@
 	}
 	m.Counts = encodeCounts(requests)
 	m.Wanted, m.WantedMean = e.encodeWanted(loads)
+	e.encodeLimits(now, loads, &m)
 	return m
 }
 
+// encodeLimits adds the changed limits, and the requests to endpoints with a limit if they are due.
+func (e *loadEncoder) encodeLimits(now time.Time, loads Loads, m *loadsMessage) {
+	isDue := e.isSentDue(now, loads)
+	sent := map[uint64]int{}
+	for id, l := range loads {
+		r, last := l.Rate, e.limits[id]
+		if r.ObservedAt.IsZero() {
+			continue
+		}
+		n := e.numbers[id]
+		if !isSameLimit(r, last) {
+			m.Limits = append(m.Limits, limitRecord{Number: n, Born: r.Born, PerSecond: r.PerSecond, IsNamed: r.IsNamed,
+				AgeMillis: min(max(0, now.Sub(r.ObservedAt).Milliseconds()), maxAgeMillis)})
+		}
+		sent[n] = r.Sent
+		if !isDue {
+			r.Sent = last.Sent
+		}
+		e.limits[id] = r
+	}
+	if isDue {
+		m.Sent, e.sentAt = encodeCounts(sent), now
+	}
+}
+
+// isSentDue reports whether the requests to endpoints with a limit have changed and sentInterval has passed.
+func (e *loadEncoder) isSentDue(now time.Time, loads Loads) bool {
+	if now.Sub(e.sentAt) < sentInterval {
+		return false
+	}
+	for id, l := range loads {
+		if !l.Rate.ObservedAt.IsZero() && l.Rate.Sent != e.limits[id].Sent {
+			return true
+		}
+	}
+	return false
+}
+
+func isSameLimit(a, b chooser.RateLoad) bool {
+	return a.Born == b.Born && a.PerSecond == b.PerSecond && a.IsNamed == b.IsNamed &&
+		a.ObservedAt.IsZero() == b.ObservedAt.IsZero()
+}
+
 // encodeWanted returns the wanted requests of the endpoints far above the mean, and the mean of the others.
 func (e *loadEncoder) encodeWanted(loads Loads) (counts []byte, mean float64) {
 	total := 0.0
@@ -96,9 +162,12 @@
 	return time.Since(s.lastSentAt) >= minLoadInterval(len(s.lastSent))
 }
 
-// hasChanged reports whether requests have begun or ended; the wanted requests change more often, and less.
+// hasChanged reports whether requests have begun or ended, a limit has changed, or the requests to endpoints with one
+// are due; the wanted requests change more often, and less.
 func (s *loadSender) hasChanged(loads Loads) bool {
-	return !maps.EqualFunc(loads, s.lastSent, func(a, b chooser.Load) bool { return a.Requests == b.Requests })
+	return s.encoder.isSentDue(time.Now(), loads) || !maps.EqualFunc(loads, s.lastSent, func(a, b chooser.Load) bool {
+		return a.Requests == b.Requests && isSameLimit(a.Rate, b.Rate)
+	})
 }
 
 // needsRefresh reports whether unchanged loads must be sent again, because the receiver uses them for 1 s only.
@@ -106,17 +175,20 @@
 
 func (s *loadSender) newMessage(loads Loads) loadsMessage {
 	s.lastSent, s.lastSentAt = loads, time.Now()
-	return s.encoder.encode(loads)
+	return s.encoder.encode(s.lastSentAt, loads)
 }
 
 // loadDecoder decodes the loads of one direction of a connection; ids are the endpoint IDs by number.
-type loadDecoder struct{ ids []string }
+type loadDecoder struct {
+	ids    []string
+	limits map[string]chooser.RateLoad // last received, by endpoint ID
+}
 
 var errInvalidLoads = errors.New("invalid encoding of requests in flight")
 
-func (d *loadDecoder) decode(m *loadsMessage) (Loads, error) {
+func (d *loadDecoder) decode(now time.Time, m *loadsMessage) (Loads, error) {
 	if m.Reset {
-		d.ids = nil
+		d.ids, d.limits = nil, nil
 	}
 	d.ids = append(d.ids, m.NewIDs...)
 	if m.WantedMean < 0 || m.WantedMean > maxRequests || math.IsNaN(m.WantedMean) {
@@ -132,9 +204,38 @@
 	err = d.decodeCounts(m.Wanted, func(id string, n int) {
 		loads[id] = chooser.Load{Requests: loads[id].Requests, Wanted: float64(n)}
 	})
+	if err == nil {
+		err = d.decodeLimits(now, m)
+	}
+	for id, r := range d.limits {
+		if l, ok := loads[id]; ok {
+			l.Rate = r
+			loads[id] = l
+		}
+	}
 	return loads, err
 }
 
+func (d *loadDecoder) decodeLimits(now time.Time, m *loadsMessage) error {
+	if d.limits == nil {
+		d.limits = map[string]chooser.RateLoad{}
+	}
+	for _, r := range m.Limits {
+		if r.Number >= uint64(len(d.ids)) || !(r.PerSecond >= 0) || math.IsInf(r.PerSecond, 0) {
+			return errInvalidLoads
+		}
+		age := time.Duration(min(max(0, r.AgeMillis), maxAgeMillis)) * time.Millisecond
+		d.limits[d.ids[r.Number]] = chooser.RateLoad{Born: r.Born, PerSecond: r.PerSecond, IsNamed: r.IsNamed,
+			ObservedAt: now.Add(-age)}
+	}
+	return d.decodeCounts(m.Sent, func(id string, n int) {
+		if r, ok := d.limits[id]; ok {
+			r.Sent = n
+			d.limits[id] = r
+		}
+	})
+}
+
 func (d *loadDecoder) decodeCounts(counts []byte, each func(id string, n int)) error {
 	number := uint64(0)
 	for rest := counts; len(rest) > 0; number++ {
--- a/adapters/exchanger/loads_test.go
+++ b/adapters/exchanger/loads_test.go
@@ -25,8 +25,8 @@
 				id := fmt.Sprintf("i-%d", first+i*rapid.IntRange(1, 3).Draw(t, "step"))
 				loads[id] = chooser.Load{Requests: rapid.IntRange(0, 500).Draw(t, "n")}
 			}
-			m := e.encode(loads)
-			got, err := d.decode(&m)
+			m := e.encode(time.Now(), loads)
+			got, err := d.decode(time.Now(), &m)
 			assert.NilError(t, err)
 			assert.DeepEqual(t, got, loads)
 			assert.Assert(t, len(e.numbers) <= 2*len(loads)+maxUnusedNumbers+len(loads))
@@ -48,8 +48,8 @@
 	var e loadEncoder
 	var d loadDecoder
 	for range 2 {
-		m := e.encode(loads)
-		got, err := d.decode(&m)
+		m := e.encode(time.Now(), loads)
+		got, err := d.decode(time.Now(), &m)
 		assert.NilError(t, err)
 		assert.Equal(t, len(got), len(loads))
 		assert.Equal(t, got["hot"], loads["hot"])
@@ -71,13 +71,13 @@
 		{0, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 1}, // requests
 	} {
 		d := loadDecoder{ids: []string{"a", "b"}}
-		_, err := d.decode(&loadsMessage{Counts: counts})
+		_, err := d.decode(time.Now(), &loadsMessage{Counts: counts})
 		assert.ErrorIs(t, err, errInvalidLoads)
 	}
 	rapid.Check(t, func(t *rapid.T) {
 		d := loadDecoder{ids: []string{"a", "b"}}
 		// Must not panic.
-		_, _ = d.decode(&loadsMessage{Counts: rapid.SliceOf(rapid.Byte()).Draw(t, "counts"),
+		_, _ = d.decode(time.Now(), &loadsMessage{Counts: rapid.SliceOf(rapid.Byte()).Draw(t, "counts"),
 			Wanted: rapid.SliceOf(rapid.Byte()).Draw(t, "wanted"), WantedMean: rapid.Float64().Draw(t, "mean")})
 	})
 }
@@ -92,11 +92,11 @@
 			loads[fmt.Sprintf("endpoint-%04d", i)] = chooser.Load{Requests: 3 + i%40, Wanted: float64(i % 7)}
 		}
 		var e loadEncoder
-		_ = e.encode(loads)
+		_ = e.encode(time.Now(), loads)
 		for id := range loads {
 			loads[id] = chooser.Load{Requests: loads[id].Requests + 1, Wanted: loads[id].Wanted}
 		}
-		data, err := cbor.Marshal(e.encode(loads))
+		data, err := cbor.Marshal(e.encode(time.Now(), loads))
 		assert.NilError(t, err)
 		pause := max(loadInterval, minLoadInterval(entries))
 		perSecond := float64(len(data)) / pause.Seconds()
@@ -104,3 +104,57 @@
 		assert.Assert(t, pause+loadInterval < time.Second, "%d entries: %v", entries, pause)
 	}
 }
+
+// Guards against a limit or a count of requests that a node keeps although it has changed, and against bytes for limits
+// that have not changed.
+func TestLimitsArriveWithLoads(t *testing.T) {
+	var e loadEncoder
+	var d loadDecoder
+	now := time.Unix(1000, 0)
+	limit := func(perSecond float64, isNamed bool, sent int) chooser.Load {
+		return chooser.Load{Requests: 1, Rate: chooser.RateLoad{Born: 3, PerSecond: perSecond, IsNamed: isNamed,
+			ObservedAt: now, Sent: sent}}
+	}
+	for _, step := range []struct {
+		name     string
+		after    time.Duration // since the last step
+		load     chooser.Load
+		sent     int // as received
+		hasBytes bool
+	}{
+		{"no limit", 0, chooser.Load{Requests: 1}, 0, false},
+		{"named", time.Second, limit(8, true, 2), 2, true},
+		{"more requests, too soon", sentInterval / 2, limit(8, true, 3), 2, false},
+		{"more requests", sentInterval, limit(8, true, 4), 4, true},
+		{"unchanged", time.Second, limit(8, true, 4), 4, false},
+		{"no requests any more", time.Second, limit(8, true, 0), 0, true},
+		{"another value", time.Second, limit(6, true, 0), 0, true},
+		{"ended", time.Second, limit(0, false, 0), 0, true},
+	} {
+		now = now.Add(step.after)
+		if !step.load.Rate.ObservedAt.IsZero() {
+			step.load.Rate.ObservedAt = now.Add(-time.Second)
+		}
+		m := e.encode(now, Loads{"a": step.load, "b": {Requests: 2}})
+		assert.Equal(t, len(m.Limits)+len(m.Sent) > 0, step.hasBytes, step.name)
+		got, err := d.decode(now, &m)
+		assert.NilError(t, err)
+		want := step.load
+		want.Rate.Sent = step.sent
+		got["a"] = withObservedAt(got["a"], want.Rate.ObservedAt)
+		assert.DeepEqual(t, got["a"], want)
+		assert.Equal(t, got["b"], chooser.Load{Requests: 2}, step.name)
+	}
+	for _, r := range []limitRecord{{Number: 9}, {PerSecond: -1}, {PerSecond: math.NaN()}, {PerSecond: math.Inf(1)}} {
+		_, err := d.decode(now, &loadsMessage{Limits: []limitRecord{r}})
+		assert.ErrorIs(t, err, errInvalidLoads)
+	}
+}
+
+// withObservedAt replaces the time of an unchanged limit, which is not sent again.
+func withObservedAt(l chooser.Load, at time.Time) chooser.Load {
+	if !l.Rate.ObservedAt.IsZero() {
+		l.Rate.ObservedAt = at
+	}
+	return l
+}
--- a/adapters/exchanger/server.go
+++ b/adapters/exchanger/server.go
@@ -146,7 +146,7 @@
 			if e.Decode(&m) != nil {
 				return
 			}
-			loads, err := dec.decode(&m)
+			loads, err := dec.decode(time.Now(), &m)
 			if err != nil {
 				return
 			}
--- a/core/chooser/chooser.go
+++ b/core/chooser/chooser.go
@@ -105,6 +105,7 @@
 	AllTried          Reason = "every endpoint was already tried"
 	ColdRateExhausted Reason = "the rate limit of cold endpoints is exhausted"
 	AllAtCapacity     Reason = "every endpoint has as many requests as it can answer in time"
+	RateLimited       Reason = "every endpoint gets as many requests per second as it takes"
 )
 
 // Choice is the endpoint selected for an attempt; its request counts as in flight until Done.
@@ -137,6 +138,8 @@
 	coldSent            []time.Time
 	limit               rateLimit
 	sent                []time.Time   // requests of this router within rateWindow
+	remoteSent          int           // those of the other routers, while a limit is named
+	limitedAttempts     decayingCount // requests considered for it while nothing is known of the other routers
 	firstAttempts       []time.Time   // requests of this router for which it ranks first, within wantedWindow
 	otherAttempts       decayingCount // those that endpoints of a higher rank did not accept
 }
@@ -375,6 +378,7 @@
 	f := c.newForecast(now, p, load.total)
 	reason := NoEndpoint
 	source := c.cacheSource(now, q, p)
+	priority := q.Priority
 	q.Priority *= load.busy
 	random := newSequence(q.Random)
 	var avoided *endpoint
@@ -409,17 +413,25 @@
 		}
 		accepted := 0.0
 		if isFirst {
-			accepted = f.acceptFirst(n, target, e.wanted)
+			accepted = f.acceptFirst(n, target, e.wanted, e.preferredRate(priority))
 			e.firstAttempts = append(recent(e.firstAttempts, now, wantedWindow), now)
 		} else {
-			accepted = f.acceptOther(n, target, e.wanted, e.otherAttempts.get(now, demandWindow))
+			accepted = f.acceptOther(n, target, e.wanted, e.otherAttempts.get(now, demandWindow), e.preferredRate(priority))
 			e.otherAttempts.add(now, demandWindow)
 		}
-		if random.next() < accepted {
+		if f.isExact {
+			accepted *= c.shareOfRate(now, e, priority)
+		}
+		if random.next() < accepted && c.hasRateRoom(now, e) {
 			return c.assign(now, e, rank-1, source), ""
 		}
+		if e.limit.isNamed {
+			reason = preferReason(reason, RateLimited)
+			continue
+		}
 		if n+1 <= limit {
-			c.candidates = append(c.candidates, candidate{endpoint: e, rank: rank - 1, load: n, limit: math.Inf(1)})
+			c.candidates = append(c.candidates, candidate{endpoint: e, rank: rank - 1, load: n, limit: math.Inf(1),
+				maxRate: math.Inf(1)})
 		}
 		reason = preferReason(reason, AllAtCapacity)
 	}
@@ -445,7 +457,9 @@
 func (c *Chooser) chooseByLoad(now time.Time, q Query, p *pool) (Choice, Reason) {
 	load := c.poolLoad(now, p)
 	f := c.newForecast(now, p, load.total)
+	priority := q.Priority
 	q.Priority *= load.busy
+	random := newSequence(q.Random)
 	reason := NoEndpoint
 	var best *endpoint
 	bestCost := math.Inf(1)
@@ -460,13 +474,18 @@
 			reason = preferReason(reason, AllAtCapacity)
 			continue
 		}
+		if !c.hasRateRoom(now, e) || f.isExact && random.next() >= c.shareOfRate(now, e, priority) {
+			reason = preferReason(reason, RateLimited)
+			continue
+		}
 		isAvoided := e.isAvoided(now) || e.State == registrar.Silent && e.consecutiveFailures > 0
 		cost := n
 		if e.Domain != c.domain {
 			cost += remoteDomainCost
 		}
 		if !isAvoided && !f.isExact {
-			c.candidates = append(c.candidates, candidate{endpoint: e, load: cost, limit: limit})
+			c.candidates = append(c.candidates, candidate{endpoint: e, load: cost, limit: limit,
+				maxRate: e.preferredRate(priority)})
 		}
 		if isAvoided {
 			cost += 1e6 + float64(e.avoidUntil.UnixMilli()%1e9)/1e6
@@ -497,7 +516,7 @@
 }
 
 func reasonPrecedence(r Reason) int {
-	return slices.Index([]Reason{NoEndpoint, AllTried, AllAtCapacity, ColdRateExhausted}, r)
+	return slices.Index([]Reason{NoEndpoint, AllTried, RateLimited, AllAtCapacity, ColdRateExhausted}, r)
 }
 
 // cacheSource returns the endpoint that is expected to cache the shared parts of the prompt: the highest-ranked one
@@ -588,6 +607,7 @@
 	// Wanted is the number of requests within wantedWindow for which the endpoint ranks first, including those that it did
 	// not receive.
 	Wanted float64
+	Rate   RateLoad // zero for an endpoint that has named no rate limit
 }
 
 // Loads holds the load of endpoints by ID.
@@ -597,7 +617,7 @@
 func (l Loads) Add(other Loads) {
 	for id, n := range other {
 		sum := l[id]
-		l[id] = Load{Requests: sum.Requests + n.Requests, Wanted: sum.Wanted + n.Wanted}
+		l[id] = Load{Requests: sum.Requests + n.Requests, Wanted: sum.Wanted + n.Wanted, Rate: sum.Rate.merge(n.Rate)}
 	}
 }
 
@@ -606,7 +626,7 @@
 	c.published = Loads{}
 	for id, e := range c.byID {
 		e.firstAttempts = recent(e.firstAttempts, now, wantedWindow)
-		l := Load{Requests: e.inFlight, Wanted: float64(len(e.firstAttempts))}
+		l := Load{Requests: e.inFlight, Wanted: float64(len(e.firstAttempts)), Rate: e.rateLoad(now)}
 		if l != (Load{}) {
 			c.published[id] = l
 		}
@@ -627,6 +647,7 @@
 	for id, e := range c.byID {
 		e.remoteInFlight = max(0, total[id].Requests-c.published[id].Requests)
 		e.wanted = total[id].Wanted
+		e.setRemoteRate(total[id].Rate, c.published[id].Rate)
 	}
 }
 
--- a/core/chooser/forecast.go
+++ b/core/chooser/forecast.go
@@ -127,8 +127,8 @@
 }
 
 // acceptFirst returns the fraction of the requests for which an endpoint ranks first that keeps its load below the
-// limit; wanted is their number within wantedWindow.
-func (f *forecast) acceptFirst(load, limit, wanted float64) float64 {
+// limit and its rate below maxRate; wanted is their number within wantedWindow.
+func (f *forecast) acceptFirst(load, limit, wanted, maxRate float64) float64 {
 	switch {
 	case f.isExact && load+1 > limit:
 		return 0
@@ -136,7 +136,7 @@
 		return 1
 	}
 	rate := wanted / wantedWindow.Seconds()
-	allowed := f.allowedRate(load, limit)
+	allowed := min(maxRate, f.allowedRate(load, limit))
 	f.surplus = max(0, rate-allowed)
 	return fraction(allowed, rate)
 }
@@ -144,11 +144,11 @@
 // acceptOther is acceptFirst for requests that endpoints of a higher rank did not accept; attempts is the recent number
 // of such requests of this router. All that the first endpoint does not accept are expected here, because the routers
 // do not know each other's attempts yet.
-func (f *forecast) acceptOther(load, limit, wanted, attempts float64) float64 {
+func (f *forecast) acceptOther(load, limit, wanted, attempts, maxRate float64) float64 {
 	if f.isExact {
-		return f.acceptFirst(load, limit, wanted)
+		return f.acceptFirst(load, limit, wanted, maxRate)
 	}
-	left := max(0, f.allowedRate(load, limit)-wanted/wantedWindow.Seconds())
+	left := max(0, min(maxRate, f.allowedRate(load, limit))-wanted/wantedWindow.Seconds())
 	expected := max(f.surplus, f.rate*attempts/(f.attempts+demandPrior))
 	f.surplus = max(0, f.surplus-left)
 	return fraction(left, expected)
@@ -167,6 +167,7 @@
 	endpoint    *endpoint
 	rank        int
 	load, limit float64
+	maxRate     float64 // of requests
 	rate        float64 // of the requests that it should receive
 }
 
@@ -177,21 +178,7 @@
 		return &list[0]
 	}
 	slices.SortFunc(list, func(a, b candidate) int { return cmp.Compare(a.load, b.load) })
-	// The level to which the loads rise, if the first n endpoints receive all requests.
-	left, level := f.rate/f.ratePerRequest, 0.0
-	sum := 0.0
-	for n := range list {
-		sum += list[n].load * f.remaining
-		level = (left + sum) / float64(n+1)
-		if n+1 == len(list) || level <= list[n+1].load*f.remaining {
-			break
-		}
-	}
-	total := 0.0
-	for i := range list {
-		list[i].rate = f.allowedRate(list[i].load, min(level, list[i].limit))
-		total += list[i].rate
-	}
+	total := f.setRates(list)
 	at := random * max(total, f.rate)
 	for i := range list {
 		if at -= list[i].rate; at < 0 {
@@ -204,6 +191,56 @@
 	return &list[int(random*float64(len(list)))]
 }
 
+// setRates sets the rates with which the expected requests level the loads of candidates, which are sorted by load, and
+// returns their sum. What exceeds the rate that an endpoint takes goes to the others.
+func (f *forecast) setRates(list []candidate) (total float64) {
+	left := f.rate
+	for i := range list {
+		list[i].rate = -1 // not known yet
+	}
+	for isCapped := true; isCapped; {
+		isCapped = false
+		level := f.level(list, left)
+		for i := range list {
+			l := &list[i]
+			if l.rate < 0 && l.maxRate < f.allowedRate(l.load, min(level, l.limit)) {
+				l.rate, isCapped = l.maxRate, true
+				left = max(0, left-l.maxRate)
+			}
+		}
+		if isCapped {
+			continue
+		}
+		for i := range list {
+			if l := &list[i]; l.rate < 0 {
+				l.rate = f.allowedRate(l.load, min(level, l.limit))
+			}
+		}
+	}
+	for i := range list {
+		total += list[i].rate
+	}
+	return total
+}
+
+// level returns the load to which the endpoints without a known rate rise if they receive a rate of requests.
+func (f *forecast) level(list []candidate, rate float64) (level float64) {
+	left := rate / f.ratePerRequest
+	sum, n := 0.0, 0
+	for i := range list {
+		if list[i].rate >= 0 {
+			continue
+		}
+		if n > 0 && level <= list[i].load*f.remaining {
+			break
+		}
+		n++
+		sum += list[i].load * f.remaining
+		level = (left + sum) / float64(n)
+	}
+	return level
+}
+
 // sequence is a sequence of random numbers that depend only on the first one.
 type sequence uint64
 
--- a/node/transfer.go
+++ b/node/transfer.go
@@ -44,6 +44,10 @@
 	// request that can't be served soon is refused immediately.
 	chooseInterval = 10 * time.Millisecond
 	chooseTimeout  = 40 * time.Millisecond
+
+	// maxRateOverload bounds the factor by which callers return later than usual while endpoints take fewer requests per
+	// second than are sent.
+	maxRateOverload = 4
 )
 
 // transfer forwards one request to endpoints, with retries, and the response to the caller.
@@ -159,7 +163,8 @@
 		now := time.Now()
 		c, reason := t.proxy.fleet.routing.choose(now, chooser.Query{Service: q.service, Parts: q.promptParts, Tried: t.tried,
 			Random: rand.Float64(), Priority: q.priority})
-		if reason == "" || reason == chooser.AllTried || now.After(until) || isDisconnected(ctx) {
+		isFinal := reason == "" || reason == chooser.AllTried || reason == chooser.RateLimited
+		if isFinal || now.After(until) || isDisconnected(ctx) {
 			t.proxy.metrics.waitTime.Observe(now.Sub(start).Seconds())
 			return c, reason
 		}
@@ -173,8 +178,13 @@
 		return last
 	}
 	reason, after := "noEndpoint", retryAfter()
-	if cause == chooser.AllAtCapacity {
+	switch cause {
+	case chooser.AllAtCapacity:
 		reason, after = "overload", overloadRetryAfter()
+	case chooser.RateLimited:
+		overload := 1.0
+		t.proxy.fleet.routing.withChooser(func(ch *chooser.Chooser) { overload = ch.RateOverload(t.request.service.Name) })
+		reason, after = "rateLimit", time.Duration(min(overload, maxRateOverload)*float64(overloadRetryAfter()))
 	}
 	return refusal{status: http.StatusServiceUnavailable, reason: reason, retryAfter: after,
 		logFields: []any{"why", string(cause), "service", t.request.service.Name}}
