Use what endpoints with rate limits take when all of them are limited

What callers saw: while all engines named limits, requests were refused although the engines took more: on the large deployment 335 of 429 requests a second were sent.

Cause: the accepted fraction is computed from the wanted requests within half a second, which vary by chance: what is missing below the limit is not made up above it, the preference of urgent requests is lost where it exceeds 1, and the bound on 2 s cut random bursts.

Change: each router corrects the rate that it accepts by the requests that all routers sent within 2 s, only while the limit holds requests back. The bound on 2 s leaves 1.25 times the limit; without reports it is the limit.

--- a/core/chooser/chooser.go
+++ b/core/chooser/chooser.go
@@ -496,6 +496,11 @@
 	}
 	if len(c.candidates) > 0 {
 		picked := pickByRoom(&f, c.candidates, q.Random)
+		for i := range c.candidates {
+			if l := &c.candidates[i]; l.rate >= l.maxRate {
+				l.endpoint.limit.heldAt = now
+			}
+		}
 		if picked == nil {
 			return Choice{}, AllAtCapacity
 		}
@@ -647,7 +652,7 @@
 	for id, e := range c.byID {
 		e.remoteInFlight = max(0, total[id].Requests-c.published[id].Requests)
 		e.wanted = total[id].Wanted
-		e.setRemoteRate(total[id].Rate, c.published[id].Rate)
+		e.setRemoteRate(now, total[id].Rate, c.published[id].Rate)
 	}
 }
 
--- a/core/chooser/rate_limit.go
+++ b/core/chooser/rate_limit.go
@@ -14,8 +14,15 @@
 	// minRate is the rate of requests to an endpoint that takes none: only its responses can end the limit.
 	minRate = 0.25
 
-	// rateBurst is the number of requests within rateWindow above what a limit allows.
-	rateBurst = 1
+	// burstFactor and rateBurst bound the requests within rateWindow: the factor of what a limit allows, and the number in
+	// addition. While the wanted requests of all routers are known, the mean is held to the limit by them.
+	burstFactor = 1.25
+	rateBurst   = 1
+
+	// rateGainStep is the part of the relative difference between a limit and the requests that is corrected with each
+	// report, and maxRateGain bounds the correction.
+	rateGainStep = 0.05
+	maxRateGain  = 1.5
 
 	// endedLimitRetention is how long routers tell each other that a limit has ended.
 	endedLimitRetention = 10 * time.Second
@@ -55,6 +62,20 @@
 	perSecond  float64   // of all routers together; meaningful if isNamed
 	isNamed    bool      // false if the last response did not name a limit
 	observedAt time.Time // when the response that is decisive was received
+	// gain corrects the rate that is accepted, so that the requests of all routers come to the limit: the wanted requests
+	// that a router knows vary by chance, and fractions above 1 are lost.
+	gain   float64
+	heldAt time.Time // when a request last went elsewhere for the limit
+}
+
+// next returns the limit after a response; the gain of a limit that goes on is kept.
+func (l rateLimit) next(perSecond float64, isNamed bool, observedAt time.Time) rateLimit {
+	n := rateLimit{perSecond: perSecond, isNamed: isNamed, observedAt: observedAt, gain: l.gain,
+		heldAt: l.heldAt}
+	if !l.isNamed || !isNamed {
+		n.gain = 1
+	}
+	return n
 }
 
 // RecordRateLimit records the limit that a response named, and reports whether what is known has changed. A response
@@ -68,7 +89,7 @@
 		return false
 	}
 	changed = e.limit.isNamed != isNamed || e.limit.perSecond != perSecond
-	e.limit = rateLimit{perSecond: perSecond, isNamed: isNamed, observedAt: now}
+	e.limit = e.limit.next(perSecond, isNamed, now)
 	return changed
 }
 
@@ -83,7 +104,7 @@
 }
 
 // setRemoteRate sets what all routers know of the endpoint's limit; published is what this one has told them.
-func (e *endpoint) setRemoteRate(total, published RateLoad) {
+func (e *endpoint) setRemoteRate(now time.Time, total, published RateLoad) {
 	e.remoteSent = 0
 	if total.Born != e.Born {
 		return
@@ -93,8 +114,21 @@
 		e.remoteSent = max(0, total.Sent-published.Sent)
 	}
 	if total.ObservedAt.After(e.limit.observedAt) {
-		e.limit = rateLimit{perSecond: total.PerSecond, isNamed: total.IsNamed, observedAt: total.ObservedAt}
+		e.limit = e.limit.next(total.PerSecond, total.IsNamed, total.ObservedAt)
+	}
+	if e.limit.isNamed {
+		e.correctGain(now, total.Sent)
+	}
+}
+
+// correctGain adapts the gain to the requests of all routers within rateWindow. It grows only while the limit is the
+// reason why requests go elsewhere.
+func (e *endpoint) correctGain(now time.Time, sent int) {
+	step := rateGainStep * (1 - float64(sent)/(e.maxRate()*rateWindow.Seconds()))
+	if step > 0 && e.wanted/wantedWindow.Seconds() <= e.maxRate() && now.Sub(e.limit.heldAt) > remoteLoadTTL {
+		return
 	}
+	e.limit.gain = min(maxRateGain, max(1/maxRateGain, e.limit.gain+step))
 }
 
 // maxRate returns the rate of requests of all routers that the endpoint takes.
@@ -107,7 +141,10 @@
 
 // preferredRate returns the rate up to which requests of a priority are accepted: urgent ones first.
 func (e *endpoint) preferredRate(priority float64) float64 {
-	return e.maxRate() * (urgentRateFactor - priority)
+	if !e.limit.isNamed {
+		return math.Inf(1)
+	}
+	return e.maxRate() * e.limit.gain * (urgentRateFactor - priority)
 }
 
 // hasRateRoom reports whether the requests of all routers within rateWindow leave room for one more. Without recent
@@ -117,11 +154,11 @@
 		return true
 	}
 	e.sent = recent(e.sent, now, rateWindow)
-	sent := len(e.sent) + e.remoteSent
-	if now.Sub(c.remoteAt) > remoteLoadTTL {
-		sent = len(e.sent) * c.routers
+	sent, factor := len(e.sent)*c.routers, 1.0
+	if c.routers > 1 && now.Sub(c.remoteAt) <= remoteLoadTTL {
+		sent, factor = len(e.sent)+e.remoteSent, burstFactor
 	}
-	return float64(sent+1) <= e.maxRate()*rateWindow.Seconds()+rateBurst
+	return float64(sent+1) <= factor*e.maxRate()*rateWindow.Seconds()+rateBurst
 }
 
 // shareOfRate returns the fraction of this router's requests with which it keeps to its equal share of the endpoint's
