--- a/node/metrics.go
+++ b/node/metrics.go
@@ -20,6 +20,7 @@
 	refusals  *prometheus.CounterVec   // reason
 	limits    *prometheus.CounterVec   // bound
 	suspects  prometheus.Counter
+	unframed  prometheus.Counter
 }
 
 // The values of the label direction.
@@ -89,6 +90,8 @@
 			Help: "Exchanges ended because an endpoint sent more than a bound allows, by bound."}, []string{"bound"}),
 		suspects: prometheus.NewCounter(prometheus.CounterOpts{Name: "cactusroute_suspects_total",
 			Help: "Requests whose endpoint ended the connection before the end of the response."}),
+		unframed: prometheus.NewCounter(prometheus.CounterOpts{Name: "cactusroute_unframed_responses_total",
+			Help: "Responses of endpoints without a length or chunks, which end with their connection."}),
 	}
 	for _, bound := range append(forwarder.Bounds(), boundEventBytes, boundBufferedBytes) {
 		m.limits.WithLabelValues(bound)
@@ -98,7 +101,7 @@
 	m.eventGap = prometheus.NewHistogram(prometheus.HistogramOpts{Name: "cactusroute_event_gap_seconds",
 		Help: "Time between consecutive writes of a stream to its caller.", Buckets: latencyBuckets()})
 	obs.Registry.MustRegister(m.requests, m.firstByte, m.duration, m.waitTime, m.eventGap, m.retries, m.refusals, m.limits,
-		m.suspects, newRoutingCollector(f.routing))
+		m.suspects, m.unframed, newRoutingCollector(f.routing))
 	for _, g := range []struct {
 		name, help string
 		value      func() float64
--- a/node/transfer.go
+++ b/node/transfer.go
@@ -210,6 +210,10 @@
 		return d, ref
 	}
 	t.runs++
+	if resp.EndsWithConn {
+		p.metrics.unframed.Inc()
+	}
+	t.choiceLogFields = append(t.choiceLogFields, "framed", !resp.EndsWithConn)
 	if resp.Status >= http.StatusInternalServerError && (t.canRetry() || t.headerSent) {
 		return t.handleServerError(c, resp)
 	}
