--- a/node/fakes_test.go
+++ b/node/fakes_test.go
@@ -142,9 +142,10 @@
 // testProxy is a proxy without a control group; its fake endpoints have the IDs a, b and so on.
 type testProxy struct {
 	*proxy
-	url   string
-	queue *observer.AsyncWriter
-	obs   *observer.Observer
+	server *httptest.Server
+	url    string
+	queue  *observer.AsyncWriter
+	obs    *observer.Observer
 }
 
 func testSettings(name string) Settings {
@@ -180,7 +181,7 @@
 	f.mergeEndpoints(registered, "test")
 	srv := httptest.NewServer(p)
 	t.Cleanup(srv.Close)
-	return &testProxy{proxy: p, url: srv.URL, queue: queue, obs: obs}
+	return &testProxy{proxy: p, server: srv, url: srv.URL, queue: queue, obs: obs}
 }
 
 type callerResponse struct {
