End unframed responses with the caller's connection

What callers saw: a response of an engine that crashed, with neither a length nor chunks, reached the caller with a Content-Length or a last chunk, as if it were complete. Callers that speak HTTP/1.0 took any response of unknown length for complete when it broke off.

Cause: the end of the endpoint's connection was taken for the end of the body, and the node added a framing that says more than the endpoint said. Class of fault: a proxy that asserts what it has only inferred.

Change: a response whose end is only the end of a connection reaches its caller the same way: no length, no chunks, and the connection closes after it. The connection is set to be reset from the header on, and set back when the response has ended cleanly, so that a reset, a stall, a deadline, a stopped node and a killed process all end in an error for the caller. The same holds for callers without chunks. A stream that began with chunks and was continued without framing goes on at another endpoint, or is broken off.

Conclusion: the caller is told what the endpoint told, and pays with one closed connection for each such response.

--- a/node/fakes_test.go
+++ b/node/fakes_test.go
@@ -179,7 +179,9 @@
 			Domain: "d", State: registrar.Ready, Born: 1, Sequence: 1})
 	}
 	f.mergeEndpoints(registered, "test")
-	srv := httptest.NewServer(p)
+	srv := httptest.NewUnstartedServer(p)
+	srv.Config.ConnContext = withCallerConn
+	srv.Start()
 	t.Cleanup(srv.Close)
 	return &testProxy{proxy: p, server: srv, url: srv.URL, queue: queue, obs: obs}
 }
--- a/node/front_server.go
+++ b/node/front_server.go
@@ -128,8 +128,8 @@
 	}
 	s.currentLimits = limits
 	s.listener = &connListener{conns: make(chan net.Conn), addr: addr, done: make(chan struct{})}
-	hs := &limitedServer{Server: &http.Server{Handler: s.handler, ReadHeaderTimeout: defaultHeaderTimeout,
-		IdleTimeout: defaultIdleTimeout}}
+	hs := &limitedServer{Server: &http.Server{Handler: s.handler, ConnContext: withCallerConn,
+		ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout}}
 	hs.ConnState = hs.countConn
 	if limits.HeaderTimeoutMillis > 0 {
 		hs.ReadHeaderTimeout = time.Duration(limits.HeaderTimeoutMillis) * time.Millisecond
--- a/node/transfer.go
+++ b/node/transfer.go
@@ -56,10 +56,11 @@
 	request *request
 	w       http.ResponseWriter
 
-	tried           []string // IDs of endpoints
-	sends           int      // attempts, including rejected ones
-	runs            int      // attempts that an endpoint may have executed
-	headerSent      bool     // the response header was sent to the caller
+	tried           []string   // IDs of endpoints
+	sends           int        // attempts, including rejected ones
+	runs            int        // attempts that an endpoint may have executed
+	headerSent      bool       // the response header was sent to the caller
+	callerConn      lingerConn // set if the response ends with the caller's connection
 	splitter        eventSplitter
 	eventsBefore    uint64            // events of earlier attempts
 	answered        bool              // recorded as evidence that its prompt is sound
@@ -429,8 +430,10 @@
 		logFields: []any{"endpointStatus", resp.Status}}
 }
 
-// copyHeader copies the header of the first response to the caller's, without hop-by-hop fields.
-func (t *transfer) copyHeader(resp *forwarder.Response) {
+// sendHeader sends the header of the first response without hop-by-hop fields. length is the length of the whole body,
+// or -1. The caller gets a framing only if the endpoint's response has one, because the end of its connection does not
+// tell whether the body is complete.
+func (t *transfer) sendHeader(resp *forwarder.Response, length int64) {
 	if t.headerSent {
 		return
 	}
@@ -451,6 +454,13 @@
 	if _, ok := header["Date"]; !ok {
 		header["Date"] = nil
 	}
+	switch acceptsChunks := t.request.inbound.ProtoAtLeast(1, 1); {
+	case length >= 0:
+		header.Set("Content-Length", strconv.FormatInt(length, 10))
+	case resp.EndsWithConn || !acceptsChunks:
+		t.endWithConn()
+	}
+	t.w.WriteHeader(resp.Status)
 }
 
 // copyResponse forwards a response that is not a stream. Up to maxBufferedBytes are buffered first.
@@ -481,12 +491,8 @@
 
 // writeResponse sends the header of a response that is not a stream and the buffered start of its body.
 func (t *transfer) writeResponse(resp *forwarder.Response, body []byte) error {
-	t.copyHeader(resp)
-	if resp.Length >= 0 {
-		t.w.Header().Set("Content-Length", strconv.FormatInt(resp.Length, 10))
-	}
 	t.firstByteAt = time.Now()
-	t.w.WriteHeader(resp.Status)
+	t.sendHeader(resp, resp.Length)
 	_, err := t.w.Write(body)
 	return err
 }
@@ -494,14 +500,11 @@
 // copyStream forwards data as it arrives. A resumable stream is forwarded in complete events, so that another endpoint
 // can resume after the last one.
 func (t *transfer) copyStream(ctx context.Context, c chooser.Choice, resp *forwarder.Response) (decision, refusal) {
-	isFirst := !t.headerSent
-	t.copyHeader(resp)
-	if isFirst {
-		if resp.Length >= 0 && !t.request.route.Resumable {
-			t.w.Header().Set("Content-Length", strconv.FormatInt(resp.Length, 10))
-		}
-		t.w.WriteHeader(resp.Status)
+	length := resp.Length
+	if t.request.route.Resumable {
+		length = -1 // of this response only
 	}
+	t.sendHeader(resp, length)
 	t.splitter.reset()
 	rc := http.NewResponseController(t.w)
 	buf := make([]byte, streamBufferBytes)
@@ -518,9 +521,12 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			if t.isInsideEvent(resp) {
+			switch {
+			case t.isInsideEvent(resp):
 				err = errInsideEvent
-			} else {
+			case resp.EndsWithConn && t.callerConn == nil:
+				err = errUnknownEnd
+			default:
 				out = append(out, t.splitter.partial...)
 			}
 		}
@@ -542,15 +548,21 @@
 		if errors.Is(err, io.EOF) && !resp.EndsWithConn || t.splitter.events-t.eventsBefore >= soundEvents {
 			t.recordAnswered(resp)
 		}
-		if errors.Is(err, io.EOF) {
+		switch {
+		case errors.Is(err, io.EOF):
 			return finishRequest, refusal{status: resp.Status}
-		}
-		if err != nil {
+		case errors.Is(err, errUnknownEnd):
+			return t.retryOrEnd(), refusal{status: http.StatusBadGateway, reason: "unknownEnd", logFields: []any{"err", err}}
+		case err != nil:
 			return t.handleReadError(ctx, c, err)
 		}
 	}
 }
 
+// errUnknownEnd means that a stream that was begun with chunks was continued without framing: the last chunk would tell
+// the caller that it is complete, which is not known. The endpoint has not failed.
+var errUnknownEnd = errors.New("resumed stream ended without framing")
+
 // errInsideEvent means that a stream without framing ended before its first event or inside one.
 var errInsideEvent = errors.New("stream ended inside an event")
 
@@ -648,6 +660,11 @@
 		p.refuse(t.w, q, ref)
 		return
 	}
+	if d == finishRequest && t.callerConn != nil {
+		if err := t.completeWithConn(); err != nil {
+			d, ref = abandonRequest, refusal{status: ref.status, reason: "callerLeft", logFields: []any{"err", err}}
+		}
+	}
 	now := time.Now()
 	outcome := "served"
 	switch d {
