Check responses without framing in the soak

Faulty endpoints answer some requests without a length or chunks and break some of these off. The checker allows a short body only where the caller's response has no framing either.

--- a/soaker/caller.go
+++ b/soaker/caller.go
@@ -65,5 +65,6 @@
 		f.checker.CheckTruncatedResponse(id, string(received), want)
 		return
 	}
-	f.checker.CheckResponse(id, resp.StatusCode, resp.Header.Get("Cactus-Signature"), string(received), want)
+	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+	f.checker.CheckResponse(id, resp.StatusCode, framed, resp.Header.Get("Cactus-Signature"), string(received), want)
 }
--- a/soaker/checker.go
+++ b/soaker/checker.go
@@ -29,6 +29,7 @@
 	reportedNotRun map[string]bool   // by request ID; the status means that the request did not and will not run
 	ackedVersion   uint64            // highest acknowledged version
 	lastFaultEnd   time.Time         // in the future while a fault is active
+	unframedBreaks map[string]bool   // by request ID; a response broke off and only its connection ended
 	drainedAt      map[*Endpoint]time.Time
 	Findings       []string
 	Served         int
@@ -40,7 +41,8 @@
 // NewChecker returns a checker without observations.
 func NewChecker() *Checker {
 	return &Checker{startTime: time.Now(), checksums: map[string]uint64{}, once: map[string]bool{},
-		runCounts: map[string]int{}, reportedNotRun: map[string]bool{}, drainedAt: map[*Endpoint]time.Time{}}
+		runCounts: map[string]int{}, reportedNotRun: map[string]bool{},
+		unframedBreaks: map[string]bool{}, drainedAt: map[*Endpoint]time.Time{}}
 }
 
 // addFinding records a violation; mu must be held.
@@ -101,11 +103,22 @@
 	c.drainedAt[e] = time.Now()
 }
 
-// CheckResponse checks a complete response.
-func (c *Checker) CheckResponse(id string, status int, signature, body, want string) {
+// RecordUnframedBreak records that an endpoint breaks off a response without framing and closes the connection.
+func (c *Checker) RecordUnframedBreak(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unframedBreaks[id] = true
+}
+
+// CheckResponse checks a response that ended without an error; framed is false if only its connection ended.
+func (c *Checker) CheckResponse(id string, status int, framed bool, signature, body, want string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
+	case status == 200 && !framed && signature != "" && c.unframedBreaks[id] && body != want && strings.HasPrefix(want, body):
+		// The endpoint's own response looked the same.
+		c.Failed++
+		return
 	case status == 200 && (signature == "" || body != want):
 		c.addFinding("request %s got status 200 with a wrong body or no signature: body %q, signature %q", id, body,
 			signature)
--- a/soaker/endpoint.go
+++ b/soaker/endpoint.go
@@ -116,8 +116,15 @@
 	case draw < 0.2:
 		return writeResponse(c, "500 Failed", id, "Cactus-Signature: "+e.id+"\r\n", "failed")
 	}
-	if strings.HasPrefix(r.URL.Path, "/stream/") {
-		return e.writeStream(c, r, id, draw < 0.3)
+	isStream := strings.HasPrefix(r.URL.Path, "/stream/")
+	switch {
+	case draw < 0.3 && isStream:
+		return e.writeStream(c, r, id, true)
+	case draw < 0.45 && draw >= 0.3:
+		e.writeUnframed(c, r, id, isStream, draw < 0.36)
+		return false
+	case isStream:
+		return e.writeStream(c, r, id, false)
 	}
 	return writeResponse(c, "200 OK", id, "Cactus-Signature: "+e.id+"\r\n", "answer to "+id)
 }
@@ -150,6 +157,26 @@
 	return err == nil
 }
 
+// writeUnframed sends a response with neither a length nor chunks; with breakHalfway it stops after half of the events or
+// of the body, where only the end of the connection follows.
+func (e *Endpoint) writeUnframed(c net.Conn, r *http.Request, id string, isStream, breakHalfway bool) {
+	answer, first, last := "answer to "+id, 0, streamEventCount
+	if _, err := fmt.Sscan(r.Header.Get("Last-Event-Id"), &first); err != nil {
+		first = 0 // no event was received before
+	}
+	if breakHalfway {
+		answer, last = answer[:len(answer)/2], streamEventCount/2
+		e.checker.RecordUnframedBreak(id)
+	}
+	if isStream {
+		answer = ""
+		for n := first + 1; n <= last; n++ {
+			answer += streamEvent(id, n)
+		}
+	}
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nCactus-Request-Id: %s\r\nCactus-Signature: %s\r\n\r\n%s", id, e.id, answer)
+}
+
 func streamEvent(id string, n int) string { return fmt.Sprintf("id: %d\ndata: %s %d\n\n", n, id, n) }
 
 // requestChecksum returns a checksum of what the endpoint must receive unchanged.
--- a/soaker/soaker_test.go
+++ b/soaker/soaker_test.go
@@ -57,11 +57,11 @@
 		{"refused and ran", func(c *Checker, e *Endpoint) {
 			c.RecordSent("1", 5, true)
 			c.RecordRun("1", e, 5)
-			c.CheckResponse("1", 503, "", "", "")
+			c.CheckResponse("1", 503, true, "", "", "")
 		}},
 		{"ran after a refusal", func(c *Checker, e *Endpoint) {
 			c.RecordSent("1", 5, true)
-			c.CheckResponse("1", 503, "", "", "")
+			c.CheckResponse("1", 503, true, "", "", "")
 			c.RecordRun("1", e, 5)
 		}},
 		{"changed", func(c *Checker, e *Endpoint) {
@@ -72,15 +72,26 @@
 		{"wrong answer", func(c *Checker, e *Endpoint) {
 			c.RecordSent("1", 5, false)
 			c.RecordRun("1", e, 5)
-			c.CheckResponse("1", 200, "e", "other", "right")
+			c.CheckResponse("1", 200, true, "e", "other", "right")
 		}},
 		{"unsigned", func(c *Checker, e *Endpoint) {
 			c.RecordSent("1", 5, false)
 			c.RecordRun("1", e, 5)
-			c.CheckResponse("1", 200, "", "right", "right")
+			c.CheckResponse("1", 200, true, "", "right", "right")
+		}},
+		{"framed although it broke off", func(c *Checker, e *Endpoint) {
+			c.RecordSent("1", 5, false)
+			c.RecordRun("1", e, 5)
+			c.RecordUnframedBreak("1")
+			c.CheckResponse("1", 200, true, "e", "ri", "right")
+		}},
+		{"short without a break of the endpoint", func(c *Checker, e *Endpoint) {
+			c.RecordSent("1", 5, false)
+			c.RecordRun("1", e, 5)
+			c.CheckResponse("1", 200, false, "e", "ri", "right")
 		}},
 		{"wrong beginning", func(c *Checker, _ *Endpoint) { c.CheckTruncatedResponse("1", "x", "right") }},
-		{"denied", func(c *Checker, _ *Endpoint) { c.CheckResponse("1", 404, "", "", "") }},
+		{"denied", func(c *Checker, _ *Endpoint) { c.CheckResponse("1", 404, true, "", "", "") }},
 		{"older version", func(c *Checker, _ *Endpoint) { c.CheckRead("n", 3, 4) }},
 		{"drained", func(c *Checker, e *Endpoint) {
 			c.RecordSent("1", 5, false)
@@ -95,7 +106,9 @@
 	valid := NewChecker()
 	valid.RecordSent("1", 5, true)
 	valid.RecordRun("1", &Endpoint{id: "e"}, 5)
-	valid.CheckResponse("1", 200, "e", "right", "right")
+	valid.CheckResponse("1", 200, true, "e", "right", "right")
 	valid.CheckTruncatedResponse("2", "ri", "right")
+	valid.RecordUnframedBreak("3")
+	valid.CheckResponse("3", 200, false, "e", "ri", "right")
 	assert.Equal(t, len(valid.Findings), 0)
 }
