Take unframed responses for incomplete at agents

What callers saw, where an endpoint with an agent ended a response that has neither a length nor chunks: the part that had arrived, with a Content-Length of its own. The outcome of an operation with a key was recorded with it, so that every repeat got the broken answer.

Cause: as in the fleet without agents, the end of a connection was taken for the end of the body.

Change: such a response is complete only if its content shows it: a stream with [DONE], a JSON object or array. Any other one is broken off, and the outcome of its operation is unknown.

--- a/agent/forward.go
+++ b/agent/forward.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"mime"
 	"net"
 	"net/http"
 	"strconv"
@@ -25,6 +26,8 @@
 	stallThreshold = 2 * time.Second
 	// tailBytes is enough for the last events of a stream, which contain the usage.
 	tailBytes = 1 << 10
+	// maxUnframedBytes bounds a response without a length or chunks that is not a stream.
+	maxUnframedBytes = 8 << 20
 	// Headers of requests to the endpoint.
 	headerTimeout        = "X-Request-Timeout-Millis"
 	headerChatKey        = "X-Chat-Key"
@@ -34,6 +37,9 @@
 // errMissingDone means that a stream ended without the [DONE] event.
 var errMissingDone = errors.New("endpoint stream ended without the [DONE] event")
 
+// errUnframedResponse means that only the end of the connection followed a response that may be incomplete.
+var errUnframedResponse = errors.New("endpoint response without a length or chunks may be incomplete")
+
 // errEngineUnavailable means that an engine cannot serve requests now, so the request has not run.
 var errEngineUnavailable = errors.New("engine responded with status 503")
 
@@ -182,13 +188,32 @@
 		// Requests of other chats with this prefix may arrive before the response is complete.
 		a.directory.touch(req.ChatKey, req.PrefixKey, time.Now())
 	}
-	err = copyResponse(resp.Body, w, &stats)
+	src := io.Reader(resp.Body)
+	var unframed *bytes.Buffer // the body, if its end is only the end of the connection
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && !stats.isStream {
+		unframed = &bytes.Buffer{}
+		src = io.TeeReader(io.LimitReader(src, maxUnframedBytes), unframed)
+	}
+	err = copyResponse(src, w, &stats)
+	if err == nil && unframed != nil && !isWholeJSON(h.ContentType, unframed.Bytes()) {
+		return stats, errUnframedResponse
+	}
 	if err == nil && stats.isStream && !bytes.Contains(stats.tail, []byte("[DONE]")) {
 		return stats, errMissingDone
 	}
 	return stats, err
 }
 
+// isWholeJSON reports whether a body is a JSON object or array, the ends of which show that it is complete.
+func isWholeJSON(contentType string, body []byte) bool {
+	mediaType, _, err := mime.ParseMediaType(contentType)
+	if err != nil || mediaType != "application/json" {
+		return false
+	}
+	body = bytes.TrimSpace(body)
+	return (bytes.HasPrefix(body, []byte("{")) || bytes.HasPrefix(body, []byte("["))) && json.Valid(body)
+}
+
 func copyResponse(src io.Reader, dst io.Writer, stats *responseStats) error {
 	buf, _ := copyBuffers.Get().(*[copyBufferBytes]byte)
 	defer copyBuffers.Put(buf)
