--- a/soaker/soaker_test.go
+++ b/soaker/soaker_test.go
@@ -21,6 +21,7 @@
 	{seed: 3, cause: ""},
 	{seed: 6, cause: ""},
 	{seed: 101, cause: "a disk was lost while the group had two voters, and a lost voter was removed too early"},
+	{seed: 601, cause: "a response that ended with the endpoint's connection got a Content-Length"},
 }
 
 // Guards against violations that occur only while processes, connections and disks of a fleet of processes fail.
