Keep and log the software versions of endpoints

Heartbeats name the version of the endpoint's software, which was dropped. It is part of the endpoint's record now, and request lines tell it, also which stream a request resumes. Nothing is decided by it yet. On the platform, a heartbeat without a version registers nothing, as with its other fields.

--- a/adapters/exchanger/wire.go
+++ b/adapters/exchanger/wire.go
@@ -155,13 +155,14 @@
 	Born       int64           `cbor:"7,keyasint,omitempty"`
 	Sequence   uint64          `cbor:"8,keyasint"`
 	ColdMillis int64           `cbor:"9,keyasint,omitempty"`
+	Version    string          `cbor:"10,keyasint,omitempty"`
 }
 
 func encodeEndpoints(now time.Time, list []registrar.Endpoint) []endpointRecord {
 	records := make([]endpointRecord, 0, len(list))
 	for _, e := range list {
 		r := endpointRecord{ID: e.ID, Service: e.Service, Address: e.Address, Domain: e.Domain, Slots: e.Slots,
-			State: e.State, Born: e.Born, Sequence: e.Sequence}
+			State: e.State, Born: e.Born, Sequence: e.Sequence, Version: e.Version}
 		if e.ColdUntil.After(now) {
 			r.ColdMillis = e.ColdUntil.Sub(now).Milliseconds()
 		}
@@ -174,7 +175,7 @@
 	list := make([]registrar.Endpoint, 0, len(records))
 	for _, r := range records {
 		e := registrar.Endpoint{ID: r.ID, Service: r.Service, Address: r.Address, Domain: r.Domain, Slots: r.Slots,
-			State: r.State, Born: r.Born, Sequence: r.Sequence}
+			State: r.State, Born: r.Born, Sequence: r.Sequence, Version: r.Version}
 		if r.ColdMillis > 0 {
 			e.ColdUntil = now.Add(time.Duration(r.ColdMillis) * time.Millisecond)
 		}
--- a/core/registrar/registrar.go
+++ b/core/registrar/registrar.go
@@ -37,6 +37,7 @@
 	Service  string
 	Address  string
 	Domain   string // failure domain
+	Version  string // of the endpoint's software; versions have no order
 	Slots    int
 	State    State
 	Born     int64 // start time in Unix milliseconds, by the endpoint's clock
@@ -135,7 +136,7 @@
 
 func affectsRouting(a, b *Endpoint) bool {
 	if a.State != b.State || a.Born != b.Born || a.Address != b.Address || a.Service != b.Service ||
-		a.Domain != b.Domain || a.Slots != b.Slots {
+		a.Domain != b.Domain || a.Slots != b.Slots || a.Version != b.Version {
 		return true
 	}
 	d := a.ColdUntil.Sub(b.ColdUntil)
--- a/node/dialect.go
+++ b/node/dialect.go
@@ -28,6 +28,7 @@
 	PromptParts      string // ID:tokens of each part of the prompt, separated by commas
 	CacheSource      string // address of the endpoint from which to fetch cached parts of the prompt
 	LastEventID      string // of the last event received, to resume a stream
+	Resumes          string // ID of the request that brought the first event of a stream that is resumed
 	Priority         string // 0 to 9, 0 is served first
 	// Reserved headers are removed from the requests of callers.
 	Reserved []string
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -295,7 +295,8 @@
 	}
 	for i := range changed {
 		e := &changed[i]
-		f.log.event("endpoint changed", "endpoint", describeEndpoint(e), "service", e.Service, "state", e.State,
+		f.log.event("endpoint changed", "endpoint", describeEndpoint(e), "service", e.Service, "software", e.Version,
+			"state", e.State,
 			"failureDomain", e.Domain, "coldMs", max(0, time.Until(e.ColdUntil).Milliseconds()), "source", source)
 	}
 }
--- a/node/native_dialect.go
+++ b/node/native_dialect.go
@@ -15,7 +15,7 @@
 		Headers: Headers{RequestID: "Cactus-Request-Id", RemainingMillis: "Cactus-Left-Ms", Key: "Cactus-Key",
 			Workspace: "Cactus-Workspace", ExpectedEndpoint: "Cactus-Endpoint",
 			NotRun: "Cactus-Not-Run", Load: "Cactus-Load", RateLimit: "Cactus-Rate-Limit", PromptParts: "Cactus-Prompt-Parts",
-			CacheSource: "Cactus-Fetch-From", LastEventID: "Last-Event-Id", Priority: "Cactus-Priority"},
+			CacheSource: "Cactus-Fetch-From", LastEventID: "Last-Event-Id", Resumes: "Cactus-Resumes", Priority: "Cactus-Priority"},
 		DecodePlan: planner.Parse,
 		Control:    newNativeControl,
 	}
@@ -31,6 +31,7 @@
 	BornMillis    int64  `json:"bornMillis"` // process start in Unix milliseconds
 	Sequence      uint64 `json:"sequence"`
 	ColdMillis    int64  `json:"coldMillis,omitempty"`
+	Version       string `json:"version,omitempty"` // of the endpoint's software
 }
 
 type heartbeatResponse struct {
@@ -62,7 +63,7 @@
 		return e, &BadRequestError{Reason: "service, address and sequence are required"}
 	}
 	e = registrar.Endpoint{ID: id, Service: hb.Service, Address: hb.Address, Domain: hb.FailureDomain,
-		Slots: hb.Slots, State: registrar.Ready, Born: hb.BornMillis, Sequence: hb.Sequence}
+		Version: hb.Version, Slots: hb.Slots, State: registrar.Ready, Born: hb.BornMillis, Sequence: hb.Sequence}
 	if hb.Draining {
 		e.State = registrar.Draining
 	}
--- a/node/proxy.go
+++ b/node/proxy.go
@@ -80,6 +80,16 @@
 	planVersion uint64
 	inbound     *http.Request
 	fingerprint uint64 // of method, host, target, workspace and body
+	lastEventID string // set if the caller resumes a stream
+	resumes     string // ID of the request that brought the first event of that stream
+}
+
+// resumeLogFields returns the keys and values that tell which stream the caller resumes.
+func (q *request) resumeLogFields() []any {
+	if q.lastEventID == "" {
+		return nil
+	}
+	return []any{"resumes", q.resumes, "afterEvent", q.lastEventID}
 }
 
 // refusal is a response that the node generates itself.
@@ -147,6 +157,7 @@
 		q.sharedParts = attributor.SharedParts(q.service.Name, partIDs(q.promptParts))
 	}
 	q.priority = v.plan.NormalizedPriority(q.route, q.workspace)
+	q.lastEventID, q.resumes = r.Header.Get(h.LastEventID), r.Header.Get(h.Resumes)
 	q.header = p.forwardedHeader(r.Header, q.workspace)
 	return q, nil
 }
@@ -310,6 +321,7 @@
 	if !q.deadline.IsZero() {
 		keyvals = append(keyvals, "leftMs", time.Until(q.deadline).Milliseconds())
 	}
+	keyvals = append(keyvals, q.resumeLogFields()...)
 	p.log.failure(append(keyvals, ref.logFields...)...)
 	header := w.Header()
 	if q.id != "" {
--- a/node/transfer.go
+++ b/node/transfer.go
@@ -198,7 +198,7 @@
 	t.sentAt = time.Now()
 	t.eventsBefore = t.splitter.events
 	t.tried = append(t.tried, c.Endpoint.ID)
-	t.choiceLogFields = []any{"endpoint", c.Endpoint.ID, "load", c.Load,
+	t.choiceLogFields = []any{"endpoint", c.Endpoint.ID, "software", c.Endpoint.Version, "load", c.Load,
 		"loadAgeMs", c.ReportAge.Milliseconds(), "rank", c.Rank}
 	defer p.fleet.routing.withChooser(func(ch *chooser.Chooser) { ch.Done(time.Now(), c) })
 	resp, err := p.pool.Send(ctx, t.endpointRequest(c))
@@ -684,6 +684,7 @@
 	keyvals := append([]any{"msg", "request " + outcome, "request", q.id, "route", q.route.Name, "version", q.planVersion,
 		"status", ref.status, "reason", ref.reason, "sends", t.sends, "firstMs", firstMs,
 		"ms", now.Sub(q.receivedAt).Milliseconds()}, append(t.choiceLogFields, ref.logFields...)...)
+	keyvals = append(keyvals, q.resumeLogFields()...)
 	if d == finishRequest {
 		p.log.info(keyvals...)
 		return
