--- /dev/null
+++ b/node/stream_version_test.go
@@ -0,0 +1,292 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"cactusroute.dev/core/planner"
+	"cactusroute.dev/core/registrar"
+)
+
+const versionedEvents = 4
+
+// versionedStream answers with events that tell the version of the endpoint. Without a Last-Event-Id it breaks off after
+// the first event.
+func versionedStream(version string) func(req *receivedRequest) {
+	return func(req *receivedRequest) {
+		last, err := strconv.Atoi(req.r.Header.Get("Last-Event-Id"))
+		if err != nil {
+			last = 0
+		}
+		_, _ = fmt.Fprintf(req.conn, "HTTP/1.1 200 OK\r\nReq-Id: %s\r\nContent-Type: text/event-stream\r\n"+
+			"Transfer-Encoding: chunked\r\n\r\n", req.r.Header.Get("Req-Id"))
+		for n := last + 1; n <= versionedEvents; n++ {
+			event := fmt.Sprintf("id: %d\ndata: %s\n\n", n, version)
+			_, _ = fmt.Fprintf(req.conn, "%x\r\n%s\r\n", len(event), event)
+			if last == 0 {
+				_ = req.conn.Close()
+				return
+			}
+		}
+		_, _ = io.WriteString(req.conn, "0\r\n\r\n")
+	}
+}
+
+// versionsIn returns the versions of the events of a stream, in order.
+func versionsIn(body string) (versions []string) {
+	for line := range strings.SplitSeq(body, "\n") {
+		if version, ok := strings.CutPrefix(line, "data: "); ok {
+			versions = append(versions, version)
+		}
+	}
+	return versions
+}
+
+func isOneVersion(versions []string) bool {
+	for _, v := range versions {
+		if v != versions[0] {
+			return false
+		}
+	}
+	return true
+}
+
+// Guards against a stream that a node continues, within one response, at another software version than the one that
+// began it.
+func TestInterruptedStreamResumesAtItsVersion(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		versions []string // of the endpoints
+		complete bool
+	}{
+		{"two of each version", []string{"v1", "v1", "v2", "v2"}, true},
+		{"one of each version", []string{"v1", "v2"}, false},
+		{"three versions", []string{"v1", "v2", "v3", "v1", "v2", "v3"}, true},
+		{"no versions named", []string{"", "", ""}, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var endpoints []*fakeEndpoint
+			var records []registrar.Endpoint
+			for i, v := range c.versions {
+				e := newFakeEndpoint(t, versionedStream(v))
+				endpoints = append(endpoints, e)
+				records = append(records, registrar.Endpoint{ID: string(rune('a' + i)), Service: "s", Address: e.address,
+					Domain: "d", Version: v, State: registrar.Ready, Born: 1, Sequence: 2})
+			}
+			p := newTestProxy(t, testPlan(1), endpoints...)
+			p.fleet.mergeEndpoints(records, "test")
+			for i := range 20 {
+				got := p.call(t, http.MethodPost, "/resume/", itoa(i))
+				versions := versionsIn(got.body)
+				assert.Assert(t, len(versions) > 0 && isOneVersion(versions), "%q", got.body)
+				assert.Equal(t, got.err == nil && len(versions) == versionedEvents, c.complete, "%q %v", got.body, got.err)
+			}
+		})
+	}
+}
+
+// versionedFleet is a fleet whose endpoints have two software versions, two endpoints each.
+type versionedFleet struct {
+	*testFleet
+	endpoints map[string]registrar.Endpoint // by ID
+	fakes     []*fakeEndpoint
+	streams   int
+}
+
+func newVersionedFleet(t *testing.T, disks, routers int) *versionedFleet {
+	f := &versionedFleet{testFleet: newTestFleet(t, disks, routers), endpoints: map[string]registrar.Endpoint{}}
+	f.startAll()
+	f.retryCommand("plan", f.nodes[:disks], func(c Control) error {
+		plan := testPlan(1)
+		plan.Routes[4].MaxAttempts = 1 // the caller resumes, not the node
+		plan.Workspaces = append(plan.Workspaces, planner.Workspace{Name: "other", Keys: []string{"other-key"}})
+		return c.PutPlan(context.Background(), encodePlan(t, plan))
+	})
+	f.awaitPlan(1, f.nodes)
+	for _, id := range []string{"a1", "b1", "a2", "b2"} {
+		version := "v" + id[1:]
+		fake := newFakeEndpoint(t, versionedStream(version))
+		f.fakes = append(f.fakes, fake)
+		f.endpoints[id] = registrar.Endpoint{ID: id, Service: "s", Address: fake.address, Domain: "d", Version: version,
+			State: registrar.Ready, Born: 1, Sequence: 1}
+		f.register(id)
+	}
+	f.awaitEndpoints(4, f.nodes)
+	return f
+}
+
+func (f *versionedFleet) register(id string) {
+	f.retryCommand("endpoint", f.nodes[:1], func(c Control) error {
+		_, err := c.Register(context.Background(), f.endpoints[id])
+		return err
+	})
+}
+
+func (f *versionedFleet) awaitEndpoints(count int, nodes []*testNode) {
+	for _, n := range nodes {
+		eventually(f.t, "endpoints at "+n.settings.Place.Name, func() bool {
+			loads, _ := n.fleet.routing.snapshot(time.Now())
+			return len(loads) == count
+		})
+	}
+}
+
+// arrivals returns the requests that all endpoints have received.
+func (f *versionedFleet) arrivals() (n int) {
+	for _, e := range f.fakes {
+		n += e.count()
+	}
+	return n
+}
+
+// call sends a request whose body no other stream has, so that its breaks are not taken for a crash by the request.
+func (f *versionedFleet) call(n *testNode, path, id, body string, header ...string) callerResponse {
+	srv := httptest.NewUnstartedServer(n.front)
+	srv.Config.ConnContext = withCallerConn
+	srv.Start()
+	defer srv.Close()
+	p := &testProxy{proxy: n.front, server: srv, url: srv.URL}
+	return p.call(f.t, http.MethodPost, path, body, append([]string{"Req-Id", id}, header...)...)
+}
+
+// begunStream is a stream of which the caller has the first event.
+type begunStream struct{ id, version string }
+
+// begin begins streams at a node; all of them break off after the first event.
+func (f *versionedFleet) begin(n *testNode, count int) (streams []begunStream) {
+	f.t.Helper()
+	for range count {
+		f.streams++
+		id := fmt.Sprintf("stream-%d", f.streams)
+		got := f.call(n, "/resume/x", id, id)
+		versions := versionsIn(got.body)
+		assert.Equal(f.t, len(versions), 1, "%d %q %v", got.status, got.body, got.err)
+		streams = append(streams, begunStream{id, versions[0]})
+	}
+	return streams
+}
+
+// resume takes streams up at a node and returns how many went on; none may go on at another version.
+func (f *versionedFleet) resume(n *testNode, streams []begunStream) (resumed int) {
+	f.t.Helper()
+	for i, s := range streams {
+		got := f.call(n, "/resume/x", fmt.Sprintf("%s-again-%d-%s", s.id, i, n.settings.Place.Name), s.id,
+			"Last-Event-Id", "1", "Resumes", s.id)
+		if got.status != http.StatusOK {
+			assert.Equal(f.t, got.status, http.StatusServiceUnavailable)
+			continue
+		}
+		for _, v := range versionsIn(got.body) {
+			assert.Equal(f.t, v, s.version, "stream %s went on at another version", s.id)
+		}
+		resumed++
+	}
+	return resumed
+}
+
+// Guards against a stream that its caller takes up, after the node or all nodes were gone, and that goes on at another
+// software version than the one that began it.
+func TestStreamIsTakenUpAtItsVersion(t *testing.T) {
+	const count = 12
+	f := newVersionedFleet(t, 3, 2)
+	routers, instances := f.nodes[3:], f.nodes[:3]
+
+	streams := f.begin(routers[0], count)
+	assert.Equal(t, f.resume(routers[0], streams), count, "at the same node")
+	assert.Equal(t, f.resume(routers[1], streams), count, "at another router")
+	for _, n := range instances {
+		assert.Equal(t, f.resume(n, streams), count, "at control instance %s", n.settings.Place.Name)
+	}
+
+	streams = f.begin(routers[0], count)
+	routers[0].stop()
+	assert.Equal(t, f.resume(routers[1], streams), count, "after the router has stopped")
+	f.start(routers[0], f.seeds, false)
+	f.awaitPlan(1, routers[:1])
+	assert.Equal(t, f.resume(routers[0], streams), count, "at the router that has restarted")
+
+	streams = f.begin(instances[0], count)
+	instances[0].stop()
+	assert.NilError(t, os.RemoveAll(instances[0].settings.DataFolder))
+	assert.Equal(t, f.resume(routers[1], streams), count, "after the control instance has lost its disk")
+	f.start(instances[0], f.seeds, false)
+	f.awaitPlan(1, instances[:1])
+	eventually(t, "peers", func() bool { return len(instances[0].fleet.quorateInstances()) == 3 })
+	assert.Equal(t, f.resume(instances[0], streams), count, "at the control instance that has lost its disk")
+
+	streams = f.begin(routers[0], count)
+	time.Sleep(time.Second) // until the streams are on disk
+	for _, n := range f.nodes {
+		n.stop()
+	}
+	for _, n := range f.nodes {
+		f.start(n, f.seeds, false)
+	}
+	f.awaitPlan(1, f.nodes)
+	for id, e := range f.endpoints {
+		e.Sequence++
+		f.endpoints[id] = e
+		f.register(id)
+	}
+	f.awaitEndpoints(4, f.nodes)
+	for _, n := range f.nodes {
+		assert.Equal(t, f.resume(n, streams), count, "at %s after all nodes have restarted", n.settings.Place.Name)
+	}
+}
+
+// Guards against a stream that goes on although nobody knows which version began it, and against callers that learn of
+// streams of other workspaces.
+func TestUnknownStreamIsNotResumed(t *testing.T) {
+	f := newVersionedFleet(t, 3, 1)
+	router := f.nodes[3]
+	s := f.begin(router, 1)[0]
+	before := f.arrivals()
+	for _, c := range []struct {
+		name, path string
+		header     []string
+	}{
+		{"never seen", "/resume/x", []string{"Resumes", "stream-99"}},
+		{"not named", "/resume/x", nil},
+		{"of another workspace", "/resume/x", []string{"Resumes", s.id, "Api-Key", "other-key"}},
+		{"of another path", "/resume/y", []string{"Resumes", s.id}},
+	} {
+		for _, n := range f.nodes {
+			start := time.Now()
+			got := f.call(n, c.path, "again", s.id, append([]string{"Last-Event-Id", "1"}, c.header...)...)
+			assert.Equal(t, got.status, http.StatusServiceUnavailable, c.name)
+			assert.Assert(t, time.Since(start) < time.Second, "%s took %v", c.name, time.Since(start))
+		}
+	}
+	assert.Equal(t, f.arrivals(), before)
+}
+
+// Guards against a caller that waits for a version of which no endpoint is left, and against one whose stream then goes
+// on at another version.
+func TestStreamOfALeftVersionIsRefusedAtOnce(t *testing.T) {
+	f := newVersionedFleet(t, 3, 1)
+	router := f.nodes[3]
+	streams := f.begin(router, 12)
+	for _, id := range []string{"a1", "b1"} {
+		f.retryCommand("leave", f.nodes[:1], func(c Control) error { return c.Deregister(context.Background(), id) })
+	}
+	f.awaitEndpoints(2, f.nodes)
+	want := 0
+	for _, s := range streams {
+		if s.version == "v2" {
+			want++
+		}
+	}
+	start := time.Now()
+	assert.Equal(t, f.resume(router, streams), want)
+	assert.Assert(t, time.Since(start) < 2*time.Second, "%v", time.Since(start))
+}
