Resume interrupted streams at the version that began them

What callers saw: a stream whose endpoint failed was continued within the same response by an endpoint of another software version, so that the text was joined from two versions.

Cause: nothing in the choice of an endpoint knew versions; any endpoint was as good for the rest of a stream as for its start.

Change: the version of the endpoint whose first event reached the caller restricts all further attempts. If no endpoint of it is in service, the response ends at once (noVersion). The load bound, cold rates, named limits and the retry budget hold for these attempts as for others.

Evidence: TestInterruptedStreamResumesAtItsVersion failed before in its rows with versions. TestResumedStreamsDuringARelease holds the choice to the version with few, draining, silent, cold and full endpoints.

--- a/core/chooser/chooser.go
+++ b/core/chooser/chooser.go
@@ -94,6 +94,9 @@
 	Tried    []string // IDs of endpoints to exclude
 	Random   float64  // uniform in [0, 1)
 	Priority float64  // from 0 for the highest to 1 for the lowest
+	// Version restricts the choice of a resumed stream to endpoints of the software version that began it.
+	Version   string
+	IsResumed bool
 }
 
 // Reason states why no endpoint was selected; it is empty if one was.
@@ -102,6 +105,7 @@
 // The reasons for which no endpoint is selected.
 const (
 	NoEndpoint        Reason = "the service has no endpoint in service"
+	NoVersion         Reason = "the service has no endpoint in service of the software version that began the stream"
 	AllTried          Reason = "every endpoint was already tried"
 	ColdRateExhausted Reason = "the rate limit of cold endpoints is exhausted"
 	AllAtCapacity     Reason = "every endpoint has as many requests as it can answer in time"
@@ -264,6 +268,9 @@
 	if !e.inService {
 		return NoEndpoint
 	}
+	if q.isOtherVersion(e) {
+		return NoVersion
+	}
 	for _, id := range q.Tried {
 		if id == e.ID {
 			return AllTried
@@ -281,6 +288,9 @@
 	return ""
 }
 
+// isOtherVersion reports whether the endpoint can't continue the stream.
+func (q *Query) isOtherVersion(e *endpoint) bool { return q.IsResumed && e.Version != q.Version }
+
 // poolLoad is the load of a pool as known to this router.
 type poolLoad struct {
 	total     int     // requests in flight at all endpoints
@@ -391,7 +401,7 @@
 			break
 		}
 		e := p.endpoints[i]
-		if e.inService {
+		if e.inService && !q.isOtherVersion(e) {
 			rank++
 		}
 		if r := c.checkAdmission(now, q, e); r != "" {
@@ -521,7 +531,7 @@
 }
 
 func reasonPrecedence(r Reason) int {
-	return slices.Index([]Reason{NoEndpoint, AllTried, RateLimited, AllAtCapacity, ColdRateExhausted}, r)
+	return slices.Index([]Reason{NoEndpoint, NoVersion, AllTried, RateLimited, AllAtCapacity, ColdRateExhausted}, r)
 }
 
 // cacheSource returns the endpoint that is expected to cache the shared parts of the prompt: the highest-ranked one
--- a/node/transfer.go
+++ b/node/transfer.go
@@ -63,6 +63,8 @@
 	callerConn      lingerConn // set if the response ends with the caller's connection
 	splitter        eventSplitter
 	eventsBefore    uint64            // events of earlier attempts
+	hasBegun        bool              // the caller has an event of the stream
+	version         string            // software version of the endpoint that sent it
 	answered        bool              // recorded as evidence that its prompt is sound
 	sentAt          time.Time         // start of the current attempt
 	firstByteAt     time.Time         // when the first bytes of the body were sent to the caller
@@ -163,8 +165,8 @@
 	for {
 		now := time.Now()
 		c, reason := t.proxy.fleet.routing.choose(now, chooser.Query{Service: q.service, Parts: q.promptParts, Tried: t.tried,
-			Random: rand.Float64(), Priority: q.priority})
-		isFinal := reason == "" || reason == chooser.AllTried || reason == chooser.RateLimited
+			Random: rand.Float64(), Priority: q.priority, Version: t.version, IsResumed: t.hasBegun})
+		isFinal := reason == "" || reason == chooser.AllTried || reason == chooser.RateLimited || reason == chooser.NoVersion
 		if isFinal || now.After(until) || isDisconnected(ctx) {
 			t.proxy.metrics.waitTime.Observe(now.Sub(start).Seconds())
 			return c, reason
@@ -175,6 +177,14 @@
 
 // noEndpointRefusal returns the refusal of a request for which no endpoint was selected.
 func (t *transfer) noEndpointRefusal(cause chooser.Reason, last refusal) refusal {
+	if cause == chooser.NoVersion {
+		ref := refusal{status: http.StatusServiceUnavailable, reason: "noVersion", retryAfter: retryAfter(),
+			logFields: []any{"why", string(cause), "service", t.request.service.Name, "begunAt", t.version}}
+		if t.runs > 0 {
+			ref.status, ref.retryAfter = http.StatusBadGateway, 0
+		}
+		return ref
+	}
 	if t.runs > 0 || last.status != 0 && cause == chooser.AllTried {
 		return last
 	}
@@ -531,6 +541,9 @@
 			}
 		}
 		if err = stall.update(t.splitter.events, err); len(out) > 0 {
+			if t.request.route.Resumable && !t.hasBegun {
+				t.hasBegun, t.version = true, c.Endpoint.Version
+			}
 			now := time.Now()
 			if t.firstByteAt.IsZero() {
 				t.firstByteAt = now
