Take streams up at the version that began them

What callers saw: a caller whose stream had broken off took it up at another node, or after all nodes had been killed, and got the rest from another software version than the start, with a 200 and nothing that showed it.

Cause: which version began a stream was known to nobody. Last-Event-Id was passed on to any endpoint.

Change: before the first event of a stream leaves, the node records its service and version under the request's ID, workspace, host and path. Routers send the records to their control instance, control instances to each other and, every 0.2 s, to their disks. A request that resumes a stream names that ID (Resumes); the node looks it up, asks its control instance if it does not know it, and sends the request to endpoints of that version only. Streams of unknown origin are refused at once (unknownStream), so that a node out of touch, a lost disk or the last 0.2 s before a power loss cost a resume and never join two versions. A record costs below 20 bytes and is kept until 2 s after the caller's deadline. Where endpoints name no versions, nothing changes.

Weighed: a synced write before the first event (2 ms and more on each stream, seconds on a slow disk, for the last 0.2 s before a power loss of all nodes); a version that follows from a hash of the ID (would split each shared prompt part over the versions and be ambiguous while the split moves); records only while two versions serve (needs a lease at every node to be right out of touch, to save 14 bytes a stream).

--- a/adapters/exchanger/client.go
+++ b/adapters/exchanger/client.go
@@ -8,6 +8,7 @@
 	"cactusroute.dev/adapters/messenger"
 	"cactusroute.dev/core/fleetapplier"
 	"cactusroute.dev/core/registrar"
+	"cactusroute.dev/core/resumer"
 )
 
 // Receiver handles the messages of a control instance. One goroutine of the subscription calls the methods for received
@@ -23,6 +24,10 @@
 	EvidenceReceived(Evidence)
 	HeartbeatReceived(Heartbeat)
 	LoadsReceived(Loads)
+	// StreamsReceived handles streams that began at the instance or its subscribers.
+	StreamsReceived([]resumer.Stream)
+	// StreamOriginReceived handles the answer to a query of the given number; ok is false if the origin is not known.
+	StreamOriginReceived(number uint64, o resumer.Origin, ok bool)
 	// Loads returns the requests in flight of this process, or nil if they are not reported to the instance.
 	Loads() Loads
 }
@@ -74,6 +79,21 @@
 	return s.conn.Send(ctx, kindEvidence, 0, encodeEvidence(time.Now(), e))
 }
 
+// ReportStreams sends streams that began here to the control instance.
+func (s *Subscription) ReportStreams(ctx context.Context, list []resumer.Stream) error {
+	for _, m := range encodeStreams(time.Now(), list) {
+		if err := s.conn.Send(ctx, kindStreams, 0, m); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// QueryStream asks the control instance for the origin of a stream. The receiver gets the answer with the same number.
+func (s *Subscription) QueryStream(ctx context.Context, number uint64, key resumer.Key) error {
+	return s.conn.Send(ctx, kindStreamQuery, number, streamQueryMessage{Key: uint64(key)})
+}
+
 // Close ends the subscription.
 func (s *Subscription) Close() { _ = s.conn.Close() }
 
@@ -199,6 +219,22 @@
 			return err
 		}
 		r.LoadsReceived(loads)
+	case kindStreams:
+		var m streamsMessage
+		if err := e.Decode(&m); err != nil {
+			return err
+		}
+		list, err := decodeStreams(time.Now(), &m)
+		if err != nil {
+			return err
+		}
+		r.StreamsReceived(list)
+	case kindStreamAnswer:
+		var m streamAnswerMessage
+		if err := e.Decode(&m); err != nil {
+			return err
+		}
+		r.StreamOriginReceived(e.Stream, resumer.Origin{Service: m.Service, Version: m.Version}, m.Known)
 	case kindHeartbeat:
 		var m heartbeatMessage
 		if err := e.Decode(&m); err != nil {
--- a/adapters/exchanger/exchanger_test.go
+++ b/adapters/exchanger/exchanger_test.go
@@ -15,6 +15,7 @@
 	"cactusroute.dev/core/attributor"
 	"cactusroute.dev/core/fleetapplier"
 	"cactusroute.dev/core/registrar"
+	"cactusroute.dev/core/resumer"
 )
 
 const testTimeout = 20 * time.Second
@@ -83,6 +84,18 @@
 	return Evidence{Convictions: []attributor.Conviction{{Part: 5, Revision: 1}}}
 }
 
+func (s *fakeSource) StreamsReceived(list []resumer.Stream) {
+	s.record(fmt.Sprint("streams ", len(list), " ", list[0].Origin.Version))
+}
+
+func (s *fakeSource) AllStreams() []resumer.Stream {
+	return []resumer.Stream{{Key: 7, Origin: resumer.Origin{Service: "s", Version: "v7"}, Until: time.Now().Add(time.Minute)}}
+}
+
+func (s *fakeSource) StreamOrigin(_ context.Context, key resumer.Key) (o resumer.Origin, ok bool) {
+	return resumer.Origin{Service: "s", Version: fmt.Sprint("v", key)}, key != 0
+}
+
 func (s *fakeSource) AllSuspects() []Suspect { return []Suspect{{Fingerprint: 9, Endpoint: "e"}} }
 
 // fakeReceiver is a Receiver that records its calls as text.
@@ -111,6 +124,10 @@
 
 func (r *fakeReceiver) HeartbeatReceived(h Heartbeat) { r.record(fmt.Sprint("routers ", h.Routers)) }
 
+func (r *fakeReceiver) StreamOriginReceived(number uint64, o resumer.Origin, ok bool) {
+	r.record(fmt.Sprint("answer ", number, " ", o.Version, " ", ok))
+}
+
 func (r *fakeReceiver) LoadsReceived(loads Loads) {
 	r.record(fmt.Sprintf("e: %d requests", loads["e"].Requests))
 }
--- a/adapters/exchanger/fuzz_test.go
+++ b/adapters/exchanger/fuzz_test.go
@@ -21,6 +21,10 @@
 		kindHeartbeat: heartbeatMessage{Quorate: true, QuorateInstances: []Contact{{Name: "n"}}},
 		kindState:     stateMessage{Index: 3, Version: 2, Plan: []byte{1, 2}},
 		kindSuspects:  []Suspect{{Fingerprint: 1, Endpoint: "a#1"}},
+		kindStreams: streamsMessage{Origins: []originRecord{{Service: "s", Version: "v1"}},
+			Streams: []streamRecord{{Key: 1, LeftMillis: 5}}},
+		kindStreamQuery:  streamQueryMessage{Key: 1},
+		kindStreamAnswer: streamAnswerMessage{Known: true, Service: "s", Version: "v1"},
 		kindEvidence: evidenceMessage{Suspects: []suspectRecord{{Start: "a#1", Parts: []attributor.Part{1}}},
 			Answers: []answerRecord{{Part: 1, AgeMillis: 5}}, Convictions: []convictionRecord{{Part: 1, Revision: 1}}},
 	} {
@@ -60,6 +64,17 @@
 			if e.Decode(&m) == nil {
 				_, _ = decodeEvidence(time.Now(), &m)
 			}
+		case kindStreams:
+			var m streamsMessage
+			if e.Decode(&m) == nil {
+				_, _ = decodeStreams(time.Now(), &m)
+			}
+		case kindStreamQuery:
+			var m streamQueryMessage
+			_ = e.Decode(&m)
+		case kindStreamAnswer:
+			var m streamAnswerMessage
+			_ = e.Decode(&m)
 		}
 	})
 }
--- a/adapters/exchanger/server.go
+++ b/adapters/exchanger/server.go
@@ -11,6 +11,7 @@
 	"cactusroute.dev/adapters/messenger"
 	"cactusroute.dev/core/fleetapplier"
 	"cactusroute.dev/core/registrar"
+	"cactusroute.dev/core/resumer"
 )
 
 // Source provides the state that a control instance sends to its subscribers, and handles what they report. Its methods
@@ -40,6 +41,12 @@
 	AllSuspects() []Suspect
 	// AllEvidence returns the evidence to send to a new subscriber.
 	AllEvidence() Evidence
+	// StreamsReceived handles the streams that began at a subscriber.
+	StreamsReceived([]resumer.Stream)
+	// AllStreams returns the streams to send to another control instance that has just subscribed.
+	AllStreams() []resumer.Stream
+	// StreamOrigin returns where a stream began; ok is false if that is not known.
+	StreamOrigin(ctx context.Context, key resumer.Key) (o resumer.Origin, ok bool)
 }
 
 // Server sends the state of a control instance to its subscribers.
@@ -62,8 +69,11 @@
 	suspects []Suspect                     // unsent
 	evidence Evidence                      // unsent
 	resync   bool                          // all evidence is to be sent
-	index    uint64                        // of the last state sent
-	version  uint64                        // of the last plan sent
+	streams  []resumer.Stream              // unsent, for a control instance
+	// resyncStreams is set if all streams are to be sent.
+	resyncStreams bool
+	index         uint64 // of the last state sent
+	version       uint64 // of the last plan sent
 }
 
 // NewServer returns a server without subscribers.
@@ -113,6 +123,7 @@
 // 2*silenceTimeout.
 func (s *Server) receive(ctx context.Context, sub *subscriber) {
 	var dec loadDecoder
+	queries := make(chan struct{}, maxStreamQueries)
 	for {
 		e, err := sub.conn.ReceiveWithTimeout(ctx, 2*silenceTimeout)
 		if err != nil {
@@ -151,10 +162,38 @@
 				return
 			}
 			s.source.LoadsReceived(sub.contact, loads)
+		case kindStreams:
+			var m streamsMessage
+			if e.Decode(&m) != nil {
+				return
+			}
+			list, err := decodeStreams(time.Now(), &m)
+			if err != nil {
+				return
+			}
+			s.source.StreamsReceived(list)
+		case kindStreamQuery:
+			var m streamQueryMessage
+			if e.Decode(&m) != nil {
+				return
+			}
+			select {
+			case queries <- struct{}{}:
+				go func(number uint64) {
+					s.answerStreamQuery(ctx, sub, number, resumer.Key(m.Key))
+					<-queries
+				}(e.Stream)
+			default: // the subscriber takes a missing answer for an unknown stream
+			}
 		}
 	}
 }
 
+func (s *Server) answerStreamQuery(ctx context.Context, sub *subscriber, number uint64, key resumer.Key) {
+	o, ok := s.source.StreamOrigin(ctx, key)
+	_ = sub.conn.Send(ctx, kindStreamAnswer, number, streamAnswerMessage{Known: ok, Service: o.Service, Version: o.Version})
+}
+
 // sendUpdates sends the full state and then the changes. Changes are coalesced, so that a slow subscriber gets only the
 // newest state.
 func (s *Server) sendUpdates(ctx context.Context, sub *subscriber) error {
@@ -164,6 +203,9 @@
 	}
 	sub.addSuspects(s.source.AllSuspects())
 	sub.addEvidence(s.source.AllEvidence())
+	sub.mu.Lock()
+	sub.resyncStreams = sub.contact.Eligible
+	sub.mu.Unlock()
 	heartbeatTicker := time.NewTicker(heartbeatInterval)
 	defer heartbeatTicker.Stop()
 	loadTicker := time.NewTicker(loadInterval)
@@ -209,7 +251,12 @@
 	sub.suspects = nil
 	evidence, resync := sub.evidence, sub.resync
 	sub.evidence, sub.resync = Evidence{}, false
+	streams, resyncStreams := sub.streams, sub.resyncStreams
+	sub.streams, sub.resyncStreams = nil, false
 	sub.mu.Unlock()
+	if resyncStreams {
+		streams = s.source.AllStreams()
+	}
 	if resync {
 		evidence = s.source.AllEvidence()
 	}
@@ -230,6 +277,11 @@
 			return err
 		}
 	}
+	for _, m := range encodeStreams(time.Now(), streams) {
+		if err := sub.conn.Send(ctx, kindStreams, 0, m); err != nil {
+			return err
+		}
+	}
 	st := s.source.State()
 	if st.Index <= sub.index {
 		return nil
@@ -291,6 +343,32 @@
 	sub.evidence.Add(e)
 }
 
+// PublishStreams sends streams that began here or at a subscriber to the other control instances.
+func (s *Server) PublishStreams(list []resumer.Stream) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for sub := range s.subscribers {
+		if !sub.contact.Eligible {
+			continue
+		}
+		sub.addStreams(list)
+		select {
+		case sub.updated <- struct{}{}:
+		default:
+		}
+	}
+}
+
+func (sub *subscriber) addStreams(list []resumer.Stream) {
+	sub.mu.Lock()
+	defer sub.mu.Unlock()
+	if sub.resyncStreams || len(sub.streams)+len(list) > maxPendingStreams {
+		sub.streams, sub.resyncStreams = nil, true
+		return
+	}
+	sub.streams = append(sub.streams, list...)
+}
+
 func (s *Server) forEachSubscriber(update func(*subscriber)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- /dev/null
+++ b/adapters/exchanger/streams_test.go
@@ -0,0 +1,63 @@
+package exchanger
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"gotest.tools/v3/assert"
+
+	"cactusroute.dev/core/resumer"
+)
+
+// Guards against streams that arrive with another origin than they were sent with, or not at all.
+func TestStreamsArriveWithTheirOrigins(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var sent []resumer.Stream
+	for i := range 3 * maxStreamRecords {
+		o := resumer.Origin{Service: "llm", Version: "v" + string(rune('a'+i%26)) + string(rune('a'+i/26%26))}
+		sent = append(sent, resumer.Stream{Key: resumer.Key(i), Origin: o, Until: now.Add(time.Duration(1+i) * time.Millisecond)})
+	}
+	var got []resumer.Stream
+	for _, m := range encodeStreams(now, sent) {
+		data, err := cbor.Marshal(m)
+		assert.NilError(t, err)
+		var received streamsMessage
+		assert.NilError(t, cbor.Unmarshal(data, &received))
+		list, err := decodeStreams(now, &received)
+		assert.NilError(t, err)
+		got = append(got, list...)
+	}
+	assert.DeepEqual(t, got, sent)
+}
+
+// Guards against records that take more of the exchange than 20 bytes for each stream.
+func TestStreamRecordsAreSmall(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var list []resumer.Stream
+	for i := range 100 {
+		list = append(list, resumer.Stream{Key: resumer.NewKey("w", "h", "/", string(rune(i))),
+			Origin: resumer.Origin{Service: "service", Version: "v1"}, Until: now.Add(12 * time.Second)})
+	}
+	data, err := cbor.Marshal(encodeStreams(now, list)[0])
+	assert.NilError(t, err)
+	assert.Assert(t, len(data) < 20*len(list), "%d bytes", len(data))
+}
+
+// Guards against messages of a faulty peer that are taken for streams.
+func TestInvalidStreamsMessagesAreRejected(t *testing.T) {
+	long := strings.Repeat("v", maxOriginNameBytes+1)
+	for _, c := range []struct {
+		name string
+		m    streamsMessage
+	}{
+		{"unknown origin", streamsMessage{Streams: []streamRecord{{Key: 1}}}},
+		{"too many streams", streamsMessage{Origins: make([]originRecord, 1), Streams: make([]streamRecord, maxStreamRecords+1)}},
+		{"too many origins", streamsMessage{Origins: make([]originRecord, maxStreamOrigins+1)}},
+		{"long name", streamsMessage{Origins: []originRecord{{Version: long}}}},
+	} {
+		_, err := decodeStreams(time.Now(), &c.m)
+		assert.Assert(t, err != nil, c.name)
+	}
+}
--- a/adapters/exchanger/wire.go
+++ b/adapters/exchanger/wire.go
@@ -49,12 +49,16 @@
 	kindSuspects
 	kindLoads
 	kindEvidence
+	kindStreams
+	kindStreamQuery
+	kindStreamAnswer
 )
 
 // KindNames are the names of the kinds of messages, by kind, for metrics.
 func KindNames() map[uint8]string {
 	return map[uint8]string{kindHello: "hello", kindPing: "ping", kindState: "state", kindEndpoints: "endpoints",
-		kindHeartbeat: "heartbeat", kindSuspects: "suspects", kindLoads: "loads", kindEvidence: "evidence"}
+		kindHeartbeat: "heartbeat", kindSuspects: "suspects", kindLoads: "loads", kindEvidence: "evidence",
+		kindStreams: "streams", kindStreamQuery: "streamQuery", kindStreamAnswer: "streamAnswer"}
 }
 
 // Contact is the identity of a process and its addresses.
--- a/core/chooser/chooser.go
+++ b/core/chooser/chooser.go
@@ -291,6 +291,24 @@
 // isOtherVersion reports whether the endpoint can't continue the stream.
 func (q *Query) isOtherVersion(e *endpoint) bool { return q.IsResumed && e.Version != q.Version }
 
+// NamesVersions reports whether endpoints of one of the services name a software version, or none is known.
+func (c *Chooser) NamesVersions(services []string) bool {
+	known := false
+	for _, service := range services {
+		p := c.pools[service]
+		if p == nil {
+			continue
+		}
+		for _, e := range p.endpoints {
+			if e.Version != "" {
+				return true
+			}
+			known = true
+		}
+	}
+	return !known
+}
+
 // poolLoad is the load of a pool as known to this router.
 type poolLoad struct {
 	total     int     // requests in flight at all endpoints
--- a/node/control_instance.go
+++ b/node/control_instance.go
@@ -49,6 +49,14 @@
 	clockErrOnce      sync.Once
 }
 
+// disk returns the file system of the data folder.
+func (ci *controlInstance) disk() storer.FS {
+	if ci.fs != nil {
+		return ci.fs
+	}
+	return storer.DiskFS{}
+}
+
 // String returns the service name for the supervisor.
 func (ci *controlInstance) String() string { return "hub" }
 
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -12,6 +12,7 @@
 	"cactusroute.dev/adapters/sleeper"
 	"cactusroute.dev/core/fleetapplier"
 	"cactusroute.dev/core/registrar"
+	"cactusroute.dev/core/resumer"
 )
 
 // State implements exchanger.Source.
@@ -145,6 +146,18 @@
 // AllEvidence implements exchanger.Source.
 func (f *fleet) AllEvidence() exchanger.Evidence { return f.evidence.all() }
 
+// StreamsReceived implements exchanger.Source.
+func (f *fleet) StreamsReceived(list []resumer.Stream) { f.streams.record(list) }
+
+// AllStreams implements exchanger.Source.
+func (f *fleet) AllStreams() []resumer.Stream { return f.streams.all() }
+
+// StreamOrigin implements exchanger.Source.
+func (f *fleet) StreamOrigin(ctx context.Context, key resumer.Key) (resumer.Origin, bool) {
+	o, _, err := f.streams.origin(ctx, key)
+	return o, err == nil
+}
+
 // EndpointsReceived implements exchanger.Source.
 func (f *fleet) EndpointsReceived(list []registrar.Endpoint) { f.mergeEndpoints(list, "subscriber") }
 
@@ -189,6 +202,14 @@
 // EvidenceReceived implements exchanger.Receiver.
 func (r *receiver) EvidenceReceived(e exchanger.Evidence) { r.fleet.evidence.merge(e, r.instance.Name) }
 
+// StreamsReceived implements exchanger.Receiver.
+func (r *receiver) StreamsReceived(list []resumer.Stream) { r.fleet.streams.merge(list) }
+
+// StreamOriginReceived implements exchanger.Receiver.
+func (r *receiver) StreamOriginReceived(number uint64, o resumer.Origin, ok bool) {
+	r.fleet.streams.answerReceived(number, streamAnswer{origin: o, ok: ok})
+}
+
 // Loads implements exchanger.Receiver.
 func (r *receiver) Loads() exchanger.Loads {
 	if r.isPeer {
@@ -289,6 +310,7 @@
 		f.mu.Unlock()
 		go f.sendSuspectReports(ctx, sub)
 		go f.evidence.report(ctx, sub.ReportEvidence)
+		go f.streams.report(ctx, sub)
 	}
 	return sub.Receive(ctx, r, !isPeer)
 }
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -87,6 +87,8 @@
 	cacheDirty     chan struct{} // capacity 1: the state cache on disk is out of date
 	suspectReports chan exchanger.Suspect
 	evidence       *evidence
+	streams        *streams
+	streamLog      *streamLog // of a control instance, while it runs
 
 	exchangeOptions messenger.Options // of connections to other nodes
 
@@ -140,6 +142,7 @@
 		instances: map[string]*knownInstance{}, subscribers: map[string]*subscriber{},
 		seedsInformedAt: map[string]time.Time{}, suspects: map[uint64]*suspect{},
 		evidence: newEvidence(s.Place.Name, s.DataFolder != "", log), started: time.Now()}
+	f.streams = newStreams(s.DataFolder != "", f.started)
 	f.view.Store(&view{})
 	choosesBootstrapper := s.FirstStart && len(s.Seeds) > 0 && slices.Min(s.Seeds) == s.Listen.Advertise
 	f.discovery = exchanger.NewDiscovery(f.self, choosesBootstrapper, f.quorateInstances, f.recordContacts)
@@ -453,6 +456,7 @@
 		f.publishEndpoints(changed, "noHeartbeat")
 	}
 	f.evidence.expire(now)
+	f.streams.expire(now)
 	if f.control != nil {
 		_, total := f.connectedRouters(now)
 		f.recordRouterCount(total)
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -21,8 +21,17 @@
 	limits    *prometheus.CounterVec   // bound
 	suspects  prometheus.Counter
 	unframed  prometheus.Counter
+	takenUp   *prometheus.CounterVec // outcome
 }
 
+// The outcomes of requests that resume a stream.
+const (
+	takenUpKnown       = "known"
+	takenUpUnknown     = "unknown"
+	takenUpNotAnswered = "notAnswered"
+	takenUpMoved       = "moved"
+)
+
 // The values of the label direction.
 const (
 	directionSent     = "sent"
@@ -90,18 +99,23 @@
 			Help: "Exchanges ended because an endpoint sent more than a bound allows, by bound."}, []string{"bound"}),
 		suspects: prometheus.NewCounter(prometheus.CounterOpts{Name: "cactusroute_suspects_total",
 			Help: "Requests whose endpoint ended the connection before the end of the response."}),
+		takenUp: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cactusroute_resumed_streams_total",
+			Help: "Requests of callers that resume a stream by what is known of its origin."}, []string{"outcome"}),
 		unframed: prometheus.NewCounter(prometheus.CounterOpts{Name: "cactusroute_unframed_responses_total",
 			Help: "Responses of endpoints without a length or chunks, which end with their connection."}),
 	}
 	for _, bound := range append(forwarder.Bounds(), boundEventBytes, boundBufferedBytes) {
 		m.limits.WithLabelValues(bound)
 	}
+	for _, outcome := range []string{takenUpKnown, takenUpUnknown, takenUpNotAnswered, takenUpMoved} {
+		m.takenUp.WithLabelValues(outcome)
+	}
 	m.waitTime = prometheus.NewHistogram(prometheus.HistogramOpts{Name: "cactusroute_wait_seconds",
 		Help: "Time that a request waited for the first plan or an available endpoint.", Buckets: waitBuckets()})
 	m.eventGap = prometheus.NewHistogram(prometheus.HistogramOpts{Name: "cactusroute_event_gap_seconds",
 		Help: "Time between consecutive writes of a stream to its caller.", Buckets: latencyBuckets()})
 	obs.Registry.MustRegister(m.requests, m.firstByte, m.duration, m.waitTime, m.eventGap, m.retries, m.refusals, m.limits,
-		m.suspects, m.unframed, newRoutingCollector(f.routing))
+		m.suspects, m.unframed, m.takenUp, newRoutingCollector(f.routing))
 	for _, g := range []struct {
 		name, help string
 		value      func() float64
@@ -120,6 +134,8 @@
 		{"cactusroute_convicted_parts", "Prompt parts for which requests are refused.", func() float64 {
 			return float64(f.evidence.convictions.Load())
 		}},
+		{"cactusroute_known_streams", "Streams of which this node knows the software version that began them.",
+			func() float64 { return float64(f.streams.count()) }},
 		{"cactusroute_routers", "Known nodes that route requests.", func() float64 {
 			f.mu.Lock()
 			defer f.mu.Unlock()
--- a/node/node.go
+++ b/node/node.go
@@ -53,6 +53,7 @@
 			f.control.server.PublishState()
 		})
 		f.control.server = exchanger.NewServer(f.exchangeOptions, f)
+		f.streams.publish = f.control.server.PublishStreams
 		f.evidence.publish = func(e exchanger.Evidence) {
 			f.control.server.PublishEvidence(e)
 			f.markCacheDirty()
@@ -89,6 +90,8 @@
 	defer cancel()
 	if n.fleet.control != nil {
 		n.fleet.loadStateCache()
+		n.fleet.streamLog = &streamLog{fs: n.fleet.control.disk(), folder: n.settings.DataFolder}
+		n.fleet.loadStreams()
 	}
 	sup := suture.New(n.settings.Place.Name, suture.Spec{
 		Timeout: time.Second, FailureBackoff: restartBackoff, EventHook: n.logSupervisorEvent,
@@ -156,6 +159,8 @@
 		sup.Add(service{"loads", f.aggregateLoads})
 		sup.Add(service{"memory", f.persistStateCache})
 		sup.Add(service{"crashes", f.evidence.evaluate})
+		sup.Add(service{"streams", f.streams.publishPending})
+		sup.Add(service{"streamLog", f.persistStreams})
 		exchange.Handle(transporter.Path, f.control)
 		exchange.Handle(exchanger.SubscriptionPath, f.control.server)
 	} else {
--- a/node/proxy.go
+++ b/node/proxy.go
@@ -82,6 +82,12 @@
 	fingerprint uint64 // of method, host, target, workspace and body
 	lastEventID string // set if the caller resumes a stream
 	resumes     string // ID of the request that brought the first event of that stream
+	plan        *planner.Plan
+	// resumableUntil is when the caller no longer resumes the stream that this request begins.
+	resumableUntil time.Time
+	version        string // software version at which a resumed stream goes on
+	isBound        bool   // the stream may go on at version only
+	originSource   string // who knew it
 }
 
 // resumeLogFields returns the keys and values that tell which stream the caller resumes.
@@ -89,7 +95,17 @@
 	if q.lastEventID == "" {
 		return nil
 	}
-	return []any{"resumes", q.resumes, "afterEvent", q.lastEventID}
+	return []any{"resumes", q.resumes, "afterEvent", q.lastEventID, "begunAt", q.version, "knownBy", q.originSource}
+}
+
+// setService sets the service that the request is sent to.
+func (q *request) setService(s *planner.Service, parts string) {
+	q.service = s
+	q.promptParts, q.sharedParts = nil, nil
+	if s.Engine {
+		q.promptParts = parsePromptParts(parts)
+		q.sharedParts = attributor.SharedParts(s.Name, partIDs(q.promptParts))
+	}
 }
 
 // refusal is a response that the node generates itself.
@@ -110,12 +126,15 @@
 	if ref == nil {
 		ref = p.readBody(w, q)
 	}
+	if ref == nil {
+		ref = p.bindToOrigin(r.Context(), q)
+	}
 	if ref != nil {
 		p.refuse(w, q, *ref)
 		return
 	}
 	p.fleet.routing.countFirstAttempt(q.receivedAt, q.service.Name)
-	t := &transfer{proxy: p, request: q, w: w,
+	t := &transfer{proxy: p, request: q, w: w, hasBegun: q.isBound, version: q.version,
 		splitter: eventSplitter{maxEventBytes: p.fleet.settings.EndpointLimits.EventBytes}}
 	t.run(r.Context())
 }
@@ -136,7 +155,7 @@
 	if v.plan == nil {
 		return q, &refusal{status: http.StatusServiceUnavailable, reason: "noPlan", retryAfter: maxRetryAfter}
 	}
-	q.planVersion = v.plan.Version
+	q.plan, q.planVersion = v.plan, v.plan.Version
 	path, _, _ := strings.Cut(r.RequestURI, "?")
 	if q.route = v.plan.Match(r.Host, path); q.route == nil {
 		return q, &refusal{status: http.StatusNotFound, reason: "noRoute"}
@@ -146,16 +165,14 @@
 			return q, &refusal{status: http.StatusUnauthorized, reason: "unknownKey"}
 		}
 	}
-	q.service = v.plan.Service(q.route.PickService(rand.Float64()))
+	q.setService(v.plan.Service(q.route.PickService(rand.Float64())), r.Header.Get(h.PromptParts))
 	remaining := time.Duration(q.route.TimeoutMillis) * time.Millisecond
+	retention := remaining
 	if hasDeadline {
-		remaining = min(remaining, callerRemaining)
+		remaining, retention = min(remaining, callerRemaining), callerRemaining
 	}
 	q.deadline = q.receivedAt.Add(remaining)
-	if q.service.Engine {
-		q.promptParts = parsePromptParts(r.Header.Get(h.PromptParts))
-		q.sharedParts = attributor.SharedParts(q.service.Name, partIDs(q.promptParts))
-	}
+	q.resumableUntil = q.receivedAt.Add(min(retention+resumeGrace, maxStreamRetention))
 	q.priority = v.plan.NormalizedPriority(q.route, q.workspace)
 	q.lastEventID, q.resumes = r.Header.Get(h.LastEventID), r.Header.Get(h.Resumes)
 	q.header = p.forwardedHeader(r.Header, q.workspace)
--- a/node/state_cache.go
+++ b/node/state_cache.go
@@ -41,10 +41,7 @@
 // persistStateCache writes the state cache after changes until ctx ends.
 func (f *fleet) persistStateCache(ctx context.Context) error {
 	name := filepath.Join(f.settings.DataFolder, stateCacheFile)
-	var fsys storer.FS = storer.DiskFS{}
-	if f.control.fs != nil {
-		fsys = f.control.fs
-	}
+	fsys := f.control.disk()
 	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
--- /dev/null
+++ b/node/stream_origin.go
@@ -0,0 +1,77 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"slices"
+	"strings"
+
+	"cactusroute.dev/core/chooser"
+	"cactusroute.dev/core/planner"
+	"cactusroute.dev/core/resumer"
+)
+
+// streamKey returns the key of the stream that a request of the same caller for the same resource has begun.
+func streamKey(q *request, requestID string) resumer.Key {
+	workspace := ""
+	if q.workspace != nil {
+		workspace = q.workspace.Name
+	}
+	path, _, _ := strings.Cut(q.inbound.RequestURI, "?")
+	return resumer.NewKey(workspace, q.inbound.Host, path, requestID)
+}
+
+// recordOrigin records where the stream of a request began. Without a version, the endpoints of the service are not
+// told apart.
+func (p *proxy) recordOrigin(q *request, o resumer.Origin) {
+	if o.Version == "" || q.id == "" {
+		return
+	}
+	p.fleet.streams.record([]resumer.Stream{{Key: streamKey(q, q.id), Origin: o, Until: q.resumableUntil}})
+}
+
+// bindToOrigin restricts a request that resumes a stream to the service and the software version that began it, and
+// returns why it is refused if they are not known: what two versions write does not fit together.
+func (p *proxy) bindToOrigin(ctx context.Context, q *request) *refusal {
+	if q.route.Kind != planner.KindStream || !q.route.Resumable || q.lastEventID == "" || !p.namesVersions(q.route) {
+		return nil
+	}
+	ctx, cancel := context.WithDeadline(ctx, q.deadline)
+	defer cancel()
+	o, source, err := resumer.Origin{}, "", errUnknownStream
+	if q.resumes != "" {
+		o, source, err = p.fleet.streams.origin(ctx, streamKey(q, q.resumes))
+	}
+	ref := &refusal{status: http.StatusServiceUnavailable, reason: "unknownStream", logFields: []any{"err", err}}
+	switch {
+	case errors.Is(err, errNoStreamQuery):
+		p.metrics.takenUp.WithLabelValues(takenUpNotAnswered).Inc()
+		ref.retryAfter = retryAfter()
+		return ref
+	case err != nil:
+		p.metrics.takenUp.WithLabelValues(takenUpUnknown).Inc()
+		return ref
+	}
+	q.version, q.isBound, q.originSource = o.Version, true, source
+	service := q.plan.Service(o.Service)
+	isShare := slices.ContainsFunc(q.route.Shares, func(s planner.Share) bool { return s.Service == o.Service })
+	if service == nil || !isShare {
+		p.metrics.takenUp.WithLabelValues(takenUpMoved).Inc()
+		return &refusal{status: http.StatusServiceUnavailable, reason: "noVersion",
+			logFields: []any{"why", "the route does not use the service that began the stream", "service", o.Service}}
+	}
+	p.metrics.takenUp.WithLabelValues(takenUpKnown).Inc()
+	q.setService(service, q.inbound.Header.Get(p.dialect.Headers.PromptParts))
+	return nil
+}
+
+// namesVersions reports whether the endpoints of a route can be told apart by their software versions.
+func (p *proxy) namesVersions(r *planner.Route) (named bool) {
+	services := make([]string, 0, len(r.Shares))
+	for _, s := range r.Shares {
+		services = append(services, s.Service)
+	}
+	p.fleet.routing.withChooser(func(c *chooser.Chooser) { named = c.NamesVersions(services) })
+	return named
+}
--- a/node/transfer.go
+++ b/node/transfer.go
@@ -19,6 +19,7 @@
 	"cactusroute.dev/core/attributor"
 	"cactusroute.dev/core/chooser"
 	"cactusroute.dev/core/planner"
+	"cactusroute.dev/core/resumer"
 )
 
 const (
@@ -65,6 +66,7 @@
 	eventsBefore    uint64            // events of earlier attempts
 	hasBegun        bool              // the caller has an event of the stream
 	version         string            // software version of the endpoint that sent it
+	isRecorded      bool              // the origin of the stream is recorded under the ID of this request
 	answered        bool              // recorded as evidence that its prompt is sound
 	sentAt          time.Time         // start of the current attempt
 	firstByteAt     time.Time         // when the first bytes of the body were sent to the caller
@@ -541,9 +543,7 @@
 			}
 		}
 		if err = stall.update(t.splitter.events, err); len(out) > 0 {
-			if t.request.route.Resumable && !t.hasBegun {
-				t.hasBegun, t.version = true, c.Endpoint.Version
-			}
+			t.recordOrigin(c)
 			now := time.Now()
 			if t.firstByteAt.IsZero() {
 				t.firstByteAt = now
@@ -572,6 +572,18 @@
 	}
 }
 
+// recordOrigin records, before the first event of a stream reaches the caller, where the stream began.
+func (t *transfer) recordOrigin(c chooser.Choice) {
+	if !t.request.route.Resumable || t.isRecorded {
+		return
+	}
+	if !t.hasBegun {
+		t.hasBegun, t.version = true, c.Endpoint.Version
+	}
+	t.isRecorded = true
+	t.proxy.recordOrigin(t.request, resumer.Origin{Service: t.request.service.Name, Version: t.version})
+}
+
 // errUnknownEnd means that a stream that was begun with chunks was continued without framing: the last chunk would tell
 // the caller that it is complete, which is not known. The endpoint has not failed.
 var errUnknownEnd = errors.New("resumed stream ended without framing")
