End streams whose model version has changed

What callers of a fleet with agents saw, when a bundle with another model version came into force while a stream was interrupted: the rest came from the new version.

Cause: as in the fleet without agents, any engine of the pool was as good for the rest of a stream as for its start. The model version of the pool is what tells engines apart here; agents admit requests only once it is loaded.

Change: the router keeps the version that the pool had before the first event and resumes only while it is the same; else the stream ends with an error event.

--- a/router/forward.go
+++ b/router/forward.go
@@ -50,6 +50,8 @@
 	// retryAfter is the shortest time after which an agent that refused the request expects to have capacity.
 	retryAfter time.Duration
 	moveHints  []moveHint
+	// modelVersion is the version of the model that began the stream; it is valid once progress.started is set.
+	modelVersion string
 }
 
 // moveHint means that the agent of the endpoint from reported that the chat was last served by to.
@@ -186,6 +188,9 @@
 // attempt sends the request to one endpoint and delivers the response.
 func (t *transfer) attempt(ctx context.Context, c candidate) (o retrier.Outcome, err error) {
 	v := t.rt.control.View()
+	if !t.progress.started {
+		t.modelVersion = v.Pools[t.req.Pool].ModelVersion
+	}
 	t.req.Attempt++
 	t.req.OnlyIfCached, t.req.OnlyIfPrefixCached = c.need == placer.NeedChat, c.need == placer.NeedPrefix
 	t.req.Successor = t.candidates.successor(c.Name)
@@ -198,7 +203,7 @@
 		err = t.deliver(ctx, resp)
 	}
 	o = t.rt.classifyAttempt(t.candidates.placement, c.Name, resp, err)
-	o.PartlyDelivered, o.Resumable = t.progress.started, t.progress.resumable()
+	o.PartlyDelivered, o.Resumable = t.progress.started, t.progress.resumable() && !t.hasModelChanged()
 	var refusal *relayer.RefusalError
 	if errors.As(err, &refusal) {
 		t.recordRefusal(c, refusal)
@@ -212,6 +217,11 @@
 	return o, err
 }
 
+// hasModelChanged reports whether engines now have another version of the model than the one that began the stream.
+func (t *transfer) hasModelChanged() bool {
+	return t.rt.control.View().Pools[t.req.Pool].ModelVersion != t.modelVersion
+}
+
 // recordRefusal updates the order of the candidates by the location of the chat and its prefix in a refusal.
 func (t *transfer) recordRefusal(c candidate, r *relayer.RefusalError) {
 	if r.Reason == relayer.ReasonNotCached {
