Resume streams of two software versions in the soak

Half of the endpoints have each version and tell it in their events. Callers take up streams that broke off after an event, at any node; a stream with events of two versions is a finding.

--- a/soaker/caller.go
+++ b/soaker/caller.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -28,43 +29,75 @@
 	for i := 0; ctx.Err() == nil; i++ {
 		prefix := []string{"/once/", "/safe/", "/stream/"}[rng.IntN(3)]
 		n := f.Nodes[rng.IntN(len(f.Nodes))]
-		sendRequest(f, client, n, prefix, fmt.Sprintf("%s-%d", name, i))
+		id := fmt.Sprintf("%s-%d", name, i)
+		begun := sendRequest(f, client, n, attempt{id: id, path: prefix + id})
+		if begun != nil {
+			// The stream is taken up anywhere, also at a node that has never seen it.
+			sendRequest(f, client, f.Nodes[rng.IntN(len(f.Nodes))], *begun)
+		}
 		sleeper.Pause(ctx, time.Duration(rng.ExpFloat64()*float64(meanRequestInterval)))
 	}
 }
 
-// sendRequest sends one request and passes the outcome to the checker.
-func sendRequest(f *Fleet, client *http.Client, n *Node, prefix, id string) {
-	body := strings.Repeat(id, 20)
-	f.checker.RecordSent(id, requestChecksum(http.MethodPost, prefix+id, []byte(body)), prefix == "/once/")
+// attempt is one request of a caller.
+type attempt struct {
+	id   string
+	path string
+	// resumes is the ID of the request that began the stream which this one takes up after the event lastEvent, and version
+	// what that event has told.
+	resumes   string
+	lastEvent int
+	version   string
+}
+
+// sendRequest sends one request and passes the outcome to the checker. If a stream broke off after its first event, it
+// returns the request that takes it up.
+func sendRequest(f *Fleet, client *http.Client, n *Node, a attempt) (resume *attempt) {
+	isStream := strings.HasPrefix(a.path, "/stream/")
+	body := strings.Repeat(a.path, 20)
+	f.checker.RecordSent(a.id, requestChecksum(http.MethodPost, a.path, []byte(body)), strings.HasPrefix(a.path, "/once/"))
 	req, err := http.NewRequest( //nolint:noctx // the client has a timeout
-		http.MethodPost, "http://"+n.settings.Listen.Front+prefix+id, strings.NewReader(body))
+		http.MethodPost, "http://"+n.settings.Listen.Front+a.path, strings.NewReader(body))
 	if err != nil {
-		f.checker.AddFinding("create request %s: %v", id, err)
-		return
+		f.checker.AddFinding("create request %s: %v", a.id, err)
+		return nil
 	}
 	req.GetBody = nil // prevents retries by the client itself
 	req.Host = "soak.example"
-	req.Header.Set("Cactus-Request-Id", id)
+	req.Header.Set("Cactus-Request-Id", a.id)
 	req.Header.Set("Cactus-Key", "key")
-	want := "answer to " + id
-	if prefix == "/stream/" {
-		want = ""
-		for n := 1; n <= streamEventCount; n++ {
-			want += streamEvent(id, n)
-		}
+	if a.resumes != "" {
+		req.Header.Set("Last-Event-Id", strconv.Itoa(a.lastEvent))
+		req.Header.Set("Cactus-Resumes", a.resumes)
 	}
 	resp, err := client.Do(req)
 	if err != nil {
-		f.checker.CheckTruncatedResponse(id, "", want)
-		return
+		f.checker.CheckTruncatedResponse(a.id, "", "")
+		return nil
 	}
 	defer func() { _ = resp.Body.Close() }()
 	received, err := io.ReadAll(resp.Body)
-	if err != nil {
-		f.checker.CheckTruncatedResponse(id, string(received), want)
-		return
+	want := "answer to " + a.id
+	if isStream {
+		want = wholeStream(a.path, a.lastEvent, a.versionIn(string(received)))
 	}
 	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
-	f.checker.CheckResponse(id, resp.StatusCode, framed, resp.Header.Get("Cactus-Signature"), string(received), want)
+	if err == nil {
+		f.checker.CheckResponse(a.id, resp.StatusCode, framed, resp.Header.Get("Cactus-Signature"), string(received), want)
+	} else {
+		f.checker.CheckTruncatedResponse(a.id, string(received), want)
+	}
+	if events := strings.Count(string(received), "\n\n"); isStream && err != nil && a.resumes == "" && events > 0 {
+		return &attempt{id: a.id + "-again", path: a.path, resumes: a.id, lastEvent: events, version: a.versionIn(string(received))}
+	}
+	return nil
+}
+
+// versionIn returns the version at which the stream began: that of the first event.
+func (a *attempt) versionIn(body string) string {
+	if a.version != "" {
+		return a.version
+	}
+	first, _, _ := strings.Cut(body, "\n\n")
+	return first[strings.LastIndex(first, " ")+1:]
 }
--- a/soaker/endpoint.go
+++ b/soaker/endpoint.go
@@ -31,6 +31,7 @@
 type Endpoint struct {
 	id         string
 	service    string
+	version    string // of its software
 	bornMillis int64
 	ln         net.Listener
 	checker    *Checker
@@ -48,7 +49,7 @@
 	if err != nil {
 		return nil, err
 	}
-	e := &Endpoint{id: id, service: service, bornMillis: time.Now().UnixMilli(), ln: ln, checker: f.checker, fleet: f,
+	e := &Endpoint{id: id, service: service, version: versionOf(id), bornMillis: time.Now().UnixMilli(), ln: ln, checker: f.checker, fleet: f,
 		rng: rand.New(rand.NewPCG(seed, 7))}
 	go e.accept()
 	go e.sendHeartbeats(ctx)
@@ -56,6 +57,12 @@
 	return e, nil
 }
 
+// versionOf returns the software version of an endpoint; half of the endpoints have each.
+func versionOf(id string) string { return versions[int(id[len(id)-1])%len(versions)] }
+
+// versions are the software versions of endpoints.
+var versions = []string{"v1", "v2"}
+
 // SetFaulty sets whether the endpoint fails a part of its requests.
 func (e *Endpoint) SetFaulty(faulty bool) {
 	e.mu.Lock()
@@ -147,7 +154,7 @@
 		if breakHalfway && n == streamEventCount/2 {
 			return false
 		}
-		event := streamEvent(id, n)
+		event := streamEvent(streamName(r), n, e.version)
 		_, err = fmt.Fprintf(c, "%x\r\n%s\r\n", len(event), event)
 		time.Sleep(5 * time.Millisecond)
 	}
@@ -171,13 +178,26 @@
 	if isStream {
 		answer = ""
 		for n := first + 1; n <= last; n++ {
-			answer += streamEvent(id, n)
+			answer += streamEvent(streamName(r), n, e.version)
 		}
 	}
 	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nCactus-Request-Id: %s\r\nCactus-Signature: %s\r\n\r\n%s", id, e.id, answer)
 }
 
-func streamEvent(id string, n int) string { return fmt.Sprintf("id: %d\ndata: %s %d\n\n", n, id, n) }
+func streamEvent(name string, n int, version string) string {
+	return fmt.Sprintf("id: %d\ndata: %s %d %s\n\n", n, name, n, version)
+}
+
+// wholeStream returns the events of a stream after the given one.
+func wholeStream(name string, after int, version string) (body string) {
+	for n := after + 1; n <= streamEventCount; n++ {
+		body += streamEvent(name, n, version)
+	}
+	return body
+}
+
+// streamName returns what the requests for one stream have in common.
+func streamName(r *http.Request) string { return r.URL.Path }
 
 // requestChecksum returns a checksum of what the endpoint must receive unchanged.
 func requestChecksum(method, target string, body []byte) uint64 {
@@ -218,7 +238,7 @@
 // register sends one heartbeat and returns whether a node acknowledged it.
 func (e *Endpoint) register(ctx context.Context, seq uint64, draining bool) bool {
 	body, err := json.Marshal(map[string]any{"service": e.service, "address": e.ln.Addr().String(), "failureDomain": "d",
-		"slots": 8, "draining": draining, "bornMillis": e.bornMillis, "sequence": seq})
+		"slots": 8, "version": e.version, "draining": draining, "bornMillis": e.bornMillis, "sequence": seq})
 	if err != nil {
 		return false
 	}
