Know cold endpoints and the number of routers after a restart

Cause: after a restart of all nodes the endpoints came from the state cache without their warm-up times, so that cold ones were warm until their next heartbeat; and each router divided the rate by the routers that its control instance had seen connect so far, or by one before the first heartbeat.

Change: the state cache holds the remaining warm-up times and the number of routers.

Evidence: TestColdRateHoldsAfterAllNodesHaveRestarted failed before (the endpoint is taken for warm; with the times, the count is 1 to 3 of 7).

--- a/adapters/exchanger/server.go
+++ b/adapters/exchanger/server.go
@@ -197,6 +197,11 @@
 // sendUpdates sends the full state and then the changes. Changes are coalesced, so that a slow subscriber gets only the
 // newest state.
 func (s *Server) sendUpdates(ctx context.Context, sub *subscriber) error {
+	// Sent before the endpoints, because rates to cold endpoints are divided by the number of routers.
+	var heartbeats heartbeatEncoder
+	if err := sub.conn.Send(ctx, kindHeartbeat, 0, heartbeats.encode(s.source.Heartbeat())); err != nil {
+		return err
+	}
 	full := endpointsMessage{Full: true, Records: encodeEndpoints(time.Now(), s.source.Endpoints())}
 	if err := sub.conn.Send(ctx, kindEndpoints, 0, full); err != nil {
 		return err
@@ -214,10 +219,6 @@
 	if err := s.sendPending(ctx, sub); err != nil {
 		return err
 	}
-	var heartbeats heartbeatEncoder
-	if err := sub.conn.Send(ctx, kindHeartbeat, 0, heartbeats.encode(s.source.Heartbeat())); err != nil {
-		return err
-	}
 	for {
 		var err error
 		select {
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -36,6 +36,12 @@
 func (f *fleet) Heartbeat() exchanger.Heartbeat {
 	hb := exchanger.Heartbeat{Quorate: f.control.isQuorate(), QuorateInstances: f.quorateInstances()}
 	hb.SubscribedRouters, hb.Routers = f.connectedRouters(time.Now())
+	if time.Since(f.started) < routerCountWindow {
+		// The other nodes may have restarted at the same time and not be connected yet.
+		f.mu.Lock()
+		hb.Routers = max(hb.Routers, f.cachedRouters)
+		f.mu.Unlock()
+	}
 	return hb
 }
 
@@ -259,9 +265,7 @@
 	f.mu.Unlock()
 	localAvailable := r.instance.Domain != f.self.Domain &&
 		slices.ContainsFunc(hb.QuorateInstances, func(c exchanger.Contact) bool { return c.Domain == f.self.Domain })
-	if !r.isPeer {
-		f.recordRouterCount(hb.Routers)
-	}
+	f.recordRouterCount(hb.Routers)
 	switch {
 	case r.isPeer || !localAvailable:
 		r.localAvailableSince = time.Time{}
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -109,6 +109,7 @@
 	subscribedTo    string                 // name of the control instance that this router is subscribed to
 	subscribers     map[string]*subscriber // current and former subscribers of this instance
 	routerCounts    []routerCount
+	cachedRouters   int // routers before this instance has restarted
 	suspects        map[uint64]*suspect
 	started         time.Time
 }
@@ -286,6 +287,7 @@
 	f.mu.Unlock()
 	if before != after {
 		f.updateRouting()
+		f.markCacheDirty()
 	}
 }
 
--- a/node/state_cache.go
+++ b/node/state_cache.go
@@ -36,6 +36,11 @@
 	Endpoints []registrar.Endpoint `cbor:"2,keyasint"`
 	// Convictions hold through a restart of the whole fleet.
 	Convictions []attributor.Conviction `cbor:"3,keyasint,omitempty"`
+	// ColdMillis is the remaining warm-up time of cold endpoints by ID. It counts from the start of the process that
+	// reads it, because the time in between is not known.
+	ColdMillis map[string]int64 `cbor:"4,keyasint,omitempty"`
+	// Routers is the number of nodes that route requests.
+	Routers int `cbor:"5,keyasint,omitempty"`
 }
 
 // persistStateCache writes the state cache after changes until ctx ends.
@@ -67,8 +72,12 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	cache := stateCache{State: fleetapplier.State{Index: f.received.index, Plan: f.received.plan,
-		TakenOut: f.received.takenOut}, Convictions: f.evidence.all().Convictions}
+		TakenOut: f.received.takenOut}, Convictions: f.evidence.all().Convictions, ColdMillis: map[string]int64{},
+		Routers: f.maxRecentRouters()}
 	for _, e := range f.endpoints.All() {
+		if left := time.Until(e.ColdUntil); !e.ColdUntil.IsZero() && left > 0 {
+			cache.ColdMillis[e.ID] = left.Milliseconds()
+		}
 		// These times are meaningless after a restart.
 		e.ColdUntil, e.Changed = time.Time{}, time.Time{}
 		cache.Endpoints = append(cache.Endpoints, e)
@@ -89,8 +98,20 @@
 	}
 	f.log.event("memory read", "index", cache.State.Index, "version", cache.State.Plan.Version,
 		"endpoints", len(cache.Endpoints))
-	f.mergeEndpoints(cache.Endpoints, "memory")
 	now := time.Now()
+	for i := range cache.Endpoints {
+		e := &cache.Endpoints[i]
+		if left := cache.ColdMillis[e.ID]; left > 0 {
+			e.ColdUntil = now.Add(time.Duration(left) * time.Millisecond)
+		}
+	}
+	if cache.Routers > 0 {
+		f.mu.Lock()
+		f.cachedRouters = cache.Routers
+		f.mu.Unlock()
+		f.recordRouterCount(cache.Routers)
+	}
+	f.mergeEndpoints(cache.Endpoints, "memory")
 	for i := range cache.Convictions {
 		// The clock may have been stepped.
 		c := &cache.Convictions[i]
--- a/node/state_cache_test.go
+++ b/node/state_cache_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"cactusroute.dev/adapters/storer"
+	"cactusroute.dev/core/chooser"
 	"cactusroute.dev/core/fleetapplier"
 	"cactusroute.dev/core/registrar"
 )
@@ -105,3 +106,42 @@
 	assert.NilError(t, err)
 	assert.Equal(t, cache.State.Index, uint64(2))
 }
+
+// Guards against too many requests to a cold endpoint right after all nodes have restarted: its warm-up time and the
+// number of routers by which its rate is divided must be known with the first endpoints, before the heartbeats of the
+// endpoint and the subscriptions of the other routers.
+func TestColdRateHoldsAfterAllNodesHaveRestarted(t *testing.T) {
+	const instances, routers = 3, 4
+	f := newTestFleet(t, instances, routers)
+	f.startAll()
+	f.putPlan(1, f.nodes[:instances])
+	f.awaitPlan(1, f.nodes)
+	f.retryCommand("cold endpoint", f.nodes[:1], func(c Control) error {
+		_, err := c.Register(t.Context(), registrar.Endpoint{ID: "e", Service: "s", Address: "127.0.0.1:1", Domain: "d",
+			State: registrar.Ready, Born: 1, Sequence: 1, ColdUntil: time.Now().Add(time.Hour)})
+		return err
+	})
+	for _, n := range f.nodes[:instances] {
+		eventually(t, "state cache of "+n.settings.Place.Name, func() bool {
+			cache, err := readStateCache(filepath.Join(n.settings.DataFolder, stateCacheFile))
+			return err == nil && len(cache.Endpoints) == 1 && n.fleet.routing.routerCount() == instances+routers
+		})
+	}
+	time.Sleep(2 * stateCacheInterval)
+	for _, n := range f.nodes {
+		n.stop()
+	}
+	survivors := []*testNode{f.nodes[0], f.nodes[instances]}
+	for _, n := range survivors {
+		f.start(n, f.seeds, false)
+	}
+	for _, n := range survivors {
+		var loads []chooser.EndpointLoad
+		eventually(t, "endpoint at "+n.settings.Place.Name, func() bool {
+			loads, _ = n.fleet.routing.snapshot(time.Now())
+			return len(loads) == 1
+		})
+		assert.Assert(t, loads[0].IsCold, "%s takes the endpoint for warm", n.settings.Place.Name)
+		assert.Equal(t, n.fleet.routing.routerCount(), instances+routers, n.settings.Place.Name)
+	}
+}
--- a/node/view.go
+++ b/node/view.go
@@ -89,6 +89,13 @@
 	r.chooser.SetTotalLoads(time.Now(), loads)
 }
 
+// routerCount returns the number of routers by which rates and budgets are divided.
+func (r *routingState) routerCount() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.routers
+}
+
 // withChooser calls f with the chooser while the lock is held.
 func (r *routingState) withChooser(f func(c *chooser.Chooser)) {
 	r.mu.Lock()
