Send nothing to cold endpoints in the first second after a restart

Cause: a router forgets with its process what it has sent to a cold endpoint, and may send its part of the rate again within the same second.

Change: a router that is not started for the first time counts its part of the rate as used for the window of one second.

Evidence: TestColdRateHoldsOverRestartsOfRouters failed before with 57 requests within a second where 56 are allowed (all routers restart at once).

--- a/core/chooser/chooser.go
+++ b/core/chooser/chooser.go
@@ -179,6 +179,7 @@
 	remoteAt       time.Time     // when the loads of the other routers were received
 	reportInterval time.Duration // average time between two receipts
 	published      Loads         // last result of OwnLoads
+	restartedAt    time.Time     // when this router lost its counts; zero if it had none
 }
 
 // New returns a chooser without endpoints for the named router in a failure domain.
@@ -187,6 +188,9 @@
 		pools: map[string]*pool{}}
 }
 
+// RecordRestart records that an earlier process of this router may have sent requests that this one does not know.
+func (c *Chooser) RecordRestart(now time.Time) { c.restartedAt = now }
+
 // Update replaces the endpoints; it retains the state of an endpoint unless its start time or address has changed.
 // Endpoints out of service are ranked but receive no new requests.
 func (c *Chooser) Update(now time.Time, inService, outOfService []registrar.Endpoint, routers int) {
@@ -373,6 +377,9 @@
 		}
 		quota = 1
 	}
+	if now.Sub(c.restartedAt) < coldWindow {
+		return false // the process before may have sent the quota
+	}
 	e.coldSent = recent(e.coldSent, now, coldWindow)
 	return len(e.coldSent) < quota
 }
--- a/core/chooser/chooser_test.go
+++ b/core/chooser/chooser_test.go
@@ -257,6 +257,50 @@
 	}
 }
 
+// Guards against a cold endpoint that gets the rate of all routers twice within a second, because routers that restart
+// have forgotten what they sent.
+func TestColdRateHoldsOverRestartsOfRouters(t *testing.T) {
+	const routers = 13
+	for _, c := range []struct {
+		name     string
+		restarts func(router, ms int) bool
+	}{
+		{"all at once", func(_, ms int) bool { return ms == 1400 }},
+		{"all at once, twice", func(_, ms int) bool { return ms == 1400 || ms == 2100 }},
+		{"one after the other", func(router, ms int) bool { return ms == 1000+200*router }},
+	} {
+		f := newFleet(routers, 1)
+		f.ends[0].ColdUntil = start.Add(10 * time.Second)
+		for _, r := range f.routers {
+			r.Update(start, f.ends, nil, routers)
+		}
+		var sent []time.Time
+		for ms := range 5000 {
+			now := start.Add(time.Duration(ms) * time.Millisecond)
+			for i := range f.routers {
+				if c.restarts(i, ms) {
+					f.routers[i] = New(limits, fmt.Sprintf("r%02d", i), "d")
+					f.routers[i].RecordRestart(now)
+					f.routers[i].Update(now, f.ends, nil, routers)
+				}
+			}
+			if choice, reason := f.routers[ms%routers].Choose(now, Query{Service: engine, Parts: testPrompt(1)}); reason == "" {
+				sent = append(sent, now)
+				f.routers[ms%routers].Done(now, choice)
+			}
+		}
+		bound := int(engine.ColdPerSecond*limits.ColdFactor + limits.ColdSlack)
+		from := 0
+		for to := range sent {
+			for sent[to].Sub(sent[from]) >= time.Second {
+				from++
+			}
+			assert.Assert(t, to-from+1 <= bound, "%s: %d requests within a second", c.name, to-from+1)
+		}
+		assert.Assert(t, len(sent) >= 3*int(engine.ColdPerSecond)/2, "%s: %d requests in 5 s", c.name, len(sent))
+	}
+}
+
 // Guards against too many routers that each send one request per second to a cold endpoint: which ones may depends on
 // the endpoint, so that their number varies.
 func TestColdEndpointsAreSharedByFewEnoughRouters(t *testing.T) {
--- a/node/view.go
+++ b/node/view.go
@@ -30,9 +30,13 @@
 }
 
 func newRoutingState(s *Settings) *routingState {
-	return &routingState{budgetSettings: s.RetryBudget,
+	r := &routingState{budgetSettings: s.RetryBudget,
 		chooser: chooser.New(s.Load.chooserLimits(), s.Place.Name, s.Place.FailureDomain),
 		routers: 1, budgets: map[string]*retrier.WindowBudget{}}
+	if !s.FirstStart {
+		r.chooser.RecordRestart(time.Now())
+	}
+	return r
 }
 
 // update replaces the endpoints in and out of service and the router count.
