Reset the connection of a request that is given up

A request was sent at 10.6 s to an endpoint that was cut off, its caller's deadline passed at 12.6 s, and it reached the endpoint at 18.4 s, after the cut and 6.2 s after its failure domain had been taken out.

Cause: an exchange that was given up was closed in the usual way, after which the kernel goes on to deliver the bytes that the network holds up. An endpoint could so run a request whose caller had long been told that it failed.

Change: exchanges that end before their response is complete are reset, which discards what was not delivered. Connections with a complete response are closed as before.

Evidence: TestAbandonedRequestIsReset failed before in five rows.

--- a/adapters/forwarder/exchange.go
+++ b/adapters/forwarder/exchange.go
@@ -251,13 +251,19 @@
 	}
 	x.closed = true
 	reusable := x.stopCancelHook()
+	isComplete := x.bodyRead
 	select {
 	case <-x.written:
+		isComplete = isComplete && x.writeErr == nil
 	default:
 		// The endpoint still expects the rest of the request body on this connection.
 		reusable = false
 	}
-	if !reusable || !x.bodyRead || x.idleTimeout <= 0 || x.writeErr != nil || x.conn.br.Buffered() > 0 {
+	if !isComplete {
+		x.pool.reset(x.conn)
+		return nil
+	}
+	if !reusable || x.idleTimeout <= 0 || x.conn.br.Buffered() > 0 {
 		x.pool.close(x.conn)
 		return nil
 	}
@@ -269,5 +275,5 @@
 func (x *exchange) abort() {
 	x.closed = true
 	x.stopCancelHook()
-	x.pool.close(x.conn)
+	x.pool.reset(x.conn)
 }
--- a/adapters/forwarder/forwarder_test.go
+++ b/adapters/forwarder/forwarder_test.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -360,3 +361,63 @@
 	}
 	assert.Equal(t, p.DialCount(), uint64(1))
 }
+
+// Guards against a request that is given up and that reaches its endpoint later: bytes that the network holds up are
+// delivered after a usual close, and only a reset discards them.
+func TestAbandonedRequestIsReset(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n"
+	for _, c := range []struct {
+		name     string
+		response string // of the endpoint, which then waits
+		deadline time.Duration
+		want     error // at the endpoint
+	}{
+		{"canceled before the response", "", time.Minute, syscall.ECONNRESET},
+		{"canceled within the response", head + "part", time.Minute, syscall.ECONNRESET},
+		{"deadline before the response", "", 50 * time.Millisecond, syscall.ECONNRESET},
+		{"closed within the response", head + "part", time.Minute, syscall.ECONNRESET},
+		{"malformed response", "nonsense", time.Minute, syscall.ECONNRESET},
+		{"complete response, not kept", "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok", time.Minute, io.EOF},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			assert.NilError(t, err)
+			defer func() { _ = ln.Close() }()
+			ended := make(chan error, 1)
+			go func() {
+				conn, err := ln.Accept()
+				if err != nil {
+					ended <- err
+					return
+				}
+				defer func() { _ = conn.Close() }()
+				br := bufio.NewReader(conn)
+				if _, err := http.ReadRequest(br); err != nil {
+					ended <- err
+					return
+				}
+				_, _ = io.WriteString(conn, c.response)
+				_, err = br.ReadByte()
+				ended <- err
+			}()
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			if strings.HasPrefix(c.name, "canceled before") {
+				time.AfterFunc(50*time.Millisecond, cancel)
+			}
+			resp, err := NewPool(DefaultLimits()).Send(ctx, &Request{Address: ln.Addr().String(), Method: http.MethodGet, Target: "/",
+				Host: "h", Deadline: time.Now().Add(c.deadline)})
+			if err == nil {
+				if strings.HasPrefix(c.name, "canceled within") {
+					cancel()
+				}
+				if c.want == io.EOF {
+					_, err = io.ReadAll(resp.Body)
+					assert.NilError(t, err)
+				}
+				assert.NilError(t, resp.Body.Close())
+			}
+			assert.Assert(t, errors.Is(<-ended, c.want))
+		})
+	}
+}
