--- a/adapters/exchanger/exchanger_test.go
+++ b/adapters/exchanger/exchanger_test.go
@@ -89,7 +89,8 @@
 }
 
 func (s *fakeSource) AllStreams() []resumer.Stream {
-	return []resumer.Stream{{Key: 7, Origin: resumer.Origin{Service: "s", Version: "v7"}, Until: time.Now().Add(time.Minute)}}
+	return []resumer.Stream{{Key: 7, Origin: resumer.Origin{Service: "s", Version: "v7"},
+		Until: time.Now().Add(time.Minute)}}
 }
 
 func (s *fakeSource) StreamOrigin(_ context.Context, key resumer.Key) (o resumer.Origin, ok bool) {
--- a/adapters/exchanger/server.go
+++ b/adapters/exchanger/server.go
@@ -191,7 +191,9 @@
 
 func (s *Server) answerStreamQuery(ctx context.Context, sub *subscriber, number uint64, key resumer.Key) {
 	o, ok := s.source.StreamOrigin(ctx, key)
-	_ = sub.conn.Send(ctx, kindStreamAnswer, number, streamAnswerMessage{Known: ok, Service: o.Service, Version: o.Version})
+	// Without an answer the subscriber takes the origin for not known.
+	_ = sub.conn.Send(ctx, kindStreamAnswer, number,
+		streamAnswerMessage{Known: ok, Service: o.Service, Version: o.Version})
 }
 
 // sendUpdates sends the full state and then the changes. Changes are coalesced, so that a slow subscriber gets only the
--- a/adapters/exchanger/streams.go
+++ b/adapters/exchanger/streams.go
@@ -87,8 +87,8 @@
 			indexes[s.Origin] = i
 			m.Origins = append(m.Origins, originRecord{Service: s.Origin.Service, Version: s.Origin.Version})
 		}
-		m.Streams = append(m.Streams, streamRecord{Key: uint64(s.Key), Origin: uint16(i), //nolint:gosec // below maxStreamOrigins
-			LeftMillis: uint32(min(left, maxStreamMillis))}) //nolint:gosec // bounded
+		m.Streams = append(m.Streams, streamRecord{Key: uint64(s.Key), Origin: uint16(i),
+			LeftMillis: uint32(min(left, maxStreamMillis))})
 	}
 	flush()
 	return messages
--- a/adapters/exchanger/streams_test.go
+++ b/adapters/exchanger/streams_test.go
@@ -14,12 +14,13 @@
 // Guards against streams that arrive with another origin than they were sent with, or not at all.
 func TestStreamsArriveWithTheirOrigins(t *testing.T) {
 	now := time.Unix(1000, 0)
-	var sent []resumer.Stream
+	sent := make([]resumer.Stream, 0, 3*maxStreamRecords)
 	for i := range 3 * maxStreamRecords {
 		o := resumer.Origin{Service: "llm", Version: "v" + string(rune('a'+i%26)) + string(rune('a'+i/26%26))}
-		sent = append(sent, resumer.Stream{Key: resumer.Key(i), Origin: o, Until: now.Add(time.Duration(1+i) * time.Millisecond)})
+		sent = append(sent, resumer.Stream{Key: resumer.Key(i), Origin: o,
+			Until: now.Add(time.Duration(1+i) * time.Millisecond)})
 	}
-	var got []resumer.Stream
+	got := make([]resumer.Stream, 0, len(sent))
 	for _, m := range encodeStreams(now, sent) {
 		data, err := cbor.Marshal(m)
 		assert.NilError(t, err)
@@ -35,7 +36,7 @@
 // Guards against records that take more of the exchange than 20 bytes for each stream.
 func TestStreamRecordsAreSmall(t *testing.T) {
 	now := time.Unix(1000, 0)
-	var list []resumer.Stream
+	list := make([]resumer.Stream, 0, 100)
 	for i := range 100 {
 		list = append(list, resumer.Stream{Key: resumer.NewKey("w", "h", "/", string(rune(i))),
 			Origin: resumer.Origin{Service: "service", Version: "v1"}, Until: now.Add(12 * time.Second)})
@@ -53,7 +54,8 @@
 		m    streamsMessage
 	}{
 		{"unknown origin", streamsMessage{Streams: []streamRecord{{Key: 1}}}},
-		{"too many streams", streamsMessage{Origins: make([]originRecord, 1), Streams: make([]streamRecord, maxStreamRecords+1)}},
+		{"too many streams", streamsMessage{Origins: make([]originRecord, 1),
+			Streams: make([]streamRecord, maxStreamRecords+1)}},
 		{"too many origins", streamsMessage{Origins: make([]originRecord, maxStreamOrigins+1)}},
 		{"long name", streamsMessage{Origins: []originRecord{{Version: long}}}},
 	} {
--- a/adapters/forwarder/forwarder_test.go
+++ b/adapters/forwarder/forwarder_test.go
@@ -377,7 +377,8 @@
 		{"deadline before the response", "", 50 * time.Millisecond, syscall.ECONNRESET},
 		{"closed within the response", head + "part", time.Minute, syscall.ECONNRESET},
 		{"malformed response", "nonsense", time.Minute, syscall.ECONNRESET},
-		{"complete response, not kept", "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok", time.Minute, io.EOF},
+		{"complete response, not kept", "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok", time.Minute,
+			io.EOF},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -405,13 +406,13 @@
 			if strings.HasPrefix(c.name, "canceled before") {
 				time.AfterFunc(50*time.Millisecond, cancel)
 			}
-			resp, err := NewPool(DefaultLimits()).Send(ctx, &Request{Address: ln.Addr().String(), Method: http.MethodGet, Target: "/",
-				Host: "h", Deadline: time.Now().Add(c.deadline)})
+			resp, err := NewPool(DefaultLimits()).Send(ctx, &Request{Address: ln.Addr().String(), Method: http.MethodGet,
+				Target: "/", Host: "h", Deadline: time.Now().Add(c.deadline)})
 			if err == nil {
 				if strings.HasPrefix(c.name, "canceled within") {
 					cancel()
 				}
-				if c.want == io.EOF {
+				if errors.Is(c.want, io.EOF) {
 					_, err = io.ReadAll(resp.Body)
 					assert.NilError(t, err)
 				}
--- a/adapters/forwarder/pool.go
+++ b/adapters/forwarder/pool.go
@@ -183,8 +183,8 @@
 	p.idle[c.address] = append(p.idle[c.address], c)
 }
 
-// reset closes a connection whose exchange is given up. It discards what the network holds up: the endpoint must not get
-// the request later.
+// reset closes a connection whose exchange is given up. It discards what the network holds up: the endpoint must not
+// get the request later.
 func (p *Pool) reset(c *conn) {
 	if tc, ok := c.Conn.(*net.TCPConn); ok {
 		_ = tc.SetLinger(0) // fails on a connection that has ended only
--- a/control/lagging_test.go
+++ b/control/lagging_test.go
@@ -10,8 +10,8 @@
 	"cactusroute.dev/core/bundler"
 )
 
-// Guards against an instance that lags behind and denies a call with a valid key: a 401 ends the call of an operator, who
-// would have to be told to try again elsewhere.
+// Guards against an instance that lags behind and denies a call with a valid key: a 401 ends the call of an operator,
+// who would have to be told to try again elsewhere.
 func TestLaggingInstanceDoesNotDenyAKnownKey(t *testing.T) {
 	t.Parallel()
 	rs := startReplicas(t, 3, testBundle(1, 0))
--- a/control/replicated_test.go
+++ b/control/replicated_test.go
@@ -70,8 +70,8 @@
 	return list
 }
 
-// unsyncedDisk keeps files without waiting for the disk of the test machine: other writers on it delay a sync for longer
-// than an election timeout. Instances of a test stop without losing what they have written.
+// unsyncedDisk keeps files without waiting for the disk of the test machine: other writers on it delay a sync for
+// longer than an election timeout. Instances of a test stop without losing what they have written.
 type unsyncedDisk struct{ storer.DiskFS }
 
 type unsyncedFile struct{ storer.File }
--- a/core/resumer/resumer.go
+++ b/core/resumer/resumer.go
@@ -11,8 +11,8 @@
 // Key identifies a stream by the request that brought its first event.
 type Key uint64
 
-// NewKey returns the key of a stream. Callers choose the IDs of their requests, so that the hash must not let one of them
-// meet the stream of another workspace.
+// NewKey returns the key of a stream. Callers choose the IDs of their requests, so that the hash must not let one of
+// them meet the stream of another workspace.
 func NewKey(workspace, host, path, requestID string) Key {
 	h := sha256.New()
 	for _, s := range []string{workspace, host, path, requestID} {
--- a/core/resumer/resumer_test.go
+++ b/core/resumer/resumer_test.go
@@ -91,6 +91,7 @@
 	now := start
 	for i := 0; b.Loop(); i++ {
 		now = now.Add(500 * time.Microsecond)
-		table.Record(now, Stream{Key: NewKey("workspace", "host", "/path", fmt.Sprint(i)), Origin: v1, Until: now.Add(12 * time.Second)})
+		table.Record(now, Stream{Key: NewKey("workspace", "host", "/path", fmt.Sprint(i)), Origin: v1,
+			Until: now.Add(12 * time.Second)})
 	}
 }
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -11,25 +11,25 @@
 )
 
 type metrics struct {
-	requests  *prometheus.CounterVec   // outcome, status
-	firstByte *prometheus.HistogramVec // kind
-	duration  *prometheus.HistogramVec // kind
-	waitTime  prometheus.Histogram     // for the first plan or an endpoint
-	eventGap  prometheus.Histogram     // between writes of a stream
-	retries   *prometheus.CounterVec   // cause
-	refusals  *prometheus.CounterVec   // reason
-	limits    *prometheus.CounterVec   // bound
-	suspects  prometheus.Counter
-	unframed  prometheus.Counter
-	takenUp   *prometheus.CounterVec // outcome
+	requests       *prometheus.CounterVec   // outcome, status
+	firstByte      *prometheus.HistogramVec // kind
+	duration       *prometheus.HistogramVec // kind
+	waitTime       prometheus.Histogram     // for the first plan or an endpoint
+	eventGap       prometheus.Histogram     // between writes of a stream
+	retries        *prometheus.CounterVec   // cause
+	refusals       *prometheus.CounterVec   // reason
+	limits         *prometheus.CounterVec   // bound
+	suspects       prometheus.Counter
+	unframed       prometheus.Counter
+	resumedStreams *prometheus.CounterVec // outcome
 }
 
 // The outcomes of requests that resume a stream.
 const (
-	takenUpKnown       = "known"
-	takenUpUnknown     = "unknown"
-	takenUpNotAnswered = "notAnswered"
-	takenUpMoved       = "moved"
+	originKnown       = "known"
+	originUnknown     = "unknown"
+	originNotAnswered = "notAnswered"
+	originMoved       = "moved"
 )
 
 // The values of the label direction.
@@ -99,7 +99,7 @@
 			Help: "Exchanges ended because an endpoint sent more than a bound allows, by bound."}, []string{"bound"}),
 		suspects: prometheus.NewCounter(prometheus.CounterOpts{Name: "cactusroute_suspects_total",
 			Help: "Requests whose endpoint ended the connection before the end of the response."}),
-		takenUp: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cactusroute_resumed_streams_total",
+		resumedStreams: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cactusroute_resumed_streams_total",
 			Help: "Requests of callers that resume a stream by what is known of its origin."}, []string{"outcome"}),
 		unframed: prometheus.NewCounter(prometheus.CounterOpts{Name: "cactusroute_unframed_responses_total",
 			Help: "Responses of endpoints without a length or chunks, which end with their connection."}),
@@ -107,15 +107,15 @@
 	for _, bound := range append(forwarder.Bounds(), boundEventBytes, boundBufferedBytes) {
 		m.limits.WithLabelValues(bound)
 	}
-	for _, outcome := range []string{takenUpKnown, takenUpUnknown, takenUpNotAnswered, takenUpMoved} {
-		m.takenUp.WithLabelValues(outcome)
+	for _, outcome := range []string{originKnown, originUnknown, originNotAnswered, originMoved} {
+		m.resumedStreams.WithLabelValues(outcome)
 	}
 	m.waitTime = prometheus.NewHistogram(prometheus.HistogramOpts{Name: "cactusroute_wait_seconds",
 		Help: "Time that a request waited for the first plan or an available endpoint.", Buckets: waitBuckets()})
 	m.eventGap = prometheus.NewHistogram(prometheus.HistogramOpts{Name: "cactusroute_event_gap_seconds",
 		Help: "Time between consecutive writes of a stream to its caller.", Buckets: latencyBuckets()})
 	obs.Registry.MustRegister(m.requests, m.firstByte, m.duration, m.waitTime, m.eventGap, m.retries, m.refusals, m.limits,
-		m.suspects, m.unframed, m.takenUp, newRoutingCollector(f.routing))
+		m.suspects, m.unframed, m.resumedStreams, newRoutingCollector(f.routing))
 	for _, g := range []struct {
 		name, help string
 		value      func() float64
--- a/node/stream_log.go
+++ b/node/stream_log.go
@@ -18,8 +18,8 @@
 )
 
 const (
-	// streamLogFile and oldStreamLogFile hold the origins of streams in a data folder; the latter has those from before the
-	// former was begun.
+	// streamLogFile and oldStreamLogFile hold the origins of streams in a data folder; the latter has those from before
+	// the former was begun.
 	streamLogFile    = "streams.log"
 	oldStreamLogFile = "streams.old"
 
@@ -98,7 +98,7 @@
 	}
 	var data []byte
 	for _, p := range parts {
-		data = binary.BigEndian.AppendUint32(data, uint32(len(p))) //nolint:gosec // a message is far below 4 GB
+		data = binary.BigEndian.AppendUint32(data, uint32(len(p)))
 		data = binary.BigEndian.AppendUint32(data, crc32.ChecksumIEEE(p))
 		data = append(data, p...)
 	}
--- a/node/stream_origin.go
+++ b/node/stream_origin.go
@@ -46,22 +46,22 @@
 	ref := &refusal{status: http.StatusServiceUnavailable, reason: "unknownStream", logFields: []any{"err", err}}
 	switch {
 	case errors.Is(err, errNoStreamQuery):
-		p.metrics.takenUp.WithLabelValues(takenUpNotAnswered).Inc()
+		p.metrics.resumedStreams.WithLabelValues(originNotAnswered).Inc()
 		ref.retryAfter = retryAfter()
 		return ref
 	case err != nil:
-		p.metrics.takenUp.WithLabelValues(takenUpUnknown).Inc()
+		p.metrics.resumedStreams.WithLabelValues(originUnknown).Inc()
 		return ref
 	}
 	q.version, q.isBound, q.originSource = o.Version, true, source
 	service := q.plan.Service(o.Service)
 	isShare := slices.ContainsFunc(q.route.Shares, func(s planner.Share) bool { return s.Service == o.Service })
 	if service == nil || !isShare {
-		p.metrics.takenUp.WithLabelValues(takenUpMoved).Inc()
+		p.metrics.resumedStreams.WithLabelValues(originMoved).Inc()
 		return &refusal{status: http.StatusServiceUnavailable, reason: "noVersion",
 			logFields: []any{"why", "the route does not use the service that began the stream", "service", o.Service}}
 	}
-	p.metrics.takenUp.WithLabelValues(takenUpKnown).Inc()
+	p.metrics.resumedStreams.WithLabelValues(originKnown).Inc()
 	q.setService(service, q.inbound.Header.Get(p.dialect.Headers.PromptParts))
 	return nil
 }
--- a/node/stream_version_test.go
+++ b/node/stream_version_test.go
@@ -20,8 +20,8 @@
 
 const versionedEvents = 4
 
-// versionedStream answers with events that tell the version of the endpoint. Without a Last-Event-Id it breaks off after
-// the first event.
+// versionedStream answers with events that tell the version of the endpoint. Without a Last-Event-Id it breaks off
+// after the first event.
 func versionedStream(version string) func(req *receivedRequest) {
 	return func(req *receivedRequest) {
 		last, err := strconv.Atoi(req.r.Header.Get("Last-Event-Id"))
@@ -176,7 +176,7 @@
 	return streams
 }
 
-// resume takes streams up at a node and returns how many went on; none may go on at another version.
+// resume resumes streams at a node and returns how many went on; none may go on at another version.
 func (f *versionedFleet) resume(n *testNode, streams []begunStream) (resumed int) {
 	f.t.Helper()
 	for i, s := range streams {
@@ -194,9 +194,9 @@
 	return resumed
 }
 
-// Guards against a stream that its caller takes up, after the node or all nodes were gone, and that goes on at another
+// Guards against a stream that its caller resumes, after the node or all nodes were gone, and that goes on at another
 // software version than the one that began it.
-func TestStreamIsTakenUpAtItsVersion(t *testing.T) {
+func TestStreamIsResumedAtItsVersion(t *testing.T) {
 	const count = 12
 	f := newVersionedFleet(t, 3, 2)
 	routers, instances := f.nodes[3:], f.nodes[:3]
--- a/node/unframed_response_test.go
+++ b/node/unframed_response_test.go
@@ -31,8 +31,8 @@
 	assert.NilError(t, err)
 	defer func() { _ = conn.Close() }()
 	assert.NilError(t, conn.SetDeadline(time.Now().Add(testTimeout)))
-	_, err = fmt.Fprintf(conn, "%s %s %s\r\nHost: h.example\r\nReq-Id: id-1\r\nApi-Key: key\r\nContent-Length: %d\r\n\r\n%s",
-		method, path, proto, len(body), body)
+	const format = "%s %s %s\r\nHost: h.example\r\nReq-Id: id-1\r\nApi-Key: key\r\nContent-Length: %d\r\n\r\n%s"
+	_, err = fmt.Fprintf(conn, format, method, path, proto, len(body), body)
 	assert.NilError(t, err)
 	br := bufio.NewReader(conn)
 	resp, err := http.ReadResponse(br, &http.Request{Method: method})
--- a/router/model_version_test.go
+++ b/router/model_version_test.go
@@ -10,8 +10,8 @@
 	"cactusroute.dev/adapters/relayer"
 )
 
-// Guards against a stream that is continued by another version of the model than the one that began it, because a bundle
-// with another version came into force in between.
+// Guards against a stream that is continued by another version of the model than the one that began it, because a
+// bundle with another version came into force in between.
 func TestStreamEndsWhenItsModelVersionHasChanged(t *testing.T) {
 	for _, c := range []struct {
 		name      string
--- a/soaker/caller.go
+++ b/soaker/caller.go
@@ -32,7 +32,7 @@
 		id := fmt.Sprintf("%s-%d", name, i)
 		begun := sendRequest(f, client, n, attempt{id: id, path: prefix + id})
 		if begun != nil {
-			// The stream is taken up anywhere, also at a node that has never seen it.
+			// Any node must resume the stream, also one that has never seen it.
 			sendRequest(f, client, f.Nodes[rng.IntN(len(f.Nodes))], *begun)
 		}
 		sleeper.Pause(ctx, time.Duration(rng.ExpFloat64()*float64(meanRequestInterval)))
@@ -43,7 +43,7 @@
 type attempt struct {
 	id   string
 	path string
-	// resumes is the ID of the request that began the stream which this one takes up after the event lastEvent, and version
+	// resumes is the ID of the request that began the stream which this one resumes after the event lastEvent, and version
 	// what that event has told.
 	resumes   string
 	lastEvent int
@@ -51,7 +51,7 @@
 }
 
 // sendRequest sends one request and passes the outcome to the checker. If a stream broke off after its first event, it
-// returns the request that takes it up.
+// returns the request that resumes it.
 func sendRequest(f *Fleet, client *http.Client, n *Node, a attempt) (resume *attempt) {
 	isStream := strings.HasPrefix(a.path, "/stream/")
 	body := strings.Repeat(a.path, 20)
@@ -88,7 +88,8 @@
 		f.checker.CheckTruncatedResponse(a.id, string(received), want)
 	}
 	if events := strings.Count(string(received), "\n\n"); isStream && err != nil && a.resumes == "" && events > 0 {
-		return &attempt{id: a.id + "-again", path: a.path, resumes: a.id, lastEvent: events, version: a.versionIn(string(received))}
+		return &attempt{id: a.id + "-again", path: a.path, resumes: a.id, lastEvent: events,
+			version: a.versionIn(string(received))}
 	}
 	return nil
 }
--- a/soaker/checker.go
+++ b/soaker/checker.go
@@ -115,7 +115,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
-	case status == 200 && !framed && signature != "" && c.unframedBreaks[id] && body != want && strings.HasPrefix(want, body):
+	case status == 200 && !framed && signature != "" && c.unframedBreaks[id] && body != want &&
+		strings.HasPrefix(want, body):
 		// The endpoint's own response looked the same.
 		c.Failed++
 		return
--- a/soaker/endpoint.go
+++ b/soaker/endpoint.go
@@ -49,8 +49,8 @@
 	if err != nil {
 		return nil, err
 	}
-	e := &Endpoint{id: id, service: service, version: versionOf(id), bornMillis: time.Now().UnixMilli(), ln: ln, checker: f.checker, fleet: f,
-		rng: rand.New(rand.NewPCG(seed, 7))}
+	e := &Endpoint{id: id, service: service, version: versionOf(id), bornMillis: time.Now().UnixMilli(), ln: ln,
+		checker: f.checker, fleet: f, rng: rand.New(rand.NewPCG(seed, 7))}
 	go e.accept()
 	go e.sendHeartbeats(ctx)
 	context.AfterFunc(ctx, func() { _ = ln.Close() })
@@ -164,8 +164,8 @@
 	return err == nil
 }
 
-// writeUnframed sends a response with neither a length nor chunks; with breakHalfway it stops after half of the events or
-// of the body, where only the end of the connection follows.
+// writeUnframed sends a response with neither a length nor chunks; with breakHalfway it stops after half of the events
+// or of the body, where only the end of the connection follows.
 func (e *Endpoint) writeUnframed(c net.Conn, r *http.Request, id string, isStream, breakHalfway bool) {
 	answer, first, last := "answer to "+id, 0, streamEventCount
 	if _, err := fmt.Sscan(r.Header.Get("Last-Event-Id"), &first); err != nil {
