Resume unnamed streams while there is one version

What callers saw since: a stream that they resumed with Last-Event-Id alone was refused (unknownStream), also where all endpoints have one version.

Cause: a resume without the ID of the request that began the stream counted as one of unknown origin, whatever the endpoints.

With the ID, the origin must be known as before, also at a node out of touch.

Evidence: TestStreamWithoutANameIsResumedAtTheOnlyVersion, TestVersions.

--- a/core/registrar/registrar.go
+++ b/core/registrar/registrar.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -196,6 +197,18 @@
 	return list
 }
 
+// Versions returns the distinct software versions of the endpoints of some services that are ready or draining, or were
+// within goneRetention, which is longer than a stream lasts.
+func (r *Registrar) Versions(now time.Time, services []string) (versions []string) {
+	for _, e := range r.records {
+		isPresent := e.State == Ready || e.State == Draining || now.Sub(e.Changed) <= goneRetention
+		if isPresent && slices.Contains(services, e.Service) && !slices.Contains(versions, e.Version) {
+			versions = append(versions, e.Version)
+		}
+	}
+	return versions
+}
+
 // AcceptsRequests reports whether new requests may be sent to the endpoint.
 func (e *Endpoint) AcceptsRequests() bool { return e.State == Ready || e.State == Silent }
 
--- a/core/registrar/registrar_test.go
+++ b/core/registrar/registrar_test.go
@@ -133,3 +133,35 @@
 	cold.Sequence, cold.ColdUntil = 4, cold.ColdUntil.Add(100*time.Millisecond)
 	assert.Equal(t, r.RecordHeartbeat(start, cold), Unchanged)
 }
+
+// Guards against a version that is forgotten while streams that began at it may still be resumed, and against one that
+// counts long after its last endpoint has left or fallen silent.
+func TestVersions(t *testing.T) {
+	r := New(time.Second)
+	add := func(id, service, version string, born int64, s State) {
+		e := heartbeat(id, born, 1, s)
+		e.Service, e.Version = service, version
+		r.Merge(start, e)
+	}
+	add("a", "s", "v1", 1, Ready)
+	add("b", "s", "v1", 1, Ready)
+	add("c", "other", "v7", 1, Ready)
+	versions := func(at time.Time) []string {
+		list := r.Versions(at, []string{"s"})
+		slices.Sort(list)
+		return list
+	}
+	assert.DeepEqual(t, versions(start), []string{"v1"})
+	add("f", "s", "v4", 1, Silent)
+	assert.DeepEqual(t, versions(start.Add(goneRetention)), []string{"v1", "v4"})
+	assert.DeepEqual(t, versions(start.Add(goneRetention+1)), []string{"v1"})
+	add("d", "s", "v2", 1, Draining)
+	assert.DeepEqual(t, versions(start.Add(time.Hour)), []string{"v1", "v2"})
+	r.Deregister(start.Add(time.Hour), "d")
+	assert.DeepEqual(t, versions(start.Add(time.Hour+goneRetention)), []string{"v1", "v2"})
+	assert.DeepEqual(t, versions(start.Add(time.Hour+goneRetention+1)), []string{"v1"})
+	add("e", "s", "v3", 1, Silent) // recorded at start
+	assert.DeepEqual(t, versions(start.Add(time.Hour+goneRetention+1)), []string{"v1"})
+	add("b", "s", "v2", 2, Ready) // starts again with another version
+	assert.DeepEqual(t, versions(start.Add(time.Hour+goneRetention+1)), []string{"v1", "v2"})
+}
--- a/node/stream_origin.go
+++ b/node/stream_origin.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"time"
 
 	"cactusroute.dev/core/chooser"
 	"cactusroute.dev/core/planner"
@@ -37,6 +38,9 @@
 	if q.route.Kind != planner.KindStream || !q.route.Resumable || q.lastEventID == "" || !p.namesVersions(q.route) {
 		return nil
 	}
+	if q.resumes == "" && p.hasOneVersion(q.route) {
+		return nil
+	}
 	ctx, cancel := context.WithDeadline(ctx, q.deadline)
 	defer cancel()
 	o, source, err := resumer.Origin{}, "", errUnknownStream
@@ -66,12 +70,24 @@
 	return nil
 }
 
-// namesVersions reports whether the endpoints of a route can be told apart by their software versions.
-func (p *proxy) namesVersions(r *planner.Route) (named bool) {
+// hasOneVersion reports whether all endpoints that this node knows, and those that have left recently, have one
+// version, so that a caller that does not name its stream can only mean one that began there.
+func (p *proxy) hasOneVersion(r *planner.Route) bool {
+	p.fleet.mu.Lock()
+	defer p.fleet.mu.Unlock()
+	return len(p.fleet.endpoints.Versions(time.Now(), routeServices(r))) == 1
+}
+
+func routeServices(r *planner.Route) []string {
 	services := make([]string, 0, len(r.Shares))
 	for _, s := range r.Shares {
 		services = append(services, s.Service)
 	}
-	p.fleet.routing.withChooser(func(c *chooser.Chooser) { named = c.NamesVersions(services) })
+	return services
+}
+
+// namesVersions reports whether the endpoints of a route can be told apart by their software versions.
+func (p *proxy) namesVersions(r *planner.Route) (named bool) {
+	p.fleet.routing.withChooser(func(c *chooser.Chooser) { named = c.NamesVersions(routeServices(r)) })
 	return named
 }
