Replace the view's maps in a test of the agent

Cause: the test adds an endpoint to the map of a view that the agent's monitor reads, without a lock, as it may: views are immutable. The test replaces the map now, as the others do; it checks what it checked.

--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"runtime"
@@ -33,7 +34,8 @@
 	"cactusroute.dev/fakeservice"
 )
 
-// fakeControl is a Control whose state the test sets.
+// fakeControl is a Control whose state the test sets. The agent reads the maps of its view without a lock, so that a test
+// replaces them.
 type fakeControl struct {
 	mu          sync.Mutex
 	view        viewer.View
@@ -492,6 +494,7 @@
 	defer peer.Close()
 	c.set(func(c *fakeControl) {
 		addr := strings.TrimPrefix(peer.URL, "http://")
+		c.view.Endpoints = maps.Clone(c.view.Endpoints)
 		c.view.Endpoints["e2"] = viewer.Endpoint{Name: "e2", Pool: "pool", Address: addr}
 	})
 	_, _, err := runRequest(a, chatRequest(strings.Repeat("wool for heels ", 20)))
