--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -34,8 +34,8 @@
 	"cactusroute.dev/fakeservice"
 )
 
-// fakeControl is a Control whose state the test sets. The agent reads the maps of its view without a lock, so that a test
-// replaces them.
+// fakeControl is a Control whose state the test sets. The agent reads the maps of its view without a lock, so that a
+// test replaces them.
 type fakeControl struct {
 	mu          sync.Mutex
 	view        viewer.View
