Wait until streams are reported before nodes of a test end

Cause: the test ended the node without a pause, where the design says that the streams of the last milliseconds before a node ends are not resumed; a planned stop serves its callers for seconds before it ends. The test asked for what isn't promised, and slept for a second where it needs the streams on disk.

Change: before a node ends, the test waits until all control instances know the streams, at most one second, which it did not check before, and before all end until they are on the disks.

--- a/node/stream_version_test.go
+++ b/node/stream_version_test.go
@@ -14,8 +14,10 @@
 
 	"gotest.tools/v3/assert"
 
+	"cactusroute.dev/adapters/storer"
 	"cactusroute.dev/core/planner"
 	"cactusroute.dev/core/registrar"
+	"cactusroute.dev/core/resumer"
 )
 
 const versionedEvents = 4
@@ -176,6 +178,46 @@
 	return streams
 }
 
+// maxReportTime bounds the time until all control instances know a stream; control instances collect them for 10 ms.
+const maxReportTime = time.Second
+
+// awaitKnown waits until all control instances know where the streams began. A node that ends before that, without
+// serving its callers to the end, takes its last streams with it.
+func (f *versionedFleet) awaitKnown(instances []*testNode, streams []begunStream) {
+	f.t.Helper()
+	start := time.Now()
+	for _, n := range instances {
+		for _, s := range streams {
+			eventually(f.t, s.id+" at "+n.settings.Place.Name, func() bool {
+				o, ok := n.fleet.streams.lookup(resumer.NewKey("w", "h.example", "/resume/x", s.id))
+				return ok && o.Version == s.version
+			})
+		}
+	}
+	assert.Assert(f.t, time.Since(start) < maxReportTime, "%v", time.Since(start))
+}
+
+// awaitSaved waits until all control instances have written to disk where the streams began.
+func (f *versionedFleet) awaitSaved(instances []*testNode, streams []begunStream) {
+	f.t.Helper()
+	for _, n := range instances {
+		log := &streamLog{fs: storer.DiskFS{}, folder: n.settings.DataFolder}
+		eventually(f.t, "streams on the disk of "+n.settings.Place.Name, func() bool {
+			saved := map[resumer.Key]bool{}
+			list, err := log.load(time.Now())
+			for _, s := range list {
+				saved[s.Key] = true
+			}
+			for _, s := range streams {
+				if !saved[resumer.NewKey("w", "h.example", "/resume/x", s.id)] {
+					return false
+				}
+			}
+			return err == nil
+		})
+	}
+}
+
 // resume resumes streams at a node and returns how many went on; none may go on at another version.
 func (f *versionedFleet) resume(n *testNode, streams []begunStream) (resumed int) {
 	f.t.Helper()
@@ -209,6 +251,7 @@
 	}
 
 	streams = f.begin(routers[0], count)
+	f.awaitKnown(instances, streams)
 	routers[0].stop()
 	assert.Equal(t, f.resume(routers[1], streams), count, "after the router has stopped")
 	f.start(routers[0], f.seeds, false)
@@ -216,6 +259,7 @@
 	assert.Equal(t, f.resume(routers[0], streams), count, "at the router that has restarted")
 
 	streams = f.begin(instances[0], count)
+	f.awaitKnown(instances, streams)
 	instances[0].stop()
 	assert.NilError(t, os.RemoveAll(instances[0].settings.DataFolder))
 	assert.Equal(t, f.resume(routers[1], streams), count, "after the control instance has lost its disk")
@@ -225,7 +269,7 @@
 	assert.Equal(t, f.resume(instances[0], streams), count, "at the control instance that has lost its disk")
 
 	streams = f.begin(routers[0], count)
-	time.Sleep(time.Second) // until the streams are on disk
+	f.awaitSaved(instances, streams)
 	for _, n := range f.nodes {
 		n.stop()
 	}
