Correct what a comment says of a failed write of stream origins

It said that the next batch goes to a new file. The offset is kept, so that the next batch overwrites the failed one (TestStreamLogOnAFullDisk). No code changes; tests of the file and the linter of node pass.

--- a/node/stream_log.go
+++ b/node/stream_log.go
@@ -85,7 +85,7 @@
 	return list, valid
 }
 
-// append writes streams and syncs the file. After an error, the next batch is written to a new file.
+// append writes streams and syncs the file. After an error, the next batch overwrites this one, which is lost.
 func (l *streamLog) append(now time.Time, list []resumer.Stream) (err error) {
 	defer func() {
 		if err != nil {
