--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
 # Runs the case after the build of the deploy file and review/build.sh.
 cd "$(dirname "$0")/../.." || exit 2
-exec target/review/standin lateStop review/3/record.txt
+exec target/review/standin staleOrder review/3/record.txt
