--- a/review/standin/replica.go
+++ b/review/standin/replica.go
@@ -88,13 +88,32 @@
 	if err != nil {
 		return nil, err
 	}
+	p := &replica{id: id, service: service, zone: zone, version: version, fleet: f, ln: ln, handle: handle}
+	p.serveAndRegister(0)
+	return p, nil
+}
+
+// restart starts a replica that has ended again, under its ID and at its address, with a software version. Its first
+// heartbeat is sent late by the given time.
+func (p *replica) restart(version string, late time.Duration) (*replica, error) {
+	ln, err := net.Listen("tcp", p.ln.Addr().String())
+	if err != nil {
+		return nil, err
+	}
+	n := &replica{id: p.id, service: p.service, zone: p.zone, version: version, fleet: p.fleet, ln: ln, handle: p.handle}
+	n.serveAndRegister(late)
+	return n, nil
+}
+
+func (p *replica) serveAndRegister(late time.Duration) {
 	ctx, cancel := context.WithCancel(context.Background())
-	p := &replica{id: id, service: service, zone: zone, version: version, born: time.Now().UnixMilli(), fleet: f, ln: ln,
-		handle: handle, cancel: cancel, conns: map[net.Conn]bool{}, state: "ready"}
-	f.rec.printf("replica %s of %s started at %s", id, service, ln.Addr())
+	p.cancel, p.born, p.conns, p.state = cancel, time.Now().UnixMilli(), map[net.Conn]bool{}, "ready"
+	p.fleet.rec.printf("replica %s of %s, version %s, started at %s", p.id, p.service, p.version, p.ln.Addr())
 	go p.accept()
-	go p.sendHeartbeats(ctx)
-	return p, nil
+	go func() {
+		time.Sleep(late)
+		p.sendHeartbeats(ctx)
+	}()
 }
 
 // crash ends the replica as a crash of its process does: its connections are reset and it sends nothing more.
