Tell how old the state in force at a node is

The lines "state in force" did not say where a state came from and how certain it was, so that a state that comes late could not be told from one that is outdated when it is put in force. The age of a router's view was counted from the receipt of a heartbeat, which may have waited in a buffer while the router stood still, and did not refer to any state.

Heartbeats of a control instance now carry the index of its state and the time of the read that a quorum confirmed, relative to the subscriber's last ping. core/confirmer relates them to the state in force. Log lines and cactusroute_view_age_seconds use it. No decision depends on it yet.

--- a/adapters/exchanger/client.go
+++ b/adapters/exchanger/client.go
@@ -34,7 +34,8 @@
 
 // Subscription is one connection to a control instance.
 type Subscription struct {
-	conn *messenger.Conn
+	conn  *messenger.Conn
+	pings sentPings
 }
 
 // errNotQuorate ends a subscription to a control instance that has lost its quorum.
@@ -52,9 +53,10 @@
 	if err != nil {
 		return nil, err
 	}
+	s := &Subscription{conn: conn}
 	h := helloMessage{Contact: self}
 	h.Index, h.Version = r.LastReceived()
-	err = conn.Send(ctx, kindHello, 0, h)
+	err = conn.Send(ctx, kindHello, s.pings.add(time.Now()), h)
 	if err == nil && len(endpoints) > 0 {
 		m := endpointsMessage{Records: encodeEndpoints(time.Now(), endpoints)}
 		err = conn.Send(ctx, kindEndpoints, 0, m)
@@ -66,7 +68,7 @@
 		_ = conn.Close()
 		return nil, err
 	}
-	return &Subscription{conn: conn}, nil
+	return s, nil
 }
 
 // ReportSuspects sends suspects to the control instance.
@@ -107,7 +109,7 @@
 	go s.reportLoads(ctx, r)
 	quorateAt := time.Now()
 	var e messenger.Envelope
-	var dec decoders
+	dec := decoders{heartbeats: heartbeatDecoder{pings: &s.pings}}
 	for {
 		if err := s.receiveWithTimeout(ctx, &e); err != nil {
 			return err
@@ -127,7 +129,8 @@
 	return s.conn.ReceiveInto(ctx, e)
 }
 
-// ping sends periodic messages, so that the instance detects a lost subscriber by its silence.
+// ping sends periodic messages, so that the instance detects a lost subscriber by its silence, and the subscriber
+// learns how old the confirmations of the instance are.
 func (s *Subscription) ping(ctx context.Context) {
 	t := time.NewTicker(2 * heartbeatInterval)
 	defer t.Stop()
@@ -136,7 +139,7 @@
 		case <-ctx.Done():
 			return
 		case <-t.C:
-			if s.conn.Send(ctx, kindPing, 0, nil) != nil {
+			if s.conn.Send(ctx, kindPing, s.pings.add(time.Now()), nil) != nil {
 				s.Close()
 				return
 			}
--- a/adapters/exchanger/server.go
+++ b/adapters/exchanger/server.go
@@ -74,6 +74,15 @@
 	resyncStreams bool
 	index         uint64 // of the last state sent
 	version       uint64 // of the last plan sent
+	lastPing      receivedPing
+}
+
+// encodeHeartbeat encodes a heartbeat with the confirmation relative to the subscriber's last ping.
+func (sub *subscriber) encodeHeartbeat(e *heartbeatEncoder, h Heartbeat) heartbeatMessage {
+	sub.mu.Lock()
+	last := sub.lastPing
+	sub.mu.Unlock()
+	return e.encode(h, last)
 }
 
 // NewServer returns a server without subscribers.
@@ -101,7 +110,7 @@
 		return
 	}
 	sub := &subscriber{conn: conn, contact: h.Contact, updated: make(chan struct{}, 1), index: h.Index, version: h.Version,
-		pending: map[string]registrar.Endpoint{}}
+		pending: map[string]registrar.Endpoint{}, lastPing: receivedPing{at: time.Now()}}
 	s.mu.Lock()
 	s.subscribers[sub] = true
 	s.mu.Unlock()
@@ -130,6 +139,10 @@
 			return
 		}
 		switch e.Kind {
+		case kindPing:
+			sub.mu.Lock()
+			sub.lastPing = receivedPing{number: e.Stream, at: time.Now()}
+			sub.mu.Unlock()
 		case kindSuspects:
 			var list []Suspect
 			if e.Decode(&list) != nil {
@@ -201,7 +214,7 @@
 func (s *Server) sendUpdates(ctx context.Context, sub *subscriber) error {
 	// Sent before the endpoints, because rates to cold endpoints are divided by the number of routers.
 	var heartbeats heartbeatEncoder
-	if err := sub.conn.Send(ctx, kindHeartbeat, 0, heartbeats.encode(s.source.Heartbeat())); err != nil {
+	if err := sub.conn.Send(ctx, kindHeartbeat, 0, sub.encodeHeartbeat(&heartbeats, s.source.Heartbeat())); err != nil {
 		return err
 	}
 	full := endpointsMessage{Full: true, Records: encodeEndpoints(time.Now(), s.source.Endpoints())}
@@ -229,7 +242,7 @@
 		case <-sub.updated:
 			err = s.sendPending(ctx, sub)
 		case <-heartbeatTicker.C:
-			err = sub.conn.Send(ctx, kindHeartbeat, 0, heartbeats.encode(s.source.Heartbeat()))
+			err = sub.conn.Send(ctx, kindHeartbeat, 0, sub.encodeHeartbeat(&heartbeats, s.source.Heartbeat()))
 		case <-loadTicker.C:
 			if !sender.isDue() {
 				continue
--- a/adapters/exchanger/wire.go
+++ b/adapters/exchanger/wire.go
@@ -79,6 +79,10 @@
 	QuorateInstances []Contact // known quorate control instances
 	// SubscribedRouters is the number of subscribers of this instance, without other control instances.
 	SubscribedRouters int
+	// A state of at least Index has all changes that were acknowledged before ConfirmedAt, by the clock of this process;
+	// zero if the instance is not quorate or does not report it.
+	Index       uint64
+	ConfirmedAt time.Time
 }
 
 // heartbeatMessage is an encoded Heartbeat. It omits the control instances if they have not changed since the last one.
@@ -88,6 +92,16 @@
 	QuorateInstances  []Contact `cbor:"3,keyasint,omitempty"`
 	SubscribedRouters int       `cbor:"4,keyasint"`
 	SameInstances     bool      `cbor:"5,keyasint,omitempty"`
+	// Confirmation is absent without a quorum.
+	Confirmation *confirmationMessage `cbor:"6,keyasint,omitempty"`
+}
+
+// confirmationMessage has the time of a confirmation relative to a ping of the subscriber, so that neither the clocks
+// nor the time that a message waits in a buffer make the confirmation look younger than it is.
+type confirmationMessage struct {
+	Index     uint64 `cbor:"1,keyasint"`
+	Ping      uint64 `cbor:"2,keyasint"` // number of the last ping received
+	AfterPing int64  `cbor:"3,keyasint"` // milliseconds from the receipt of the ping to the confirmation; may be negative
 }
 
 // heartbeatEncoder and heartbeatDecoder keep the control instances of the last heartbeat of a connection.
@@ -96,9 +110,13 @@
 	sent      bool
 }
 
-func (e *heartbeatEncoder) encode(h Heartbeat) heartbeatMessage {
+func (e *heartbeatEncoder) encode(h Heartbeat, last receivedPing) heartbeatMessage {
 	m := heartbeatMessage{Quorate: h.Quorate, Routers: h.Routers, QuorateInstances: h.QuorateInstances,
 		SubscribedRouters: h.SubscribedRouters}
+	if !h.ConfirmedAt.IsZero() {
+		m.Confirmation = &confirmationMessage{Index: h.Index, Ping: last.number,
+			AfterPing: h.ConfirmedAt.Sub(last.at).Milliseconds()}
+	}
 	if e.sent && slices.Equal(e.instances, h.QuorateInstances) {
 		m.QuorateInstances, m.SameInstances = nil, true
 	}
@@ -106,14 +124,24 @@
 	return m
 }
 
-type heartbeatDecoder struct{ instances []Contact }
+type heartbeatDecoder struct {
+	instances []Contact
+	pings     *sentPings
+}
 
 func (d *heartbeatDecoder) decode(m *heartbeatMessage) Heartbeat {
 	if !m.SameInstances {
 		d.instances = m.QuorateInstances
 	}
-	return Heartbeat{Quorate: m.Quorate, Routers: m.Routers, QuorateInstances: d.instances,
+	h := Heartbeat{Quorate: m.Quorate, Routers: m.Routers, QuorateInstances: d.instances,
 		SubscribedRouters: m.SubscribedRouters}
+	const limit = int64(maxAfterPing / time.Millisecond)
+	if c := m.Confirmation; c != nil && c.AfterPing >= -limit && c.AfterPing <= limit {
+		if sentAt, ok := d.pings.sentAt(c.Ping); ok {
+			h.Index, h.ConfirmedAt = c.Index, sentAt.Add(time.Duration(c.AfterPing)*time.Millisecond)
+		}
+	}
+	return h
 }
 
 // minLoadInterval returns the minimum time between two load messages with this number of entries.
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -19,7 +19,7 @@
 func (f *fleet) State() fleetapplier.State {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return fleetapplier.State{Index: f.received.index, Plan: f.received.plan, TakenOut: f.received.takenOut}
+	return fleetapplier.State{Index: f.released.index, Plan: f.released.plan, TakenOut: f.released.takenOut}
 }
 
 // AcceptsRouters implements exchanger.Source.
@@ -36,11 +36,14 @@
 func (f *fleet) Heartbeat() exchanger.Heartbeat {
 	hb := exchanger.Heartbeat{Quorate: f.control.isQuorate(), QuorateInstances: f.quorateInstances()}
 	hb.SubscribedRouters, hb.Routers = f.connectedRouters(time.Now())
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if hb.Quorate {
+		hb.Index, hb.ConfirmedAt = f.confirmer.Confirmed()
+	}
 	if time.Since(f.started) < routerCountWindow {
 		// The other nodes may have restarted at the same time and not be connected yet.
-		f.mu.Lock()
 		hb.Routers = max(hb.Routers, f.cachedRouters)
-		f.mu.Unlock()
 	}
 	return hb
 }
@@ -194,7 +197,7 @@
 	for _, d := range takenOut {
 		set[d] = true
 	}
-	r.fleet.receiveState(index, plan, set)
+	r.fleet.receiveState(index, plan, set, r.instance.Name)
 }
 
 // EndpointsReceived implements exchanger.Receiver.
@@ -251,8 +254,8 @@
 // HeartbeatReceived implements exchanger.Receiver.
 func (r *receiver) HeartbeatReceived(hb exchanger.Heartbeat) {
 	f := r.fleet
-	if hb.Quorate && !r.isPeer {
-		f.confirmedNanos.Store(int64(time.Since(f.started)))
+	if !r.isPeer && !hb.ConfirmedAt.IsZero() {
+		f.confirm(hb.Index, hb.ConfirmedAt)
 	}
 	f.mu.Lock()
 	for _, c := range hb.QuorateInstances {
--- a/node/fakes_test.go
+++ b/node/fakes_test.go
@@ -168,6 +168,7 @@
 	log := newRateLimitedLog(obs, queue)
 	settings := testSettings("router")
 	f := newFleet(settings, testDialect(), log)
+	f.confirm(0, time.Now().Add(time.Hour)) // stands for the confirmations of a control instance
 	pool := forwarder.NewPool(settings.EndpointLimits.Limits)
 	p := &proxy{dialect: testDialect(), fleet: f, pool: pool, log: log, metrics: newMetrics(obs, f, pool, queue)}
 	if plan != nil {
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -11,6 +11,8 @@
 
 	"cactusroute.dev/adapters/exchanger"
 	"cactusroute.dev/adapters/messenger"
+	"cactusroute.dev/adapters/sleeper"
+	"cactusroute.dev/core/confirmer"
 	"cactusroute.dev/core/fleetapplier"
 	"cactusroute.dev/core/registrar"
 )
@@ -25,6 +27,10 @@
 	// loadAggregationInterval is how often a control instance sums up the requests in flight of all routers.
 	loadAggregationInterval = 50 * time.Millisecond
 
+	// confirmationPollInterval is how often the confirmations of a control instance and states that wait for one are
+	// checked.
+	confirmationPollInterval = 50 * time.Millisecond
+
 	// quorateTimeout is how long a control instance counts as quorate after it was last reported to be so.
 	quorateTimeout = 1500 * time.Millisecond
 
@@ -83,7 +89,8 @@
 	discovery      *exchanger.Discovery
 	routing        *routingState
 	view           atomic.Pointer[view]
-	decodeSignal   chan struct{} // capacity 1: a received state is not yet decoded
+	decodeSignal   chan struct{} // capacity 1: a released state is not yet decoded
+	heldSignal     chan struct{} // capacity 1: a received state is held back
 	cacheDirty     chan struct{} // capacity 1: the state cache on disk is out of date
 	suspectReports chan exchanger.Suspect
 	evidence       *evidence
@@ -92,8 +99,6 @@
 
 	exchangeOptions messenger.Options // of connections to other nodes
 
-	confirmedNanos atomic.Int64 // nanoseconds from the start to the last confirmation by a quorate control instance
-
 	planKnown chan struct{} // closed when the first plan is in force
 	planOnce  sync.Once
 
@@ -104,7 +109,9 @@
 	// seedsInformedAt is when this control instance, while quorate, last exchanged contacts with an address.
 	seedsInformedAt map[string]time.Time
 	endpoints       *registrar.Registrar
-	received        receivedState
+	received        receivedState // the newest one
+	released        receivedState // the newest one that may be put in force
+	confirmer       *confirmer.Confirmer
 	instances       map[string]*knownInstance
 	subscribedTo    string                 // name of the control instance that this router is subscribed to
 	subscribers     map[string]*subscriber // current and former subscribers of this instance
@@ -114,13 +121,21 @@
 	started         time.Time
 }
 
-// receivedState is the newest replicated state received.
+// receivedState is a replicated state as received.
 type receivedState struct {
 	index    uint64
 	plan     fleetapplier.EncodedPlan
 	takenOut map[string]bool
+	source   string // the instance that sent it, or one of the sources below
+	at       time.Time
 }
 
+// The sources of a state other than control instances, for logs.
+const (
+	stateFromCache = "cache"
+	stateFromLog   = "log"
+)
+
 type subscriber struct {
 	exchanger.Contact
 	loads         exchanger.Loads // requests in flight
@@ -135,7 +150,7 @@
 
 func newFleet(s Settings, d Dialect, log *rateLimitedLog) *fleet {
 	f := &fleet{settings: s, dialect: d, log: log, routing: newRoutingState(&s), decodeSignal: make(chan struct{}, 1),
-		cacheDirty:     make(chan struct{}, 1),
+		heldSignal: make(chan struct{}, 1), cacheDirty: make(chan struct{}, 1),
 		suspectReports: make(chan exchanger.Suspect, 256), planKnown: make(chan struct{}),
 		self: exchanger.Contact{Name: s.Place.Name, Address: s.Listen.Advertise, Control: s.Listen.Control,
 			Domain: s.Place.FailureDomain, Eligible: s.DataFolder != ""},
@@ -143,6 +158,7 @@
 		instances: map[string]*knownInstance{}, subscribers: map[string]*subscriber{},
 		seedsInformedAt: map[string]time.Time{}, suspects: map[uint64]*suspect{},
 		evidence: newEvidence(s.Place.Name, s.DataFolder != "", log), started: time.Now()}
+	f.confirmer = confirmer.New(f.started)
 	f.streams = newStreams(s.DataFolder != "", f.started)
 	f.view.Store(&view{})
 	choosesBootstrapper := s.FirstStart && len(s.Seeds) > 0 && slices.Min(s.Seeds) == s.Listen.Advertise
@@ -150,17 +166,22 @@
 	return f
 }
 
-// viewAge returns the time since a quorate instance confirmed this node's view, or since the start if none ever did.
+// viewAge returns the time since a quorum confirmed this node's view, or since the start if none ever did.
 func (f *fleet) viewAge(now time.Time) time.Duration {
-	if f.control != nil {
-		if c := f.control.replica.Load(); c != nil {
-			if _, at, ok := c.Confirmed(); ok {
-				return now.Sub(at)
-			}
-		}
-		return now.Sub(f.started)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.confirmer.Age(now)
+}
+
+// confirm records that a state of at least this index has all changes that were acknowledged before a point in time.
+func (f *fleet) confirm(index uint64, at time.Time) {
+	f.mu.Lock()
+	f.confirmer.Confirm(index, at)
+	isHeld := f.received.index > f.released.index
+	f.mu.Unlock()
+	if isHeld {
+		f.releaseState()
 	}
-	return now.Sub(f.started) - time.Duration(f.confirmedNanos.Load())
 }
 
 // quorateInstances returns the quorate control instances, including this one.
@@ -328,26 +349,80 @@
 	}
 }
 
-// receiveState stores a newer replicated state; publishViews decodes it, so that the caller is not blocked.
-func (f *fleet) receiveState(index uint64, plan *fleetapplier.EncodedPlan, takenOut map[string]bool) {
+// receiveState stores a newer replicated state, and releases it unless it has to wait for a confirmation.
+func (f *fleet) receiveState(index uint64, plan *fleetapplier.EncodedPlan, takenOut map[string]bool, source string) {
 	f.mu.Lock()
 	if index <= f.received.index {
 		f.mu.Unlock()
 		return
 	}
 	f.received.index, f.received.takenOut = index, takenOut
+	f.received.source, f.received.at = source, time.Now()
 	if plan != nil && plan.Version > f.received.plan.Version {
 		f.received.plan = *plan
 	}
 	f.mu.Unlock()
 	f.markCacheDirty()
+	if !f.releaseState() {
+		select {
+		case f.heldSignal <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// releaseState passes the newest received state on to publishViews and to subscribers; it returns false if that state
+// has to wait for a confirmation.
+func (f *fleet) releaseState() bool {
+	f.mu.Lock()
+	if f.received.index <= f.released.index {
+		f.mu.Unlock()
+		return true
+	}
+	f.released = f.received
+	f.mu.Unlock()
 	select {
 	case f.decodeSignal <- struct{}{}:
 	default:
 	}
+	if f.control != nil {
+		f.control.server.PublishState()
+	}
+	return true
+}
+
+// releaseHeldStates releases states that were held back once they may be put in force, until ctx ends.
+func (f *fleet) releaseHeldStates(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-f.heldSignal:
+		}
+		for ctx.Err() == nil && !f.releaseState() {
+			sleeper.Pause(ctx, confirmationPollInterval)
+		}
+	}
 }
 
-// publishViews decodes received states and puts them in force until ctx ends.
+// trackConfirmations records the confirmations of a control instance by the quorum until ctx ends.
+func (f *fleet) trackConfirmations(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if c := f.control.replica.Load(); c != nil {
+			if _, at, ok := c.Confirmed(); ok && f.control.isCurrent(at, time.Now()) {
+				// Read after the confirmation, so that it includes what the confirmation is about.
+				f.mu.Lock()
+				index := f.received.index
+				f.mu.Unlock()
+				f.confirm(index, at)
+			}
+		}
+		sleeper.Pause(ctx, confirmationPollInterval)
+	}
+	return ctx.Err()
+}
+
+// publishViews decodes released states and puts them in force until ctx ends.
 func (f *fleet) publishViews(ctx context.Context) error {
 	for {
 		select {
@@ -356,34 +431,39 @@
 		case <-f.decodeSignal:
 		}
 		f.mu.Lock()
-		received := f.received
+		released := f.released
 		f.mu.Unlock()
 		old := f.view.Load()
-		v := &view{plan: old.plan, index: received.index, takenOut: received.takenOut}
-		if received.plan.Version > 0 && (old.plan == nil || received.plan.Version > old.plan.Version) {
-			plan, err := f.dialect.DecodePlan(received.plan.Content)
+		v := &view{plan: old.plan, index: released.index, takenOut: released.takenOut}
+		if released.plan.Version > 0 && (old.plan == nil || released.plan.Version > old.plan.Version) {
+			plan, err := f.dialect.DecodePlan(released.plan.Content)
 			if err != nil {
 				// The former plan stays in force; the rest of the state does not depend on it.
-				f.log.failure("msg", "received plan cannot be decoded", "version", received.plan.Version, "err", err)
+				f.log.failure("msg", "received plan cannot be decoded", "version", released.plan.Version, "err", err)
 			} else {
 				v.plan = plan
 			}
 		}
 		f.view.Store(v)
+		f.mu.Lock()
+		f.confirmer.SetInForce(v.index)
+		age := f.confirmer.Age(time.Now())
+		f.mu.Unlock()
 		if v.plan != nil {
 			f.planOnce.Do(func() { close(f.planKnown) })
 		}
 		f.updateRouting()
-		f.logView(old, v)
+		f.logView(old, v, &released, age)
 	}
 }
 
-func (f *fleet) logView(old, v *view) {
+func (f *fleet) logView(old, v *view, s *receivedState, age time.Duration) {
 	var version uint64
 	if v.plan != nil {
 		version = v.plan.Version
 	}
-	f.log.event("state in force", "version", version, "index", v.index, "before", old.index,
+	f.log.event("state in force", "version", version, "index", v.index, "before", old.index, "source", s.source,
+		"receivedMs", time.Since(s.at).Milliseconds(), "confirmedMs", age.Milliseconds(),
 		"takenOut", strings.Join(slices.Sorted(maps.Keys(v.takenOut)), ","))
 }
 
@@ -468,11 +548,11 @@
 	}
 }
 
-// awaitPlan waits for a first plan up to a deadline, and returns the view in force, which may still lack a plan.
-func (f *fleet) awaitPlan(ctx context.Context, until time.Time) *view {
+// awaitPlan waits for a first plan up to a deadline.
+func (f *fleet) awaitPlan(ctx context.Context, until time.Time) {
 	limit := time.Until(until)
-	if v := f.view.Load(); v.plan != nil || limit <= 0 {
-		return v
+	if f.view.Load().plan != nil || limit <= 0 {
+		return
 	}
 	t := time.NewTimer(limit)
 	defer t.Stop()
@@ -481,7 +561,6 @@
 	case <-t.C:
 	case <-ctx.Done():
 	}
-	return f.view.Load()
 }
 
 // isReady reports whether a plan is in force, so that requests can be served.
--- a/node/node.go
+++ b/node/node.go
@@ -49,8 +49,7 @@
 		f.control = &controlInstance{settings: s, obs: obs, eligibleInstances: f.eligibleInstances,
 			suspensions: newSuspensionDetector()}
 		f.control.stateMachine = fleetapplier.New(func(st fleetapplier.State) {
-			f.receiveState(st.Index, &st.Plan, st.TakenOut)
-			f.control.server.PublishState()
+			f.receiveState(st.Index, &st.Plan, st.TakenOut, stateFromLog)
 		})
 		f.control.server = exchanger.NewServer(f.exchangeOptions, f)
 		f.streams.publish = f.control.server.PublishStreams
@@ -148,6 +147,7 @@
 	f, l := n.fleet, n.settings.Listen
 	sup.Add(n.queue)
 	sup.Add(service{"views", f.publishViews})
+	sup.Add(service{"heldStates", f.releaseHeldStates})
 	sup.Add(service{"seek", f.discover})
 	sup.Add(service{"tick", n.runMaintenance})
 	exchange := http.NewServeMux()
@@ -155,6 +155,7 @@
 	exchange.Handle(recorder.Path, n.obs.TimelineHandler())
 	if f.control != nil {
 		sup.Add(f.control)
+		sup.Add(service{"confirmations", f.trackConfirmations})
 		sup.Add(service{"peers", f.subscribeToPeers})
 		sup.Add(service{"loads", f.aggregateLoads})
 		sup.Add(service{"memory", f.persistStateCache})
--- a/node/proxy.go
+++ b/node/proxy.go
@@ -148,7 +148,8 @@
 	if callerDeadline := q.receivedAt.Add(callerRemaining); hasDeadline && callerDeadline.Before(waitUntil) {
 		waitUntil = callerDeadline
 	}
-	v := p.fleet.awaitPlan(r.Context(), waitUntil)
+	p.fleet.awaitPlan(r.Context(), waitUntil)
+	v := p.fleet.view.Load()
 	if waited := time.Since(q.receivedAt); waited > time.Millisecond {
 		p.metrics.waitTime.Observe(waited.Seconds())
 	}
--- a/node/state_cache.go
+++ b/node/state_cache.go
@@ -118,7 +118,7 @@
 		c.At, c.RefusedAt, c.TrialAt = now, now, now
 	}
 	f.evidence.merge(exchanger.Evidence{Convictions: cache.Convictions}, "memory")
-	f.receiveState(cache.State.Index, &cache.State.Plan, cache.State.TakenOut)
+	f.receiveState(cache.State.Index, &cache.State.Plan, cache.State.TakenOut, stateFromCache)
 }
 
 func readStateCache(name string) (cache stateCache, err error) {
