Hold back states that are not known to be current

What callers saw: after the restart of an instance, requests were handled as an older plan allows although a newer one had been acknowledged before the start; requests of added routes got 404.

Cause: an instance put in force whatever its state cache held, then every plan that its log replayed, the oldest first, and passed each on to the routers that subscribe to it. Nothing asked whether the state was as new as what the fleet had acknowledged. The class: a process acts on a state without knowing how old it is.

--- a/node/fleet.go
+++ b/node/fleet.go
@@ -379,6 +379,10 @@
 		f.mu.Unlock()
 		return true
 	}
+	if !f.confirmer.MayPutInForce(time.Now(), f.received.index) {
+		f.mu.Unlock()
+		return false
+	}
 	f.released = f.received
 	f.mu.Unlock()
 	select {
--- /dev/null
+++ b/node/outdated_plan_test.go
@@ -0,0 +1,70 @@
+package node
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"runtime"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"cactusroute.dev/core/planner"
+)
+
+// plansInForce restarts a node and returns the versions that are in force at it until the given one is.
+func (f *testFleet) plansInForce(n *testNode, until uint64) (versions []uint64) {
+	f.t.Helper()
+	f.start(n, f.seeds, false)
+	last := uint64(0)
+	for deadline := time.Now().Add(testTimeout); last != until; runtime.Gosched() {
+		assert.Assert(f.t, time.Now().Before(deadline), "versions %v", versions)
+		if p := n.fleet.view.Load().plan; p != nil && p.Version != last {
+			last = p.Version
+			versions = append(versions, last)
+		}
+	}
+	return versions
+}
+
+// Guards against an instance with an emptied disk that serves every plan that its log replays, the oldest first,
+// although newer ones were acknowledged before its start.
+func TestEmptiedInstanceServesNoOutdatedPlan(t *testing.T) {
+	// Large plans, so that the log is replayed in several steps, but no snapshot replaces it.
+	const versions, routes = 20, 1000
+	f := newTestFleet(t, 3, 0)
+	f.startAll()
+	for v := uint64(1); v <= versions; v++ {
+		p := testPlan(v)
+		for i := range routes {
+			p.Routes = append(p.Routes, planner.Route{Name: fmt.Sprintf("r%d", i), Host: "h.example", TimeoutMillis: 5000,
+				Prefix: fmt.Sprintf("/r%d/", i), Shares: []planner.Share{{Service: "s", Weight: 1}}})
+		}
+		f.retryCommand("plan", f.nodes, func(c Control) error { return c.PutPlan(t.Context(), encodePlan(t, p)) })
+	}
+	n := f.nodes[2]
+	n.stop()
+	assert.NilError(t, os.RemoveAll(n.settings.DataFolder))
+	assert.DeepEqual(t, f.plansInForce(n, versions), []uint64{versions})
+}
+
+// Guards against an instance that is killed before its state cache has the newest plan and serves the older one after
+// its restart, although the others could tell it the newest.
+func TestRestartedInstanceServesNoOutdatedPlan(t *testing.T) {
+	f := newTestFleet(t, 3, 0)
+	f.startAll()
+	f.putPlan(1, f.nodes)
+	n := f.nodes[2]
+	name := filepath.Join(n.settings.DataFolder, stateCacheFile)
+	eventually(t, "state cache", func() bool {
+		cache, err := readStateCache(name)
+		return err == nil && cache.State.Plan.Version == 1
+	})
+	older, err := os.ReadFile(name)
+	assert.NilError(t, err)
+	f.putPlan(2, f.nodes)
+	n.stop()
+	assert.NilError(t, os.WriteFile(name, older, 0o600))
+	assert.DeepEqual(t, f.plansInForce(n, 2), []uint64{2})
+}
