Deny no route and no key by a plan that may be outdated

What callers saw: a router that was cut off from the control instances, or whose process had stood still, refused requests of routes and keys that a newer plan had added with 404 or 401, which callers take as final.

Cause: the plan in force was taken for the newest one whatever its age. It is the same class as states that are put in force without knowing how old they are.

Evidence: TestRouterDeniesNothingByAnUnconfirmedPlan fails on: two seconds after all control instances have stopped, the router answers 404 where 503 is expected.

Requests whose route and key the plan has are served as before.

--- a/node/fleet.go
+++ b/node/fleet.go
@@ -173,6 +173,13 @@
 	return f.confirmer.Age(now)
 }
 
+// mayDeny reports whether a request may be denied for what the plan lacks. The plan must be read after the call.
+func (f *fleet) mayDeny(now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.confirmer.MayDeny(now)
+}
+
 // confirm records that a state of at least this index has all changes that were acknowledged before a point in time.
 func (f *fleet) confirm(index uint64, at time.Time) {
 	f.mu.Lock()
--- a/node/outdated_plan_test.go
+++ b/node/outdated_plan_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"runtime"
@@ -68,3 +70,39 @@
 	assert.NilError(t, os.WriteFile(name, older, 0o600))
 	assert.DeepEqual(t, f.plansInForce(n, 2), []uint64{2})
 }
+
+// Guards against a router that is cut off from the control instances, or stood still, and denies routes and keys that a
+// newer plan may have.
+func TestRouterDeniesNothingByAnUnconfirmedPlan(t *testing.T) {
+	f := newTestFleet(t, 3, 1)
+	f.startAll()
+	f.putPlan(1, f.nodes[:3])
+	f.awaitPlan(1, f.nodes)
+	router := f.nodes[3]
+	status := func(path, key string) int {
+		r := httptest.NewRequest(http.MethodGet, "http://h.example"+path, http.NoBody)
+		r.RequestURI = path
+		r.Header.Set("Api-Key", key)
+		w := httptest.NewRecorder()
+		router.front.ServeHTTP(w, r)
+		assert.Assert(t, w.Code != http.StatusServiceUnavailable || w.Header().Get("Retry-After") != "")
+		return w.Code
+	}
+	requests := []struct {
+		path, key string
+		denied    int
+	}{
+		{"/new/", "key", http.StatusNotFound},
+		{"/safe/", "new key", http.StatusUnauthorized},
+	}
+	for _, r := range requests {
+		eventually(t, fmt.Sprintf("%s is denied", r.path), func() bool { return status(r.path, r.key) == r.denied })
+	}
+	for _, n := range f.nodes[:3] {
+		n.stop()
+	}
+	time.Sleep(2 * time.Second)
+	for _, r := range requests {
+		assert.Equal(t, status(r.path, r.key), http.StatusServiceUnavailable, "%s", r.path)
+	}
+}
--- a/node/proxy.go
+++ b/node/proxy.go
@@ -149,6 +149,7 @@
 		waitUntil = callerDeadline
 	}
 	p.fleet.awaitPlan(r.Context(), waitUntil)
+	mayDeny := p.fleet.mayDeny(time.Now())
 	v := p.fleet.view.Load()
 	if waited := time.Since(q.receivedAt); waited > time.Millisecond {
 		p.metrics.waitTime.Observe(waited.Seconds())
@@ -159,11 +160,11 @@
 	q.plan, q.planVersion = v.plan, v.plan.Version
 	path, _, _ := strings.Cut(r.RequestURI, "?")
 	if q.route = v.plan.Match(r.Host, path); q.route == nil {
-		return q, &refusal{status: http.StatusNotFound, reason: "noRoute"}
+		return q, p.denial(http.StatusNotFound, "noRoute", mayDeny)
 	}
 	if v.plan.HasWorkspaces() && !q.route.Public {
 		if q.workspace = v.plan.Workspace(r.Header.Get(h.Key)); q.workspace == nil {
-			return q, &refusal{status: http.StatusUnauthorized, reason: "unknownKey"}
+			return q, p.denial(http.StatusUnauthorized, "unknownKey", mayDeny)
 		}
 	}
 	q.setService(v.plan.Service(q.route.PickService(rand.Float64())), r.Header.Get(h.PromptParts))
@@ -180,6 +181,16 @@
 	return q, nil
 }
 
+// denial returns the refusal of a request for which the plan has no route or no key. Unless the plan is known to be
+// current, the caller is told to come back, because a newer plan may have them.
+func (p *proxy) denial(status int, reason string, isCertain bool) *refusal {
+	if isCertain {
+		return &refusal{status: status, reason: reason}
+	}
+	return &refusal{status: http.StatusServiceUnavailable, reason: "unconfirmedPlan", retryAfter: retryAfter(),
+		logFields: []any{"why", reason, "confirmedMs", p.fleet.viewAge(time.Now()).Milliseconds()}}
+}
+
 // parseRemaining parses the time until the caller's deadline; ok is false if the value is not a number.
 func parseRemaining(value string) (remaining time.Duration, ok bool) {
 	ms, err := strconv.ParseInt(value, 10, 64)
