Give changes of state a log limit of their own

Lines such as "state in force" and "control instance lost" shared a limit of 300 a second with refusals, so that an overload suppressed the lines that explain it. They now have a limit of their own, of the same size.

TestFailuresDoNotSuppressEvents fails before: 0 of 300 lines were written.

--- a/node/log.go
+++ b/node/log.go
@@ -8,21 +8,34 @@
 )
 
 const (
-	// maxInfoLinesPerSecond and maxFailureLinesPerSecond are separate limits, so that served requests do not suppress
-	// failures. At the design load a node serves 16 requests per second.
+	// Separate limits by kind of line, so that served requests do not suppress failures, nor the failures of an overload
+	// the changes of state that explain them. At the design load a node serves 16 requests per second.
 	maxInfoLinesPerSecond    = 60
 	maxFailureLinesPerSecond = 300
+	maxEventLinesPerSecond   = 300
 )
 
+// lineKind is the kind of a log line, which has a limit of its own.
+type lineKind uint8
+
+const (
+	infoLine lineKind = iota
+	failureLine
+	eventLine
+)
+
+var maxLinesPerSecond = [...]int{
+	infoLine: maxInfoLinesPerSecond, failureLine: maxFailureLinesPerSecond, eventLine: maxEventLinesPerSecond,
+}
+
 // rateLimitedLog drops log lines above a limit per second.
 type rateLimitedLog struct {
 	obs   *observer.Observer
 	queue *observer.AsyncWriter
 
-	mu           sync.Mutex
-	second       int64
-	infoLines    int
-	failureLines int
+	mu     sync.Mutex
+	second int64
+	lines  [len(maxLinesPerSecond)]int // in the current second
 }
 
 func newRateLimitedLog(obs *observer.Observer, queue *observer.AsyncWriter) *rateLimitedLog {
@@ -30,38 +43,34 @@
 }
 
 // allow counts a line and reports whether it is within the limit of the current second.
-func (l *rateLimitedLog) allow(isFailure bool) bool {
+func (l *rateLimitedLog) allow(kind lineKind) bool {
 	now := time.Now().Unix()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if now != l.second {
-		l.second, l.infoLines, l.failureLines = now, 0, 0
-	}
-	lines, limit := &l.infoLines, maxInfoLinesPerSecond
-	if isFailure {
-		lines, limit = &l.failureLines, maxFailureLinesPerSecond
+		l.second, l.lines = now, [len(maxLinesPerSecond)]int{}
 	}
-	*lines++
-	return *lines <= limit
+	l.lines[kind]++
+	return l.lines[kind] <= maxLinesPerSecond[kind]
 }
 
 // info logs a request that was served.
-func (l *rateLimitedLog) info(keyvals ...any) { l.write(false, keyvals) }
+func (l *rateLimitedLog) info(keyvals ...any) { l.write(infoLine, keyvals) }
 
 // failure logs a refusal, a retry or an error.
-func (l *rateLimitedLog) failure(keyvals ...any) { l.write(true, keyvals) }
+func (l *rateLimitedLog) failure(keyvals ...any) { l.write(failureLine, keyvals) }
 
-func (l *rateLimitedLog) write(isFailure bool, keyvals []any) {
-	if !l.allow(isFailure) {
+func (l *rateLimitedLog) write(kind lineKind, keyvals []any) {
+	if !l.allow(kind) {
 		l.queue.CountDropped()
 		return
 	}
 	_ = l.obs.Logger.Log(keyvals...)
 }
 
-// event logs a state change and adds it to the timeline, within the limit of failures.
+// event logs a state change and adds it to the timeline.
 func (l *rateLimitedLog) event(msg string, keyvals ...any) {
-	if !l.allow(true) {
+	if !l.allow(eventLine) {
 		l.queue.CountDropped()
 		return
 	}
@@ -70,5 +79,5 @@
 
 // debug logs at level debug, within the limit of info lines.
 func (l *rateLimitedLog) debug(keyvals ...any) {
-	l.write(false, append([]any{"level", "debug"}, keyvals...))
+	l.write(infoLine, append([]any{"level", "debug"}, keyvals...))
 }
--- a/node/log_test.go
+++ b/node/log_test.go
@@ -44,6 +44,24 @@
 	})
 }
 
+// Guards against an overload whose refusals displace the changes of state that explain it.
+func TestFailuresDoNotSuppressEvents(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out strings.Builder
+		queue := observer.NewAsyncWriter(&out)
+		log := newRateLimitedLog(observer.New(queue, "n"), queue)
+		for range 2 * maxFailureLinesPerSecond {
+			log.failure("msg", "request refused")
+		}
+		for range 2 * maxEventLinesPerSecond {
+			log.event("state in force")
+		}
+		queue.Flush()
+		assert.Equal(t, strings.Count(out.String(), "request refused"), maxFailureLinesPerSecond)
+		assert.Equal(t, strings.Count(out.String(), "state in force"), maxEventLinesPerSecond)
+	})
+}
+
 // Guards against API keys in the log lines of served and refused requests.
 func TestKeysAreNotLogged(t *testing.T) {
 	var out strings.Builder
