Let a message over a slow link take as long as its bytes move

What callers saw: a router never got a new plan, because the message with it took longer than a second: many routers that subscribe at once share the link of one instance. It went on with the plan that it had.

Cause: both ends limited the time of a whole message by the timeout for silence, 1 s, and ended the subscription in its middle. The next one began with its first byte. After that, heartbeats that had waited behind the message counted as a lost quorum.

Found by reading the code; not seen on real processes.

Change: messages are written in pieces of 16 KB, and the timeouts of both ends count from the last piece that moved, up to 30 s for a message. An instance counts as without a quorum when its heartbeats say so for a second, not when there are none. The transporter between control instances gets the same from the messenger.

--- a/adapters/exchanger/client.go
+++ b/adapters/exchanger/client.go
@@ -99,36 +99,29 @@
 // Close ends the subscription.
 func (s *Subscription) Close() { _ = s.conn.Close() }
 
-// Receive passes messages to r until the connection ends, or no message arrives within silenceTimeout, or, if
-// needQuorum, the instance has reported no quorum for silenceTimeout.
+// Receive passes messages to r until the connection ends, or nothing arrives within silenceTimeout, or, if needQuorum,
+// the instance has reported no quorum for silenceTimeout.
 func (s *Subscription) Receive(ctx context.Context, r Receiver, needQuorum bool) error {
 	defer s.Close()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go s.ping(ctx)
 	go s.reportLoads(ctx, r)
-	quorateAt := time.Now()
 	var e messenger.Envelope
 	dec := decoders{heartbeats: heartbeatDecoder{pings: &s.pings}}
 	for {
-		if err := s.receiveWithTimeout(ctx, &e); err != nil {
+		if err := s.conn.ReceiveIntoWithTimeout(ctx, &e, silenceTimeout); err != nil {
 			return err
 		}
-		if err := dispatch(&e, r, &dec, &quorateAt); err != nil {
+		if err := dispatch(&e, r, &dec); err != nil {
 			return err
 		}
-		if needQuorum && time.Since(quorateAt) > silenceTimeout {
+		if needQuorum && dec.heartbeats.hasNoQuorum(time.Now()) {
 			return errNotQuorate
 		}
 	}
 }
 
-func (s *Subscription) receiveWithTimeout(ctx context.Context, e *messenger.Envelope) error {
-	ctx, cancel := context.WithTimeout(ctx, silenceTimeout)
-	defer cancel()
-	return s.conn.ReceiveInto(ctx, e)
-}
-
 // ping sends periodic messages, so that the instance detects a lost subscriber by its silence, and the subscriber
 // learns how old the confirmations of the instance are.
 func (s *Subscription) ping(ctx context.Context) {
@@ -178,7 +171,7 @@
 	heartbeats heartbeatDecoder
 }
 
-func dispatch(e *messenger.Envelope, r Receiver, dec *decoders, quorateAt *time.Time) error {
+func dispatch(e *messenger.Envelope, r Receiver, dec *decoders) error {
 	switch e.Kind {
 	case kindState:
 		var m stateMessage
@@ -243,11 +236,7 @@
 		if err := e.Decode(&m); err != nil {
 			return err
 		}
-		hb := dec.heartbeats.decode(&m)
-		if hb.Quorate {
-			*quorateAt = time.Now()
-		}
-		r.HeartbeatReceived(hb)
+		r.HeartbeatReceived(dec.heartbeats.decode(time.Now(), &m))
 	}
 	return nil
 }
--- a/adapters/exchanger/wire.go
+++ b/adapters/exchanger/wire.go
@@ -125,11 +125,24 @@
 }
 
 type heartbeatDecoder struct {
-	instances []Contact
-	pings     *sentPings
+	instances     []Contact
+	pings         *sentPings
+	noQuorumSince time.Time
+}
+
+// hasNoQuorum reports whether all heartbeats of the last silenceTimeout reported no quorum. Heartbeats that are late,
+// for example behind a large message, don't count.
+func (d *heartbeatDecoder) hasNoQuorum(now time.Time) bool {
+	return !d.noQuorumSince.IsZero() && now.Sub(d.noQuorumSince) > silenceTimeout
 }
 
-func (d *heartbeatDecoder) decode(m *heartbeatMessage) Heartbeat {
+func (d *heartbeatDecoder) decode(now time.Time, m *heartbeatMessage) Heartbeat {
+	switch {
+	case m.Quorate:
+		d.noQuorumSince = time.Time{}
+	case d.noQuorumSince.IsZero():
+		d.noQuorumSince = now
+	}
 	if !m.SameInstances {
 		d.instances = m.QuorateInstances
 	}
--- a/adapters/messenger/conn.go
+++ b/adapters/messenger/conn.go
@@ -30,6 +30,10 @@
 	// defaultWriteTimeout is longer than the pauses of a busy peer, and short enough that a peer that stopped reading
 	// doesn't block its senders for the duration of a request.
 	defaultWriteTimeout = 5 * time.Second
+	// maxMessageTime bounds the time of one message whose bytes keep moving; the largest one takes it at 2 Mbit/s.
+	maxMessageTime = 30 * time.Second
+	// pieceBytes is the size of the pieces by which the progress of a large message is noticed.
+	pieceBytes = 16 << 10
 	// maxRetainedBufferBytes limits the buffers that a connection reuses for the next message; most are smaller.
 	maxRetainedBufferBytes = 64 << 10
 )
@@ -126,7 +130,8 @@
 	TLSFunc func() *tls.Config
 	Counter *ByteCounter
 	Header  http.Header
-	// WriteTimeout limits one write, after which the connection is closed; 0 means 5 s.
+	// WriteTimeout limits the time in which no part of a message can be written, after which the connection is closed; 0
+	// means 5 s.
 	WriteTimeout time.Duration
 	// OnMessage is called for each message with its size, without the framing; it may be nil.
 	OnMessage func(kind uint8, bytes int, isSent bool)
@@ -249,9 +254,7 @@
 		c.writeBuffer = bytes.Buffer{}
 		return &SizeError{Bytes: n, Limit: c.maxMessageBytes}
 	}
-	c.writeTimer.Reset(c.writeTimeout)
-	err = c.ws.Write(context.Background(), websocket.MessageBinary, c.writeBuffer.Bytes())
-	c.writeTimer.Stop()
+	err = c.write(c.writeBuffer.Bytes())
 	c.onMessage(kind, c.writeBuffer.Len(), true)
 	if c.writeBuffer.Cap() > maxRetainedBufferBytes {
 		c.writeBuffer = bytes.Buffer{}
@@ -259,27 +262,76 @@
 	return err
 }
 
+// write writes one message in pieces, so that a slow link is told apart from a peer that has stopped reading.
+func (c *Conn) write(message []byte) (err error) {
+	deadline := time.Now().Add(maxMessageTime)
+	defer c.writeTimer.Stop()
+	if len(message) <= pieceBytes {
+		c.writeTimer.Reset(c.writeTimeout)
+		return c.ws.Write(context.Background(), websocket.MessageBinary, message)
+	}
+	w, err := c.ws.Writer(context.Background(), websocket.MessageBinary)
+	if err != nil {
+		return err
+	}
+	for rest := message; len(rest) > 0; {
+		c.writeTimer.Reset(min(c.writeTimeout, time.Until(deadline)))
+		n := min(len(rest), pieceBytes)
+		if _, err := w.Write(rest[:n]); err != nil {
+			return err
+		}
+		rest = rest[n:]
+	}
+	return w.Close()
+}
+
 // Receive reads the next message; any error closes the connection.
 func (c *Conn) Receive(ctx context.Context) (e Envelope, err error) {
 	err = c.ReceiveInto(ctx, &e)
 	return e, err
 }
 
-// ReceiveWithTimeout is Receive with a timeout, after which the connection is closed.
-func (c *Conn) ReceiveWithTimeout(ctx context.Context, timeout time.Duration) (Envelope, error) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	return c.Receive(ctx)
+// ReceiveWithTimeout is Receive with a limit on the time in which nothing arrives, after which the connection is
+// closed.
+func (c *Conn) ReceiveWithTimeout(ctx context.Context, timeout time.Duration) (e Envelope, err error) {
+	err = c.ReceiveIntoWithTimeout(ctx, &e, timeout)
+	return e, err
 }
 
+// ReceiveIntoWithTimeout is ReceiveInto with the limit of ReceiveWithTimeout.
+func (c *Conn) ReceiveIntoWithTimeout(ctx context.Context, e *Envelope, timeout time.Duration) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	silence := time.AfterFunc(timeout, func() { cancel(errSilent) })
+	defer silence.Stop()
+	var deadline time.Time // of a message that has begun
+	err := c.receive(ctx, e, func() {
+		if deadline.IsZero() {
+			deadline = time.Now().Add(maxMessageTime)
+		}
+		silence.Reset(min(timeout, time.Until(deadline)))
+	})
+	if err != nil && errors.Is(context.Cause(ctx), errSilent) {
+		return errSilent
+	}
+	return err
+}
+
+// errSilent means that nothing has arrived for the timeout of a receiver, or a message took longer than maxMessageTime.
+var errSilent = errors.New("peer is silent")
+
 // ReceiveInto reads the next message into e and reuses the memory of its body; any error closes the connection.
-func (c *Conn) ReceiveInto(ctx context.Context, e *Envelope) error {
+func (c *Conn) ReceiveInto(ctx context.Context, e *Envelope) error { return c.receive(ctx, e, func() {}) }
+
+// receive reads the next message and calls onProgress whenever a part of it has arrived.
+func (c *Conn) receive(ctx context.Context, e *Envelope, onProgress func()) error {
 	_, r, err := c.ws.Reader(ctx)
 	if err != nil {
 		return err
 	}
+	onProgress()
 	c.readBuffer.Reset()
-	if _, err := c.readBuffer.ReadFrom(r); err != nil {
+	if _, err := c.readBuffer.ReadFrom(&progressReader{r: r, onProgress: onProgress}); err != nil {
 		return fmt.Errorf("read message: %w", err)
 	}
 	err = decodeEnvelope(c.readBuffer.Bytes(), e)
@@ -290,6 +342,21 @@
 	return err
 }
 
+// progressReader calls onProgress after each read that has returned bytes.
+type progressReader struct {
+	r          io.Reader
+	onProgress func()
+}
+
+// Read implements io.Reader.
+func (p *progressReader) Read(b []byte) (int, error) {
+	n, err := p.r.Read(b)
+	if n > 0 {
+		p.onProgress()
+	}
+	return n, err
+}
+
 // Close closes the connection without waiting for the peer.
 func (c *Conn) Close() error {
 	if err := c.ws.CloseNow(); err != nil && !errors.Is(err, net.ErrClosed) && !errors.Is(err, io.EOF) {
