Keep a subscription until another control instance serves better

What callers saw: on 70 real processes at 0.512 and 0.144 of a core, with traffic and no fault injected, a plan of 1,400 routes came into force 3.98 s after its acknowledgement at the last router (bound 3 s); 14 routers took over 2 s.

Cause: a router left its control instance after a second without a quorum or without a message, and connected to the next one, for 0.5 s at most. Saturated instances missed their confirmations for some seconds, so that all their routers left at once and tried eight instances in 4 s, each attempt given up before it was answered. Each router without a subscription also asked all seeds and instances for contacts five times a second on new connections, beside requests that had not been answered. The instances had less time for their quorum, and more routers left.

On the code before, TestRouterKeepsItsInstanceWhileNoneHasAQuorum fails after 3.6 s, TestRouterSubscribesToASlowInstance never gets the plan, and TestDiscoveryWaitsForAnswers counts 15 connections in 3 s where 6 may be.

Change: a router keeps its subscription while it tries another instance, after a second without a message or a quorum, and changes over when one with a quorum has answered. Attempts may take 3 s and overlap, a further one each 0.5 s; attempts to replace a subscription back off to 4 s, at random times. A connection is closed after 3 s without a byte. Discovery has one exchange at a time with each address and slows down to one a second.

TestSubscriptionEndsWithoutQuorum is replaced by TestRouterLeavesAnInstanceWithoutQuorum, which requires what it was for, a router that learns of changes elsewhere, within 4 s instead of 20 s; that the subscription ends before there is another one was the fault.

--- a/adapters/exchanger/client.go
+++ b/adapters/exchanger/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"cactusroute.dev/adapters/messenger"
@@ -38,18 +37,14 @@
 	pings sentPings
 }
 
-// errNotQuorate ends a subscription to a control instance that has lost its quorum.
-var errNotQuorate = errors.New("control instance has no quorum")
-
 // Subscribe connects to a control instance and sends it the endpoints and the evidence known here, because an instance
 // that has just started knows none.
 func Subscribe(ctx context.Context, instance, self Contact, opts messenger.Options, r Receiver,
 	endpoints []registrar.Endpoint, evidence Evidence) (*Subscription, error) {
 	opts.MaxMessageBytes = maxMessageBytes
-	opts.WriteTimeout = silenceTimeout
-	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
-	conn, err := messenger.Dial(dialCtx, instance.Address, SubscriptionPath, opts)
+	opts.WriteTimeout = lostTimeout
+	opts.ConnectTimeout = connectTimeout
+	conn, err := messenger.Dial(ctx, instance.Address, SubscriptionPath, opts)
 	if err != nil {
 		return nil, err
 	}
@@ -99,9 +94,11 @@
 // Close ends the subscription.
 func (s *Subscription) Close() { _ = s.conn.Close() }
 
-// Receive passes messages to r until the connection ends, or nothing arrives within silenceTimeout, or, if needQuorum,
-// the instance has reported no quorum for silenceTimeout.
-func (s *Subscription) Receive(ctx context.Context, r Receiver, needQuorum bool) error {
+// HeardAt returns when the last bytes of the instance arrived.
+func (s *Subscription) HeardAt() time.Time { return s.conn.HeardAt() }
+
+// Receive passes messages to r until the connection ends, or nothing arrives within lostTimeout.
+func (s *Subscription) Receive(ctx context.Context, r Receiver) error {
 	defer s.Close()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -110,15 +107,12 @@
 	var e messenger.Envelope
 	dec := decoders{heartbeats: heartbeatDecoder{pings: &s.pings}}
 	for {
-		if err := s.conn.ReceiveIntoWithTimeout(ctx, &e, silenceTimeout); err != nil {
+		if err := s.conn.ReceiveIntoWithTimeout(ctx, &e, lostTimeout); err != nil {
 			return err
 		}
 		if err := dispatch(&e, r, &dec); err != nil {
 			return err
 		}
-		if needQuorum && dec.heartbeats.hasNoQuorum(time.Now()) {
-			return errNotQuorate
-		}
 	}
 }
 
@@ -236,7 +230,7 @@
 		if err := e.Decode(&m); err != nil {
 			return err
 		}
-		r.HeartbeatReceived(dec.heartbeats.decode(time.Now(), &m))
+		r.HeartbeatReceived(dec.heartbeats.decode(&m))
 	}
 	return nil
 }
--- a/adapters/exchanger/server.go
+++ b/adapters/exchanger/server.go
@@ -88,7 +88,7 @@
 // NewServer returns a server without subscribers.
 func NewServer(opts messenger.Options, source Source) *Server {
 	opts.MaxMessageBytes = maxMessageBytes
-	opts.WriteTimeout = silenceTimeout
+	opts.WriteTimeout = lostTimeout
 	return &Server{opts: opts, source: source, subscribers: map[*subscriber]bool{}}
 }
 
@@ -101,7 +101,7 @@
 	defer func() { _ = conn.Close() }()
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
-	e, err := conn.ReceiveWithTimeout(ctx, silenceTimeout)
+	e, err := conn.ReceiveWithTimeout(ctx, lostTimeout)
 	if err != nil || e.Kind != kindHello {
 		return
 	}
@@ -129,12 +129,12 @@
 }
 
 // receive passes the subscriber's messages to the source until the connection ends or the subscriber is silent for
-// 2*silenceTimeout.
+// lostTimeout.
 func (s *Server) receive(ctx context.Context, sub *subscriber) {
 	var dec loadDecoder
 	queries := make(chan struct{}, maxStreamQueries)
 	for {
-		e, err := sub.conn.ReceiveWithTimeout(ctx, 2*silenceTimeout)
+		e, err := sub.conn.ReceiveWithTimeout(ctx, lostTimeout)
 		if err != nil {
 			return
 		}
--- a/adapters/exchanger/wire.go
+++ b/adapters/exchanger/wire.go
@@ -14,15 +14,15 @@
 	// DiscoveryPath is the HTTP path of a Discovery.
 	DiscoveryPath = "/meet/v1"
 
-	// heartbeatInterval keeps a subscription within silenceTimeout after one lost heartbeat and a late one.
 	heartbeatInterval = 300 * time.Millisecond
 
-	// silenceTimeout is well below 3 s, after which a process is expected to be connected again, so that the subscribers
-	// of a silent instance have moved to another one by then.
-	silenceTimeout = time.Second
+	// lostTimeout is how long a peer may send nothing, or take nothing, before the connection is closed. A process that is
+	// short of processor time is silent for a second or two, and a new connection would cost it even more. Subscribers of
+	// an instance look for another one earlier.
+	lostTimeout = 3 * time.Second
 
-	// dialTimeout bounds one attempt to connect to a control instance; two attempts fit into the same 3 s.
-	dialTimeout = 500 * time.Millisecond
+	// connectTimeout bounds a TCP connect, which the kernel of a running machine answers even if the process is busy.
+	connectTimeout = 500 * time.Millisecond
 
 	// loadInterval is how often routers exchange their requests in flight at each endpoint. A load report takes at most
 	// three hops, and within these 150 ms about two requests reach the primary of a key with a tenth of the traffic.
@@ -125,24 +125,11 @@
 }
 
 type heartbeatDecoder struct {
-	instances     []Contact
-	pings         *sentPings
-	noQuorumSince time.Time
-}
-
-// hasNoQuorum reports whether all heartbeats of the last silenceTimeout reported no quorum. Heartbeats that are late,
-// for example behind a large message, don't count.
-func (d *heartbeatDecoder) hasNoQuorum(now time.Time) bool {
-	return !d.noQuorumSince.IsZero() && now.Sub(d.noQuorumSince) > silenceTimeout
+	instances []Contact
+	pings     *sentPings
 }
 
-func (d *heartbeatDecoder) decode(now time.Time, m *heartbeatMessage) Heartbeat {
-	switch {
-	case m.Quorate:
-		d.noQuorumSince = time.Time{}
-	case d.noQuorumSince.IsZero():
-		d.noQuorumSince = now
-	}
+func (d *heartbeatDecoder) decode(m *heartbeatMessage) Heartbeat {
 	if !m.SameInstances {
 		d.instances = m.QuorateInstances
 	}
--- a/adapters/messenger/conn.go
+++ b/adapters/messenger/conn.go
@@ -130,6 +130,8 @@
 	TLSFunc func() *tls.Config
 	Counter *ByteCounter
 	Header  http.Header
+	// ConnectTimeout limits the TCP connect; 0 leaves only the limit of the whole dial.
+	ConnectTimeout time.Duration
 	// WriteTimeout limits the time in which no part of a message can be written, after which the connection is closed; 0
 	// means 5 s.
 	WriteTimeout time.Duration
@@ -148,6 +150,8 @@
 	writeTimeout    time.Duration
 	onMessage       func(kind uint8, bytes int, isSent bool)
 	readBuffer      bytes.Buffer
+	openedAt        time.Time
+	heardNanos      atomic.Int64 // from openedAt to the last bytes of a message
 
 	mu          sync.Mutex // held while a message is encoded and written
 	writeBuffer bytes.Buffer
@@ -168,7 +172,7 @@
 		opts.TLS = opts.TLSFunc()
 	}
 	var tcp *net.TCPConn
-	d := net.Dialer{}
+	d := net.Dialer{Timeout: opts.ConnectTimeout}
 	transport := &http.Transport{
 		TLSClientConfig: opts.TLS,
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
@@ -215,7 +219,8 @@
 }
 
 func newConn(ws *websocket.Conn, opts Options) *Conn {
-	c := &Conn{ws: ws, maxMessageBytes: opts.MaxMessageBytes, writeTimeout: opts.WriteTimeout, onMessage: opts.OnMessage}
+	c := &Conn{ws: ws, openedAt: time.Now(), maxMessageBytes: opts.MaxMessageBytes, writeTimeout: opts.WriteTimeout,
+		onMessage: opts.OnMessage}
 	if c.onMessage == nil {
 		c.onMessage = func(uint8, int, bool) {}
 	}
@@ -231,6 +236,9 @@
 	return c
 }
 
+// HeardAt returns when the last bytes of a message arrived, or when the connection was opened.
+func (c *Conn) HeardAt() time.Time { return c.openedAt.Add(time.Duration(c.heardNanos.Load())) }
+
 // Header returns the HTTP header that the peer sent when the connection was opened.
 func (c *Conn) Header() http.Header { return c.header }
 
@@ -321,7 +329,9 @@
 var errSilent = errors.New("peer is silent")
 
 // ReceiveInto reads the next message into e and reuses the memory of its body; any error closes the connection.
-func (c *Conn) ReceiveInto(ctx context.Context, e *Envelope) error { return c.receive(ctx, e, func() {}) }
+func (c *Conn) ReceiveInto(ctx context.Context, e *Envelope) error {
+	return c.receive(ctx, e, func() {})
+}
 
 // receive reads the next message and calls onProgress whenever a part of it has arrived.
 func (c *Conn) receive(ctx context.Context, e *Envelope, onProgress func()) error {
@@ -329,9 +339,13 @@
 	if err != nil {
 		return err
 	}
-	onProgress()
+	heard := func() {
+		c.heardNanos.Store(int64(time.Since(c.openedAt)))
+		onProgress()
+	}
+	heard()
 	c.readBuffer.Reset()
-	if _, err := c.readBuffer.ReadFrom(&progressReader{r: r, onProgress: onProgress}); err != nil {
+	if _, err := c.readBuffer.ReadFrom(&progressReader{r: r, onProgress: heard}); err != nil {
 		return fmt.Errorf("read message: %w", err)
 	}
 	err = decodeEnvelope(c.readBuffer.Bytes(), e)
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -170,17 +170,6 @@
 // EndpointsReceived implements exchanger.Source.
 func (f *fleet) EndpointsReceived(list []registrar.Endpoint) { f.mergeEndpoints(list, "subscriber") }
 
-// receiver handles the messages of a subscription to one control instance.
-type receiver struct {
-	fleet    *fleet
-	instance exchanger.Contact
-	// isPeer is set for subscriptions between control instances, which get the replicated state from their own logs.
-	isPeer   bool
-	failBack func() // ends the subscription in favor of one in the router's failure domain
-	// localAvailableSince is when an instance in the router's failure domain became available; zero if none is.
-	localAvailableSince time.Time
-}
-
 // LastReceived implements exchanger.Receiver.
 func (r *receiver) LastReceived() (index, version uint64) {
 	if r.isPeer {
@@ -221,7 +210,7 @@
 
 // Loads implements exchanger.Receiver.
 func (r *receiver) Loads() exchanger.Loads {
-	if r.isPeer {
+	if r.isPeer || !r.isActive() {
 		return nil
 	}
 	return r.fleet.routing.ownLoads()
@@ -231,7 +220,9 @@
 func (r *receiver) LoadsReceived(loads exchanger.Loads) {
 	f := r.fleet
 	if !r.isPeer {
-		f.routing.setTotalLoads(loads)
+		if r.isActive() {
+			f.routing.setTotalLoads(loads)
+		}
 		return
 	}
 	f.mu.Lock()
@@ -266,73 +257,8 @@
 		}
 	}
 	f.mu.Unlock()
-	localAvailable := r.instance.Domain != f.self.Domain &&
-		slices.ContainsFunc(hb.QuorateInstances, func(c exchanger.Contact) bool { return c.Domain == f.self.Domain })
 	f.recordRouterCount(hb.Routers)
-	switch {
-	case r.isPeer || !localAvailable:
-		r.localAvailableSince = time.Time{}
-	case r.localAvailableSince.IsZero():
-		r.localAvailableSince = time.Now()
-	case time.Since(r.localAvailableSince) > failbackDelay:
-		r.failBack()
-	}
-}
-
-// subscribe keeps this router subscribed to a control instance until ctx ends.
-func (f *fleet) subscribe(ctx context.Context) error {
-	for ctx.Err() == nil {
-		c, ok := f.selectInstance()
-		if !ok {
-			sleeper.Pause(ctx, discoveryInterval/2)
-			continue
-		}
-		err := f.runSubscription(ctx, c, false)
-		f.mu.Lock()
-		if inst := f.instances[c.Name]; inst != nil {
-			inst.failedAt = time.Now()
-		}
-		f.subscribedTo = ""
-		f.mu.Unlock()
-		if ctx.Err() == nil {
-			f.log.event("control instance lost", "instance", c.Name, "address", c.Address, "err", err)
-		}
-	}
-	return ctx.Err()
-}
-
-// runSubscription runs one subscription until it fails or ctx ends.
-func (f *fleet) runSubscription(ctx context.Context, c exchanger.Contact, isPeer bool) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	r := &receiver{fleet: f, instance: c, isPeer: isPeer, failBack: cancel}
-	sub, err := exchanger.Subscribe(ctx, c, f.self, f.exchangeOptions, r, f.Endpoints(), f.AllEvidence())
-	if err != nil {
-		return err
-	}
-	f.log.event("control instance found", "instance", c.Name, "address", c.Address)
-	if !isPeer {
-		f.mu.Lock()
-		f.subscribedTo = c.Name
-		f.mu.Unlock()
-		go f.sendSuspectReports(ctx, sub)
-		go f.evidence.report(ctx, sub.ReportEvidence)
-		go f.streams.report(ctx, sub)
-	}
-	return sub.Receive(ctx, r, !isPeer)
-}
-
-func (f *fleet) sendSuspectReports(ctx context.Context, sub *exchanger.Subscription) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case s := <-f.suspectReports:
-			if sub.ReportSuspects(ctx, []exchanger.Suspect{s}) != nil {
-				return
-			}
-		}
-	}
+	r.observe(time.Now(), hb)
 }
 
 // The costs by which control instances are compared, by descending weight: a recent failure, a missing quorum, another
@@ -352,16 +278,16 @@
 	minLoggedSubscription = time.Second
 )
 
-// selectInstance returns the control instance with the lowest cost; ok is false if that cost exceeds maxRetryCost or no
-// instance is known.
-func (f *fleet) selectInstance() (best exchanger.Contact, ok bool) {
+// selectInstance returns the allowed control instance with the lowest cost; ok is false if that cost exceeds
+// maxRetryCost or there is none.
+func (f *fleet) selectInstance(isAllowed func(*knownInstance) bool) (best exchanger.Contact, ok bool) {
 	now := time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	bestCost := 0.0
 	for _, name := range slices.Sorted(maps.Keys(f.instances)) {
 		inst := f.instances[name]
-		if name == f.self.Name {
+		if !isAllowed(inst) {
 			continue
 		}
 		cost := 0.0
@@ -415,7 +341,9 @@
 		f.mu.Lock()
 		c := inst.Contact
 		f.mu.Unlock()
-		err := f.runSubscription(ctx, c, true)
+		r := newReceiver(f, c, nil)
+		r.isPeer = true
+		err := f.runSubscription(ctx, r)
 		f.mu.Lock()
 		expired := f.instances[c.Name] != inst || time.Since(inst.seenAt) > instanceRetention
 		inst.subscribed = !expired
@@ -434,8 +362,10 @@
 // discover exchanges contacts with other nodes while this one is not subscribed to a control instance or has no quorum,
 // and contacts lost subscribers, until ctx ends. The bootstrapper of a first start creates the control group.
 func (f *fleet) discover(ctx context.Context) error {
+	delay := discoveryInterval
 	for ctx.Err() == nil {
-		for _, address := range f.discoveryTargets() {
+		targets, isLost := f.discoveryTargets()
+		for _, address := range targets {
 			go f.exchangeContacts(ctx, address)
 		}
 		if f.control != nil && f.settings.FirstStart && f.discovery.Bootstrapper() == f.self.Name {
@@ -443,7 +373,11 @@
 				c.Bootstrap()
 			}
 		}
-		sleeper.Pause(ctx, discoveryInterval)
+		// Nodes that find nobody look less often, so that many of them don't load the few that could answer.
+		if delay = min(delay*3/2, maxDiscoveryInterval); !isLost {
+			delay = discoveryInterval
+		}
+		sleeper.Pause(ctx, delay)
 	}
 	return ctx.Err()
 }
@@ -451,6 +385,11 @@
 // exchangeContacts exchanges contacts with the node at an address.
 func (f *fleet) exchangeContacts(ctx context.Context, address string) {
 	isQuorate := f.control != nil && f.control.isQuorate()
+	defer func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		delete(f.exchanging, address)
+	}()
 	if err := f.discovery.ExchangeContacts(ctx, address); err != nil {
 		f.log.debug("msg", "contacts not exchanged with node", "address", address, "err", err)
 		return
@@ -465,8 +404,9 @@
 	}
 }
 
-// discoveryTargets returns the addresses of the nodes to exchange contacts with.
-func (f *fleet) discoveryTargets() []string {
+// discoveryTargets returns the addresses of the nodes to exchange contacts with, without those with which an exchange
+// runs; isLost is set if this node knows no control instance with a quorum that serves it.
+func (f *fleet) discoveryTargets() (addresses []string, isLost bool) {
 	withoutQuorum := f.control != nil && !f.control.isQuorate()
 	// The seeds may all be routers that are not subscribed to a control instance themselves.
 	peers := f.discovery.EligibleAddresses()
@@ -474,7 +414,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	targets := map[string]bool{}
-	if withoutQuorum || f.control == nil && f.subscribedTo == "" {
+	if isLost = withoutQuorum || f.control == nil && f.subscribedTo == ""; isLost {
 		for _, s := range append(peers, f.seeds...) {
 			targets[s] = true
 		}
@@ -500,7 +440,11 @@
 		}
 	}
 	delete(targets, f.self.Address)
-	return slices.Sorted(maps.Keys(targets))
+	maps.DeleteFunc(targets, func(address string, _ bool) bool { return f.exchanging[address] })
+	for address := range targets {
+		f.exchanging[address] = true
+	}
+	return slices.Sorted(maps.Keys(targets)), isLost
 }
 
 // lostSubscriberRounds is the number of discovery rounds between two attempts to contact a lost subscriber.
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -21,6 +21,9 @@
 	// discoveryInterval is the pause between two attempts to find a control instance.
 	discoveryInterval = 200 * time.Millisecond
 
+	// maxDiscoveryInterval is the pause that discoveryInterval grows to while no control instance is found.
+	maxDiscoveryInterval = time.Second
+
 	// expiryInterval is how often heartbeats, idle connections, suspects and known instances are checked for expiry.
 	expiryInterval = 500 * time.Millisecond
 
@@ -108,6 +111,7 @@
 	seeds []string
 	// seedsInformedAt is when this control instance, while quorate, last exchanged contacts with an address.
 	seedsInformedAt map[string]time.Time
+	exchanging      map[string]bool // addresses with which an exchange of contacts runs
 	endpoints       *registrar.Registrar
 	received        receivedState // the newest one
 	released        receivedState // the newest one that may be put in force
@@ -156,7 +160,7 @@
 			Domain: s.Place.FailureDomain, Eligible: s.DataFolder != ""},
 		seeds: s.Seeds, endpoints: registrar.New(time.Duration(s.HeartbeatMillis) * time.Millisecond),
 		instances: map[string]*knownInstance{}, subscribers: map[string]*subscriber{},
-		seedsInformedAt: map[string]time.Time{}, suspects: map[uint64]*suspect{},
+		seedsInformedAt: map[string]time.Time{}, exchanging: map[string]bool{}, suspects: map[uint64]*suspect{},
 		evidence: newEvidence(s.Place.Name, s.DataFolder != "", log), started: time.Now()}
 	f.confirmer = confirmer.New(f.started)
 	f.streams = newStreams(s.DataFolder != "", f.started)
--- /dev/null
+++ b/node/subscription_test.go
@@ -0,0 +1,138 @@
+package node
+
+import (
+	"io"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// subscribedInstance returns the instance that a router is subscribed to, or nil.
+func (f *testFleet) subscribedInstance(router *testNode) *testNode {
+	router.fleet.mu.Lock()
+	defer router.fleet.mu.Unlock()
+	for _, n := range f.nodes {
+		if n.settings.Place.Name == router.fleet.subscribedTo {
+			return n
+		}
+	}
+	return nil
+}
+
+// Guards against routers that leave the instance that serves them because it has no quorum, although no other one has:
+// when the instances of a large fleet were short of processor time, all routers left, and their attempts to subscribe
+// took the time that the instances needed to regain the quorum.
+func TestRouterKeepsItsInstanceWhileNoneHasAQuorum(t *testing.T) {
+	f := newTestFleet(t, 3, 1)
+	f.startAll()
+	f.putPlan(1, f.nodes[:3])
+	f.awaitPlan(1, f.nodes)
+	router := f.nodes[3]
+	var instance *testNode
+	eventually(t, "subscription", func() bool {
+		instance = f.subscribedInstance(router)
+		return instance != nil
+	})
+	for _, n := range f.nodes[:3] {
+		if n != instance {
+			n.stop()
+		}
+	}
+	eventually(t, "the quorum is lost", func() bool { return !instance.fleet.control.isQuorate() })
+	for end := time.Now().Add(4 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		assert.Assert(t, f.subscribedInstance(router) == instance, "the router has left its instance")
+	}
+}
+
+// Guards against a router that stays with an instance without a quorum, which learns of no change, while others have
+// one.
+func TestRouterLeavesAnInstanceWithoutQuorum(t *testing.T) {
+	const maxDuration = 4 * time.Second
+	f := newTestFleet(t, 3, 1)
+	full := map[*testNode]*atomic.Bool{}
+	for _, n := range f.nodes {
+		f.startWith(n, f.seeds, true, func(ci *controlInstance) {
+			if ci != nil {
+				full[n] = &atomic.Bool{}
+				ci.fs = faultyDisk{full: full[n]}
+			}
+		})
+	}
+	f.putPlan(1, f.nodes[:3])
+	f.awaitPlan(1, f.nodes)
+	router := f.nodes[3]
+	instance := f.subscribedInstance(router)
+	full[instance].Store(true)
+	start := time.Now()
+	f.putPlan(2, []*testNode{f.nodes[0], f.nodes[1], f.nodes[2]})
+	f.awaitPlan(2, []*testNode{router})
+	assert.Assert(t, time.Since(start) < maxDuration, "%v", time.Since(start))
+	assert.Assert(t, f.subscribedInstance(router) != instance)
+}
+
+// delayingRelay returns the address of a relay to target whose responses arrive after a delay.
+func delayingRelay(t *testing.T, target string, delay time.Duration) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for {
+			client, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = client.Close() }()
+				server, err := net.Dial("tcp", target)
+				if err != nil {
+					return
+				}
+				defer func() { _ = server.Close() }()
+				go func() { _, _ = io.Copy(server, client) }()
+				time.Sleep(delay)
+				_, _ = io.Copy(client, server)
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+// Guards against a router that never subscribes to instances that answer within a second or two, because each of its
+// attempts ends earlier and the next one begins anew.
+func TestRouterSubscribesToASlowInstance(t *testing.T) {
+	const delay = 1200 * time.Millisecond
+	f := newTestFleet(t, 1, 1)
+	f.nodes[0].settings.Listen.Advertise = delayingRelay(t, f.nodes[0].settings.Listen.Exchange, delay)
+	f.start(f.nodes[0], []string{f.nodes[0].settings.Listen.Advertise}, true)
+	f.putPlan(1, f.nodes[:1])
+	f.start(f.nodes[1], f.seeds, false) // contacts the instance without the relay and learns its address
+	f.awaitPlan(1, f.nodes)
+}
+
+// Guards against nodes without a control instance that load those which could answer: each opened five connections a
+// second to each address, although earlier ones had not been answered.
+func TestDiscoveryWaitsForAnswers(t *testing.T) {
+	const duration, maxConns = 3 * time.Second, 6
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = ln.Close() })
+	var conns atomic.Int64
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			conns.Add(1)
+			go func() { _, _ = io.Copy(io.Discard, c) }()
+		}
+	}()
+	f := newTestFleet(t, 0, 1)
+	f.start(f.nodes[0], []string{ln.Addr().String()}, false)
+	time.Sleep(duration)
+	n := conns.Load()
+	assert.Assert(t, n >= 2 && n <= maxConns, "%d connections", n)
+}
