Log when an instance gains or loses the confirmation by a quorum

The logs told neither when a control instance counted as without a quorum, nor why: the lines have the age of the last confirmation, role, term, leader, commit and applied index, and the number of subscribers.

--- a/node/fleet.go
+++ b/node/fleet.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"cactusroute.dev/adapters/committer"
 	"cactusroute.dev/adapters/exchanger"
 	"cactusroute.dev/adapters/messenger"
 	"cactusroute.dev/adapters/sleeper"
@@ -422,9 +423,13 @@
 
 // trackConfirmations records the confirmations of a control instance by the quorum until ctx ends.
 func (f *fleet) trackConfirmations(ctx context.Context) error {
+	wasQuorate := false
 	for ctx.Err() == nil {
-		if c := f.control.replica.Load(); c != nil {
-			if _, at, ok := c.Confirmed(); ok && f.control.isCurrent(at, time.Now()) {
+		c := f.control.replica.Load()
+		isQuorate := false
+		if c != nil {
+			_, at, ok := c.Confirmed()
+			if isQuorate = ok && f.control.isCurrent(at, time.Now()); isQuorate {
 				// Read after the confirmation, so that it includes what the confirmation is about.
 				f.mu.Lock()
 				index := f.received.index
@@ -432,11 +437,31 @@
 				f.confirm(index, at)
 			}
 		}
+		if isQuorate != wasQuorate {
+			wasQuorate = isQuorate
+			f.logQuorum(c, isQuorate)
+		}
 		sleeper.Pause(ctx, confirmationPollInterval)
 	}
 	return ctx.Err()
 }
 
+// logQuorum logs that this instance has gained or lost the confirmation by a quorum; c is nil without an open replica.
+func (f *fleet) logQuorum(c *committer.Committer, isQuorate bool) {
+	msg := "quorum lost"
+	if isQuorate {
+		msg = "quorum confirmed"
+	}
+	keyvals := []any{"confirmedMs", f.viewAge(time.Now()).Milliseconds(), "isOpen", c != nil}
+	if c != nil {
+		s := c.Status()
+		keyvals = append(keyvals, "role", s.Role, "term", s.Term, "leader", s.Leader, "commit", s.Commit,
+			"applied", s.Applied)
+	}
+	local, _ := f.connectedRouters(time.Now())
+	f.log.event(msg, append(keyvals, "subscribers", local)...)
+}
+
 // publishViews decodes released states and puts them in force until ctx ends.
 func (f *fleet) publishViews(ctx context.Context) error {
 	for {
