Take no pause of the process for a suspension of the machine

An instance compares the monotonic clock with the one that counts suspensions. If its process stood still between the two readings, by a signal or for lack of processor time, the pause counted as a suspension, and the total that is remembered stayed too high: a later suspension of up to that length was not noticed, so that a confirmation by the quorum from before it would have counted.

Found by reading; not seen. TestPauseBetweenClockReadingsIsNoSuspension fails with two plain readings: 6 s in place of 5 s.

Change: the monotonic clock is read before and after the other one, again after a pause; if that fails five times, a suspension can't be ruled out, as after an error. The remembered total follows the measured one down.

--- a/node/clock.go
+++ b/node/clock.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"errors"
 	"sync"
 	"time"
 
@@ -43,20 +44,53 @@
 	if total-d.last >= minSuspension {
 		d.resumedAt = now
 	}
-	d.last = max(d.last, total)
+	d.last = total
 	return d.resumedAt, nil
 }
 
+const (
+	// maxClockReadTime is the time between two readings of a clock up to which one of another clock between them is taken
+	// as simultaneous.
+	maxClockReadTime = minSuspension / 10
+
+	// maxClockReads bounds the attempts to read two clocks without a pause of the process between them.
+	maxClockReads = 5
+)
+
+// errClockReads means that the process was interrupted in each attempt to read two clocks at the same time.
+var errClockReads = errors.New("clocks cannot be read without an interruption")
+
 // suspendedTime returns how long the machine was suspended since it was booted.
-func suspendedTime() (time.Duration, error) {
-	var monotonic, boot unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_MONOTONIC, &monotonic); err != nil {
-		return 0, err
+func suspendedTime() (time.Duration, error) { return suspendedTimeBy(readClock) }
+
+func suspendedTimeBy(read func(clock int32) (time.Duration, error)) (time.Duration, error) {
+	for range maxClockReads {
+		before, err := read(unix.CLOCK_MONOTONIC)
+		if err != nil {
+			return 0, err
+		}
+		boot, err := read(unix.CLOCK_BOOTTIME)
+		if err != nil {
+			return 0, err
+		}
+		after, err := read(unix.CLOCK_MONOTONIC)
+		if err != nil {
+			return 0, err
+		}
+		// A pause of the process between the readings looks like a suspension of the machine.
+		if after-before <= maxClockReadTime {
+			return boot - before, nil
+		}
 	}
-	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &boot); err != nil {
+	return 0, errClockReads
+}
+
+func readClock(clock int32) (time.Duration, error) {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(clock, &ts); err != nil {
 		return 0, err
 	}
-	return time.Duration(boot.Nano() - monotonic.Nano()), nil
+	return time.Duration(ts.Nano()), nil
 }
 
 // elapsed returns the time between two readings by the monotonic clock and by the wall clock.
--- a/node/clock_test.go
+++ b/node/clock_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
 	"gotest.tools/v3/assert"
 )
 
@@ -54,3 +55,36 @@
 	assert.NilError(t, err)
 	assert.Assert(t, total >= 0)
 }
+
+// Guards against a pause of the process between its readings of two clocks that counts as a suspension of the machine:
+// the next suspension of up to that length went unnoticed.
+func TestPauseBetweenClockReadingsIsNoSuspension(t *testing.T) {
+	const suspended, pause, total = 5 * time.Second, time.Second, maxClockReads * 3
+	for _, c := range []struct {
+		name    string
+		pauseAt func(reading int) bool
+		err     error
+	}{
+		{"no pause", func(int) bool { return false }, nil},
+		{"between the clocks", func(reading int) bool { return reading == 1 }, nil},
+		{"after the second clock", func(reading int) bool { return reading == 2 }, nil},
+		{"in each attempt", func(reading int) bool { return reading%3 == 1 }, errClockReads},
+	} {
+		monotonic, reading := time.Hour, 0
+		got, err := suspendedTimeBy(func(clock int32) (time.Duration, error) {
+			if c.pauseAt(reading) {
+				monotonic += pause
+			}
+			reading++
+			if clock == unix.CLOCK_BOOTTIME {
+				return monotonic + suspended, nil
+			}
+			return monotonic, nil
+		})
+		assert.Equal(t, err, c.err, c.name)
+		if c.err == nil {
+			assert.Equal(t, got, suspended, c.name)
+		}
+		assert.Assert(t, reading <= total, c.name)
+	}
+}
