Let no late copy of an order undo a newer one

What callers saw: requests reached a failure domain more than 10 s after its withdrawal had been acknowledged.

Cause: an instance took orders while its last confirmation was 1.2 s old, proposed them after their sender had left, and the state machine applied them in the order of their commits. Class: a process acts on an order that is older than what the fleet has acknowledged.

Change: an order about a failure domain first reads the state through a round of the quorum, is dropped if its sender has left by then, and carries the index of the last order about the domain in that state. The state machine keeps this index, also of orders that change nothing, and refuses a command that refers to an older one; its sender gets 503 and sends it again if it still wants it. Plans have versions for this. Entries of earlier releases have no index and are applied as before; while releases are mixed, only the newer one refuses late orders.

Open: an order whose bytes are delayed in the network for longer than its sender waits, while the close of its connection is delayed even longer.

--- a/core/fleetapplier/statemachine_test.go
+++ b/core/fleetapplier/statemachine_test.go
@@ -51,3 +51,44 @@
 	_, isError := m.Apply(1, []byte{0xff}).(error)
 	assert.Assert(t, isError)
 }
+
+// Guards against a late copy of an order about a failure domain that undoes a newer one, which was acknowledged.
+func TestLateOrderDoesNotUndoANewerOne(t *testing.T) {
+	const d = "d"
+	takeOut := func(after uint64) Command { return Command{TakeOutDomain: d, After: &after} }
+	restore := func(after uint64) Command { return Command{RestoreDomain: d, After: &after} }
+	type step struct {
+		command   Command
+		overtaken bool
+		takenOut  bool // afterwards
+	}
+	for _, c := range []struct {
+		name  string
+		steps []step // at indexes 1, 2 and so on
+	}{
+		{"in order", []step{{takeOut(0), false, true}, {restore(1), false, false}, {takeOut(2), false, true}}},
+		{"a return to service after a newer order", []step{
+			{takeOut(0), false, true}, {restore(1), false, false}, {takeOut(2), false, true}, {restore(1), true, true}}},
+		{"a second copy of an order", []step{
+			{takeOut(0), false, true}, {takeOut(0), false, true}, {restore(1), false, false}, {takeOut(0), true, false}}},
+		{"after an order that changed nothing", []step{
+			{takeOut(0), false, true}, {takeOut(1), false, true}, {restore(1), true, true}}},
+		{"without the last order, from an earlier release", []step{
+			{takeOut(0), false, true}, {Command{RestoreDomain: d}, false, false}, {restore(1), false, false},
+			{takeOut(1), true, false}, {takeOut(2), false, true}}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			m := New(func(State) {})
+			for i, s := range c.steps {
+				entry, err := EncodeCommand(s.command)
+				assert.NilError(t, err)
+				_, overtaken := m.Apply(uint64(i+1), entry).(*OvertakenError)
+				assert.Equal(t, overtaken, s.overtaken, "step %d", i+1)
+				assert.Equal(t, m.State().TakenOut[d], s.takenOut, "step %d", i+1)
+			}
+			restored := New(func(State) {})
+			assert.NilError(t, restored.Restore(m.Snapshot()))
+			assert.DeepEqual(t, restored.State(), m.State())
+		})
+	}
+}
--- a/node/control.go
+++ b/node/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -83,17 +84,15 @@
 	if plan.Version <= ci.stateMachine.State().Plan.Version {
 		return nil // the same or a newer version is committed
 	}
-	return f.proposeCommand(ctx, ci, "plan", plan.Version,
+	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
+	defer cancel()
+	err = ci.propose(ctx,
 		fleetapplier.Command{Plan: &fleetapplier.EncodedPlan{Version: plan.Version, Content: content}})
+	return f.logOrder("plan", plan.Version, err)
 }
 
-// proposeCommand commits an operator's command and logs the result.
-func (f *fleet) proposeCommand(
-	ctx context.Context, ci *controlInstance, name string, value any, cmd fleetapplier.Command,
-) error {
-	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
-	defer cancel()
-	err := ci.propose(ctx, cmd)
+// logOrder logs the result of an operator's order and returns it.
+func (f *fleet) logOrder(name string, value any, err error) error {
 	if err != nil {
 		f.log.failure("msg", "operator order not acknowledged", "order", name, "value", value, "err", err)
 		return err
@@ -135,7 +134,29 @@
 	if err != nil {
 		return err
 	}
-	return f.proposeCommand(ctx, ci, name, domain, cmd)
+	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
+	defer cancel()
+	return f.logOrder(name, domain, commitDomainCommand(ctx, ci, domain, cmd))
+}
+
+// commitDomainCommand commits an order about a failure domain unless a newer one has been committed. This process may
+// have stood still before it read the order, while its sender went on to another instance: the state that the order
+// refers to is read by a round of the quorum, after which a sender that has left is noticed.
+func commitDomainCommand(ctx context.Context, ci *controlInstance, domain string, cmd fleetapplier.Command) error {
+	s, err := ci.read(ctx)
+	if err != nil {
+		return err
+	}
+	if err := ctx.Err(); err != nil {
+		return &UnavailableError{Reason: "the sender of the order has left: " + err.Error()}
+	}
+	after := s.Orders[domain]
+	cmd.After = &after
+	err = ci.propose(ctx, cmd)
+	if overtaken := (*fleetapplier.OvertakenError)(nil); errors.As(err, &overtaken) {
+		return &UnavailableError{Reason: err.Error()}
+	}
+	return err
 }
 
 // Register implements Control. A draining endpoint is acknowledged only by a quorate instance, because the
