Compress large entries between control instances and resend them less often

What callers saw: with plans of 1.1 MB and 10 Mbit/s to and from each control instance, 70 real processes, no fault and no traffic, acknowledgements took 8.3 to 10.5 s and versions were not in force 3 s after them at 20 routers (88 findings of the soaker in 20 s; a plan of 0.25 MB had none).

Cause: an entry of a megabyte takes 0.87 s on that link. The leader sent an append that was not acknowledged within 0.36 s again, whole, and so did an instance with a proposal after a second. Heartbeats waited behind the copies, the followers' election timeout passed, and the next leader began anew: 11 terms in 29 s.

Change: connections between control instances compress messages from 8 KB on, which both ends negotiate, so that releases can be mixed; plans shrink to a tenth.

TestLargeMessagesAreCompressedIfBothEndsDo needs the new option.

--- a/adapters/committer/committer.go
+++ b/adapters/committer/committer.go
@@ -78,6 +78,10 @@
 	// resubmitInterval is the time after which a proposal without a result is sent again, possibly to a new leader.
 	resubmitInterval = time.Second
 
+	// maxResubmitDoublings bounds the growth of resubmitInterval, which doubles with each copy, so that copies of a large
+	// proposal don't hold up the first one.
+	maxResubmitDoublings = 3
+
 	// maxBatchInputs and maxBatchBytes limit the inputs that share one sync.
 	maxBatchInputs = 1024
 	maxBatchBytes  = 8 << 20
@@ -162,6 +166,7 @@
 	change      *replicator.Change
 	submittedAt time.Time
 	sentAt      time.Time // zero means to send at the next tick
+	resubmits   int       // to the same leader without a result
 	sent        bool
 	done        chan outcome // buffered for one
 	abandoned   atomic.Bool  // the caller has returned
--- a/adapters/committer/proposals.go
+++ b/adapters/committer/proposals.go
@@ -128,7 +128,10 @@
 		switch {
 		case prop.abandoned.Load():
 			delete(c.pending, tag)
-		case now.Sub(prop.sentAt) >= resubmitInterval:
+		case now.Sub(prop.sentAt) >= resubmitInterval<<min(prop.resubmits, maxResubmitDoublings):
+			if !prop.sentAt.IsZero() {
+				prop.resubmits++
+			}
 			if in := c.submit(prop); in != nil {
 				inputs = append(inputs, in)
 			}
--- a/adapters/messenger/conn.go
+++ b/adapters/messenger/conn.go
@@ -34,6 +34,8 @@
 	maxMessageTime = 30 * time.Second
 	// pieceBytes is the size of the pieces by which the progress of a large message is noticed.
 	pieceBytes = 16 << 10
+	// compressedBytes is the size from which compression saves more time on the link than it takes.
+	compressedBytes = 8 << 10
 	// maxRetainedBufferBytes limits the buffers that a connection reuses for the next message; most are smaller.
 	maxRetainedBufferBytes = 64 << 10
 )
@@ -130,6 +132,8 @@
 	TLSFunc func() *tls.Config
 	Counter *ByteCounter
 	Header  http.Header
+	// Compress compresses messages from compressedBytes on if the peer does the same.
+	Compress bool
 	// ConnectTimeout limits the TCP connect; 0 leaves only the limit of the whole dial.
 	ConnectTimeout time.Duration
 	// WriteTimeout limits the time in which no part of a message can be written, after which the connection is closed; 0
@@ -141,6 +145,13 @@
 	Clock Clock
 }
 
+func (o *Options) compressionMode() websocket.CompressionMode {
+	if o.Compress {
+		return websocket.CompressionNoContextTakeover
+	}
+	return websocket.CompressionDisabled
+}
+
 // Conn is a connection that carries envelopes. Send is safe for concurrent use; Receive is not.
 type Conn struct {
 	ws              *websocket.Conn
@@ -192,8 +203,10 @@
 		scheme = "wss"
 	}
 	ws, resp, err := websocket.Dial(ctx, scheme+"://"+addr+path, &websocket.DialOptions{
-		HTTPClient: &http.Client{Transport: transport},
-		HTTPHeader: opts.Header,
+		HTTPClient:           &http.Client{Transport: transport},
+		HTTPHeader:           opts.Header,
+		CompressionMode:      opts.compressionMode(),
+		CompressionThreshold: compressedBytes,
 	})
 	if resp != nil && resp.Body != nil {
 		_ = resp.Body.Close()
@@ -209,7 +222,8 @@
 
 // Accept upgrades an HTTP request of the peer; headers that are already set in w are sent with the response.
 func Accept(w http.ResponseWriter, r *http.Request, opts Options) (*Conn, error) {
-	ws, err := websocket.Accept(w, r, nil)
+	ws, err := websocket.Accept(w, r,
+		&websocket.AcceptOptions{CompressionMode: opts.compressionMode(), CompressionThreshold: compressedBytes})
 	if err != nil {
 		return nil, fmt.Errorf("accept connection from %s: %w", r.RemoteAddr, err)
 	}
--- a/adapters/messenger/conn_test.go
+++ b/adapters/messenger/conn_test.go
@@ -148,3 +148,35 @@
 		}
 	}
 }
+
+// Guards against large messages that are not compressed, which fill a slow link, and against a peer of an earlier
+// release, which does not compress.
+func TestLargeMessagesAreCompressedIfBothEndsDo(t *testing.T) {
+	text := strings.Repeat(`{"host":"h.example","prefix":"/route/","service":"s"},`, 20_000)
+	for _, c := range []struct {
+		dialer, acceptor bool
+		minBytes         int
+		maxBytes         int
+	}{
+		{true, true, 0, len(text) / 10},
+		{true, false, len(text), 2 * len(text)},
+		{false, true, len(text), 2 * len(text)},
+	} {
+		received := make(chan string, 1)
+		addr := serve(t, Options{Compress: c.acceptor}, func(conn *Conn) {
+			e, err := conn.Receive(context.Background())
+			var m textMessage
+			if err == nil && e.Decode(&m) == nil {
+				received <- m.Text
+			}
+		})
+		counter := &ByteCounter{}
+		conn, err := Dial(t.Context(), addr, "/", Options{Compress: c.dialer, Counter: counter})
+		assert.NilError(t, err)
+		assert.NilError(t, conn.Send(t.Context(), 1, 1, &textMessage{Text: text}))
+		assert.Equal(t, <-received, text)
+		n := int(counter.Out.Load())
+		assert.Assert(t, n >= c.minBytes && n <= c.maxBytes, "%+v: %d of %d bytes", c, n, len(text))
+		_ = conn.Close()
+	}
+}
--- a/adapters/transporter/transporter.go
+++ b/adapters/transporter/transporter.go
@@ -106,6 +106,7 @@
 // New returns a transporter that calls receive for each message on the goroutine of its connection.
 func New(name string, opts messenger.Options, receive func(Message)) *Transporter {
 	opts.MaxMessageBytes = maxMessageBytes
+	opts.Compress = true // entries with a plan are text and shrink to a tenth
 	return &Transporter{name: name, opts: opts, receive: receive, links: map[string]*link{}}
 }
 
--- a/core/replicator/leader.go
+++ b/core/replicator/leader.go
@@ -5,9 +5,15 @@
 	"time"
 )
 
-// resendAfterHeartbeats is the number of heartbeat intervals after which an unacknowledged append or snapshot piece is
-// resent.
-const resendAfterHeartbeats = 3
+const (
+	// resendAfterHeartbeats is the number of heartbeat intervals after which an unacknowledged append or snapshot piece is
+	// resent.
+	resendAfterHeartbeats = 3
+
+	// maxResendDoublings bounds the growth of that time, which doubles with each resend without progress: copies of large
+	// entries would fill a slow link and hold up the heartbeats behind them.
+	maxResendDoublings = 3
+)
 
 // leaderState is the volatile state of a leader.
 type leaderState struct {
@@ -27,6 +33,7 @@
 	probing         bool // sends one append at a time until the matching position is found
 	inflight        []uint64
 	lastAdvance     time.Time // time of the last new acknowledgement or resend
+	resends         int       // since the last new acknowledgement or the follower's return
 	lastContact     time.Time
 	ackedRound      uint64
 	pendingSnapshot *SnapshotMeta // snapshot that is being sent
@@ -324,7 +331,7 @@
 // sendAppends sends entries up to the limit of unacknowledged appends, and resends after a timeout.
 func (r *Replica) sendAppends(id string, p *progress) {
 	unacknowledged := len(p.inflight) > 0 || p.pendingSnapshot != nil
-	if unacknowledged && r.now.Sub(p.lastAdvance) > resendAfterHeartbeats*r.cfg.HeartbeatInterval {
+	if unacknowledged && r.now.Sub(p.lastAdvance) > r.resendTimeout(p) {
 		r.resend(id, p)
 		return
 	}
@@ -335,6 +342,10 @@
 	}
 }
 
+func (r *Replica) resendTimeout(p *progress) time.Duration {
+	return resendAfterHeartbeats * r.cfg.HeartbeatInterval << min(p.resends, maxResendDoublings)
+}
+
 func (r *Replica) inflightLimit(p *progress) int {
 	if p.probing {
 		return 1
@@ -376,6 +387,7 @@
 // resend restarts from the last acknowledged position.
 func (r *Replica) resend(id string, p *progress) {
 	p.lastAdvance = r.now
+	p.resends++
 	if p.pendingSnapshot != nil {
 		r.sendPiece(id, p)
 		return
@@ -393,6 +405,9 @@
 	if p == nil {
 		return
 	}
+	if !r.isReachable(p) {
+		p.resends = 0 // what was sent meanwhile is lost
+	}
 	p.lastContact = r.now
 	switch m.Kind {
 	case MsgAppendReply:
@@ -402,7 +417,7 @@
 	case MsgSnapshotReply:
 		if p.pendingSnapshot != nil && m.Snapshot != nil && m.Snapshot.Index == p.pendingSnapshot.Index &&
 			m.Offset != p.snapshotOffset {
-			p.snapshotOffset, p.lastAdvance = m.Offset, r.now
+			p.snapshotOffset, p.lastAdvance, p.resends = m.Offset, r.now, 0
 			r.sendPiece(m.From, p)
 		}
 	case MsgRead:
@@ -421,7 +436,7 @@
 		return
 	}
 	if m.Index > p.match {
-		p.match, p.lastAdvance = m.Index, r.now
+		p.match, p.lastAdvance, p.resends = m.Index, r.now, 0
 	}
 	if p.pendingSnapshot != nil && m.Index >= p.pendingSnapshot.Index {
 		p.pendingSnapshot, p.probing = nil, false
