Send nothing to endpoints that ask for a pause with Retry-After

An endpoint that turns a request away with 503 may name in Retry-After the seconds for which it wants nothing from this node. The node read the header nowhere: it went on to choose the endpoint for first attempts, retries and resumed streams, and callers were told to come back after 0.2 to 0.7 s although every endpoint had asked for longer, or were given the endpoint's own time although another endpoint would have served them.

Every path of the choice asks checkAdmission, so that neither the load bound, the avoided endpoints, affinity nor cold starts get past it, and the waiting requests ask again. An endpoint that declines counts as no capacity. A request that was given its endpoint before is withdrawn after its connection was opened (Request.MaySend): that may take 0.5 s, and the endpoint would get it after its answer.

If all endpoints, or all of a stream's software version, are quiet, requests are refused at once with 503 ("quiet"; nothing was sent) and the time until the first is back, 30 s at most, plus up to 0.5 s. The Retry-After of a 503 that is passed on is replaced by that.

--- a/adapters/forwarder/exchange.go
+++ b/adapters/forwarder/exchange.go
@@ -30,8 +30,13 @@
 	// another request.
 	IDHeader string
 	ID       string
+	// MaySend is asked once a connection is open, if it is set. Nothing is sent if it returns false.
+	MaySend func() bool
 }
 
+// ErrWithdrawn is the cause of an *Error if MaySend has returned false.
+var ErrWithdrawn = errors.New("request withdrawn before it was sent")
+
 // Response is the response of an endpoint. The caller must close its body.
 type Response struct {
 	Status int
@@ -55,6 +60,10 @@
 	if err != nil {
 		return nil, &Error{Outcome: NotSent, Cause: err}
 	}
+	if r.MaySend != nil && !r.MaySend() {
+		p.close(c)
+		return nil, &Error{Outcome: NotSent, Cause: ErrWithdrawn}
+	}
 	x := &exchange{pool: p, conn: c, written: make(chan struct{}), deadline: r.Deadline}
 	_ = c.SetDeadline(r.Deadline)
 	x.stopCancelHook = context.AfterFunc(ctx, x.cancel)
--- a/adapters/forwarder/forwarder_test.go
+++ b/adapters/forwarder/forwarder_test.go
@@ -145,6 +145,32 @@
 	assert.Equal(t, p.DialCount(), uint64(2))
 }
 
+// Guards against a request that is sent although it was withdrawn, and against one that counts as sent.
+func TestWithdrawnRequestIsNotSent(t *testing.T) {
+	var received atomic.Int64
+	address := serve(t, func(_ int, c net.Conn, br *bufio.Reader) {
+		for r, _ := readRequest(br); r != nil; r, _ = readRequest(br) {
+			received.Add(1)
+			_, _ = io.WriteString(c, formatResponse(r.Header.Get("X-Id"), ""))
+		}
+	})
+	p := NewPool(DefaultLimits())
+	for i, maySend := range []bool{false, true, false} { // on a new, a new and a kept connection
+		r := newRequest(address, strconv.Itoa(i), nil)
+		r.MaySend = func() bool { return maySend }
+		if maySend {
+			sendAndRead(t, p, r)
+			continue
+		}
+		_, err := p.Send(t.Context(), r)
+		var sendErr *Error
+		assert.Assert(t, errors.As(err, &sendErr) && errors.Is(err, ErrWithdrawn), "%v", err)
+		assert.Equal(t, sendErr.Outcome, NotSent)
+		assert.Equal(t, openCount(p, address), 0)
+	}
+	assert.Equal(t, received.Load(), int64(1))
+}
+
 // Guards against truncated responses that look complete, and against a request that may have been executed but is
 // reported as not sent.
 func TestMalformedResponses(t *testing.T) {
--- a/core/chooser/chooser.go
+++ b/core/chooser/chooser.go
@@ -105,7 +105,9 @@
 // The reasons for which no endpoint is selected.
 const (
 	NoEndpoint        Reason = "the service has no endpoint in service"
+	AllLeaving        Reason = "every endpoint has told that it leaves"
 	NoVersion         Reason = "the service has no endpoint in service of the software version that began the stream"
+	AllQuiet          Reason = "every endpoint has asked for no requests for some time"
 	AllTried          Reason = "every endpoint was already tried"
 	ColdRateExhausted Reason = "the rate limit of cold endpoints is exhausted"
 	AllAtCapacity     Reason = "every endpoint has as many requests as it can answer in time"
@@ -146,6 +148,7 @@
 	limitedAttempts     decayingCount // requests considered for it while nothing is known of the other routers
 	firstAttempts       []time.Time   // requests of this router for which it ranks first, within wantedWindow
 	otherAttempts       decayingCount // those that endpoints of a higher rank did not accept
+	said                *statement    // nil unless it leaves or has asked for quiet
 }
 
 // history is what a router remembers of its requests for a service.
@@ -174,6 +177,9 @@
 	pools    map[string]*pool
 	iterator placer.MemberIterator
 
+	statements map[string]*statement // by endpoint ID
+	ended      []EndedStatement      // since the last call of EndedStatements
+
 	candidates []candidate // buffer of chooseByAffinity and chooseByLoad
 
 	remoteAt       time.Time     // when the loads of the other routers were received
@@ -185,7 +191,7 @@
 // New returns a chooser without endpoints for the named router in a failure domain.
 func New(limits Limits, name, domain string) *Chooser {
 	return &Chooser{limits: limits, name: name, domain: domain, routers: 1, byID: map[string]*endpoint{},
-		pools: map[string]*pool{}}
+		pools: map[string]*pool{}, statements: map[string]*statement{}}
 }
 
 // RecordRestart records that an earlier process of this router may have sent requests that this one does not know.
@@ -210,6 +216,7 @@
 		c.byID[e.ID] = known
 		membersByService[e.Service] = append(membersByService[e.Service], placer.Endpoint{Name: e.ID})
 	}
+	c.updateStatements(now)
 	oldPools := c.pools
 	c.pools = make(map[string]*pool, len(membersByService))
 	for service, members := range membersByService {
@@ -269,12 +276,19 @@
 
 // checkAdmission returns the reason why the endpoint can't receive the request at any load, or "" if it can.
 func (c *Chooser) checkAdmission(now time.Time, q Query, e *endpoint) Reason {
+	said := e.said.refusal(now)
+	if said == AllLeaving {
+		return said
+	}
 	if !e.inService {
 		return NoEndpoint
 	}
 	if q.isOtherVersion(e) {
 		return NoVersion
 	}
+	if said != "" {
+		return said
+	}
 	for _, id := range q.Tried {
 		if id == e.ID {
 			return AllTried
@@ -325,7 +339,7 @@
 	for _, e := range p.endpoints {
 		n := e.load(now, c.remoteAt)
 		l.total += n
-		if e.inService {
+		if e.accepts(now) {
 			inService += n
 			slots += e.Slots
 		}
@@ -426,7 +440,7 @@
 			break
 		}
 		e := p.endpoints[i]
-		if e.inService && !q.isOtherVersion(e) {
+		if e.accepts(now) && !q.isOtherVersion(e) {
 			rank++
 		}
 		if r := c.checkAdmission(now, q, e); r != "" {
@@ -556,7 +570,8 @@
 }
 
 func reasonPrecedence(r Reason) int {
-	return slices.Index([]Reason{NoEndpoint, NoVersion, AllTried, RateLimited, AllAtCapacity, ColdRateExhausted}, r)
+	return slices.Index([]Reason{NoEndpoint, AllLeaving, NoVersion, AllQuiet, AllTried, RateLimited, AllAtCapacity,
+		ColdRateExhausted}, r)
 }
 
 // cacheSource returns the endpoint that is expected to cache the shared parts of the prompt: the highest-ranked one
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -457,6 +457,7 @@
 	if len(changed) > 0 {
 		f.publishEndpoints(changed, "noHeartbeat")
 	}
+	f.logEndedStatements(now)
 	f.evidence.expire(now)
 	f.streams.expire(now)
 	if f.control != nil {
--- a/node/log_test.go
+++ b/node/log_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"cactusroute.dev/adapters/observer"
+	"cactusroute.dev/core/chooser"
 	"cactusroute.dev/core/registrar"
 )
 
@@ -80,6 +81,10 @@
 		p.call(t, "GET", "/safe/", "")
 	}
 	p.call(t, "GET", "/safe/", "", "Api-Key", "wrong")
+	p.fleet.routing.withChooser(func(ch *chooser.Chooser) {
+		ch.RecordLeaving(time.Now(), e)
+		ch.RecordQuiet(time.Now(), e, time.Minute)
+	})
 	f := newTestFleet(t, 1, 0)
 	f.startAll()
 	f.putPlan(1, f.nodes)
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -156,7 +156,7 @@
 type routingCollector struct {
 	routing *routingState
 
-	load, reportedLoad, reportAge, coldSent, rateLimit, sent, retryBudget *prometheus.Desc
+	load, reportedLoad, reportAge, coldSent, rateLimit, sent, quiet, leaving, retryBudget *prometheus.Desc
 }
 
 func newRoutingCollector(r *routingState) *routingCollector {
@@ -176,6 +176,10 @@
 			"Requests per second that the endpoint has said that it takes; absent without a limit.", "service", "endpoint"),
 		sent: desc("cactusroute_endpoint_sent",
 			"Requests that this node sent within the last two seconds to an endpoint with a rate limit.", "service", "endpoint"),
+		quiet: desc("cactusroute_endpoint_quiet_seconds",
+			"Time for which the endpoint wants no requests of this node; absent if it does not.", "service", "endpoint"),
+		leaving: desc("cactusroute_endpoint_leaving",
+			"1 for an endpoint that has told this node that it leaves; absent for others.", "service", "endpoint"),
 		retryBudget: desc("cactusroute_repeat_budget_left", "Retries that remain to this node in the current window.",
 			"service"),
 	}
@@ -184,7 +188,7 @@
 // Describe implements prometheus.Collector.
 func (c *routingCollector) Describe(ch chan<- *prometheus.Desc) {
 	for _, d := range []*prometheus.Desc{c.load, c.reportedLoad, c.reportAge, c.coldSent, c.rateLimit, c.sent,
-		c.retryBudget} {
+		c.quiet, c.leaving, c.retryBudget} {
 		ch <- d
 	}
 }
@@ -210,6 +214,14 @@
 			gauge(c.sent, float64(l.Sent))
 		}
 	}
+	for _, s := range c.routing.statements(now) {
+		if d := s.QuietUntil.Sub(now); d > 0 {
+			ch <- prometheus.MustNewConstMetric(c.quiet, prometheus.GaugeValue, d.Seconds(), s.Service, s.ID)
+		}
+		if s.IsLeaving {
+			ch <- prometheus.MustNewConstMetric(c.leaving, prometheus.GaugeValue, 1, s.Service, s.ID)
+		}
+	}
 	for service, left := range budgets {
 		ch <- prometheus.MustNewConstMetric(c.retryBudget, prometheus.GaugeValue, left, service)
 	}
--- a/node/proxy.go
+++ b/node/proxy.go
@@ -345,7 +345,7 @@
 		header[p.dialect.Headers.RequestID] = []string{q.id}
 	}
 	if ref.retryAfter > 0 {
-		header.Set("Retry-After", strconv.FormatFloat(ref.retryAfter.Seconds(), 'f', 2, 64))
+		header.Set(retryAfterHeader, formatRetryAfter(ref.retryAfter))
 	}
 	header.Set("Content-Type", "text/plain; charset=utf-8")
 	w.WriteHeader(ref.status)
--- /dev/null
+++ b/node/quiet.go
@@ -0,0 +1,111 @@
+package node
+
+import (
+	"errors"
+	"math"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"cactusroute.dev/adapters/forwarder"
+	"cactusroute.dev/core/chooser"
+)
+
+const (
+	retryAfterHeader = "Retry-After"
+
+	// maxQuietRetryAfter bounds the Retry-After of a request that all endpoints decline: endpoints that start again or are
+	// added end the quiet time before its end.
+	maxQuietRetryAfter = 30 * time.Second
+
+	// maxLoggedValueBytes bounds the value of an endpoint's header in a log line.
+	maxLoggedValueBytes = 64
+)
+
+// recordStatements records that an endpoint wants no requests of this node for some time.
+func (t *transfer) recordStatements(c chooser.Choice, resp *forwarder.Response) {
+	h := &t.proxy.dialect.Headers
+	values := resp.Header[retryAfterHeader]
+	if resp.Status != http.StatusServiceUnavailable || len(values) == 0 {
+		return
+	}
+	quiet, valid := parseRetryAfter(values)
+	if !valid {
+		t.proxy.log.failure("msg", "invalid quiet time of endpoint", "request", t.request.id,
+			"endpoint", describeEndpoint(&c.Endpoint), "value", loggedValue(values))
+	}
+	now := time.Now()
+	var until time.Time
+	var isNew bool
+	t.proxy.fleet.routing.withChooser(func(ch *chooser.Chooser) {
+		until, isNew = ch.RecordQuiet(now, c.Endpoint, quiet)
+	})
+	if isNew {
+		t.proxy.fleet.log.event("endpoint wants no requests", "request", t.request.id,
+			"endpoint", describeEndpoint(&c.Endpoint), "value", loggedValue(values), "forMs", until.Sub(now).Milliseconds(),
+			"notRun", resp.Header.Get(h.NotRun) != "")
+	}
+}
+
+// parseRetryAfter returns the longest time in the values of a Retry-After header, in seconds; valid is false if a value
+// is not a number of seconds.
+func parseRetryAfter(values []string) (longest time.Duration, valid bool) {
+	valid = true
+	for _, list := range values {
+		for value := range strings.SplitSeq(list, ",") {
+			n, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
+			isTooLarge := errors.Is(err, strconv.ErrRange) && n > 0
+			if err != nil && !isTooLarge || err == nil && (math.IsNaN(n) || math.IsInf(n, 0)) || n < 0 {
+				valid = false
+				continue
+			}
+			d := time.Duration(math.MaxInt64)
+			if n < d.Seconds() {
+				d = time.Duration(n * float64(time.Second))
+			}
+			longest = max(longest, d)
+		}
+	}
+	return longest, valid
+}
+
+func formatRetryAfter(d time.Duration) string { return strconv.FormatFloat(d.Seconds(), 'f', 2, 64) }
+
+func loggedValue(values []string) string {
+	s := strings.Join(values, ",")
+	return s[:min(len(s), maxLoggedValueBytes)]
+}
+
+// retryAfter returns after which time an endpoint may serve the request: if all of them are quiet, when the first one
+// takes requests again, with a random time in addition, so that callers refused together do not retry together.
+func (t *transfer) retryAfter() time.Duration {
+	now := time.Now()
+	var until time.Time
+	var isQuiet bool
+	t.proxy.fleet.routing.withChooser(func(ch *chooser.Chooser) { until, isQuiet = ch.QuietUntil(now, t.query()) })
+	if !isQuiet {
+		return retryAfter()
+	}
+	return min(max(until.Sub(now), minRetryAfter), maxQuietRetryAfter) + rand.N(maxRetryAfter-minRetryAfter)
+}
+
+// replaceRetryAfter replaces, in a response that is passed on, the time for which the endpoint that sent it wants no
+// requests of this node: another endpoint may serve the caller before.
+func (t *transfer) replaceRetryAfter(status int, header http.Header) {
+	if _, ok := header[retryAfterHeader]; ok && status == http.StatusServiceUnavailable {
+		header.Set(retryAfterHeader, formatRetryAfter(t.retryAfter()))
+	}
+}
+
+// logEndedStatements logs that endpoints take requests of this node again.
+func (f *fleet) logEndedStatements(now time.Time) {
+	var ended []chooser.EndedStatement
+	f.routing.withChooser(func(ch *chooser.Chooser) { ended = ch.EndedStatements(now) })
+	for i := range ended {
+		e := &ended[i]
+		f.log.event("statement of endpoint has ended", "endpoint", e.ID, "service", e.Service, "born", e.Born,
+			"leaving", e.IsLeaving, "quiet", !e.QuietUntil.IsZero(), "cause", e.Cause)
+	}
+}
--- a/node/transfer.go
+++ b/node/transfer.go
@@ -159,16 +159,21 @@
 	return ref
 }
 
+func (t *transfer) query() chooser.Query {
+	q := t.request
+	return chooser.Query{Service: q.service, Parts: q.promptParts, Tried: t.tried, Random: rand.Float64(),
+		Priority: q.priority, Version: t.version, IsResumed: t.hasBegun}
+}
+
 // choose selects an endpoint, and waits up to chooseTimeout if none is available.
 func (t *transfer) choose(ctx context.Context) (chooser.Choice, chooser.Reason) {
-	q := t.request
 	start := time.Now()
 	until := start.Add(chooseTimeout)
 	for {
 		now := time.Now()
-		c, reason := t.proxy.fleet.routing.choose(now, chooser.Query{Service: q.service, Parts: q.promptParts, Tried: t.tried,
-			Random: rand.Float64(), Priority: q.priority, Version: t.version, IsResumed: t.hasBegun})
-		isFinal := reason == "" || reason == chooser.AllTried || reason == chooser.RateLimited || reason == chooser.NoVersion
+		c, reason := t.proxy.fleet.routing.choose(now, t.query())
+		isFinal := reason == "" || reason == chooser.AllTried || reason == chooser.RateLimited ||
+			reason == chooser.NoVersion || reason == chooser.AllQuiet || reason == chooser.AllLeaving
 		if isFinal || now.After(until) || isDisconnected(ctx) {
 			t.proxy.metrics.waitTime.Observe(now.Sub(start).Seconds())
 			return c, reason
@@ -194,6 +199,10 @@
 	switch cause {
 	case chooser.AllAtCapacity:
 		reason, after = "overload", overloadRetryAfter()
+	case chooser.AllLeaving:
+		reason, after = "leaving", overloadRetryAfter()
+	case chooser.AllQuiet:
+		reason, after = "quiet", t.retryAfter()
 	case chooser.RateLimited:
 		overload := 1.0
 		t.proxy.fleet.routing.withChooser(func(ch *chooser.Chooser) { overload = ch.RateOverload(t.request.service.Name) })
@@ -257,7 +266,7 @@
 	}
 	return &forwarder.Request{Address: c.Endpoint.Address, Method: q.inbound.Method, Target: q.inbound.RequestURI,
 		Host: q.inbound.Host, Header: header, Body: q.body, Deadline: q.deadline, FreshConn: !q.route.CanRetry(),
-		IDHeader: h.RequestID, ID: q.id}
+		IDHeader: h.RequestID, ID: q.id, MaySend: func() bool { return t.proxy.fleet.routing.accepts(c.Endpoint) }}
 }
 
 // canRetry reports whether the request may be executed by another endpoint.
@@ -290,7 +299,9 @@
 		}
 		return t.finalDecision(), refusal{status: http.StatusGatewayTimeout, reason: "deadline", logFields: []any{"err", err}}
 	}
-	t.recordFailure(c, outcome, err)
+	if !errors.Is(err, forwarder.ErrWithdrawn) {
+		t.recordFailure(c, outcome, err)
+	}
 	if outcome == forwarder.NotSent {
 		ref := refusal{status: http.StatusServiceUnavailable, reason: "unreachable", retryAfter: retryAfter()}
 		if t.runs > 0 {
@@ -360,6 +371,7 @@
 		t.proxy.log.failure("msg", "invalid rate limit of endpoint", "request", t.request.id,
 			"endpoint", describeEndpoint(&c.Endpoint), "value", strings.Join(resp.Header[h.RateLimit], ","))
 	}
+	t.recordStatements(c, resp)
 }
 
 // parseRateLimit parses the values of a rate limit header; the lowest one counts. Without a value there is no limit;
@@ -400,7 +412,7 @@
 	if _, err := readBounded(resp.Body); err != nil {
 		t.recordFailure(c, forwarder.Rejected, err)
 	}
-	ref = refusal{status: http.StatusServiceUnavailable, reason: "endpointRejected", retryAfter: retryAfter(),
+	ref = refusal{status: http.StatusServiceUnavailable, reason: "endpointRejected", retryAfter: t.retryAfter(),
 		logFields: []any{"endpoint", describeEndpoint(&c.Endpoint), "endpointStatus", resp.Status}}
 	if t.runs > 0 {
 		ref.status, ref.retryAfter = http.StatusBadGateway, 0
@@ -460,6 +472,7 @@
 	if t.proxy.stopping.Load() {
 		header.Set("Connection", "close")
 	}
+	t.replaceRetryAfter(resp.Status, header)
 	if _, ok := header["Content-Type"]; !ok {
 		header["Content-Type"] = nil // prevents content sniffing by the server
 	}
--- a/node/view.go
+++ b/node/view.go
@@ -79,6 +79,13 @@
 	return r.chooser.Choose(now, q)
 }
 
+// accepts reports whether an endpoint has neither told that it leaves nor asked for a quiet time that lasts.
+func (r *routingState) accepts(e registrar.Endpoint) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.chooser.Accepts(time.Now(), e)
+}
+
 // ownLoads returns the load of each endpoint by this router.
 func (r *routingState) ownLoads() exchanger.Loads {
 	r.mu.Lock()
@@ -100,6 +107,13 @@
 	return r.routers
 }
 
+// statements returns what endpoints have told this node about themselves.
+func (r *routingState) statements(now time.Time) []chooser.Statement {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.chooser.Statements(now)
+}
+
 // withChooser calls f with the chooser while the lock is held.
 func (r *routingState) withChooser(f func(c *chooser.Chooser)) {
 	r.mu.Lock()
