Keep an endpoint draining in any order of its records

A record of an endpoint that drains was dropped if the table held a record of the same start with a higher sequence number, and a later record of a silent endpoint replaced it, so that requests were sent to it again. An instance that had merged a heartbeat out of order, or that had only the older record, stayed in disagreement with the others.

Seen before: TestMergeIsOrderIndependent, with draining, silent and ready under any sequence numbers, "[... silent 3 4 ...], want [... draining 3 4 ...]" (rapid); TestLateHeartbeatsDoNotBringAnEndpointBack, "1 != 0: draining by an older record".

Of two records of one start, draining now wins over ready and silent whatever their order, and the other fields are those of the newer one: the merge is a join, so that all tables converge. The sender of a record that does not know it is told. Instances publish the merged record, not the one that they received, which may still say ready.

The test that all orders converge assumed that a start drains from some sequence number on; it has no such assumption any more, and is stricter.

--- a/core/registrar/registrar.go
+++ b/core/registrar/registrar.go
@@ -105,16 +105,16 @@
 		r.records[e.ID] = &e
 		return Changed
 	}
+	if cur.Born == e.Born && cur.State != Gone && e.State != Gone && (cur.State == Draining) != (e.State == Draining) {
+		// A draining endpoint never becomes ready again; what it told in a response may be older than a heartbeat.
+		return r.mergeDraining(cur, e)
+	}
 	if !isNewer(&e, cur) {
 		if isNewer(cur, &e) && affectsRouting(cur, &e) {
 			return Outdated
 		}
 		return Unchanged
 	}
-	if cur.State == Draining && e.State == Ready && cur.Born == e.Born {
-		// The heartbeats were reordered, because a draining endpoint never becomes ready again.
-		e.State = Draining
-	}
 	if !affectsRouting(cur, &e) {
 		cur.Sequence = e.Sequence
 		return Unchanged
@@ -123,6 +123,28 @@
 	return Changed
 }
 
+// mergeDraining merges two records of one start, one of which is draining: the other fields of the newer record count.
+func (r *Registrar) mergeDraining(cur *Endpoint, e Endpoint) MergeResult {
+	if e.State == Draining {
+		if !isNewer(&e, cur) {
+			changed := e.Changed
+			e = *cur
+			e.State, e.Changed = Draining, changed
+		}
+		r.records[e.ID] = &e
+		return Changed
+	}
+	if isNewer(&e, cur) {
+		e.State = Draining
+		if affectsRouting(cur, &e) {
+			r.records[e.ID] = &e
+			return Changed
+		}
+		cur.Sequence = e.Sequence
+	}
+	return Outdated // the sender does not know that the endpoint drains
+}
+
 // isNewer reports whether a replaces b: by start, then by sequence number. Silent replaces ready under the same number.
 func isNewer(a, b *Endpoint) bool {
 	switch {
--- a/core/registrar/registrar_test.go
+++ b/core/registrar/registrar_test.go
@@ -33,9 +33,12 @@
 		records := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Endpoint {
 			e := heartbeat(rapid.SampledFrom([]string{"a", "b"}).Draw(t, "id"), rapid.Int64Range(1, 3).Draw(t, "born"),
 				rapid.Uint64Range(1, 4).Draw(t, "seq"), Ready)
-			// A start is Ready up to some heartbeat and Draining from then on.
-			if e.Sequence > 2 {
+			// A start may tell that it drains with any heartbeat, and in a response between two of them.
+			switch rapid.IntRange(0, 3).Draw(t, "state") {
+			case 0:
 				e.State = Draining
+			case 1:
+				e.State = Silent
 			}
 			if rapid.IntRange(0, 5).Draw(t, "gone") == 0 {
 				e.State, e.Sequence = Gone, finalSequence
@@ -73,6 +76,9 @@
 	}{
 		{"draining", []Endpoint{heartbeat("a", 5, 4, Draining), heartbeat("a", 5, 3, Ready)}, 0},
 		{"draining, reordered", []Endpoint{heartbeat("a", 5, 4, Draining), heartbeat("a", 5, 6, Ready)}, 0},
+		{"draining by an older record", []Endpoint{heartbeat("a", 5, 6, Ready), heartbeat("a", 5, 4, Draining)}, 0},
+		{"draining under the same number", []Endpoint{heartbeat("a", 5, 4, Ready), heartbeat("a", 5, 4, Draining)}, 0},
+		{"silent after draining", []Endpoint{heartbeat("a", 5, 4, Draining), heartbeat("a", 5, 6, Silent)}, 0},
 		{"ready from an earlier start", []Endpoint{heartbeat("a", 5, 1, Draining), heartbeat("a", 4, 9, Ready)}, 0},
 		{"a new start", []Endpoint{heartbeat("a", 5, 4, Draining), heartbeat("a", 6, 1, Ready)}, 1},
 	} {
--- a/node/control.go
+++ b/node/control.go
@@ -149,9 +149,10 @@
 	}
 	f.mu.Lock()
 	outcome := f.endpoints.RecordHeartbeat(time.Now(), e)
+	merged := f.endpoints.Get(e.ID)
 	f.mu.Unlock()
 	if outcome == registrar.Changed {
-		f.publishEndpoints([]registrar.Endpoint{e}, "heartbeat")
+		f.publishEndpoints([]registrar.Endpoint{merged}, "heartbeat")
 	}
 	if c, ok := f.preferredInstance(e.Domain); ok && c.Domain == e.Domain && f.self.Domain != e.Domain {
 		return c.Control, nil
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -314,7 +314,7 @@
 	for _, e := range list {
 		switch f.endpoints.Merge(now, e) {
 		case registrar.Changed:
-			changed = append(changed, e)
+			changed = append(changed, f.endpoints.Get(e.ID))
 		case registrar.Outdated:
 			newer = append(newer, f.endpoints.Get(e.ID))
 		}
