Send nothing to endpoints that tell in a response that they leave

An endpoint that leaves says so in all its responses (Cactus-Leaving: 1, on the platform Server-Leaving: 1). The node did not read it and went on to send requests until a heartbeat or a departure reached it, which may come late, not at all, or not to a node that is cut off.

The head and the trailer of every final response are read. The router that got it records it for this start of the endpoint in core/chooser, before the end of the response goes to the caller, and needs nobody's word for it; a heartbeat of the same start does not take it back, a later start ends it. It also marks its record as draining and sends that to the control instance with the existing message, which tells all others; after a lost connection, the records with which a subscription starts have it. A 421 comes from another endpoint at the address and is not shared. If all endpoints leave, requests are refused at once.

The forwarder returns the trailer of a response, within the bounds that it had.

--- a/adapters/exchanger/client.go
+++ b/adapters/exchanger/client.go
@@ -69,6 +69,11 @@
 	return &Subscription{conn: conn}, nil
 }
 
+// ReportEndpoints sends endpoint records to the control instance.
+func (s *Subscription) ReportEndpoints(ctx context.Context, list []registrar.Endpoint) error {
+	return s.conn.Send(ctx, kindEndpoints, 0, endpointsMessage{Records: encodeEndpoints(time.Now(), list)})
+}
+
 // ReportSuspects sends suspects to the control instance.
 func (s *Subscription) ReportSuspects(ctx context.Context, list []Suspect) error {
 	return s.conn.Send(ctx, kindSuspects, 0, list)
--- a/adapters/forwarder/body.go
+++ b/adapters/forwarder/body.go
@@ -64,7 +64,7 @@
 	return n, err
 }
 
-// chunkedBody is a body in chunks; its chunk extensions and trailer are discarded.
+// chunkedBody is a body in chunks; its chunk extensions are discarded.
 type chunkedBody struct {
 	br     *bufio.Reader
 	limits *Limits
@@ -72,6 +72,7 @@
 	left   int64 // of the current chunk
 	// inChunk is set after a chunk size until the line end after the chunk's data.
 	inChunk bool
+	trailer http.Header // nil without one
 	err     error
 }
 
@@ -153,7 +154,7 @@
 	return n, nil
 }
 
-// readTrailer discards the lines up to an empty one and returns io.EOF.
+// readTrailer reads the fields up to an empty line and returns io.EOF. Lines that are no fields are ignored.
 func (b *chunkedBody) readTrailer() error {
 	for seen := int64(0); ; {
 		line, err := b.readLine(BoundTrailerBytes, b.limits.TrailerBytes, seen)
@@ -164,6 +165,12 @@
 			return io.EOF
 		}
 		seen += int64(len(line))
+		if name, value, ok := bytes.Cut(line, []byte(":")); ok {
+			if b.trailer == nil {
+				b.trailer = http.Header{}
+			}
+			b.trailer.Add(string(name), string(bytes.TrimSpace(value)))
+		}
 	}
 }
 
--- a/adapters/forwarder/exchange.go
+++ b/adapters/forwarder/exchange.go
@@ -47,6 +47,8 @@
 	// does so because it fails.
 	EndsWithConn bool
 	Body         io.ReadCloser
+	// Trailer returns the fields after the last chunk, once the body has been read to its end.
+	Trailer func() http.Header
 	// SetReadDeadline limits reads of the body, up to the deadline of the request.
 	SetReadDeadline func(t time.Time)
 }
@@ -226,7 +228,7 @@
 		x.idleTimeout = parseIdleTimeout(resp.Header.Get("Keep-Alive"))
 	}
 	return &Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
-		EndsWithConn: isCloseDelimited, Body: x, SetReadDeadline: x.setReadDeadline}
+		EndsWithConn: isCloseDelimited, Body: x, Trailer: x.trailer, SetReadDeadline: x.setReadDeadline}
 }
 
 // parseIdleTimeout returns how long a connection may be idle, from the endpoint's Keep-Alive header in whole seconds.
@@ -252,6 +254,13 @@
 	return n, err
 }
 
+func (x *exchange) trailer() http.Header {
+	if b, ok := x.body.(*chunkedBody); ok && x.bodyRead {
+		return b.trailer
+	}
+	return nil
+}
+
 // Close returns the connection to the pool if the request was written and the response read completely, with nothing
 // left in the read buffer. It closes the connection otherwise.
 func (x *exchange) Close() error {
--- a/adapters/forwarder/forwarder_test.go
+++ b/adapters/forwarder/forwarder_test.go
@@ -171,6 +171,33 @@
 	assert.Equal(t, received.Load(), int64(1))
 }
 
+// Guards against a trailer that is lost, that is read before the end of the body, or that a malformed line spoils.
+func TestTrailer(t *testing.T) {
+	for _, c := range []struct {
+		name, trailer string
+		want          http.Header
+	}{
+		{"none", "", nil},
+		{"fields", "x-a: 1\r\nX-A:2\r\nX-B: \r\n", http.Header{"X-A": {"1", "2"}, "X-B": {""}}},
+		{"line without a colon", "x-a\r\nX-B: 3\r\n", http.Header{"X-B": {"3"}}},
+	} {
+		address := serve(t, func(_ int, conn net.Conn, br *bufio.Reader) {
+			if r, _ := readRequest(br); r != nil {
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n"+
+					c.trailer+"\r\n")
+			}
+		})
+		resp, err := NewPool(DefaultLimits()).Send(t.Context(), newRequest(address, "1", nil))
+		assert.NilError(t, err)
+		assert.Equal(t, len(resp.Trailer()), 0)
+		body, err := io.ReadAll(resp.Body)
+		assert.NilError(t, err)
+		assert.Equal(t, string(body), "ok")
+		assert.DeepEqual(t, resp.Trailer(), c.want)
+		assert.NilError(t, resp.Body.Close())
+	}
+}
+
 // Guards against truncated responses that look complete, and against a request that may have been executed but is
 // reported as not sent.
 func TestMalformedResponses(t *testing.T) {
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -313,6 +313,7 @@
 		f.subscribedTo = c.Name
 		f.mu.Unlock()
 		go f.sendSuspectReports(ctx, sub)
+		go f.sendLeavingReports(ctx, sub)
 		go f.evidence.report(ctx, sub.ReportEvidence)
 		go f.streams.report(ctx, sub)
 	}
--- a/node/fakes_test.go
+++ b/node/fakes_test.go
@@ -26,8 +26,8 @@
 const testTimeout = 30 * time.Second
 
 var testHeaders = Headers{RequestID: "Req-Id", RemainingMillis: "Left-Ms", Key: "Api-Key", Workspace: "Workspace",
-	ExpectedEndpoint: "Expected-Endpoint", NotRun: "Not-Run", Load: "Load", RateLimit: "Rate-Limit", PromptParts: "Parts",
-	CacheSource: "Fetch", LastEventID: "Last-Event-Id", Resumes: "Resumes", Priority: "Urgency",
+	ExpectedEndpoint: "Expected-Endpoint", NotRun: "Not-Run", Load: "Load", RateLimit: "Rate-Limit", Leaving: "Leaving",
+	PromptParts: "Parts", CacheSource: "Fetch", LastEventID: "Last-Event-Id", Resumes: "Resumes", Priority: "Urgency",
 	Reserved: []string{"Hold"}}
 
 // testDialect returns a dialect with short header names, one of them reserved.
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -86,6 +86,7 @@
 	decodeSignal   chan struct{} // capacity 1: a received state is not yet decoded
 	cacheDirty     chan struct{} // capacity 1: the state cache on disk is out of date
 	suspectReports chan exchanger.Suspect
+	leavingReports chan registrar.Endpoint // for the control instance
 	evidence       *evidence
 	streams        *streams
 	streamLog      *streamLog // of a control instance, while it runs
@@ -136,7 +137,8 @@
 func newFleet(s Settings, d Dialect, log *rateLimitedLog) *fleet {
 	f := &fleet{settings: s, dialect: d, log: log, routing: newRoutingState(&s), decodeSignal: make(chan struct{}, 1),
 		cacheDirty:     make(chan struct{}, 1),
-		suspectReports: make(chan exchanger.Suspect, 256), planKnown: make(chan struct{}),
+		suspectReports: make(chan exchanger.Suspect, 256),
+		leavingReports: make(chan registrar.Endpoint, maxLeavingReports), planKnown: make(chan struct{}),
 		self: exchanger.Contact{Name: s.Place.Name, Address: s.Listen.Advertise, Control: s.Listen.Control,
 			Domain: s.Place.FailureDomain, Eligible: s.DataFolder != ""},
 		seeds: s.Seeds, endpoints: registrar.New(time.Duration(s.HeartbeatMillis) * time.Millisecond),
--- a/node/native_dialect.go
+++ b/node/native_dialect.go
@@ -14,7 +14,8 @@
 	return Dialect{
 		Headers: Headers{RequestID: "Cactus-Request-Id", RemainingMillis: "Cactus-Left-Ms", Key: "Cactus-Key",
 			Workspace: "Cactus-Workspace", ExpectedEndpoint: "Cactus-Endpoint",
-			NotRun: "Cactus-Not-Run", Load: "Cactus-Load", RateLimit: "Cactus-Rate-Limit", PromptParts: "Cactus-Prompt-Parts",
+			NotRun: "Cactus-Not-Run", Load: "Cactus-Load", RateLimit: "Cactus-Rate-Limit", Leaving: "Cactus-Leaving",
+			PromptParts: "Cactus-Prompt-Parts",
 			CacheSource: "Cactus-Fetch-From", LastEventID: "Last-Event-Id", Resumes: "Cactus-Resumes",
 			Priority: "Cactus-Priority"},
 		DecodePlan: planner.Parse,
--- a/node/quiet_test.go
+++ b/node/quiet_test.go
@@ -1,6 +1,10 @@
 package node
 
 import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
 	"math"
 	"net/http"
 	"net/http/httptest"
@@ -13,6 +17,7 @@
 	"gotest.tools/v3/assert"
 
 	"cactusroute.dev/core/chooser"
+	"cactusroute.dev/core/registrar"
 )
 
 // Guards against a quiet time that is ignored because of its form, and against a value that is taken for one although
@@ -170,9 +175,106 @@
 	assert.Equal(t, p.call(t, http.MethodPost, "/safe/", "").status, http.StatusOK)
 }
 
-// Guards against a broken stream that goes on at an endpoint which wants no requests.
+// Guards against requests to an endpoint that has told that it leaves in any answer that was passed on, whatever its
+// heartbeats say, and against one that gets none after it has started again.
+func TestLeavingEndpointGetsNoRequests(t *testing.T) {
+	const (
+		leaving = "Leaving: 1\r\n"
+		chunked = "HTTP/1.1 200 OK\r\nReq-Id: id-1\r\nTransfer-Encoding: chunked\r\n"
+		event   = "id: 1\ndata: x\n\n"
+	)
+	for _, c := range []struct {
+		name     string
+		path     string
+		response string
+		leaves   bool
+	}{
+		{"success", "/safe/", "HTTP/1.1 200 OK\r\nReq-Id: id-1\r\n" + leaving + "Content-Length: 0\r\n\r\n", true},
+		{"error", "/safe/", "HTTP/1.1 500 Error\r\nReq-Id: id-1\r\n" + leaving + "Content-Length: 0\r\n\r\n", true},
+		{"not found", "/once/", "HTTP/1.1 404 None\r\nReq-Id: id-1\r\n" + leaving + "Content-Length: 0\r\n\r\n", true},
+		{"rejection", "/once/",
+			"HTTP/1.1 503 Full\r\nReq-Id: id-1\r\nNot-Run: 1\r\n" + leaving + "Content-Length: 0\r\n\r\n", true},
+		{"other endpoint", "/once/", "HTTP/1.1 421 Other\r\nReq-Id: id-1\r\n" + leaving + "Content-Length: 0\r\n\r\n", true},
+		{"stream", "/resume/", chunked + leaving + "\r\n" + fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(event), event), true},
+		{"trailer of a stream", "/resume/",
+			chunked + "\r\n" + fmt.Sprintf("%x\r\n%s\r\n0\r\n%s\r\n", len(event), event, leaving), true},
+		{"trailer", "/safe/", chunked + "\r\n2\r\nok\r\n0\r\nother: 1\r\nleaving:1\r\n\r\n", true},
+		{"trailer of a rejection", "/safe/", "HTTP/1.1 503 Full\r\nReq-Id: id-1\r\nNot-Run: 1\r\n" +
+			"Transfer-Encoding: chunked\r\n\r\n0\r\n" + leaving + "\r\n", true},
+		{"informational", "/safe/", "HTTP/1.1 103 Early Hints\r\n" + leaving +
+			"\r\nHTTP/1.1 200 OK\r\nReq-Id: id-1\r\nContent-Length: 0\r\n\r\n", false},
+		{"another value", "/safe/", "HTTP/1.1 200 OK\r\nReq-Id: id-1\r\nLeaving: 0\r\nContent-Length: 0\r\n\r\n", false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var other, all atomic.Int64
+			leaver := newFakeEndpoint(t, func(req *receivedRequest) {
+				all.Add(1)
+				_, _ = io.WriteString(req.conn, c.response)
+			})
+			p := newTestProxy(t, testPlan(1), leaver, newFakeEndpoint(t, func(req *receivedRequest) {
+				other.Add(1)
+				respondOK(req)
+			}))
+			record := registrar.Endpoint{ID: "a", Service: "s", Address: leaver.address, Domain: "d",
+				State: registrar.Ready, Born: 1, Sequence: 2}
+			send := func(n int) {
+				for range n {
+					p.call(t, http.MethodPost, c.path, "")
+				}
+			}
+			for all.Load() == 0 {
+				send(1)
+			}
+			before := all.Load()
+			for _, state := range []registrar.State{registrar.Ready, registrar.Silent, registrar.Ready} {
+				record.State, record.Sequence = state, record.Sequence+1
+				p.fleet.mergeEndpoints([]registrar.Endpoint{record}, "test")
+				send(10)
+			}
+			if !c.leaves {
+				assert.Assert(t, all.Load() > before)
+				return
+			}
+			assert.Equal(t, all.Load(), before)
+			assert.Assert(t, other.Load() >= 30)
+			record.State, record.Born, record.Sequence = registrar.Ready, 2, 1
+			p.fleet.mergeEndpoints([]registrar.Endpoint{record}, "test")
+			eventually(t, "request after the new start", func() bool {
+				send(1)
+				return all.Load() > before
+			})
+		})
+	}
+}
+
+// Guards against requests that are sent or held although every endpoint has told that it leaves.
+func TestAllEndpointsLeave(t *testing.T) {
+	endpoints := make([]*fakeEndpoint, 3)
+	for i := range endpoints {
+		endpoints[i] = newFakeEndpoint(t, func(req *receivedRequest) {
+			req.respond("200 OK", "Leaving: 1\r\n", "answer")
+		})
+	}
+	p := newTestProxy(t, testPlan(1), endpoints...)
+	for range 3 {
+		assert.Equal(t, p.call(t, http.MethodPost, "/safe/", "").status, http.StatusOK)
+	}
+	for range 5 {
+		start := time.Now()
+		got := p.call(t, http.MethodPost, "/once/", "")
+		assert.Assert(t, time.Since(start) < chooseTimeout, "held for %v", time.Since(start))
+		assert.Equal(t, got.status, http.StatusServiceUnavailable)
+		assert.Equal(t, got.body, "leaving\n")
+		assert.Assert(t, got.header.Get("Retry-After") != "")
+	}
+	for _, e := range endpoints {
+		assert.Equal(t, e.count(), 1)
+	}
+}
+
+// Guards against a broken stream that goes on at an endpoint which has told that it leaves or wants no requests.
 func TestStreamIsNotResumedWhereNothingIsWanted(t *testing.T) {
-	for _, headers := range []string{"Retry-After: 60\r\n"} {
+	for _, headers := range []string{"Leaving: 1\r\n", "Retry-After: 60\r\n"} {
 		for _, version := range []string{"v1", "v2"} { // of the third endpoint
 			declining := newFakeEndpoint(t, func(req *receivedRequest) { req.respond("503 Full", "Not-Run: 1\r\n"+headers, "") })
 			p := newTestProxy(t, testPlan(1), declining, newFakeEndpoint(t, versionedStream("v1")),
@@ -222,3 +324,77 @@
 	assert.Equal(t, tr.runs, 0)
 	assert.Equal(t, declining.count(), 0)
 }
+
+// Guards against nodes that go on sending to an endpoint because it has told another node that it leaves, and against
+// one that does so because it is cut off from the control instances.
+func TestLeavingEndpointIsKnownToAllNodes(t *testing.T) {
+	f := newTestFleet(t, 1, 2)
+	f.startAll()
+	f.retryCommand("plan", f.nodes[:1], func(c Control) error {
+		return c.PutPlan(context.Background(), encodePlan(t, testPlan(1)))
+	})
+	f.awaitPlan(1, f.nodes)
+	var isLeaving atomic.Bool
+	leaver := newFakeEndpoint(t, func(req *receivedRequest) {
+		headers := ""
+		if isLeaving.Load() {
+			headers = "Leaving: 1\r\n"
+		}
+		req.respond("200 OK", headers, "answer")
+	})
+	other := newFakeEndpoint(t, respondOK)
+	sequence := uint64(0)
+	heartbeat := func(born int64) {
+		sequence++
+		for id, e := range map[string]*fakeEndpoint{"a": leaver, "b": other} {
+			f.retryCommand("endpoint", f.nodes[:1], func(c Control) error {
+				_, err := c.Register(context.Background(), registrar.Endpoint{ID: id, Service: "s", Address: e.address,
+					Domain: "d", Slots: 32, State: registrar.Ready, Born: born, Sequence: sequence})
+				return err
+			})
+		}
+	}
+	heartbeat(1)
+	isLeaving.Store(true)
+	servers := make([]*httptest.Server, len(f.nodes))
+	for i, n := range f.nodes {
+		eventually(t, "endpoints at "+n.settings.Place.Name, func() bool {
+			loads, _ := n.fleet.routing.snapshot(time.Now())
+			return len(loads) == 2
+		})
+		servers[i] = httptest.NewServer(n.front)
+		t.Cleanup(servers[i].Close)
+	}
+	call := func(i int) {
+		r, err := http.NewRequest(http.MethodPost, servers[i].URL+"/safe/", bytes.NewReader(nil))
+		assert.NilError(t, err)
+		r.Host = "h.example"
+		r.Header.Set("Req-Id", "id")
+		r.Header.Set("Api-Key", "key")
+		resp, err := http.DefaultClient.Do(r)
+		assert.NilError(t, err)
+		_, _ = io.Copy(io.Discard, resp.Body)
+		_ = resp.Body.Close()
+	}
+	for leaver.count() == 0 {
+		call(2) // a router
+	}
+	inService := func(n *testNode) int {
+		loads, _ := n.fleet.routing.snapshot(time.Now())
+		return len(loads)
+	}
+	for _, n := range f.nodes {
+		eventually(t, "endpoint out of service at "+n.settings.Place.Name, func() bool { return inService(n) == 1 })
+	}
+	heartbeat(1)
+	for i := range f.nodes {
+		call(i)
+		assert.Equal(t, inService(f.nodes[i]), 1)
+	}
+	f.nodes[0].stop() // the routers have no contact any more
+	for range 20 {
+		call(1)
+		call(2)
+	}
+	assert.Equal(t, leaver.count(), 1)
+}
--- a/node/transfer.go
+++ b/node/transfer.go
@@ -228,6 +228,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	t.recordResponse(c, resp)
+	defer t.recordTrailer(c, resp)
 	if d, ref, ok := t.handleRejection(c, resp); ok {
 		return d, ref
 	}
