Let endpoints of the soak leave and ask for pauses

The endpoints of the soak said nothing about themselves in responses. Two more kinds run beside the others: one turns a fifth of its requests away, most of them with Retry-After, and one tells after a while that it leaves while its heartbeats say that it is ready. The checker knows from the caller to which node a request went, and finds more than two requests of a node during a quiet time from half a second on, and requests that were sent over two seconds after the node had passed on that the endpoint leaves. Restarts and pauses of the node excuse it.

--- a/soaker/caller.go
+++ b/soaker/caller.go
@@ -56,6 +56,7 @@
 	isStream := strings.HasPrefix(a.path, "/stream/")
 	body := strings.Repeat(a.path, 20)
 	f.checker.RecordSent(a.id, requestChecksum(http.MethodPost, a.path, []byte(body)), strings.HasPrefix(a.path, "/once/"))
+	f.checker.RecordSentTo(a.id, n.settings.Place.Name)
 	req, err := http.NewRequest( //nolint:noctx // the client has a timeout
 		http.MethodPost, "http://"+n.settings.Listen.Front+a.path, strings.NewReader(body))
 	if err != nil {
@@ -76,6 +77,9 @@
 		return nil
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if resp.Header.Get("Cactus-Leaving") != "" {
+		f.checker.RecordLeaving(n.settings.Place.Name, resp.Header.Get("Cactus-Signature"))
+	}
 	received, err := io.ReadAll(resp.Body)
 	want := "answer to " + a.id
 	if isStream {
--- a/soaker/checker.go
+++ b/soaker/checker.go
@@ -31,6 +31,7 @@
 	lastFaultEnd   time.Time         // in the future while a fault is active
 	unframedBreaks map[string]bool   // by request ID; a response broke off and only its connection ended
 	drainedAt      map[*Endpoint]time.Time
+	said           statements
 	Findings       []string
 	Served         int
 	Refused        int
@@ -42,7 +43,7 @@
 func NewChecker() *Checker {
 	return &Checker{startTime: time.Now(), checksums: map[string]uint64{}, once: map[string]bool{},
 		runCounts: map[string]int{}, reportedNotRun: map[string]bool{},
-		unframedBreaks: map[string]bool{}, drainedAt: map[*Endpoint]time.Time{}}
+		unframedBreaks: map[string]bool{}, drainedAt: map[*Endpoint]time.Time{}, said: newStatements()}
 }
 
 // addFinding records a violation; mu must be held.
--- a/soaker/endpoint.go
+++ b/soaker/endpoint.go
@@ -40,6 +40,8 @@
 
 	mu           sync.Mutex
 	faulty       bool // fails a part of its requests, before or after it has run them
+	busy         bool // turns a part of its requests away, most of them with a time for which it wants no others
+	leaving      bool // tells so in its responses, but not in its heartbeats
 	drainStarted time.Time
 }
 
@@ -70,6 +72,20 @@
 	e.faulty = faulty
 }
 
+// SetBusy sets whether the endpoint turns a part of its requests away.
+func (e *Endpoint) SetBusy(busy bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.busy = busy
+}
+
+// Leave lets the endpoint tell in its responses that it leaves, while its heartbeats say that it is ready.
+func (e *Endpoint) Leave() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.leaving = true
+}
+
 func (e *Endpoint) accept() {
 	for {
 		c, err := e.ln.Accept()
@@ -102,38 +118,67 @@
 func (e *Endpoint) handle(c net.Conn, r *http.Request, body []byte) bool {
 	id := r.Header.Get("Cactus-Request-Id")
 	e.mu.Lock()
-	draw := 1.0
+	draw, busyDraw, said := 1.0, 1.0, ""
 	if e.faulty {
 		draw = e.rng.Float64()
 	}
+	if e.busy {
+		busyDraw = e.rng.Float64()
+	}
+	if e.leaving {
+		said = "Cactus-Leaving: 1\r\n"
+	}
 	e.mu.Unlock()
 	if r.Header.Get("Cactus-Endpoint") != e.id {
 		return writeResponse(c, "421 Other", id, "", "")
 	}
+	e.checker.RecordArrival(id, e.id)
+	if busyDraw < busyShare {
+		return e.turnAway(c, id, busyDraw/busyShare)
+	}
 	switch {
 	case draw < 0.05:
 		return false // closed before the request runs
 	case draw < 0.1:
-		return writeResponse(c, "503 Full", id, "Cactus-Not-Run: 1\r\n", "")
+		return writeResponse(c, "503 Full", id, said+"Cactus-Not-Run: 1\r\n", "")
 	}
 	e.checker.RecordRun(id, e, requestChecksum(r.Method, r.RequestURI, body))
 	switch {
 	case draw < 0.15:
 		return false // closed without a response after the request has run
 	case draw < 0.2:
-		return writeResponse(c, "500 Failed", id, "Cactus-Signature: "+e.id+"\r\n", "failed")
+		return writeResponse(c, "500 Failed", id, said+"Cactus-Signature: "+e.id+"\r\n", "failed")
 	}
 	isStream := strings.HasPrefix(r.URL.Path, "/stream/")
 	switch {
 	case draw < 0.3 && isStream:
-		return e.writeStream(c, r, id, true)
+		return e.writeStream(c, r, id, said, true)
 	case draw < 0.45 && draw >= 0.3:
 		e.writeUnframed(c, r, id, isStream, draw < 0.36)
 		return false
 	case isStream:
-		return e.writeStream(c, r, id, false)
+		return e.writeStream(c, r, id, said, false)
+	}
+	return writeResponse(c, "200 OK", id, said+"Cactus-Signature: "+e.id+"\r\n", "answer to "+id)
+}
+
+// busyShare is the share of its requests that a busy endpoint turns away.
+const busyShare = 0.2
+
+// turnAway rejects a request in one of several ways, by a random number. The endpoint does not check that it gets no
+// requests if it has named no time.
+func (e *Endpoint) turnAway(c net.Conn, id string, random float64) bool {
+	retryAfter := ""
+	switch {
+	case random < 0.1: // names no time
+	case random < 0.2:
+		retryAfter = "Retry-After: later\r\n"
+	default:
+		quiet := time.Duration((0.6 + 2*random) * float64(time.Second))
+		retryAfter = fmt.Sprintf("Retry-After: %.3f\r\n", quiet.Seconds())
+		e.checker.RecordQuiet(id, e.id, quiet.Truncate(time.Millisecond))
 	}
-	return writeResponse(c, "200 OK", id, "Cactus-Signature: "+e.id+"\r\n", "answer to "+id)
+	return writeResponse(c, "503 Full", id, "Cactus-Not-Run: 1\r\n"+retryAfter, "")
 }
 
 func writeResponse(c net.Conn, status, id, headers, body string) bool {
@@ -142,14 +187,15 @@
 	return err == nil
 }
 
-// writeStream sends the events that follow Last-Event-Id; with breakHalfway it stops in the middle of the stream.
-func (e *Endpoint) writeStream(c net.Conn, r *http.Request, id string, breakHalfway bool) bool {
+// writeStream sends the events that follow Last-Event-Id, with said in the header; with breakHalfway it stops in the
+// middle of the stream.
+func (e *Endpoint) writeStream(c net.Conn, r *http.Request, id, said string, breakHalfway bool) bool {
 	from := 0
 	if _, err := fmt.Sscan(r.Header.Get("Last-Event-Id"), &from); err != nil {
 		from = 0 // no event was received before
 	}
-	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nCactus-Request-Id: %s\r\nCactus-Signature: %s\r\n"+
-		"Transfer-Encoding: chunked\r\n\r\n", id, e.id)
+	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nCactus-Request-Id: %s\r\nCactus-Signature: %s\r\n%s"+
+		"Transfer-Encoding: chunked\r\n\r\n", id, e.id, said)
 	for n := from + 1; n <= streamEventCount && err == nil; n++ {
 		if breakHalfway && n == streamEventCount/2 {
 			return false
--- a/soaker/faults.go
+++ b/soaker/faults.go
@@ -17,34 +17,36 @@
 
 // fault is a kind of fault; inject starts it at a node and returns once it has ended. Lasting faults take at most d.
 type fault struct {
-	name   string
-	inject func(ctx context.Context, s *soakRun, n *Node, d time.Duration)
+	name string
+	// interrupts is set if the process of the node does not run all the time.
+	interrupts bool
+	inject     func(ctx context.Context, s *soakRun, n *Node, d time.Duration)
 }
 
 func faults() []fault {
 	return []fault{
-		{"kill", func(ctx context.Context, s *soakRun, n *Node, d time.Duration) {
+		{"kill", true, func(ctx context.Context, s *soakRun, n *Node, d time.Duration) {
 			n.Signal(syscall.SIGKILL)
 			n.WaitExit(time.Second)
 			sleeper.Pause(ctx, d/2)
 			s.startNode(n)
 		}},
-		{"terminate", func(_ context.Context, s *soakRun, n *Node, _ time.Duration) {
+		{"terminate", true, func(_ context.Context, s *soakRun, n *Node, _ time.Duration) {
 			n.Signal(syscall.SIGTERM)
 			n.WaitExit(gracePeriodMillis*time.Millisecond + time.Second)
 			s.startNode(n)
 		}},
-		{"pause", func(ctx context.Context, _ *soakRun, n *Node, d time.Duration) {
+		{"pause", true, func(ctx context.Context, _ *soakRun, n *Node, d time.Duration) {
 			n.Signal(syscall.SIGSTOP)
 			sleeper.Pause(ctx, d)
 			n.Signal(syscall.SIGCONT)
 		}},
-		{"silence", proxyFault(ModeStall)},
-		{"oneWay", proxyFault(ModeStallInbound)},
-		{"delay", proxyFault(ModeDelay)},
-		{"reset", func(_ context.Context, _ *soakRun, n *Node, _ time.Duration) { n.proxy.ResetConnections() }},
-		{"hangup", func(_ context.Context, _ *soakRun, n *Node, _ time.Duration) { n.Signal(syscall.SIGHUP) }},
-		{"tornLog", func(ctx context.Context, s *soakRun, n *Node, _ time.Duration) {
+		{"silence", false, proxyFault(ModeStall)},
+		{"oneWay", false, proxyFault(ModeStallInbound)},
+		{"delay", false, proxyFault(ModeDelay)},
+		{"reset", false, func(_ context.Context, _ *soakRun, n *Node, _ time.Duration) { n.proxy.ResetConnections() }},
+		{"hangup", false, func(_ context.Context, _ *soakRun, n *Node, _ time.Duration) { n.Signal(syscall.SIGHUP) }},
+		{"tornLog", true, func(ctx context.Context, s *soakRun, n *Node, _ time.Duration) {
 			n.Signal(syscall.SIGKILL)
 			n.WaitExit(time.Second)
 			s.appendTornWrite(n)
@@ -80,6 +82,7 @@
 
 // wipeDisk kills a node, removes its data and restarts it; only one at a time, because the group tolerates one loss.
 func (s *soakRun) wipeDisk(ctx context.Context, n *Node) {
+	defer s.interrupt(n)()
 	n.Signal(syscall.SIGKILL)
 	n.WaitExit(time.Second)
 	if err := os.RemoveAll(n.settings.DataFolder); err != nil {
@@ -92,6 +95,7 @@
 // killAll kills all nodes at once and restarts them.
 func (s *soakRun) killAll(ctx context.Context) {
 	for _, n := range s.fleet.Nodes {
+		defer s.interrupt(n)()
 		n.Signal(syscall.SIGKILL)
 	}
 	for _, n := range s.fleet.Nodes {
@@ -103,6 +107,13 @@
 	}
 }
 
+// interrupt records that the process of a node does not run all the time until the returned function is called.
+func (s *soakRun) interrupt(n *Node) (end func()) {
+	name := n.settings.Place.Name
+	s.checker.RecordInterruption(name, time.Now().Add(time.Hour))
+	return func() { s.checker.RecordInterruption(name, time.Now()) }
+}
+
 // randomDuration draws a duration from [low, high).
 func randomDuration(rng *rand.Rand, low, high time.Duration) time.Duration {
 	return low + time.Duration(rng.Int64N(int64(high-low)))
--- a/soaker/run.go
+++ b/soaker/run.go
@@ -25,6 +25,9 @@
 	// finalReadTimeout limits the retries of the final read of the plan from a node.
 	finalReadTimeout = 3 * time.Second
 
+	// decliningPeriod is how long an endpoint leaves or turns requests away; it is longer than drainDeadline.
+	decliningPeriod = 4 * time.Second
+
 	// minServedRatio is the fraction of requests that must be served once the fleet has recovered.
 	minServedRatio = 0.9
 )
@@ -84,6 +87,7 @@
 		wg.Go(func() { runCaller(callersCtx, f, fmt.Sprintf("caller%d", i), cfg.Seed+uint64(i)) })
 	}
 	wg.Go(func() { s.runOperator(callersCtx) })
+	wg.Go(func() { s.runDecliningEndpoints(callersCtx) })
 	s.injectFaults(ctx)
 	s.checkRecovery(ctx)
 	stopCallers()
@@ -241,6 +245,9 @@
 	s.recordInjected(fmt.Sprintf("%s %s for %v", f.name, n.settings.Place.Name, d.Round(time.Millisecond)))
 	s.checker.RecordFaultUntil(time.Now().Add(d + gracePeriodMillis*time.Millisecond))
 	wg.Go(func() {
+		if f.interrupts {
+			defer s.interrupt(n)()
+		}
 		f.inject(ctx, s, n, d)
 		s.checker.RecordFaultUntil(time.Now())
 		s.mu.Lock()
@@ -268,6 +275,41 @@
 	}()
 }
 
+// runDecliningEndpoints adds endpoints that turn requests away, and ones that leave and tell so in their responses
+// only, until ctx ends. They are drawn apart from the faults, so that a seed has the same faults as without them.
+func (s *soakRun) runDecliningEndpoints(ctx context.Context) {
+	rng := rand.New(rand.NewPCG(s.cfg.Seed, 5))
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for i := 0; ctx.Err() == nil; i++ {
+		d := randomDuration(rng, 300*time.Millisecond, 1500*time.Millisecond)
+		for _, kind := range []string{"busy", "ending"} {
+			id := fmt.Sprintf("%s%d", kind, i)
+			endCtx, cancel := context.WithCancel(ctx)
+			e, err := StartEndpoint(endCtx, s.fleet, id, "s", s.cfg.Seed+uint64(i))
+			if err != nil {
+				cancel()
+				s.checker.AddFinding("start endpoint: %v", err)
+				return
+			}
+			wg.Go(func() {
+				defer cancel()
+				if kind == "busy" {
+					e.SetBusy(true)
+					sleeper.Pause(endCtx, decliningPeriod+d)
+					e.Drain(endCtx)
+					sleeper.Pause(endCtx, drainPeriod)
+					return
+				}
+				sleeper.Pause(endCtx, d)
+				e.Leave()
+				sleeper.Pause(endCtx, decliningPeriod)
+			})
+		}
+		sleeper.Pause(ctx, decliningPeriod/2)
+	}
+}
+
 // addFaultyEndpoint adds an endpoint that fails a part of its requests and stops without draining after d.
 func (s *soakRun) addFaultyEndpoint(ctx context.Context, wg *sync.WaitGroup, d time.Duration) {
 	id := fmt.Sprintf("faulty%d", len(s.injected))
--- a/soaker/soaker_test.go
+++ b/soaker/soaker_test.go
@@ -99,6 +99,23 @@
 			c.drainedAt[e] = time.Now().Add(-2 * drainDeadline)
 			c.RecordRun("1", e, 5)
 		}},
+		{"leaving", func(c *Checker, _ *Endpoint) {
+			c.RecordLeaving("n", "e")
+			c.said.leavingAt[pair{"n", "e"}] = time.Now().Add(-2 * drainDeadline)
+			c.RecordSentTo("1", "n")
+			c.RecordArrival("1", "e")
+		}},
+		{"quiet", func(c *Checker, _ *Endpoint) {
+			for i := range maxQuietArrivals + 3 {
+				id := fmt.Sprint(i)
+				c.RecordSentTo(id, "n")
+				c.RecordArrival(id, "e")
+				if i == 0 {
+					c.RecordQuiet(id, "e", time.Minute)
+					c.said.quietTimes[pair{"n", "e"}][0].from = time.Now()
+				}
+			}
+		}},
 	} {
 		checker := NewChecker()
 		c.act(checker, &Endpoint{id: "e"})
@@ -111,5 +128,17 @@
 	valid.CheckTruncatedResponse("2", "ri", "right")
 	valid.RecordUnframedBreak("3")
 	valid.CheckResponse("3", 200, false, "e", "ri", "right")
+	for i, node := range []string{"n", "n", "n", "other", "other", "other", "restarted"} {
+		id := fmt.Sprint("quiet", i)
+		valid.RecordSentTo(id, node)
+		valid.RecordArrival(id, "e")
+		if i == 0 {
+			valid.RecordQuiet(id, "e", time.Minute)
+			valid.said.quietTimes[pair{"n", "e"}][0].from = time.Now()
+			valid.RecordLeaving("restarted", "e")
+			valid.said.leavingAt[pair{"restarted", "e"}] = time.Now().Add(-2 * drainDeadline)
+			valid.RecordInterruption("restarted", time.Now().Add(-drainDeadline))
+		}
+	}
 	assert.Equal(t, len(valid.Findings), 0)
 }
