Let agents hold back what their endpoint has declined

An agent passed requests on to an engine that had turned one away with 503 and Retry-After, or that had told that it leaves; only its own request went to another endpoint. A service's 503 was passed on and its Retry-After dropped.

Seen with the check of this commit switched off: 4 requests at an engine that had asked for 0.4 s without any after the first one (TestQuietEngineGetsNoRequests), and requests served by an engine and a service that had told that they leave (TestLeavingEndpointGetsNoRequests).

The agent is the only sender to its endpoint, so that it decides alone: it refuses with "leaving" or the new reason "quiet", and the time that is left, 30 s at most; routers count the latter as a lack of capacity and tell their callers the shortest time of all refusals. Admission is followed by the same check, so that waiting requests are held back, too. Answers to the agent's own calls tell as much as others; these calls go on, because the start time in a health check is what ends a decline. For a service without a health check it holds for 30 s after each answer. core/limiter decides.

The test engine and the test service turn requests above maxInFlight away with retryAfterMillis, and leave by POST /fake/v1/leave. The parser of Retry-After is in adapters/forwarder now, because node and agent use it.

--- a/adapters/relayer/protocol.go
+++ b/adapters/relayer/protocol.go
@@ -62,6 +62,7 @@
 	ReasonOverLoadBound    Reason = "over-load-bound"
 	ReasonColdLimit        Reason = "cold-limit"
 	ReasonQueueTime        Reason = "queue-time"
+	ReasonQuiet            Reason = "quiet" // the endpoint wants no requests for some time
 	ReasonDeadline         Reason = "deadline"
 	ReasonPoison           Reason = "poison"
 	ReasonSuspect          Reason = "suspect" // this request or an equal one may have crashed an engine
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -41,6 +41,7 @@
 	work          sync.WaitGroup  // operations and crash reports
 	exports       sync.WaitGroup  // export of chats during a leave
 	isLeaving     atomic.Bool
+	declines      declines
 	limiterConfig atomic.Pointer[limiter.Config]
 	wasCold       bool // guarded by admission.mu, under which onLoadChange is called
 
@@ -85,6 +86,7 @@
 	a.limiterConfig.Store(&cfg)
 	a.admission = newAdmission(cfg, a.onLoadChange)
 	a.monitor = &monitor{agent: a}
+	a.endpoint.onResponse = a.recordCallResponse
 	a.relayServer = relayer.NewServer(ctx, a, messenger.Options{TLSFunc: c.ClientConfig, Clock: obs.Recorder})
 	return a
 }
@@ -217,7 +219,7 @@
 	qreq.Verdict = v.Verdicts[qreq.Fingerprint]
 	// Such a request waits here, because the agents of other endpoints may not treat it as a suspect yet.
 	mustWaitHere := !qreq.AllowParallel && qreq.Crashes == 0 && a.quarantine.isInFlightOrSuspect(qreq)
-	reason := a.notServingReason(time.Now())
+	reason, retryAfter := a.refusalReason(time.Now())
 	switch {
 	case req.Pool != a.settings.Pool:
 		reason = relayer.ReasonWrongPool
@@ -226,7 +228,7 @@
 	}
 	switch {
 	case reason != "":
-		return p, a.refuse(reason, 0)
+		return p, a.refuse(reason, retryAfter)
 	case !a.addActive(req):
 		return p, a.refuse(relayer.ReasonDuplicate, 0)
 	}
@@ -273,12 +275,12 @@
 		return p, refuseStarted(protocolReason(limiterRefusal.Reason), limiterRefusal.RetryAfter)
 	}
 	p.id, p.startTime = id, a.monitor.startTime.Load()
-	if reason := a.notServingReason(time.Now()); reason != "" {
+	if reason, retryAfter := a.refusalReason(time.Now()); reason != "" {
 		a.admission.finish(limiter.Result{ID: id, Outcome: limiter.OutcomeCancelled})
 		if reason == relayer.ReasonEndpointUnavailable {
 			return p, refuseStarted(reason, 0)
 		}
-		return p, a.refuse(reason, 0)
+		return p, a.refuse(reason, retryAfter)
 	}
 	a.metrics.admitted.Inc()
 	return p, nil
@@ -341,6 +343,7 @@
 	defer a.removeActive(req)
 	a.quarantine.markSent(&p.tracked)
 	stats, err := a.forward(ctx, req, p.pool.Kind, w)
+	a.recordStatement(p.startTime, req.ID, &stats.said)
 	if !stats.mayHaveRun {
 		a.quarantine.unmarkSent(&p.tracked)
 	}
--- a/agent/endpoint.go
+++ b/agent/endpoint.go
@@ -27,6 +27,8 @@
 	// net/http resends a request when a reused connection breaks.
 	pooledClient    *http.Client
 	singleUseClient *http.Client
+	// onResponse is called with each response to a call, if it is set.
+	onResponse func(path string, resp *http.Response)
 }
 
 func newEndpoint(base string) *endpoint {
@@ -84,6 +86,9 @@
 		return err
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if e.onResponse != nil {
+		e.onResponse(path, resp)
+	}
 	if resp.StatusCode >= http.StatusMultipleChoices {
 		return &statusError{status: resp.StatusCode, path: path}
 	}
--- a/agent/forward.go
+++ b/agent/forward.go
@@ -58,6 +58,7 @@
 	status      int
 	isStream    bool
 	tail        []byte
+	said        statement
 	mayHaveRun  bool // false if the endpoint certainly has not run the request
 }
 
@@ -177,6 +178,7 @@
 		return stats, err
 	}
 	defer func() { _ = resp.Body.Close() }()
+	stats.said.read(resp.StatusCode, resp.Header)
 	if kind == bundler.PoolModel && resp.StatusCode == http.StatusServiceUnavailable {
 		return stats, errEngineUnavailable // the router tries another endpoint
 	}
@@ -195,6 +197,7 @@
 		src = io.TeeReader(io.LimitReader(src, maxUnframedBytes), unframed)
 	}
 	err = copyResponse(src, w, &stats)
+	stats.said.read(http.StatusOK, resp.Trailer)
 	if err == nil && unframed != nil && !isWholeJSON(h.ContentType, unframed.Bytes()) {
 		return stats, errUnframedResponse
 	}
--- a/agent/leave.go
+++ b/agent/leave.go
@@ -150,7 +150,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	if reason := a.notServingReason(time.Now()); reason != "" {
+	if reason, _ := a.refusalReason(time.Now()); reason != "" {
 		http.Error(w, string(reason), http.StatusServiceUnavailable)
 		return
 	}
--- a/fakeengine/api.go
+++ b/fakeengine/api.go
@@ -13,6 +13,9 @@
 // HeaderChat carries the chat name of a request, for cache events and exports.
 const HeaderChat = "X-Chat-Key"
 
+// headerLeaving is 1 in the responses of an engine that leaves.
+const headerLeaving = "Cactus-Leaving"
+
 const maxBodyBytes = 4 << 20
 
 type chatMessage struct {
@@ -96,6 +99,11 @@
 		writeError(w, http.StatusServiceUnavailable, "no model loaded")
 		return
 	}
+	if !e.hasRoom() {
+		w.Header().Set("Retry-After", strconv.FormatFloat(e.cfg.RetryAfter.Seconds(), 'f', 3, 64))
+		writeError(w, http.StatusServiceUnavailable, "too many requests in flight")
+		return
+	}
 	release, err := e.acquireSlot(r.Context(), req.Priority)
 	if err != nil {
 		return
--- a/fakeengine/batch.go
+++ b/fakeengine/batch.go
@@ -24,6 +24,8 @@
 	Commands        int  `json:"commands"`
 	CommandsRefused int  `json:"commandsRefused"`
 	Cold            bool `json:"cold"`
+	// TurnedAway counts the requests above Config.MaxInFlight.
+	TurnedAway int `json:"turnedAway"`
 }
 
 // batchWaiter is a request that waits for a slot in the batch or has one.
@@ -40,6 +42,17 @@
 	waiting int
 }
 
+// hasRoom reports whether one more request may be in flight, and counts those that may not.
+func (e *Engine) hasRoom() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.cfg.MaxInFlight == 0 || e.stats.InFlight < e.cfg.MaxInFlight {
+		return true
+	}
+	e.stats.TurnedAway++
+	return false
+}
+
 // acquireSlot counts a request and waits for a slot in the batch; lower values of priority are admitted first.
 func (e *Engine) acquireSlot(ctx context.Context, priority int) (release func(completed bool), err error) {
 	waiter := &batchWaiter{priority: priority, admitted: make(chan struct{})}
--- a/fakeengine/config.go
+++ b/fakeengine/config.go
@@ -62,6 +62,10 @@
 	RestartTime time.Duration
 	LoadTime    time.Duration
 	Fence       FenceMode
+	// MaxInFlight is the number of requests above which others are turned away with status 503 and Retry-After; at 0 none
+	// are. RetryAfter is the time that it names.
+	MaxInFlight int
+	RetryAfter  time.Duration
 	// CrashMarker is a text that crashes the engine if the last message contains it.
 	CrashMarker string
 }
--- a/fakeengine/engine.go
+++ b/fakeengine/engine.go
@@ -23,6 +23,7 @@
 	loadSamples          []loadSample
 	completionsSinceCold int
 	state                state
+	isLeaving            bool            // until the next start
 	processCtx           context.Context // cancelled at the next crash or restart
 	cancelProcess        context.CancelFunc
 	downUntil            time.Time     // end of a restart; connections are reset until then
@@ -60,6 +61,7 @@
 	})
 	for name, inject := range map[string]func(){
 		"crash": e.Crash, "freeze": e.Freeze, "thaw": e.Thaw, "clearCache": e.ClearCache,
+		"leave": e.Leave,
 	} {
 		e.testAPI.HandleFunc("POST "+testAPIPrefix+name, func(w http.ResponseWriter, _ *http.Request) {
 			inject()
@@ -79,7 +81,7 @@
 	if !e.cfg.NeedsCommand {
 		e.state.Model, e.state.ModelVersion = e.cfg.Model, e.cfg.ModelVersion
 	}
-	e.completionsSinceCold = 0
+	e.completionsSinceCold, e.isLeaving = 0, false
 	e.cache.reset() // without an event, because the new start time implies an empty cache
 	e.processCtx, e.cancelProcess = context.WithCancel(context.Background())
 }
@@ -95,6 +97,9 @@
 	}
 	e.mu.Lock()
 	processCtx, isDown := e.processCtx, time.Now().Before(e.downUntil)
+	if e.isLeaving {
+		w.Header().Set(headerLeaving, "1")
+	}
 	e.mu.Unlock()
 	if isDown {
 		resetConnection(w)
@@ -144,6 +149,13 @@
 	e.boot(now)
 }
 
+// Leave makes the engine tell in its responses that it leaves, until it starts again.
+func (e *Engine) Leave() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.isLeaving = true
+}
+
 // ClearCache clears the prefix cache, which also makes the engine cold.
 func (e *Engine) ClearCache() {
 	e.mu.Lock()
--- a/fakeengine/settings.go
+++ b/fakeengine/settings.go
@@ -29,6 +29,8 @@
 	RestartMillis         int       `json:"restartMillis,omitempty"`
 	LoadMillis            int       `json:"loadMillis,omitempty"`
 	Fence                 FenceMode `json:"fence,omitempty"`
+	MaxInFlight           int       `json:"maxInFlight,omitempty"`
+	RetryAfterMillis      int       `json:"retryAfterMillis,omitempty"`
 }
 
 // Check returns an error for each missing or invalid value.
@@ -43,6 +45,8 @@
 		{"firstTokenMillis", s.FirstTokenMillis >= 0, "0 or more ms"},
 		{"tokenGapMillis", s.TokenGapMillis >= 0, "0 or more ms"},
 		{"tokens", s.Tokens >= 0, "0 or more"},
+		{"maxInFlight", s.MaxInFlight >= 0, "0 or more"},
+		{"retryAfterMillis", s.RetryAfterMillis >= 0, "0 or more ms"},
 		{"fence", s.Fence == "" || s.Fence == FenceRefuse || s.Fence == FenceIgnore, "refuse, ignore"},
 	} {
 		if !f.ok {
@@ -64,5 +68,6 @@
 		ColdCompletions: s.ColdCompletions, ColdCapacity: s.ColdCapacity, ColdFactor: s.ColdFactor,
 		EventDelay: millis(s.EventDelayMillis), EventGap: s.EventGap, LoadLag: millis(s.LoadLagMillis),
 		RestartTime: millis(s.RestartMillis), LoadTime: millis(s.LoadMillis), Fence: s.Fence,
+		MaxInFlight: s.MaxInFlight, RetryAfter: millis(s.RetryAfterMillis),
 	}
 }
--- a/fakeservice/service.go
+++ b/fakeservice/service.go
@@ -8,25 +8,36 @@
 	"net"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
 // HeaderIdempotencyKey carries the idempotency key of a call.
 const HeaderIdempotencyKey = "Idempotency-Key"
 
+// headerLeaving is 1 in the responses of a service that leaves.
+const headerLeaving = "Cactus-Leaving"
+
 const maxBodyBytes = 1 << 20
 
 // Service counts how often it ran each request body. It is safe for concurrent use.
 type Service struct {
 	// Delay is the processing time of a call.
 	Delay time.Duration
+	// MaxInFlight is the number of calls above which others are turned away with status 503 and RetryAfter; at 0 none are.
+	MaxInFlight int
+	RetryAfter  time.Duration
+
+	inFlight atomic.Int64
 
 	mu          sync.Mutex
 	runsByCall  map[string]int // by path and body
 	runsByKey   map[string]int
 	startTime   time.Time
+	isLeaving   bool // until the next crash
 	crashBefore int
 	crashAfter  int
 	thawed      chan struct{} // closed unless frozen
@@ -47,7 +58,7 @@
 	s.testAPI.HandleFunc("GET "+testAPIPrefix+"runs", s.handleRuns)
 	for name, inject := range map[string]func(){
 		"crashBeforeRun": func() { s.CrashBeforeRun(1) }, "crashAfterRun": func() { s.CrashAfterRun(1) },
-		"freeze": s.Freeze, "thaw": s.Thaw,
+		"freeze": s.Freeze, "thaw": s.Thaw, "leave": s.Leave,
 	} {
 		s.testAPI.HandleFunc("POST "+testAPIPrefix+name, func(w http.ResponseWriter, _ *http.Request) {
 			inject()
@@ -103,6 +114,11 @@
 	if !s.waitThawed(r.Context()) {
 		return
 	}
+	s.mu.Lock()
+	if s.isLeaving {
+		w.Header().Set(headerLeaving, "1")
+	}
+	s.mu.Unlock()
 	if r.Method == http.MethodGet && r.URL.Path == "/health" {
 		s.mu.Lock()
 		h := health{StartTime: s.startTime.UnixNano()}
@@ -110,6 +126,12 @@
 		_ = json.NewEncoder(w).Encode(h)
 		return
 	}
+	defer s.inFlight.Add(-1)
+	if n := s.inFlight.Add(1); s.MaxInFlight > 0 && n > int64(s.MaxInFlight) {
+		w.Header().Set("Retry-After", strconv.FormatFloat(s.RetryAfter.Seconds(), 'f', 3, 64))
+		http.Error(w, "too many calls in flight", http.StatusServiceUnavailable)
+		return
+	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
@@ -134,7 +156,7 @@
 	defer s.mu.Unlock()
 	if s.crashBefore > 0 {
 		s.crashBefore--
-		s.startTime = time.Now()
+		s.startTime, s.isLeaving = time.Now(), false
 		return 0, false
 	}
 	s.runsByCall[call]++
@@ -143,7 +165,7 @@
 	}
 	if s.crashAfter > 0 {
 		s.crashAfter--
-		s.startTime = time.Now()
+		s.startTime, s.isLeaving = time.Now(), false
 		return 0, false
 	}
 	return s.runsByCall[call], true
@@ -188,6 +210,13 @@
 	s.crashAfter = n
 }
 
+// Leave makes the service tell in its responses that it leaves, until it crashes.
+func (s *Service) Leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.isLeaving = true
+}
+
 // Freeze blocks all calls until Thaw; blocked calls run then, unless their request was cancelled.
 func (s *Service) Freeze() {
 	s.mu.Lock()
--- a/node/quiet.go
+++ b/node/quiet.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"math"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -45,7 +43,7 @@
 	if resp.Status != http.StatusServiceUnavailable || len(values) == 0 {
 		return
 	}
-	quiet, valid := parseRetryAfter(values)
+	quiet, valid := forwarder.ParseRetryAfter(values)
 	if !valid {
 		t.proxy.log.failure("msg", "invalid quiet time of endpoint", "request", t.request.id,
 			"endpoint", describeEndpoint(&c.Endpoint), "value", loggedValue(values))
@@ -90,28 +88,6 @@
 	return slices.ContainsFunc(values, func(v string) bool { return strings.TrimSpace(v) == leavingValue })
 }
 
-// parseRetryAfter returns the longest time in the values of a Retry-After header, in seconds; valid is false if a value
-// is not a number of seconds.
-func parseRetryAfter(values []string) (longest time.Duration, valid bool) {
-	valid = true
-	for _, list := range values {
-		for value := range strings.SplitSeq(list, ",") {
-			n, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
-			isTooLarge := errors.Is(err, strconv.ErrRange) && n > 0
-			if err != nil && !isTooLarge || err == nil && (math.IsNaN(n) || math.IsInf(n, 0)) || n < 0 {
-				valid = false
-				continue
-			}
-			d := time.Duration(math.MaxInt64)
-			if n < d.Seconds() {
-				d = time.Duration(n * float64(time.Second))
-			}
-			longest = max(longest, d)
-		}
-	}
-	return longest, valid
-}
-
 func formatRetryAfter(d time.Duration) string { return strconv.FormatFloat(d.Seconds(), 'f', 2, 64) }
 
 func loggedValue(values []string) string {
--- a/router/forward.go
+++ b/router/forward.go
@@ -306,7 +306,8 @@
 func refusalOutcome(r relayer.Reason) retrier.Outcome {
 	o := retrier.Outcome{Kind: retrier.Refused}
 	switch r {
-	case relayer.ReasonOverLoadBound, relayer.ReasonColdLimit, relayer.ReasonQueueTime:
+	case relayer.ReasonOverLoadBound, relayer.ReasonColdLimit, relayer.ReasonQueueTime,
+		relayer.ReasonQuiet:
 		o.Refusal = retrier.RefusedCapacity
 	case relayer.ReasonNotCached:
 		o.Refusal = retrier.RefusedNotCached
