--- a/node/subscription.go
+++ b/node/subscription.go
@@ -307,6 +307,7 @@
 	case <-r.activated:
 	}
 	go r.fleet.sendSuspectReports(ctx, sub)
+	go r.fleet.sendLeavingReports(ctx, sub)
 	go r.fleet.evidence.report(ctx, sub.ReportEvidence)
 	r.fleet.streams.report(ctx, sub)
 }
