Reject a response head whose status line was cut off

What callers saw: an endpoint that writes a part of an earlier refusal and then the answer to the next request on the same connection ("HTTP/1.1 421 " and "HTTP/1.1 200 OK ...") made the node report status 421, 429 or 503 with the ID of the request that ran. A 421 counted as a refusal: the request was sent to a second endpoint, or its caller was told that it had not run.

Cause: readHead looked for the start of another response in header lines only. A status line that was cut off after its three digits takes the next status line as its reason phrase.

Change: the status line is searched as well, after its own "HTTP/". Such a response ends the exchange as one that may have been executed.

--- a/adapters/forwarder/head.go
+++ b/adapters/forwarder/head.go
@@ -88,14 +88,17 @@
 		if err := checkLimit(BoundHeaderFields, limits.HeaderFields, fields); err != nil {
 			return err
 		}
-		if fields > 0 && containsStatusLine(line) {
+		if fields == 0 {
+			line = line[len(statusLinePrefix):]
+		}
+		if containsStatusLine(line) {
 			return errors.New("malformed response: the head contains the start of another one")
 		}
 	}
 }
 
-// containsStatusLine reports whether a header line contains the start of a response: the rest of the head that it began
-// in was cut off.
+// containsStatusLine reports whether a line of a head contains the start of a response: the rest of the head that it
+// began in was cut off.
 func containsStatusLine(line []byte) bool {
 	for {
 		i := bytes.Index(line, statusLinePrefix)
--- a/adapters/forwarder/limits_test.go
+++ b/adapters/forwarder/limits_test.go
@@ -153,6 +153,8 @@
 		{"success without an ID", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother"},
 		{"half of a head", "HTTP/1.1 500 Internal Server Error\r\nX-Half: "},
 		{"half of a status line", "HTTP/1.1 5"},
+		{"status without a reason", "HTTP/1.1 421 "},
+		{"half of a reason", "HTTP/1.1 503 Serv"},
 		{"half of a head with an ID", "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Half: "},
 		{"half of a body", "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 500\r\n\r\nhalf"},
 		{"a second ID", "HTTP/1.1 200 OK\r\nX-Id: 2\r\nX-Id: 1\r\nContent-Length: 5\r\n\r\nother"},
