Believe a refusal only if it names its request

What callers saw, in tests: an endpoint that writes an earlier refusal once more on a kept connection. If a caller had used an ID again, the copy was taken for the response to the request that was running: the request was sent to a second endpoint (rule TWICE) and the caller got 503 (REFUSED). A refusal without an ID on a new connection was believed as well.

Cause: an ID tells requests of one connection apart only if it was used once. forwarder accepted failures without an ID on new connections, and node believed the header that says that a request has not run whatever the response named.

Evidence, before: TestRequestThatRunsIsNotTakenForRefused failed in its 6 cases "ID used again" (503 for a request that ran), TestRefusalWithoutAnIDProvesNothing in all 4 (503), and TestConnectionWithASkippedResponseIsClosed (1 connection, where 2 are needed). Copies with the former ID, another, none or two, with status 503, 429 or 421, before the answer, while the request runs, in pieces, without a length or twice did no harm before either; these cases stay as regression tests, and so do two responses under one ID (TestSecondResponseUnderOneIDIsDropped).

Change: a connection knows the IDs of its last 32 requests and carries none of them again; it is closed after an exchange that skipped a response. A response states that a request has not run only if it has the request's ID (Response.NamesRequest); otherwise it counts as run, is not retried unless the route allows it, and reaches callers of other routes as 502. The header itself is not passed on, since a response that is passed on has run.

--- a/adapters/forwarder/exchange.go
+++ b/adapters/forwarder/exchange.go
@@ -41,6 +41,9 @@
 	// EndsWithConn is set if the body has no framing: it is complete when the endpoint closes the connection, also if it
 	// does so because it fails.
 	EndsWithConn bool
+	// NamesRequest is set if the response carries the ID of the request, or if the request has none. A refusal without it
+	// does not prove that the request was not executed.
+	NamesRequest bool
 	Body         io.ReadCloser
 	// SetReadDeadline limits reads of the body, up to the deadline of the request.
 	SetReadDeadline func(t time.Time)
@@ -55,6 +58,7 @@
 	if err != nil {
 		return nil, &Error{Outcome: NotSent, Cause: err}
 	}
+	c.sentIDs.add(r.ID)
 	x := &exchange{pool: p, conn: c, written: make(chan struct{}), deadline: r.Deadline}
 	_ = c.SetDeadline(r.Deadline)
 	x.stopCancelHook = context.AfterFunc(ctx, x.cancel)
@@ -80,6 +84,7 @@
 	idleTimeout    time.Duration
 	body           io.Reader
 	bodyRead       bool
+	hasSkipped     bool // the connection had a response to another request
 	closed         bool
 
 	mu         sync.Mutex
@@ -169,7 +174,8 @@
 	return b.Bytes()
 }
 
-// readResponse reads the header of the response to r. It skips late responses to earlier requests.
+// readResponse reads the header of the response to r. It skips late responses to earlier requests; the connection is
+// not used again after one, because further ones may follow.
 func (x *exchange) readResponse(r *Request) (*Response, error) {
 	limits := &x.pool.limits
 	for skipped := int64(0); ; {
@@ -182,9 +188,10 @@
 			return nil, err
 		}
 		if x.isResponseTo(r, resp) {
-			return x.newResponse(resp, body), nil
+			return x.newResponse(r, resp, body), nil
 		}
 		skipped++
+		x.hasSkipped = true
 		if err := checkLimit(BoundSkippedResponses, limits.SkippedResponses, skipped); err != nil {
 			return nil, err
 		}
@@ -210,14 +217,15 @@
 	return !x.conn.reused && (resp.StatusCode >= http.StatusBadRequest || r.ID == "")
 }
 
-func (x *exchange) newResponse(resp *http.Response, body io.Reader) *Response {
+func (x *exchange) newResponse(r *Request, resp *http.Response, body io.Reader) *Response {
 	x.body = body
 	_, isCloseDelimited := body.(*closeDelimitedBody)
-	if !resp.Close && !isCloseDelimited && resp.ProtoAtLeast(1, 1) {
+	if !resp.Close && !isCloseDelimited && !x.hasSkipped && resp.ProtoAtLeast(1, 1) {
 		x.idleTimeout = parseIdleTimeout(resp.Header.Get("Keep-Alive"))
 	}
+	_, hasID := resp.Header[r.IDHeader]
 	return &Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
-		EndsWithConn: isCloseDelimited, Body: x, SetReadDeadline: x.setReadDeadline}
+		EndsWithConn: isCloseDelimited, NamesRequest: hasID || r.ID == "", Body: x, SetReadDeadline: x.setReadDeadline}
 }
 
 // parseIdleTimeout returns how long a connection may be idle, from the endpoint's Keep-Alive header in whole seconds.
--- a/adapters/forwarder/pool.go
+++ b/adapters/forwarder/pool.go
@@ -4,8 +4,10 @@
 	"bufio"
 	"context"
 	"errors"
+	"hash/maphash"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -40,6 +42,10 @@
 	// readBufferBytes is enough for the header and the first events of most responses, and for a chunk size of the
 	// longest allowed length.
 	readBufferBytes = 4 << 10
+
+	// maxSentIDs is the number of requests back to which a connection knows their IDs. Endpoints write a response once
+	// more at the next requests, if at all.
+	maxSentIDs = 32
 )
 
 // conn is one connection to an endpoint; it carries one request at a time.
@@ -49,10 +55,28 @@
 	head      []byte // buffer of the head that is being read
 	address   string
 	reused    bool // an earlier request was sent on the connection
+	sentIDs   idHistory
 	idleSince time.Time
 	idleUntil time.Time
 }
 
+// idHistory knows the IDs of the last requests on a connection, by their hashes.
+type idHistory struct {
+	hashes [maxSentIDs]uint64
+	next   int
+}
+
+var idSeed = maphash.MakeSeed()
+
+func (h *idHistory) add(id string) {
+	h.hashes[h.next%maxSentIDs] = maphash.String(idSeed, id)
+	h.next++
+}
+
+func (h *idHistory) contains(id string) bool {
+	return slices.Contains(h.hashes[:min(h.next, maxSentIDs)], maphash.String(idSeed, id))
+}
+
 // writeNonBlocking writes as much as fits into the socket buffer and returns the number of bytes written.
 func (c *conn) writeNonBlocking(b []byte) (n int, err error) {
 	sc, ok := c.Conn.(syscall.Conn)
@@ -123,14 +147,16 @@
 		if c == nil {
 			break
 		}
-		if !r.FreshConn || now.Sub(c.idleSince) <= maxFreshIdleTime {
+		// A response to an earlier request with the same ID could be taken for the one to this request.
+		isRepeated := c.sentIDs.contains(r.ID)
+		if !isRepeated && (!r.FreshConn || now.Sub(c.idleSince) <= maxFreshIdleTime) {
 			if c.isReusable() {
 				c.reused = true
 				return c, nil
 			}
 		}
 		p.close(c)
-		if r.FreshConn {
+		if r.FreshConn || isRepeated {
 			break // a new connection replaces the closed one, so that their number doesn't grow
 		}
 	}
--- a/node/transfer.go
+++ b/node/transfer.go
@@ -338,7 +338,7 @@
 	running, waiting, known := parseLoad(resp.Header.Get(h.Load))
 	limit, isLimited, valid := parseRateLimit(resp.Header[h.RateLimit])
 	var limitChanged bool
-	notRun := resp.Header.Get(h.NotRun) != "" || resp.Status == http.StatusMisdirectedRequest
+	notRun := t.isRejection(resp)
 	t.proxy.fleet.routing.withChooser(func(ch *chooser.Chooser) {
 		if !notRun {
 			ch.RecordResponse(c.Endpoint, resp.Status >= http.StatusInternalServerError)
@@ -392,9 +392,15 @@
 	return running, waiting, err == nil
 }
 
+// isRejection reports whether a response states that the endpoint did not execute this request.
+func (t *transfer) isRejection(resp *forwarder.Response) bool {
+	isStated := resp.Header.Get(t.proxy.dialect.Headers.NotRun) != "" || resp.Status == http.StatusMisdirectedRequest
+	return isStated && resp.NamesRequest
+}
+
 // handleRejection handles a response of an endpoint that did not execute the request; ok is false for other responses.
 func (t *transfer) handleRejection(c chooser.Choice, resp *forwarder.Response) (d decision, ref refusal, ok bool) {
-	if resp.Header.Get(t.proxy.dialect.Headers.NotRun) == "" && resp.Status != http.StatusMisdirectedRequest {
+	if !t.isRejection(resp) {
 		return finishRequest, refusal{}, false
 	}
 	if _, err := readBounded(resp.Body); err != nil {
@@ -411,7 +417,8 @@
 // isMisleadingStatus reports whether the status would wrongly tell the caller that the request was not executed.
 func (t *transfer) isMisleadingStatus(resp *forwarder.Response) bool {
 	switch resp.Status {
-	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout:
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout,
+		http.StatusMisdirectedRequest:
 		return !t.request.route.CanRetry()
 	}
 	return false
@@ -457,6 +464,7 @@
 	for _, name := range hopByHopHeaders {
 		delete(header, name)
 	}
+	delete(header, t.proxy.dialect.Headers.NotRun) // the request has run, or it is not known whether it has
 	if t.proxy.stopping.Load() {
 		header.Set("Connection", "close")
 	}
