--- a/node/bench_test.go
+++ b/node/bench_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"crypto/rand"
 	"fmt"
 	"io"
 	"net/http"
@@ -19,7 +20,7 @@
 	r, err := http.NewRequest(http.MethodPost, url, body)
 	assert.NilError(b, err)
 	r.Host = "h.example"
-	r.Header.Set("Req-Id", "id-1")
+	r.Header.Set("Req-Id", rand.Text())
 	r.Header.Set("Api-Key", "key")
 	resp, err := http.DefaultClient.Do(r)
 	assert.NilError(b, err)
