Send each request of a caller to an engine on its own connection

What callers saw, in tests: an engine or a service that writes a response once more on a kept connection answered the next request with it. A chat got the answer to another chat; a request that ran counted as refused (503), was sent to a second engine, and did not count as run.

Cause: net/http's Transport takes a response that arrives after the next request was written as the response to that request, and engines return no ID by which the two could be told apart. Only operations used connections of their own.

Change: the client without kept connections sends all requests of callers; the kept ones carry the agent's own calls only. Engines are on the same instance.

--- a/agent/endpoint.go
+++ b/agent/endpoint.go
@@ -23,8 +23,9 @@
 // endpoint is an HTTP client for the engine or service of the agent.
 type endpoint struct {
 	baseURL string
-	// pooledClient sends requests that may be retried. singleUseClient opens a connection for each request, because
-	// net/http resends a request when a reused connection breaks.
+	// pooledClient sends the agent's own calls. singleUseClient sends the requests of callers and opens a connection for
+	// each: responses carry no ID, so that one which the endpoint writes once more could be taken for the response to the
+	// next request, and net/http resends a request when a reused connection breaks.
 	pooledClient    *http.Client
 	singleUseClient *http.Client
 }
--- a/agent/forward.go
+++ b/agent/forward.go
@@ -166,12 +166,8 @@
 	if err != nil {
 		return stats, err
 	}
-	client := a.endpoint.pooledClient
-	if req.Operation != nil {
-		client = a.endpoint.singleUseClient
-	}
 	stats.sentAt = time.Now()
-	resp, err := client.Do(r)
+	resp, err := a.endpoint.singleUseClient.Do(r)
 	if err != nil {
 		stats.mayHaveRun = !isDialError(err)
 		return stats, err
