Count a request as run after the head of its response

What a router could do, in a test: a refusal that arrives on a stream after the head of its response, before the waiting goroutine has read the head, counted as a refusal, and the request was sent to another agent while it ran.

Cause: Stream.waitHead looked at the refusal first.

Evidence: TestRefusalAfterTheHeadIsNotARefusal failed before with "agent refused the request without running it: duplicate".

Change: the head comes first; Next then returns the refusal as the early end of a response with an unknown outcome, as it did where the head had been read. Agents of this repository send no such refusal.

--- a/adapters/relayer/relayer_test.go
+++ b/adapters/relayer/relayer_test.go
@@ -500,3 +500,26 @@
 	assert.Equal(t, ran.Compare(before), 1)
 	assert.Equal(t, router.Tick().Compare(ran), 1)
 }
+
+// Guards against a request that runs and counts as refused, because a refusal under its ID arrives after the head of
+// its response and before the router has read that.
+func TestRefusalAfterTheHeadIsNotARefusal(t *testing.T) {
+	t.Parallel()
+	_, proxy, c := setup(t, runUntilCancelled(make(chan error, 2)), modeForward)
+	req := request("refused late")
+	s := newStream(c, proxy.addr(), &req)
+	defer s.close()
+	s.conn = &agentConn{}
+	receive := func(kind uint8, m any) {
+		body, err := cbor.Marshal(m)
+		assert.NilError(t, err)
+		assert.NilError(t, s.handleMessage(s.conn, &messenger.Envelope{Kind: kind, Stream: s.id, Body: body}))
+	}
+	receive(kindHead, &headMessage{Head: Head{Status: http.StatusOK}})
+	receive(kindRefused, &refusedMessage{Reason: ReasonDuplicate})
+	assert.NilError(t, s.waitHead(t.Context(), nil))
+	_, err := s.Next(t.Context())
+	var incomplete *IncompleteError
+	assert.Assert(t, errors.As(err, &incomplete), "%v", err)
+	assert.Equal(t, incomplete.End.Outcome, OutcomeUnknown)
+}
--- a/adapters/relayer/stream.go
+++ b/adapters/relayer/stream.go
@@ -106,11 +106,11 @@
 		head, end, refusal, conn := s.head, s.end, s.refusal, s.conn
 		s.mu.Unlock()
 		switch {
-		case refusal != nil:
-			return refusal
-		case head != nil:
+		case head != nil: // Next returns what followed it, also a refusal: the request may have run
 			s.Head = *head
 			return nil
+		case refusal != nil:
+			return refusal
 		case end != nil:
 			return &IncompleteError{End: *end}
 		}
