Bound what callers that stop sending or reading can hold

What callers saw: a request whose upload stalled got no answer, neither at its deadline nor at the route's timeout, and a caller that did not read a long response held its endpoint for as long as it stayed.

Cause: net/http reads the rest of a body below 256 KiB before it sends a response, and the read deadline had been cleared by then; refusals that came before the body was read (401, 404) had none at all. Writes to callers had no deadline.

Change: server.Body knows how far a body was read. A refusal takes the rest of a short body if that is there within 50 ms, so that the connection can be kept; otherwise it is sent at once with Connection: close, and the connection stays open for up to 0.5 s, since a close with unread bytes is a reset that may destroy the response. server.CallerConn, below net/http, writes what the socket takes at once, without a timer; only a write that has to wait is checked for progress, each second, and fails after 5 s without any. Progress is that the socket took bytes or that the caller acknowledged some: a socket with a large buffer takes none for many seconds while its caller reads slowly. As the bound is at the connection, it holds for streams, responses and refusals.

The non-blocking write of forwarder moved to adapters/socket unchanged.

--- a/adapters/forwarder/exchange.go
+++ b/adapters/forwarder/exchange.go
@@ -10,6 +10,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"cactusroute.dev/adapters/socket"
 )
 
 // maxJoinedBytes is the size up to which the header and the body are copied into one buffer, to save a system call.
@@ -119,10 +121,10 @@
 	}
 	// Most requests fit into the socket buffer. The rest of a larger one is written by a goroutine, because an endpoint
 	// may respond before it has read the whole request.
-	n, err := x.conn.writeNonBlocking(header)
+	n, err := socket.WriteAvailable(x.conn.Conn, header)
 	if err == nil && n == len(header) && len(body) > 0 {
 		var m int
-		m, err = x.conn.writeNonBlocking(body)
+		m, err = socket.WriteAvailable(x.conn.Conn, body)
 		body = body[m:]
 	}
 	if n > 0 {
--- a/adapters/forwarder/pool.go
+++ b/adapters/forwarder/pool.go
@@ -6,7 +6,6 @@
 	"errors"
 	"hash/maphash"
 	"net"
-	"os"
 	"slices"
 	"sync"
 	"syscall"
@@ -77,38 +76,6 @@
 	return slices.Contains(h.hashes[:min(h.next, maxSentIDs)], maphash.String(idSeed, id))
 }
 
-// writeNonBlocking writes as much as fits into the socket buffer and returns the number of bytes written.
-func (c *conn) writeNonBlocking(b []byte) (n int, err error) {
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return 0, nil
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return 0, err
-	}
-	for n < len(b) {
-		var m int
-		var werr error
-		if err := raw.Write(func(fd uintptr) bool {
-			m, werr = unix.Write(int(fd), b[n:])
-			return true
-		}); err != nil {
-			return n, err
-		}
-		switch {
-		case errors.Is(werr, unix.EAGAIN):
-			return n, nil
-		case errors.Is(werr, unix.EINTR):
-		case werr != nil:
-			return n, os.NewSyscallError("write", werr)
-		default:
-			n += m
-		}
-	}
-	return n, nil
-}
-
 // Pool keeps idle connections to endpoints for reuse.
 type Pool struct {
 	dialer net.Dialer
--- /dev/null
+++ b/adapters/server/caller_conn.go
@@ -0,0 +1,91 @@
+package server
+
+import (
+	"errors"
+	"net"
+	"os"
+	"time"
+
+	"cactusroute.dev/adapters/socket"
+)
+
+// stallChecks is the number of checks for progress in the stall timeout of a connection.
+const stallChecks = 5
+
+// ErrCallerStalled means that a caller has read nothing for the stall timeout of its connection.
+var ErrCallerStalled = errors.New("the caller reads nothing")
+
+// CallerConn is the connection of a caller. A write fails if the caller reads nothing for the stall timeout. The write
+// to a caller that reads slowly goes on, however long it takes.
+type CallerConn struct {
+	net.Conn
+	stallTimeout time.Duration
+	onStall      func(c net.Conn)
+}
+
+// NewCallerConn returns a connection that calls onStall once if its caller stalls. Its writes set the write deadline.
+func NewCallerConn(c net.Conn, stallTimeout time.Duration, onStall func(c net.Conn)) *CallerConn {
+	return &CallerConn{Conn: c, stallTimeout: stallTimeout, onStall: onStall}
+}
+
+// Write implements net.Conn.
+func (c *CallerConn) Write(b []byte) (n int, err error) {
+	n, err = socket.WriteAvailable(c.Conn, b)
+	if err != nil || n == len(b) {
+		return n, err
+	}
+	defer func() { _ = c.SetWriteDeadline(time.Time{}) }()
+	before, _ := socket.UnacknowledgedBytes(c.Conn)
+	for stalled := 0; stalled < stallChecks; {
+		_ = c.SetWriteDeadline(time.Now().Add(c.stallTimeout / stallChecks))
+		m, err := c.Conn.Write(b[n:])
+		if n += m; !errors.Is(err, os.ErrDeadlineExceeded) {
+			return n, err
+		}
+		// A socket accepts bytes again only when a large part of its buffer is free, but acknowledgements show that the
+		// caller reads.
+		after, isKnown := socket.UnacknowledgedBytes(c.Conn)
+		if stalled++; m > 0 || isKnown && after < before {
+			stalled = 0
+		}
+		before = after
+	}
+	_ = c.SetLinger(0) // discards what the caller has not read
+	c.onStall(c.Conn)
+	return n, ErrCallerStalled
+}
+
+// SetLinger sets what a close does with unsent data, as that of net.TCPConn.
+func (c *CallerConn) SetLinger(sec int) error {
+	tc, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	return tc.SetLinger(sec)
+}
+
+// CloseWrite closes the writing side, as that of net.TCPConn.
+func (c *CallerConn) CloseWrite() error {
+	tc, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	return tc.CloseWrite()
+}
+
+// CallerListener accepts connections of callers.
+type CallerListener struct {
+	net.Listener
+
+	StallTimeout time.Duration
+	OnStall      func(c net.Conn)
+}
+
+// Accept implements net.Listener.
+func (l *CallerListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return NewCallerConn(c, l.StallTimeout, l.OnStall), nil
+}
--- a/node/front_server.go
+++ b/node/front_server.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"cactusroute.dev/adapters/server"
 	"cactusroute.dev/core/planner"
 )
 
@@ -25,6 +26,10 @@
 	// shutdownMargin is the part of the grace period reserved for closing the remaining connections.
 	shutdownMargin = 600 * time.Millisecond
 
+	// callerStallTimeout is how long a caller may read nothing while a response waits for it. It is longer than the pauses
+	// of callers that go on, and bounds how long such a caller holds an endpoint.
+	callerStallTimeout = 5 * time.Second
+
 	// limitsCheckInterval is how often the server's limits are compared with the plan's.
 	limitsCheckInterval = time.Second
 )
@@ -40,6 +45,9 @@
 	// onAcceptError is called after a failed accept, for example for lack of file descriptors.
 	onAcceptError func(err error)
 
+	// onStall is called when a response ends because its caller reads nothing.
+	onStall func(c net.Conn)
+
 	mu            sync.Mutex
 	servers       []*limitedServer
 	listener      *connListener
@@ -164,7 +172,7 @@
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
-		s.dispatch(c)
+		s.dispatch(server.NewCallerConn(c, callerStallTimeout, s.onStall))
 	}
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"runtime"
@@ -135,6 +136,10 @@
 			return planner.Limits{}
 		},
 		onAcceptError: func(err error) { n.fleet.log.failure("msg", "connection of a caller not accepted", "err", err) },
+		onStall: func(c net.Conn) {
+			n.fleet.log.failure("msg", "caller reads nothing", "caller", c.RemoteAddr().String(),
+				"ms", callerStallTimeout.Milliseconds())
+		},
 		onStop: func() {
 			n.ready.SetNotReady()
 			n.front.stopping.Store(true)
--- a/node/proxy.go
+++ b/node/proxy.go
@@ -16,6 +16,7 @@
 
 	"cactusroute.dev/adapters/exchanger"
 	"cactusroute.dev/adapters/forwarder"
+	"cactusroute.dev/adapters/server"
 	"cactusroute.dev/adapters/sleeper"
 	"cactusroute.dev/core/attributor"
 	"cactusroute.dev/core/chooser"
@@ -79,9 +80,10 @@
 	priority    float64           // from 0 for the highest to 1 for the lowest
 	planVersion uint64
 	inbound     *http.Request
-	fingerprint uint64 // of method, host, target, workspace and body
-	lastEventID string // set if the caller resumes a stream
-	resumes     string // ID of the request that brought the first event of that stream
+	incoming    *server.Body // of inbound
+	fingerprint uint64       // of method, host, target, workspace and body
+	lastEventID string       // set if the caller resumes a stream
+	resumes     string       // ID of the request that brought the first event of that stream
 	plan        *planner.Plan
 	// resumableUntil is when the caller no longer resumes the stream that this request begins.
 	resumableUntil time.Time
@@ -142,7 +144,8 @@
 // admit determines the route, workspace, service and deadline of a request, or returns why it is refused.
 func (p *proxy) admit(r *http.Request) (*request, *refusal) {
 	h := &p.dialect.Headers
-	q := &request{id: r.Header.Get(h.RequestID), receivedAt: time.Now(), inbound: r}
+	q := &request{id: r.Header.Get(h.RequestID), receivedAt: time.Now(), inbound: r,
+		incoming: server.NewBody(r)}
 	callerRemaining, hasDeadline := parseRemaining(r.Header.Get(h.RemainingMillis))
 	waitUntil := p.fleet.started.Add(firstPlanTimeout)
 	if callerDeadline := q.receivedAt.Add(callerRemaining); hasDeadline && callerDeadline.Before(waitUntil) {
@@ -240,12 +243,12 @@
 // readBody buffers the body, so that it can be resent and the server detects a disconnect of the caller.
 func (p *proxy) readBody(w http.ResponseWriter, q *request) *refusal {
 	limit := p.fleet.view.Load().plan.Limits.BodyBytes
-	var r io.Reader = q.inbound.Body
+	var r io.Reader = q.incoming
 	if limit > 0 {
 		if q.inbound.ContentLength > limit {
 			return &refusal{status: http.StatusRequestEntityTooLarge, reason: "bodyTooLarge"}
 		}
-		r = http.MaxBytesReader(w, q.inbound.Body, limit)
+		r = http.MaxBytesReader(w, q.incoming, limit)
 	}
 	if q.inbound.ContentLength != 0 {
 		rc := http.NewResponseController(w)
@@ -340,6 +343,7 @@
 	}
 	keyvals = append(keyvals, q.resumeLogFields()...)
 	p.log.failure(append(keyvals, ref.logFields...)...)
+	defer q.incoming.Leave(w)()
 	header := w.Header()
 	if q.id != "" {
 		header[p.dialect.Headers.RequestID] = []string{q.id}
@@ -348,6 +352,7 @@
 		header.Set("Retry-After", strconv.FormatFloat(ref.retryAfter.Seconds(), 'f', 2, 64))
 	}
 	header.Set("Content-Type", "text/plain; charset=utf-8")
+	header.Set("Content-Length", strconv.Itoa(len(ref.reason)+1))
 	w.WriteHeader(ref.status)
 	_, _ = io.WriteString(w, ref.reason+"\n")
 }
