--- a/adapters/forwarder/exchange.go
+++ b/adapters/forwarder/exchange.go
@@ -10,6 +10,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"cactusroute.dev/adapters/socket"
 )
 
 // maxJoinedBytes is the size up to which the header and the body are copied into one buffer, to save a system call.
@@ -46,6 +48,9 @@
 	// EndsWithConn is set if the body has no framing: it is complete when the endpoint closes the connection, also if it
 	// does so because it fails.
 	EndsWithConn bool
+	// NamesRequest is set if the response carries the ID of the request, or if the request has none. A refusal without it
+	// does not prove that the request was not executed.
+	NamesRequest bool
 	Body         io.ReadCloser
 	// Trailer returns the fields after the last chunk, once the body has been read to its end.
 	Trailer func() http.Header
@@ -66,6 +71,7 @@
 		p.close(c)
 		return nil, &Error{Outcome: NotSent, Cause: ErrWithdrawn}
 	}
+	c.sentIDs.add(r.ID)
 	x := &exchange{pool: p, conn: c, written: make(chan struct{}), deadline: r.Deadline}
 	_ = c.SetDeadline(r.Deadline)
 	x.stopCancelHook = context.AfterFunc(ctx, x.cancel)
@@ -91,6 +97,7 @@
 	idleTimeout    time.Duration
 	body           io.Reader
 	bodyRead       bool
+	hasSkipped     bool // the connection had a response to another request
 	closed         bool
 
 	mu         sync.Mutex
@@ -125,10 +132,10 @@
 	}
 	// Most requests fit into the socket buffer. The rest of a larger one is written by a goroutine, because an endpoint
 	// may respond before it has read the whole request.
-	n, err := x.conn.writeNonBlocking(header)
+	n, err := socket.WriteAvailable(x.conn.Conn, header)
 	if err == nil && n == len(header) && len(body) > 0 {
 		var m int
-		m, err = x.conn.writeNonBlocking(body)
+		m, err = socket.WriteAvailable(x.conn.Conn, body)
 		body = body[m:]
 	}
 	if n > 0 {
@@ -180,7 +187,8 @@
 	return b.Bytes()
 }
 
-// readResponse reads the header of the response to r. It skips late responses to earlier requests.
+// readResponse reads the header of the response to r. It skips late responses to earlier requests; the connection is
+// not used again after one, because further ones may follow.
 func (x *exchange) readResponse(r *Request) (*Response, error) {
 	limits := &x.pool.limits
 	for skipped := int64(0); ; {
@@ -193,9 +201,10 @@
 			return nil, err
 		}
 		if x.isResponseTo(r, resp) {
-			return x.newResponse(resp, body), nil
+			return x.newResponse(r, resp, body), nil
 		}
 		skipped++
+		x.hasSkipped = true
 		if err := checkLimit(BoundSkippedResponses, limits.SkippedResponses, skipped); err != nil {
 			return nil, err
 		}
@@ -221,14 +230,16 @@
 	return !x.conn.reused && (resp.StatusCode >= http.StatusBadRequest || r.ID == "")
 }
 
-func (x *exchange) newResponse(resp *http.Response, body io.Reader) *Response {
+func (x *exchange) newResponse(r *Request, resp *http.Response, body io.Reader) *Response {
 	x.body = body
 	_, isCloseDelimited := body.(*closeDelimitedBody)
-	if !resp.Close && !isCloseDelimited && resp.ProtoAtLeast(1, 1) {
+	if !resp.Close && !isCloseDelimited && !x.hasSkipped && resp.ProtoAtLeast(1, 1) {
 		x.idleTimeout = parseIdleTimeout(resp.Header.Get("Keep-Alive"))
 	}
+	_, hasID := resp.Header[r.IDHeader]
 	return &Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
-		EndsWithConn: isCloseDelimited, Body: x, Trailer: x.trailer, SetReadDeadline: x.setReadDeadline}
+		EndsWithConn: isCloseDelimited, NamesRequest: hasID || r.ID == "", Body: x, Trailer: x.trailer,
+		SetReadDeadline: x.setReadDeadline}
 }
 
 // parseIdleTimeout returns how long a connection may be idle, from the endpoint's Keep-Alive header in whole seconds.
--- a/adapters/forwarder/pool.go
+++ b/adapters/forwarder/pool.go
@@ -4,8 +4,9 @@
 	"bufio"
 	"context"
 	"errors"
+	"hash/maphash"
 	"net"
-	"os"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -40,6 +41,10 @@
 	// readBufferBytes is enough for the header and the first events of most responses, and for a chunk size of the
 	// longest allowed length.
 	readBufferBytes = 4 << 10
+
+	// maxSentIDs is the number of requests back to which a connection knows their IDs. Endpoints write a response once
+	// more at the next requests, if at all.
+	maxSentIDs = 32
 )
 
 // conn is one connection to an endpoint; it carries one request at a time.
@@ -49,40 +54,26 @@
 	head      []byte // buffer of the head that is being read
 	address   string
 	reused    bool // an earlier request was sent on the connection
+	sentIDs   idHistory
 	idleSince time.Time
 	idleUntil time.Time
 }
 
-// writeNonBlocking writes as much as fits into the socket buffer and returns the number of bytes written.
-func (c *conn) writeNonBlocking(b []byte) (n int, err error) {
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return 0, nil
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return 0, err
-	}
-	for n < len(b) {
-		var m int
-		var werr error
-		if err := raw.Write(func(fd uintptr) bool {
-			m, werr = unix.Write(int(fd), b[n:])
-			return true
-		}); err != nil {
-			return n, err
-		}
-		switch {
-		case errors.Is(werr, unix.EAGAIN):
-			return n, nil
-		case errors.Is(werr, unix.EINTR):
-		case werr != nil:
-			return n, os.NewSyscallError("write", werr)
-		default:
-			n += m
-		}
-	}
-	return n, nil
+// idHistory knows the IDs of the last requests on a connection, by their hashes.
+type idHistory struct {
+	hashes [maxSentIDs]uint64
+	next   int
+}
+
+var idSeed = maphash.MakeSeed()
+
+func (h *idHistory) add(id string) {
+	h.hashes[h.next%maxSentIDs] = maphash.String(idSeed, id)
+	h.next++
+}
+
+func (h *idHistory) contains(id string) bool {
+	return slices.Contains(h.hashes[:min(h.next, maxSentIDs)], maphash.String(idSeed, id))
 }
 
 // Pool keeps idle connections to endpoints for reuse.
@@ -123,14 +114,16 @@
 		if c == nil {
 			break
 		}
-		if !r.FreshConn || now.Sub(c.idleSince) <= maxFreshIdleTime {
+		// A response to an earlier request with the same ID could be taken for the one to this request.
+		isRepeated := c.sentIDs.contains(r.ID)
+		if !isRepeated && (!r.FreshConn || now.Sub(c.idleSince) <= maxFreshIdleTime) {
 			if c.isReusable() {
 				c.reused = true
 				return c, nil
 			}
 		}
 		p.close(c)
-		if r.FreshConn {
+		if r.FreshConn || isRepeated {
 			break // a new connection replaces the closed one, so that their number doesn't grow
 		}
 	}
