Node: an odd entry among the endpoints costs itself alone

One heartbeat with an ID that is not valid UTF-8 (PUT /replicas/odd%ff, which the state cache and the messages between nodes take as it is) made all nodes but the one that had received it lose the list of endpoints: they could not decode the message that held it, ended the subscription, subscribed again, and got the same list again.

Further odd values were taken as they came, seen in trials or by reading: ports 70000, -1 and as text, host names, IDs with line breaks (they went into the header of requests to the endpoint), slots of 2^63-1 (sums of slots overflow), a start 1e18 (wins over every later start), the final sequence number (the endpoint could no longer be deregistered), a warm-up of 1e18 ms (the conversion from float to time.Duration differs between processors), and an unknown state in a list (State.String indexed beyond its array; the logger printed state="PANIC:runtime error: index out of range [9]").

registrar.Endpoint.Check is now the one definition of a record that may be used. The table of endpoints rejects all others, so that no reader can pass it by. Heartbeats get status 400 with the reason. Lists of other nodes and the state cache are decoded record by record; invalid records are dropped and counted in one log line for a message or file. A start more than an hour in the future is refused only in heartbeats: an instance with a wrong clock must not drop the lists of the others.

Existing tests that merged incomplete records (no service or address) now use complete ones. The fuzz tests merge, log and encode the decoded records again.

--- a/adapters/exchanger/client.go
+++ b/adapters/exchanger/client.go
@@ -20,6 +20,8 @@
 	StateReceived(index uint64, plan *fleetapplier.EncodedPlan, takenOut []string)
 	// EndpointsReceived handles endpoint records; full is set if the list has all endpoints.
 	EndpointsReceived(list []registrar.Endpoint, full bool)
+	// EndpointsRejected reports that n invalid records were dropped; err is the reason for the first one.
+	EndpointsRejected(n int, err error)
 	SuspectsReceived([]Suspect)
 	EvidenceReceived(Evidence)
 	HeartbeatReceived(Heartbeat)
@@ -188,11 +190,15 @@
 		}
 		r.StateReceived(m.Index, plan, m.TakenOut)
 	case kindEndpoints:
-		var m endpointsMessage
+		var m receivedEndpointsMessage
 		if err := e.Decode(&m); err != nil {
 			return err
 		}
-		r.EndpointsReceived(decodeEndpoints(time.Now(), m.Records), m.Full)
+		list, rejected, err := decodeEndpoints(time.Now(), m.Records)
+		if rejected > 0 {
+			r.EndpointsRejected(rejected, err)
+		}
+		r.EndpointsReceived(list, m.Full)
 	case kindSuspects:
 		var list []Suspect
 		if err := e.Decode(&list); err != nil {
--- a/adapters/exchanger/exchanger_test.go
+++ b/adapters/exchanger/exchanger_test.go
@@ -62,7 +62,15 @@
 
 func (s *fakeSource) SubscriberDisconnected(c Contact) { s.record("detached " + c.Name) }
 
-func (s *fakeSource) EndpointsReceived(list []registrar.Endpoint) { s.record("endpoint " + list[0].ID) }
+func (s *fakeSource) EndpointsReceived(list []registrar.Endpoint) {
+	for _, e := range list {
+		s.record("endpoint " + e.ID)
+	}
+}
+
+func (s *fakeSource) EndpointsRejected(from Contact, n int, err error) {
+	s.record(fmt.Sprint("rejected ", n, " of ", from.Name, ": ", err))
+}
 
 func (s *fakeSource) SuspectsReceived(list []Suspect) {
 	s.record(fmt.Sprint("suspect ", list[0].Fingerprint))
@@ -117,6 +125,10 @@
 	}
 }
 
+func (r *fakeReceiver) EndpointsRejected(n int, err error) {
+	r.record(fmt.Sprint("rejected ", n, ": ", err))
+}
+
 func (r *fakeReceiver) SuspectsReceived(list []Suspect) { r.record(fmt.Sprint("suspects ", len(list))) }
 
 func (r *fakeReceiver) EvidenceReceived(e Evidence) {
@@ -153,7 +165,7 @@
 		hs.Close()
 	})
 	instance := Contact{Name: "hub", Address: strings.TrimPrefix(hs.URL, "http://")}
-	known := []registrar.Endpoint{{ID: "known", State: registrar.Draining}}
+	known := []registrar.Endpoint{{ID: "known", Service: "s", Address: "10.0.0.1:80", State: registrar.Draining}}
 	sub, err := Subscribe(ctx, instance, Contact{Name: "router"}, messenger.Options{}, r, known,
 		Evidence{Suspects: []attributor.Suspect{{Start: "e#1", Parts: []attributor.Part{5}}}})
 	assert.NilError(t, err)
@@ -169,7 +181,8 @@
 	s := &fakeSource{quorate: true, loads: Loads{"e": {Requests: 5}},
 		state: fleetapplier.State{Index: 4, Plan: fleetapplier.EncodedPlan{Version: 4},
 			TakenOut: map[string]bool{"d": true}},
-		endpoints: []registrar.Endpoint{{ID: "a", State: registrar.Ready, ColdUntil: time.Now().Add(time.Minute)}}}
+		endpoints: []registrar.Endpoint{{ID: "a", Service: "s", Address: "10.0.0.2:80", State: registrar.Ready,
+			ColdUntil: time.Now().Add(time.Minute)}}}
 	r := &fakeReceiver{}
 	server, _ := subscribe(t, s, r, true)
 	for _, want := range []string{"a ready full true cold true", "state 4 plan true out [d]", "suspects 1", "routers 3",
@@ -185,7 +198,8 @@
 	recorded := strings.Join(r.recorded, "\n")
 	r.mu.Unlock()
 	assert.Assert(t, strings.Index(recorded, "convictions 1") < strings.Index(recorded, "state 4"), recorded)
-	server.PublishEndpoints([]registrar.Endpoint{{ID: "a", State: registrar.Draining}})
+	server.PublishEndpoints([]registrar.Endpoint{{ID: "a", Service: "s", Address: "10.0.0.2:80",
+		State: registrar.Draining}})
 	waitFor(t, "draining", func() bool { return r.hasRecorded("a draining full false") })
 	// A plan that the subscriber has received isn't sent again.
 	s.mu.Lock()
--- a/adapters/exchanger/fuzz_test.go
+++ b/adapters/exchanger/fuzz_test.go
@@ -9,6 +9,7 @@
 	"cactusroute.dev/adapters/messenger"
 	"cactusroute.dev/core/attributor"
 	"cactusroute.dev/core/chooser"
+	"cactusroute.dev/core/registrar"
 )
 
 // Guards against a message of another node that crashes the process.
@@ -17,7 +18,8 @@
 	for kind, m := range map[uint8]any{
 		kindLoads: loads.encode(time.Now(), Loads{"a": {Requests: 3, Wanted: 9}, "b": {Requests: 1,
 			Rate: chooser.RateLoad{PerSecond: 8, IsNamed: true, ObservedAt: time.Now(), Sent: 3}}}),
-		kindEndpoints: endpointsMessage{Full: true, Records: []endpointRecord{{ID: "a", Service: "s", Sequence: 1}}},
+		kindEndpoints: endpointsMessage{Full: true, Records: []endpointRecord{{ID: "a", Service: "s", Address: "10.0.0.1:80",
+			State: registrar.Ready, Slots: 8, Sequence: 1, ColdMillis: 5}, {ID: "b", State: 9}}},
 		kindHeartbeat: heartbeatMessage{Quorate: true, QuorateInstances: []Contact{{Name: "n"}}},
 		kindState:     stateMessage{Index: 3, Version: 2, Plan: []byte{1, 2}},
 		kindSuspects:  []Suspect{{Fingerprint: 1, Endpoint: "a#1"}},
@@ -34,7 +36,7 @@
 		}
 		f.Add(kind, body)
 	}
-	f.Fuzz(func(_ *testing.T, kind uint8, body []byte) {
+	f.Fuzz(func(t *testing.T, kind uint8, body []byte) {
 		var dec decoders
 		dec.loads.ids = []string{"a", "b"}
 		switch e := (messenger.Envelope{Kind: kind, Body: body}); kind {
@@ -54,8 +56,10 @@
 				_, _ = decompressPlan(&m)
 			}
 		case kindEndpoints:
-			var m endpointsMessage
-			_ = e.Decode(&m)
+			var m receivedEndpointsMessage
+			if e.Decode(&m) == nil {
+				useRecords(t, m.Records)
+			}
 		case kindSuspects:
 			var list []Suspect
 			_ = e.Decode(&list)
@@ -78,3 +82,32 @@
 		}
 	})
 }
+
+// useRecords does with received records what a node does: it merges, logs and sends them.
+func useRecords(t *testing.T, records []cbor.RawMessage) {
+	now := time.Unix(1000, 0)
+	list, rejected, err := decodeEndpoints(now, records)
+	if len(list)+rejected != len(records) || (rejected > 0) != (err != nil) {
+		t.Fatalf("%d of %d records accepted, %d rejected: %v", len(list), len(records), rejected, err)
+	}
+	table := registrar.New(time.Second)
+	for _, e := range list {
+		if table.Merge(now, e) == registrar.Invalid {
+			t.Fatalf("invalid record %+v accepted", e)
+		}
+		_ = e.State.String()
+	}
+	table.Expire(now)
+	_ = table.RegisteredEndpoints()
+	body, err := cbor.Marshal(endpointsMessage{Full: true, Records: encodeEndpoints(now, table.All())})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var m receivedEndpointsMessage
+	if err := (&messenger.Envelope{Kind: kindEndpoints, Body: body}).Decode(&m); err != nil {
+		t.Fatal(err)
+	}
+	if sent, rejected, err := decodeEndpoints(now, m.Records); rejected > 0 || len(sent) != len(table.All()) {
+		t.Fatalf("%d of %d records accepted after they were sent on: %v", len(sent), len(table.All()), err)
+	}
+}
--- a/adapters/exchanger/server.go
+++ b/adapters/exchanger/server.go
@@ -25,6 +25,8 @@
 	SubscriberDisconnected(Contact)
 	// EndpointsReceived handles the endpoint records that a subscriber knows.
 	EndpointsReceived([]registrar.Endpoint)
+	// EndpointsRejected reports that n invalid records of a subscriber were dropped; err is the reason for the first one.
+	EndpointsRejected(from Contact, n int, err error)
 	// SuspectsReceived handles the suspects that a subscriber reports.
 	SuspectsReceived([]Suspect)
 	// EvidenceReceived handles the evidence that a subscriber reports.
@@ -147,11 +149,15 @@
 			}
 			s.source.EvidenceReceived(sub.contact, evidence)
 		case kindEndpoints:
-			var m endpointsMessage
+			var m receivedEndpointsMessage
 			if e.Decode(&m) != nil {
 				return
 			}
-			s.source.EndpointsReceived(decodeEndpoints(time.Now(), m.Records))
+			list, rejected, err := decodeEndpoints(time.Now(), m.Records)
+			if rejected > 0 {
+				s.source.EndpointsRejected(sub.contact, rejected, err)
+			}
+			s.source.EndpointsReceived(list)
 		case kindLoads:
 			var m loadsMessage
 			if e.Decode(&m) != nil {
--- a/adapters/exchanger/wire.go
+++ b/adapters/exchanger/wire.go
@@ -1,9 +1,14 @@
 package exchanger
 
 import (
+	"cmp"
+	"errors"
 	"slices"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
+	"cactusroute.dev/adapters/messenger"
 	"cactusroute.dev/core/registrar"
 )
 
@@ -37,6 +42,12 @@
 
 	// maxMessageBytes is enough for a plan of the largest accepted size and its framing.
 	maxMessageBytes = 8 << 20
+
+	// maxEndpointRecords is twenty times the endpoints of the largest fleets.
+	maxEndpointRecords = 1 << 16
+
+	// maxRouters is far above the nodes of any fleet.
+	maxRouters = 1 << 16
 )
 
 // The kinds of messages.
@@ -112,8 +123,8 @@
 	if !m.SameInstances {
 		d.instances = m.QuorateInstances
 	}
-	return Heartbeat{Quorate: m.Quorate, Routers: m.Routers, QuorateInstances: d.instances,
-		SubscribedRouters: m.SubscribedRouters}
+	return Heartbeat{Quorate: m.Quorate, Routers: min(max(0, m.Routers), maxRouters), QuorateInstances: d.instances,
+		SubscribedRouters: min(max(0, m.SubscribedRouters), maxRouters)}
 }
 
 // minLoadInterval returns the minimum time between two load messages with this number of entries.
@@ -147,6 +158,12 @@
 	Records []endpointRecord `cbor:"2,keyasint"`
 }
 
+// receivedEndpointsMessage is an endpointsMessage whose records are decoded one by one.
+type receivedEndpointsMessage struct {
+	Full    bool              `cbor:"1,keyasint,omitempty"`
+	Records []cbor.RawMessage `cbor:"2,keyasint"`
+}
+
 // endpointRecord is the record of an endpoint. It has the remaining warm-up time in place of a point in time, because
 // the clocks of processes may differ.
 type endpointRecord struct {
@@ -175,15 +192,36 @@
 	return records
 }
 
-func decodeEndpoints(now time.Time, records []endpointRecord) []registrar.Endpoint {
-	list := make([]registrar.Endpoint, 0, len(records))
-	for _, r := range records {
-		e := registrar.Endpoint{ID: r.ID, Service: r.Service, Address: r.Address, Domain: r.Domain, Slots: r.Slots,
-			State: r.State, Born: r.Born, Sequence: r.Sequence, Version: r.Version}
-		if r.ColdMillis > 0 {
-			e.ColdUntil = now.Add(time.Duration(r.ColdMillis) * time.Millisecond)
+// decodeEndpoints returns the valid records, so that an invalid one does not cost the others. err is the reason for the
+// first of the rejected ones.
+func decodeEndpoints(now time.Time, records []cbor.RawMessage) (list []registrar.Endpoint, rejected int, err error) {
+	list = make([]registrar.Endpoint, 0, min(len(records), maxEndpointRecords))
+	for i, raw := range records {
+		if i == maxEndpointRecords {
+			return list, rejected + len(records) - i, cmp.Or(err, errTooManyEndpoints)
+		}
+		e, recordErr := decodeEndpoint(now, raw)
+		if recordErr != nil {
+			rejected++
+			err = cmp.Or(err, recordErr)
+			continue
 		}
 		list = append(list, e)
 	}
-	return list
+	return list, rejected, err
+}
+
+var errTooManyEndpoints = errors.New("too many endpoints in one message")
+
+func decodeEndpoint(now time.Time, raw cbor.RawMessage) (e registrar.Endpoint, err error) {
+	var r endpointRecord
+	if err := (&messenger.Envelope{Kind: kindEndpoints, Body: raw}).Decode(&r); err != nil {
+		return e, err
+	}
+	e = registrar.Endpoint{ID: r.ID, Service: r.Service, Address: r.Address, Domain: r.Domain, Slots: r.Slots,
+		State: r.State, Born: r.Born, Sequence: r.Sequence, Version: r.Version}
+	if e.ColdUntil, err = registrar.ColdUntil(now, float64(r.ColdMillis)); err != nil {
+		return e, err
+	}
+	return e, e.Check()
 }
--- a/core/registrar/registrar.go
+++ b/core/registrar/registrar.go
@@ -19,7 +19,11 @@
 
 // String returns the state in lower case.
 func (s State) String() string {
-	return [...]string{"unknown", "ready", "draining", "gone", "silent"}[s]
+	names := [...]string{"unknown", "ready", "draining", "gone", "silent"}
+	if int(s) >= len(names) {
+		return names[0]
+	}
+	return names[s]
 }
 
 // finalSequence is the sequence number of a record that no heartbeat of the same start can replace.
@@ -74,10 +78,14 @@
 	Unchanged MergeResult = iota
 	Changed               // the record affects routing
 	Outdated              // the table holds a newer record that the sender lacks
+	Invalid               // the record was not merged, see Endpoint.Check
 )
 
 // RecordHeartbeat merges a record that an endpoint sent to this instance and restarts its heartbeat timeout.
 func (r *Registrar) RecordHeartbeat(now time.Time, e Endpoint) MergeResult {
+	if e.CheckHeartbeat(now) != nil {
+		return Invalid
+	}
 	result := r.Merge(now, e)
 	if cur := r.records[e.ID]; cur != nil && cur.Born == e.Born && cur.State != Gone {
 		r.lastHeartbeat[e.ID] = now
@@ -99,6 +107,9 @@
 
 // Merge replaces the record of an endpoint if the given one is newer.
 func (r *Registrar) Merge(now time.Time, e Endpoint) MergeResult {
+	if e.Check() != nil {
+		return Invalid
+	}
 	e.Changed = now
 	cur := r.records[e.ID]
 	if cur == nil {
--- a/node/control.go
+++ b/node/control.go
@@ -138,8 +138,9 @@
 	return f.proposeCommand(ctx, ci, name, domain, cmd)
 }
 
-// Register implements Control. A draining endpoint is acknowledged only by a quorate instance, because the
-// acknowledgement guarantees that the endpoint's state reaches all routers.
+// Register implements Control; it returns a *BadRequestError for a record that describes no endpoint. A draining
+// endpoint is acknowledged only by a quorate instance, because the acknowledgement guarantees that the endpoint's state
+// reaches all routers.
 func (f *fleet) Register(_ context.Context, e registrar.Endpoint) (next string, err error) {
 	if f.control == nil || e.State != registrar.Ready && !f.control.isQuorate() {
 		if c, ok := f.preferredInstance(e.Domain); ok {
@@ -147,8 +148,13 @@
 		}
 		return "", &UnavailableError{Reason: "no control instance with a quorum is known"}
 	}
+	now := time.Now()
+	if err := e.CheckHeartbeat(now); err != nil {
+		f.logRejectedEndpoints("heartbeat", 1, err)
+		return "", &BadRequestError{Reason: err.Error()}
+	}
 	f.mu.Lock()
-	outcome := f.endpoints.RecordHeartbeat(time.Now(), e)
+	outcome := f.endpoints.RecordHeartbeat(now, e)
 	f.mu.Unlock()
 	if outcome == registrar.Changed {
 		f.publishEndpoints([]registrar.Endpoint{e}, "heartbeat")
--- a/node/decoder_fuzz_test.go
+++ b/node/decoder_fuzz_test.go
@@ -4,7 +4,10 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"cactusroute.dev/adapters/storer"
+	"cactusroute.dev/core/registrar"
 	"cactusroute.dev/core/resumer"
 )
 
@@ -39,11 +42,28 @@
 func FuzzHeartbeat(f *testing.F) {
 	f.Add("e", []byte(`{"service":"s","address":"127.0.0.1:1","failureDomain":"d","slots":8,"sequence":1,"coldMillis":5}`))
 	f.Add("", []byte(`{"service":1}`))
+	f.Add("e\xff", []byte(`{"service":"s","address":"127.0.0.1:1","sequence":1,"coldMillis":1000000000000000000}`))
 	f.Fuzz(func(t *testing.T, id string, data []byte) {
 		now := time.Unix(1000, 0)
 		e, err := decodeHeartbeat(id, data, now)
-		if err == nil && (e.Service == "" || e.Sequence == 0) {
+		if err != nil {
+			return
+		}
+		table := registrar.New(time.Second)
+		if e.Service == "" || e.Sequence == 0 || table.Merge(now, e) != registrar.Changed {
 			t.Fatalf("heartbeat %q registers %+v", data, e)
 		}
+		_ = describeEndpoint(&e) + e.State.String()
+		stored, err := cbor.Marshal(stateCache{Endpoints: table.All()})
+		if err != nil {
+			t.Fatal(err)
+		}
+		var cache storedStateCache
+		if err := cbor.Unmarshal(stored, &cache); err != nil {
+			t.Fatal(err)
+		}
+		if read := cache.decode(); len(read.Endpoints) != 1 || read.Endpoints[0].ID != e.ID {
+			t.Fatalf("heartbeat %q is read from the disk as %+v: %v", data, read.Endpoints, read.rejectReason)
+		}
 	})
 }
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -167,6 +167,11 @@
 // EndpointsReceived implements exchanger.Source.
 func (f *fleet) EndpointsReceived(list []registrar.Endpoint) { f.mergeEndpoints(list, "subscriber") }
 
+// EndpointsRejected implements exchanger.Source.
+func (f *fleet) EndpointsRejected(from exchanger.Contact, n int, err error) {
+	f.logRejectedEndpoints(from.Name, n, err)
+}
+
 // receiver handles the messages of a subscription to one control instance.
 type receiver struct {
 	fleet    *fleet
@@ -202,6 +207,11 @@
 	r.fleet.mergeEndpoints(list, r.instance.Name)
 }
 
+// EndpointsRejected implements exchanger.Receiver.
+func (r *receiver) EndpointsRejected(n int, err error) {
+	r.fleet.logRejectedEndpoints(r.instance.Name, n, err)
+}
+
 // SuspectsReceived implements exchanger.Receiver.
 func (r *receiver) SuspectsReceived(list []exchanger.Suspect) { r.fleet.addSuspects(list) }
 
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -328,6 +328,11 @@
 	}
 }
 
+// logRejectedEndpoints logs that invalid records were dropped; err is the reason for the first one.
+func (f *fleet) logRejectedEndpoints(source string, n int, err error) {
+	f.log.failure("msg", "endpoint records rejected", "records", n, "source", source, "err", err)
+}
+
 // receiveState stores a newer replicated state; publishViews decodes it, so that the caller is not blocked.
 func (f *fleet) receiveState(index uint64, plan *fleetapplier.EncodedPlan, takenOut map[string]bool) {
 	f.mu.Lock()
--- a/node/native_dialect.go
+++ b/node/native_dialect.go
@@ -60,16 +60,19 @@
 	if err := json.Unmarshal(data, &hb); err != nil {
 		return e, &BadRequestError{Reason: err.Error()}
 	}
-	if hb.Service == "" || hb.Address == "" || hb.Sequence == 0 {
-		return e, &BadRequestError{Reason: "service, address and sequence are required"}
+	if hb.Sequence == 0 {
+		return e, &BadRequestError{Reason: "sequence is required"}
 	}
 	e = registrar.Endpoint{ID: id, Service: hb.Service, Address: hb.Address, Domain: hb.FailureDomain,
 		Version: hb.Version, Slots: hb.Slots, State: registrar.Ready, Born: hb.BornMillis, Sequence: hb.Sequence}
 	if hb.Draining {
 		e.State = registrar.Draining
 	}
-	if hb.ColdMillis > 0 {
-		e.ColdUntil = now.Add(time.Duration(hb.ColdMillis) * time.Millisecond)
+	if e.ColdUntil, err = registrar.ColdUntil(now, float64(hb.ColdMillis)); err == nil {
+		err = e.Check()
+	}
+	if err != nil {
+		return registrar.Endpoint{}, &BadRequestError{Reason: err.Error()}
 	}
 	return e, nil
 }
--- a/node/state_cache.go
+++ b/node/state_cache.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -41,6 +42,55 @@
 	ColdMillis map[string]int64 `cbor:"4,keyasint,omitempty"`
 	// Routers is the number of nodes that route requests.
 	Routers int `cbor:"5,keyasint,omitempty"`
+
+	rejected     int   // invalid endpoints in the file
+	rejectReason error // for the first one
+}
+
+// storedStateCache is a stateCache whose endpoints are decoded one by one.
+type storedStateCache struct {
+	State       fleetapplier.State      `cbor:"1,keyasint"`
+	Endpoints   []cbor.RawMessage       `cbor:"2,keyasint"`
+	Convictions []attributor.Conviction `cbor:"3,keyasint,omitempty"`
+	ColdMillis  map[string]int64        `cbor:"4,keyasint,omitempty"`
+	Routers     int                     `cbor:"5,keyasint,omitempty"`
+}
+
+// decode returns the state cache with the valid endpoints.
+func (s *storedStateCache) decode() stateCache {
+	cache := stateCache{State: s.State, Convictions: s.Convictions, ColdMillis: s.ColdMillis, Routers: s.Routers}
+	for _, raw := range s.Endpoints {
+		var e registrar.Endpoint
+		err := cbor.Unmarshal(raw, &e)
+		if err == nil {
+			err = e.Check()
+		}
+		if err != nil {
+			cache.reject(err)
+			continue
+		}
+		cache.Endpoints = append(cache.Endpoints, e)
+	}
+	return cache
+}
+
+func (c *stateCache) reject(err error) {
+	c.rejected++
+	c.rejectReason = cmp.Or(c.rejectReason, err)
+}
+
+// warmUp sets the end of the warm-up of the endpoints, and drops those for which it is invalid.
+func (c *stateCache) warmUp(now time.Time) {
+	valid := c.Endpoints[:0]
+	for _, e := range c.Endpoints {
+		var err error
+		if e.ColdUntil, err = registrar.ColdUntil(now, float64(c.ColdMillis[e.ID])); err != nil {
+			c.reject(err)
+			continue
+		}
+		valid = append(valid, e)
+	}
+	c.Endpoints = valid
 }
 
 // persistStateCache writes the state cache after changes until ctx ends.
@@ -99,11 +149,9 @@
 	f.log.event("memory read", "index", cache.State.Index, "version", cache.State.Plan.Version,
 		"endpoints", len(cache.Endpoints))
 	now := time.Now()
-	for i := range cache.Endpoints {
-		e := &cache.Endpoints[i]
-		if left := cache.ColdMillis[e.ID]; left > 0 {
-			e.ColdUntil = now.Add(time.Duration(left) * time.Millisecond)
-		}
+	cache.warmUp(now)
+	if cache.rejected > 0 {
+		f.logRejectedEndpoints(name, cache.rejected, cache.rejectReason)
 	}
 	if cache.Routers > 0 {
 		f.mu.Lock()
@@ -126,7 +174,11 @@
 	if err != nil {
 		return cache, err
 	}
-	return cache, cbor.Unmarshal(data, &cache)
+	var stored storedStateCache
+	if err := cbor.Unmarshal(data, &stored); err != nil {
+		return cache, err
+	}
+	return stored.decode(), nil
 }
 
 // writeStateCache replaces the file atomically: after a crash or power loss the old or the new content is complete.
--- a/node/state_cache_test.go
+++ b/node/state_cache_test.go
@@ -1,11 +1,13 @@
 package node
 
 import (
+	"math"
 	"os"
 	"path/filepath"
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"gotest.tools/v3/assert"
 
 	"cactusroute.dev/adapters/storer"
@@ -53,8 +55,9 @@
 // Guards against a damaged state cache that prevents an instance from starting.
 func TestDamagedStateCacheIsIgnored(t *testing.T) {
 	name := filepath.Join(t.TempDir(), stateCacheFile)
-	assert.NilError(t, writeStateCache(storer.DiskFS{}, name,
-		stateCache{Endpoints: []registrar.Endpoint{{ID: "e", Born: 7}}}))
+	e := testEndpoint("e", "127.0.0.1:1")
+	e.Born = 7
+	assert.NilError(t, writeStateCache(storer.DiskFS{}, name, stateCache{Endpoints: []registrar.Endpoint{e}}))
 	cache, err := readStateCache(name)
 	assert.NilError(t, err)
 	assert.Equal(t, cache.Endpoints[0].Born, int64(7))
@@ -70,6 +73,43 @@
 	f.putPlan(1, f.nodes)
 }
 
+// Guards against a state cache in which one odd entry costs the plan and the other endpoints.
+func TestOddEntryOfStateCacheCostsItselfAlone(t *testing.T) {
+	f := newTestFleet(t, 1, 0)
+	n := f.nodes[0]
+	assert.NilError(t, os.MkdirAll(n.settings.DataFolder, 0o700))
+	changes := []func(e map[string]any){
+		func(e map[string]any) { e["ID"] = cbor.RawMessage{0x62, 'x', 0xff} },
+		func(e map[string]any) { e["State"] = 9 },
+		func(e map[string]any) { e["State"] = 300 },
+		func(e map[string]any) { e["Address"] = "127.0.0.1:70000" },
+		func(e map[string]any) { e["Slots"] = 1e300 },
+		func(e map[string]any) { e["Born"] = "long ago" },
+		func(e map[string]any) { e["Sequence"] = uint64(math.MaxUint64) },
+		func(e map[string]any) { e["ColdUntil"] = []any{[]any{}} },
+		func(e map[string]any) { e["ID"] = "frozen" },
+		func(e map[string]any) { e["ID"] = "sound" },
+	}
+	endpoints := append(make([]any, 0, 4+len(changes)), nil, "text", 7, []any{})
+	for _, change := range changes {
+		e := map[string]any{"ID": "odd", "Service": "s", "Address": "127.0.0.1:1", "Slots": 8, "State": 1, "Born": 5,
+			"Sequence": 3}
+		change(e)
+		endpoints = append(endpoints, e)
+	}
+	data, err := cbor.Marshal(map[int]any{
+		1: fleetapplier.State{Index: 3, Plan: encodedTestPlan(t, 7)}, 2: endpoints,
+		4: map[string]int64{"frozen": math.MaxInt64, "sound": 60_000}})
+	assert.NilError(t, err)
+	assert.NilError(t, os.WriteFile(filepath.Join(n.settings.DataFolder, stateCacheFile), data, 0o600))
+	f.start(n, f.seeds, false)
+	f.awaitPlan(7, f.nodes)
+	list := n.fleet.Endpoints()
+	assert.Equal(t, len(list), 1, "%+v", list)
+	assert.Equal(t, list[0].ID, "sound")
+	assert.Assert(t, time.Until(list[0].ColdUntil) > 0)
+}
+
 // unsyncedRenames simulates a disk on which a power loss undoes renames whose folder was not synced.
 type unsyncedRenames struct {
 	storer.DiskFS
