Planner: large numbers of a plan don't overflow

A plan with timeoutMs 1e18 is valid JSON and names no wrong value, and was put in force; the deadline of each request of the route was then computed as 1e18 ms in nanoseconds, which overflows, so that it had always passed. 1e300 became the largest integer on arm64 (accepted) and the smallest on amd64 (refused). Two weights whose sum exceeds 63 bits sent all requests to the first service, or counted as no weight.

Refusing them would refuse plans that no rule calls invalid. Weights are summed as floating-point numbers.

--- a/core/planner/plan.go
+++ b/core/planner/plan.go
@@ -12,6 +12,15 @@
 	"time"
 )
 
+// The bounds of the numbers in a plan. Larger ones are lowered to them: they mean the same, but would overflow.
+const (
+	// MaxMillis is one day, longer than any request or connection lasts.
+	MaxMillis = 24 * 60 * 60 * 1000
+
+	maxHeaderBytes   = 1 << 30
+	maxColdPerSecond = 1e9
+)
+
 // Kind states whether the fleet may retry a request on its own.
 type Kind uint8
 
@@ -162,6 +171,7 @@
 		if s.Name == "" || p.servicesByName[s.Name] != nil {
 			return invalidf("service %q has no name or is a duplicate", s.Name)
 		}
+		s.ColdPerSecond = min(s.ColdPerSecond, maxColdPerSecond)
 		p.servicesByName[s.Name] = s
 	}
 	p.routesByHost = map[string][]*Route{}
@@ -183,6 +193,9 @@
 			seen[r.Prefix] = true
 		}
 	}
+	l := &p.Limits
+	l.HeaderBytes = min(l.HeaderBytes, maxHeaderBytes)
+	l.HeaderTimeoutMillis, l.IdleTimeoutMillis = min(l.HeaderTimeoutMillis, MaxMillis), min(l.IdleTimeoutMillis, MaxMillis)
 	p.priorities = newPriorityLevels(p)
 	p.workspacesByKey = map[string]*Workspace{}
 	for i := range p.Workspaces {
@@ -208,7 +221,10 @@
 	if r.StallMillis < 0 {
 		return invalidf("stall timeout of route %q is %d ms; must be 0 or more", r.Name, r.StallMillis)
 	}
-	total := 0
+	for _, millis := range []*int{&r.TimeoutMillis, &r.TargetMillis, &r.GapTargetMillis, &r.StallMillis} {
+		*millis = min(*millis, MaxMillis)
+	}
+	hasWeight := false
 	for _, s := range r.Shares {
 		if p.servicesByName[s.Service] == nil {
 			return invalidf("route %q refers to unknown service %q", r.Name, s.Service)
@@ -216,9 +232,9 @@
 		if s.Weight < 0 {
 			return invalidf("route %q has negative weight %d for service %q", r.Name, s.Weight, s.Service)
 		}
-		total += s.Weight
+		hasWeight = hasWeight || s.Weight > 0
 	}
-	if total == 0 {
+	if !hasWeight {
 		return invalidf("sum of the weights of route %q is 0", r.Name)
 	}
 	return nil
@@ -249,18 +265,22 @@
 
 // PickService selects a service in proportion to the weights; random is uniform in [0, 1).
 func (r *Route) PickService(random float64) string {
-	total := 0
+	total := 0.0 // the sum of large integers would overflow
 	for _, s := range r.Shares {
-		total += s.Weight
+		total += float64(s.Weight)
 	}
-	point := int(random * float64(total))
+	point := random * total
+	service := ""
 	for _, s := range r.Shares {
-		if point < s.Weight {
-			return s.Service
+		if s.Weight > 0 {
+			service = s.Service
+		}
+		if point < float64(s.Weight) {
+			break
 		}
-		point -= s.Weight
+		point -= float64(s.Weight)
 	}
-	return r.Shares[len(r.Shares)-1].Service
+	return service
 }
 
 // CanRetry reports whether a request of the route may be retried after its response was lost.
--- a/core/planner/plan_test.go
+++ b/core/planner/plan_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 	"testing"
 	"time"
 
@@ -107,3 +108,29 @@
 		assert.Equal(t, c.route.CanRetry(), c.want, "%+v", c.route)
 	}
 }
+
+// Guards against numbers of a plan that overflow where they are used: routes whose deadline has always passed, and
+// weights whose sum is negative or 0.
+func TestLargeNumbersAreBounded(t *testing.T) {
+	p := &Plan{
+		Version:  1,
+		Services: []Service{{Name: "a", ColdPerSecond: math.MaxFloat64}, {Name: "b"}},
+		Routes: []Route{{Name: "r", Host: "h", Prefix: "/", TimeoutMillis: math.MaxInt, TargetMillis: math.MaxInt,
+			GapTargetMillis: math.MaxInt, StallMillis: math.MaxInt,
+			Shares: []Share{{Service: "a", Weight: 1 << 62}, {Service: "b", Weight: 3 << 61}}}},
+		Limits: Limits{HeaderBytes: math.MaxInt, HeaderTimeoutMillis: math.MaxInt, IdleTimeoutMillis: math.MaxInt},
+	}
+	assert.NilError(t, p.Index())
+	r := &p.Routes[0]
+	for _, millis := range []int{r.TimeoutMillis, r.TargetMillis, r.GapTargetMillis, r.StallMillis,
+		p.Limits.HeaderTimeoutMillis, p.Limits.IdleTimeoutMillis} {
+		assert.Equal(t, millis, MaxMillis)
+	}
+	assert.Assert(t, r.StallTimeout() > 0)
+	r.StallMillis = 0
+	assert.Assert(t, r.StallTimeout() > 0)
+	assert.Assert(t, p.Limits.HeaderBytes+1<<20 > 0)
+	assert.Assert(t, !math.IsInf(1e6*p.Services[0].ColdPerSecond, 0))
+	assert.Equal(t, r.PickService(0.39), "a")
+	assert.Equal(t, r.PickService(0.41), "b")
+}
