Registrar: records of unknown services take no address

Well-formed heartbeats of another writer that name a service of no plan, at the addresses of sound endpoints, took the service of these endpoints down for good: the latest start at an address counted, whatever its service, and a record of a silent endpoint never expired.

The table of endpoints gets the services of the plans that came into force, and only their records take addresses. An address that goes to an endpoint of another known service still changes hands. Services of earlier plans stay known, because their endpoints may still listen there. A record of an unknown service is kept and sent on, so that it counts as soon as a plan names the service; it expires 2 min after its endpoint fell silent.

--- a/core/registrar/registrar.go
+++ b/core/registrar/registrar.go
@@ -36,6 +36,12 @@
 // goneRetention is how long the record of a deregistered endpoint is kept, so that late heartbeats don't restore it.
 const goneRetention = 2 * time.Minute
 
+// unknownRetention is how long the record of a silent endpoint is kept whose service no plan has named.
+const unknownRetention = 2 * time.Minute
+
+// maxServices bounds the names of services of earlier plans.
+const maxServices = 10_000
+
 // Endpoint is the record of one start of an endpoint. Instances store it in CBOR under its field names.
 type Endpoint struct {
 	ID       string
@@ -62,14 +68,28 @@
 	heartbeatInterval time.Duration
 	records           map[string]*Endpoint
 	lastHeartbeat     map[string]time.Time // by ID, of endpoints that send their heartbeats to this instance
+	services          map[string]bool      // that plans have named; empty before the first plan
 }
 
 // New returns an empty table for endpoints that send a heartbeat in each interval.
 func New(heartbeatInterval time.Duration) *Registrar {
 	return &Registrar{heartbeatInterval: heartbeatInterval, records: map[string]*Endpoint{},
-		lastHeartbeat: map[string]time.Time{}}
+		lastHeartbeat: map[string]time.Time{}, services: map[string]bool{}}
 }
 
+// AddServices records the services of a plan. Those of earlier plans remain known, because their endpoints may still be
+// at their addresses.
+func (r *Registrar) AddServices(names []string) {
+	if len(r.services)+len(names) > maxServices {
+		clear(r.services)
+	}
+	for _, name := range names {
+		r.services[name] = true
+	}
+}
+
+func (r *Registrar) isKnownService(name string) bool { return len(r.services) == 0 || r.services[name] }
+
 // MergeResult is the effect of a merge on the table.
 type MergeResult uint8
 
@@ -156,7 +176,7 @@
 }
 
 // Expire marks endpoints as silent whose heartbeats to this instance have timed out, and returns their records. It also
-// removes expired records of deregistered endpoints.
+// removes expired records of deregistered endpoints, and of silent ones of unknown services.
 func (r *Registrar) Expire(now time.Time) (changed []Endpoint) {
 	for id, at := range r.lastHeartbeat {
 		if now.Sub(at) < silentAfterIntervals*r.heartbeatInterval {
@@ -174,7 +194,9 @@
 		}
 	}
 	for id, e := range r.records {
-		if e.State == Gone && now.Sub(e.Changed) > goneRetention {
+		age := now.Sub(e.Changed)
+		if e.State == Gone && age > goneRetention ||
+			e.State == Silent && age > unknownRetention && !r.isKnownService(e.Service) {
 			delete(r.records, id)
 		}
 	}
@@ -190,11 +212,15 @@
 	return all
 }
 
-// RegisteredEndpoints returns the latest endpoint at each address unless it is gone. It includes silent endpoints,
-// because they may be unreachable from this instance only.
+// RegisteredEndpoints returns the latest endpoint of a known service at each address unless it is gone. It includes
+// silent endpoints, because they may be unreachable from this instance only. A record of an unknown service may be from
+// another writer and takes no address until a plan names its service.
 func (r *Registrar) RegisteredEndpoints() []Endpoint {
 	latest := map[string]*Endpoint{}
 	for _, e := range r.records {
+		if !r.isKnownService(e.Service) {
+			continue
+		}
 		if cur := latest[e.Address]; cur == nil || e.Born > cur.Born {
 			latest[e.Address] = e
 		}
--- a/core/registrar/registrar_test.go
+++ b/core/registrar/registrar_test.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -107,6 +108,53 @@
 	assert.Equal(t, countAccepting(r), 0)
 }
 
+// Guards against a sound endpoint that loses its address to a record of a service that no plan names, and against a
+// former endpoint that keeps its address when a plan names the service of the later one.
+func TestOnlyKnownServicesTakeAddresses(t *testing.T) {
+	r := New(time.Second)
+	usable := func() string {
+		list := r.RegisteredEndpoints()
+		ids := make([]string, 0, len(list))
+		for _, e := range list {
+			ids = append(ids, e.ID)
+		}
+		return strings.Join(ids, ",")
+	}
+	r.RecordHeartbeat(start, heartbeat("sound", 5, 1, Ready))
+	other := heartbeat("other", 9, 1, Ready)
+	other.Service = "later"
+	r.RecordHeartbeat(start, other)
+	assert.Equal(t, usable(), "other") // before the first plan
+	r.AddServices([]string{"s"})
+	assert.Equal(t, usable(), "sound")
+	r.AddServices([]string{"s", "later"})
+	assert.Equal(t, usable(), "other")
+	r.AddServices([]string{"s"})
+	assert.Equal(t, usable(), "other")
+	r.AddServices(make([]string, maxServices)) // the names of earlier plans are forgotten
+	r.AddServices([]string{"s"})
+	assert.Equal(t, usable(), "sound")
+}
+
+// Guards against records of another writer that are kept for good, and against those of endpoints of a known service
+// that are dropped while they are silent.
+func TestSilentEndpointsOfUnknownServicesExpire(t *testing.T) {
+	r := New(time.Second)
+	r.AddServices([]string{"s"})
+	other := heartbeat("other", 9, 1, Ready)
+	other.Service = "unknown"
+	for _, e := range []Endpoint{heartbeat("sound", 5, 1, Ready), other} {
+		r.RecordHeartbeat(start, e)
+	}
+	silentAt := start.Add(silentAfterIntervals * time.Second)
+	assert.Equal(t, len(r.Expire(silentAt)), 2)
+	r.Expire(silentAt.Add(unknownRetention))
+	assert.Equal(t, len(r.All()), 2)
+	r.Expire(silentAt.Add(unknownRetention + 1))
+	assert.Equal(t, len(r.All()), 1)
+	assert.Equal(t, r.Get("sound").State, Silent)
+}
+
 // Guards against an endpoint that stays silent at one instance although it sends its heartbeats to another one.
 func TestNewerHeartbeatElsewhereOverridesSilent(t *testing.T) {
 	a, b := New(time.Second), New(time.Second)
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -12,6 +12,7 @@
 	"cactusroute.dev/adapters/exchanger"
 	"cactusroute.dev/adapters/messenger"
 	"cactusroute.dev/core/fleetapplier"
+	"cactusroute.dev/core/planner"
 	"cactusroute.dev/core/registrar"
 )
 
@@ -104,6 +105,7 @@
 	// seedsInformedAt is when this control instance, while quorate, last exchanged contacts with an address.
 	seedsInformedAt map[string]time.Time
 	endpoints       *registrar.Registrar
+	servicesOf      *planner.Plan // whose services endpoints knows
 	received        receivedState
 	instances       map[string]*knownInstance
 	subscribedTo    string                 // name of the control instance that this router is subscribed to
@@ -250,6 +252,7 @@
 	defer f.routingUpdateMu.Unlock()
 	v := f.view.Load()
 	f.mu.Lock()
+	f.addServices(v.plan)
 	list := f.endpoints.RegisteredEndpoints()
 	routers := f.maxRecentRouters()
 	f.mu.Unlock()
@@ -264,6 +267,19 @@
 	f.routing.update(inService, outOfService, routers)
 }
 
+// addServices passes the services of a plan to the endpoints; the caller holds mu.
+func (f *fleet) addServices(p *planner.Plan) {
+	if p == nil || p == f.servicesOf {
+		return
+	}
+	f.servicesOf = p
+	names := make([]string, 0, len(p.Services))
+	for i := range p.Services {
+		names = append(names, p.Services[i].Name)
+	}
+	f.endpoints.AddServices(names)
+}
+
 // maxRecentRouters returns the highest router count within routerCountWindow; the caller holds mu.
 func (f *fleet) maxRecentRouters() int {
 	n := 1
