Node: acknowledge departures of endpoints once a quorum has stored them

An endpoint whose deregistration or draining had been acknowledged got requests again after all processes were killed and started: the acknowledgement depended on the memory of one instance, and the state cache is written up to 500 ms later. A departed endpoint sends no heartbeats that could correct this. An instance also acknowledged departures while it was cut off from the others, up to 1.2 s long; if it was killed then, nobody else ever heard of them.

Departures are now commands of the replicated log: ID and start of the endpoint, and whether it is gone or draining with which sequence number. Routers are still told at once; the acknowledgement waits for the commit. Each instance applies them to its table of endpoints, where they also hold for records that arrive later from other nodes. They are not published as a change of the state, because routers get the records of endpoints.

A replica that opens its log after a restart does not know yet which entries are committed. It reports all departures in the log, which is safe because no start of an endpoint takes back its departure, and the endpoints of the state cache are used only after that. The replica is therefore opened at the start of the process, before the state cache is used; with a disk that takes longer than 1 s, the cached endpoints follow later.

A DELETE for an ID that the instance does not know was acknowledged without an effect, though another instance may know it. It now commits a departure of all starts before the call.

Before calls of updateRouting that wait for a running one shared the next update, each change of an endpoint rebuilt the choice of endpoints for itself, and some of these commits missed their 0.9 s.

Records that a merge changes are passed on as merged; they were passed on as received.

--- a/adapters/committer/committer.go
+++ b/adapters/committer/committer.go
@@ -35,6 +35,13 @@
 	Restore(chunks iter.Seq2[[]byte, error]) error
 }
 
+// Previewer is implemented by a state machine that has to know what the log of the replica holds before a leader tells
+// which entries are committed.
+type Previewer interface {
+	// Preview is called by New with each command in the log after the snapshot has been restored.
+	Preview(entry []byte)
+}
+
 // Config configures a committer; zero limits take the defaults.
 type Config struct {
 	Name            string
@@ -259,6 +266,13 @@
 			return err
 		}
 	}
+	if p, ok := c.sm.(Previewer); ok {
+		for _, e := range stored.Entries {
+			if e.Kind == replicator.EntryCommand {
+				p.Preview(e.Data)
+			}
+		}
+	}
 	c.cluster = group.Cluster
 	cfg := replicator.Config{ID: c.store.ID(), Initial: stored, InitialCommitted: c.applied,
 		Random: rand.NewPCG(randomUint64(), randomUint64())}
--- a/adapters/exchanger/odd_entry_test.go
+++ b/adapters/exchanger/odd_entry_test.go
@@ -55,8 +55,8 @@
 	assert.NilError(t, conn.Send(ctx, kindEndpoints, 0, map[int]any{2: records}))
 	assert.NilError(t, conn.Send(ctx, kindSuspects, 0, []Suspect{{Fingerprint: 77}}))
 	waitFor(t, "a message after the list", func() bool { return s.hasRecorded("suspect 77") })
-	assert.Assert(t, s.hasRecorded("rejected 39 of router: "), "%q", s.recorded)
-	assert.Assert(t, s.hasRecorded("endpoint sound"), "%q", s.recorded)
+	assert.Assert(t, s.hasRecorded("rejected 39 of router: "))
+	assert.Assert(t, s.hasRecorded("endpoint sound"))
 
 	body, err := cbor.Marshal(map[int]any{2: records})
 	assert.NilError(t, err)
--- a/core/fleetapplier/doc.go
+++ b/core/fleetapplier/doc.go
@@ -1,3 +1,3 @@
-// Package fleetapplier implements the replicated state machine of a fleet without agents, which holds the newest plan
-// and the failure domains that are out of service. It does not decode plans.
+// Package fleetapplier implements the replicated state machine of a fleet without agents, which holds the newest plan,
+// the failure domains that are out of service, and the latest departures of endpoints. It does not decode plans.
 package fleetapplier
--- a/core/fleetapplier/statemachine.go
+++ b/core/fleetapplier/statemachine.go
@@ -4,9 +4,12 @@
 	"fmt"
 	"iter"
 	"maps"
+	"slices"
 	"sync"
 
 	"github.com/fxamacker/cbor/v2"
+
+	"cactusroute.dev/core/registrar"
 )
 
 // Command is the content of a log entry; exactly one field is set.
@@ -14,6 +17,8 @@
 	Plan          *EncodedPlan `cbor:"1,keyasint,omitempty"`
 	TakeOutDomain string       `cbor:"2,keyasint,omitempty"` // failure domain to take out of service
 	RestoreDomain string       `cbor:"3,keyasint,omitempty"` // failure domain to return to service
+	// Departures are starts of endpoints that accept no new requests any more.
+	Departures []registrar.Departure `cbor:"10,keyasint,omitempty"`
 }
 
 // EncodedPlan is a plan in the encoding in which the operator sent it.
@@ -27,10 +32,16 @@
 	Index    uint64          `cbor:"1,keyasint"` // of the last applied entry
 	Plan     EncodedPlan     `cbor:"2,keyasint"` // version 0 before the first plan
 	TakenOut map[string]bool `cbor:"3,keyasint"` // failure domains out of service
+	// Departures has one departure of each endpoint, the oldest ones first, at most registrar.MaxDepartures.
+	Departures []registrar.Departure `cbor:"10,keyasint,omitempty"`
 }
 
 // StateMachine applies log entries to the state. Apply and Restore must be called by one goroutine, State by any.
 type StateMachine struct {
+	// OnDepartures is called with departures before the call of Apply, Restore or Preview returns. They may not be
+	// committed yet. It must be set before these methods are called; it may be nil.
+	OnDepartures func([]registrar.Departure)
+
 	mu       sync.Mutex
 	state    State
 	onChange func(State)
@@ -61,6 +72,12 @@
 	s := m.State()
 	s.Index = index
 	switch {
+	case len(c.Departures) > 0:
+		// Endpoints are sent as records, so that this change is not published.
+		s.Departures = addDepartures(s.Departures, c.Departures)
+		m.set(s)
+		m.reportDepartures(c.Departures)
+		return nil
 	case c.Plan != nil:
 		if c.Plan.Version <= s.Plan.Version {
 			return nil
@@ -77,13 +94,60 @@
 	return nil
 }
 
-func (m *StateMachine) publish(s State) {
+func (m *StateMachine) set(s State) {
 	m.mu.Lock()
+	defer m.mu.Unlock()
 	m.state = s
-	m.mu.Unlock()
+}
+
+func (m *StateMachine) publish(s State) {
+	m.set(s)
 	m.onChange(s)
 }
 
+func (m *StateMachine) reportDepartures(list []registrar.Departure) {
+	if m.OnDepartures != nil && len(list) > 0 {
+		m.OnDepartures(list)
+	}
+}
+
+// addDepartures returns the list with those added that say more. Elements of the list are not changed.
+func addDepartures(list, added []registrar.Departure) []registrar.Departure {
+	for _, d := range added {
+		i := indexOfDeparture(list, d.ID)
+		switch {
+		case i >= 0 && !d.Supersedes(&list[i]):
+			continue
+		case i >= 0:
+			list = slices.Concat(list[:i], list[i+1:])
+		}
+		list = append(list, d)
+	}
+	return list[max(0, len(list)-registrar.MaxDepartures):]
+}
+
+func indexOfDeparture(list []registrar.Departure, id string) int {
+	return slices.IndexFunc(list, func(d registrar.Departure) bool { return d.ID == id })
+}
+
+// HasDeparted reports whether the state includes a departure, or one that says more.
+func (m *StateMachine) HasDeparted(d registrar.Departure) bool {
+	list := m.State().Departures
+	i := indexOfDeparture(list, d.ID)
+	return i >= 0 && !d.Supersedes(&list[i])
+}
+
+// Preview reports the departures in a log entry that may not be committed. No endpoint takes back its departure.
+func (m *StateMachine) Preview(entry []byte) {
+	var c struct {
+		Departures []registrar.Departure `cbor:"10,keyasint"`
+	}
+	if err := cbor.Unmarshal(entry, &c); err != nil {
+		return // Apply reports it
+	}
+	m.reportDepartures(c.Departures)
+}
+
 // Snapshot returns the encoded state after the last applied entry.
 func (m *StateMachine) Snapshot() iter.Seq2[[]byte, error] {
 	s := m.State()
@@ -108,6 +172,7 @@
 		if s.TakenOut == nil {
 			s.TakenOut = map[string]bool{}
 		}
+		m.reportDepartures(s.Departures)
 		m.publish(s)
 	}
 	return nil
--- a/core/fleetapplier/statemachine_test.go
+++ b/core/fleetapplier/statemachine_test.go
@@ -1,9 +1,12 @@
 package fleetapplier
 
 import (
+	"fmt"
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"cactusroute.dev/core/registrar"
 )
 
 func apply(t *testing.T, m *StateMachine, index uint64, c Command) {
@@ -51,3 +54,57 @@
 	_, isError := m.Apply(1, []byte{0xff}).(error)
 	assert.Assert(t, isError)
 }
+
+func depart(list ...registrar.Departure) Command { return Command{Departures: list} }
+
+// Guards against departures that are lost in a snapshot or before the entry is committed, are published as a change of
+// the plan, or change a state that was published before.
+func TestDeparturesAreKept(t *testing.T) {
+	var reported []registrar.Departure
+	var published int
+	m := New(func(State) { published++ })
+	m.OnDepartures = func(list []registrar.Departure) { reported = append(reported, list...) }
+	a, b := registrar.Departure{ID: "a", Born: 5, Sequence: 7}, registrar.Departure{ID: "b", Born: 6, IsGone: true}
+	gone := registrar.Departure{ID: "a", Born: 5, IsGone: true}
+	apply(t, m, 1, depart(a, b))
+	assert.Equal(t, published, 0)
+	assert.DeepEqual(t, reported, []registrar.Departure{a, b})
+	before := m.State()
+	assert.Equal(t, before.Index, uint64(1))
+	assert.Assert(t, m.HasDeparted(a) && m.HasDeparted(b) && !m.HasDeparted(gone))
+
+	apply(t, m, 2, depart(gone))
+	apply(t, m, 3, depart(a, registrar.Departure{ID: "b", Born: 2, IsGone: true}))
+	assert.DeepEqual(t, before.Departures, []registrar.Departure{a, b})
+	assert.DeepEqual(t, m.State().Departures, []registrar.Departure{b, gone})
+	assert.Assert(t, m.HasDeparted(a) && m.HasDeparted(gone))
+
+	restored := New(func(State) {})
+	reported = nil
+	restored.OnDepartures = m.OnDepartures
+	assert.NilError(t, restored.Restore(m.Snapshot()))
+	assert.DeepEqual(t, restored.State(), m.State())
+	assert.DeepEqual(t, reported, []registrar.Departure{b, gone})
+
+	reported = nil
+	for _, c := range []Command{depart(b), plan(3, "three"), {TakeOutDomain: "d"}} {
+		entry, err := EncodeCommand(c)
+		assert.NilError(t, err)
+		m.Preview(entry)
+	}
+	m.Preview([]byte{0xff})
+	assert.DeepEqual(t, reported, []registrar.Departure{b})
+	assert.Equal(t, m.State().Index, uint64(3))
+}
+
+// Guards against a state that grows with each endpoint that ever left.
+func TestOldestDeparturesAreForgotten(t *testing.T) {
+	m := New(func(State) {})
+	for i := range uint64(registrar.MaxDepartures + 5) {
+		apply(t, m, i+1, depart(registrar.Departure{ID: fmt.Sprint(i), Born: 5}))
+	}
+	list := m.State().Departures
+	assert.Equal(t, len(list), registrar.MaxDepartures)
+	assert.Equal(t, list[0].ID, "5")
+	assert.Assert(t, !m.HasDeparted(registrar.Departure{ID: "4", Born: 5}))
+}
--- a/core/registrar/check.go
+++ b/core/registrar/check.go
@@ -84,6 +84,9 @@
 	return nil
 }
 
+// CheckID returns an *InvalidError unless the ID is that of a valid record.
+func CheckID(id string) error { return checkName("ID", id, false) }
+
 func checkName(field, value string, isOptional bool) error {
 	switch {
 	case value == "" && !isOptional:
--- a/core/registrar/registrar.go
+++ b/core/registrar/registrar.go
@@ -69,12 +69,14 @@
 	records           map[string]*Endpoint
 	lastHeartbeat     map[string]time.Time // by ID, of endpoints that send their heartbeats to this instance
 	services          map[string]bool      // that plans have named; empty before the first plan
+	departures        map[string]Departure // by ID
+	departureOrder    []string             // IDs in departures, oldest first
 }
 
 // New returns an empty table for endpoints that send a heartbeat in each interval.
 func New(heartbeatInterval time.Duration) *Registrar {
 	return &Registrar{heartbeatInterval: heartbeatInterval, records: map[string]*Endpoint{},
-		lastHeartbeat: map[string]time.Time{}, services: map[string]bool{}}
+		lastHeartbeat: map[string]time.Time{}, services: map[string]bool{}, departures: map[string]Departure{}}
 }
 
 // AddServices records the services of a plan. Those of earlier plans remain known, because their endpoints may still be
@@ -130,6 +132,14 @@
 	if e.Check() != nil {
 		return Invalid
 	}
+	unchanged := Unchanged
+	if d, ok := r.departures[e.ID]; ok {
+		departed := d.applyTo(e)
+		if departed.State != e.State {
+			unchanged = Outdated
+		}
+		e = departed
+	}
 	e.Changed = now
 	cur := r.records[e.ID]
 	if cur == nil {
@@ -140,7 +150,7 @@
 		if isNewer(cur, &e) && affectsRouting(cur, &e) {
 			return Outdated
 		}
-		return Unchanged
+		return unchanged
 	}
 	if cur.State == Draining && e.State == Ready && cur.Born == e.Born {
 		// The heartbeats were reordered, because a draining endpoint never becomes ready again.
@@ -148,13 +158,14 @@
 	}
 	if !affectsRouting(cur, &e) {
 		cur.Sequence = e.Sequence
-		return Unchanged
+		return unchanged
 	}
 	r.records[e.ID] = &e
 	return Changed
 }
 
-// isNewer reports whether a replaces b: by start, then by sequence number. Silent replaces ready under the same number.
+// isNewer reports whether a replaces b: by start, then by sequence number. Under the same number silent replaces ready,
+// and draining replaces both.
 func isNewer(a, b *Endpoint) bool {
 	switch {
 	case a.Born != b.Born:
@@ -162,7 +173,7 @@
 	case a.Sequence != b.Sequence:
 		return a.Sequence > b.Sequence
 	default:
-		return a.State == Silent && b.State == Ready
+		return a.State == Silent && b.State == Ready || a.State == Draining && (b.State == Ready || b.State == Silent)
 	}
 }
 
--- a/node/control.go
+++ b/node/control.go
@@ -30,7 +30,7 @@
 	Restore(ctx context.Context, domain string) error
 	// Register records a heartbeat and returns the preferred host:port for the next ones.
 	Register(ctx context.Context, e registrar.Endpoint) (next string, err error)
-	// Deregister records that an endpoint has left.
+	// Deregister records that an endpoint has left; it returns a *BadRequestError for an invalid ID.
 	Deregister(ctx context.Context, id string) error
 	// Convictions returns the prompt parts that this node knows as convicted or lifted.
 	Convictions() []attributor.Conviction
@@ -139,9 +139,9 @@
 }
 
 // Register implements Control; it returns a *BadRequestError for a record that describes no endpoint. A draining
-// endpoint is acknowledged only by a quorate instance, because the acknowledgement guarantees that the endpoint's state
-// reaches all routers.
-func (f *fleet) Register(_ context.Context, e registrar.Endpoint) (next string, err error) {
+// endpoint is acknowledged only once a quorum of the control instances has stored that it drains, because the
+// acknowledgement guarantees that its state reaches all routers.
+func (f *fleet) Register(ctx context.Context, e registrar.Endpoint) (next string, err error) {
 	if f.control == nil || e.State != registrar.Ready && !f.control.isQuorate() {
 		if c, ok := f.preferredInstance(e.Domain); ok {
 			return "", &RedirectError{Address: c.Control}
@@ -155,9 +155,16 @@
 	}
 	f.mu.Lock()
 	outcome := f.endpoints.RecordHeartbeat(now, e)
+	merged := f.endpoints.Get(e.ID)
 	f.mu.Unlock()
 	if outcome == registrar.Changed {
-		f.publishEndpoints([]registrar.Endpoint{e}, "heartbeat")
+		f.publishEndpoints([]registrar.Endpoint{merged}, "heartbeat")
+	}
+	if e.State == registrar.Draining {
+		d := registrar.Departure{ID: e.ID, Born: e.Born, Sequence: e.Sequence}
+		if err := f.commitDeparture(ctx, d); err != nil {
+			return "", err
+		}
 	}
 	if c, ok := f.preferredInstance(e.Domain); ok && c.Domain == e.Domain && f.self.Domain != e.Domain {
 		return c.Control, nil
@@ -165,18 +172,27 @@
 	return f.self.Control, nil
 }
 
-// Deregister implements Control.
-func (f *fleet) Deregister(_ context.Context, id string) error {
+// Deregister implements Control. Routers learn of the departure at once; it is acknowledged once a quorum of the
+// control instances has stored it.
+func (f *fleet) Deregister(ctx context.Context, id string) error {
 	if _, err := f.localControl(); err != nil {
 		return err
 	}
+	if err := registrar.CheckID(id); err != nil {
+		return &BadRequestError{Reason: err.Error()}
+	}
+	now := time.Now()
 	f.mu.Lock()
-	e, known := f.endpoints.Deregister(time.Now(), id)
+	e, known := f.endpoints.Deregister(now, id)
 	f.mu.Unlock()
+	d := registrar.Departure{ID: id, Born: e.Born, IsGone: true}
 	if known {
 		f.publishEndpoints([]registrar.Endpoint{e}, "leave")
+	} else {
+		// Another instance may know the endpoint, with any start before this call.
+		d.Born = now.UnixMilli()
 	}
-	return nil
+	return f.commitDeparture(ctx, d)
 }
 
 // Convictions implements Control.
--- a/node/control_instance.go
+++ b/node/control_instance.go
@@ -47,6 +47,24 @@
 	fs                storer.FS                  // nil means the disk
 	suspensions       *suspensionDetector
 	clockErrOnce      sync.Once
+	first             *firstReplica // nil once serveOnce has taken it
+}
+
+// firstReplica is the result of opening the replica at the start of the process.
+type firstReplica struct {
+	opened  chan struct{} // closed when the other fields are set
+	replica *committer.Committer
+	err     error
+}
+
+// openFirst starts to open the replica. It must be called before Serve.
+func (ci *controlInstance) openFirst() {
+	first := &firstReplica{opened: make(chan struct{})}
+	ci.first = first
+	go func() {
+		first.replica, first.err = ci.openReplica()
+		close(first.opened)
+	}()
 }
 
 // disk returns the file system of the data folder.
@@ -63,8 +81,8 @@
 // Serve keeps a replica running until ctx ends. After a disk failure the replica is reopened, which reloads the durable
 // state.
 func (ci *controlInstance) Serve(ctx context.Context) error {
-	for ctx.Err() == nil {
-		err := ci.serveOnce(ctx)
+	for ci.first != nil || ctx.Err() == nil {
+		err := ci.serveOnce(ctx) // closes the replica that openFirst has opened
 		if ctx.Err() != nil {
 			break
 		}
@@ -78,7 +96,7 @@
 }
 
 func (ci *controlInstance) serveOnce(ctx context.Context) (err error) {
-	c, err := ci.openReplica()
+	c, err := ci.takeReplica()
 	if err != nil {
 		return err
 	}
@@ -102,6 +120,17 @@
 	return err
 }
 
+// takeReplica returns the replica that openFirst has opened, or opens it again.
+func (ci *controlInstance) takeReplica() (*committer.Committer, error) {
+	first := ci.first
+	if first == nil {
+		return ci.openReplica()
+	}
+	<-first.opened
+	ci.first = nil
+	return first.replica, first.err
+}
+
 // openReplica opens the data folder. A damaged folder is emptied: the instance then joins under a new identity, so that
 // it does not count as holding entries and votes that the old identity had acknowledged.
 func (ci *controlInstance) openReplica() (*committer.Committer, error) {
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -87,6 +87,7 @@
 	decodeSignal   chan struct{} // capacity 1: a received state is not yet decoded
 	cacheDirty     chan struct{} // capacity 1: the state cache on disk is out of date
 	suspectReports chan exchanger.Suspect
+	departures     departures
 	evidence       *evidence
 	streams        *streams
 	streamLog      *streamLog // of a control instance, while it runs
@@ -98,7 +99,9 @@
 	planKnown chan struct{} // closed when the first plan is in force
 	planOnce  sync.Once
 
-	routingUpdateMu sync.Mutex // locked before mu
+	routingRequests atomic.Uint64 // calls of updateRouting
+	routingUpdateMu sync.Mutex    // locked before mu
+	routingUpdated  uint64        // calls whose changes routing has; guarded by routingUpdateMu
 
 	mu    sync.Mutex
 	seeds []string
@@ -145,6 +148,7 @@
 		instances: map[string]*knownInstance{}, subscribers: map[string]*subscriber{},
 		seedsInformedAt: map[string]time.Time{}, suspects: map[uint64]*suspect{},
 		evidence: newEvidence(s.Place.Name, s.DataFolder != "", log), started: time.Now()}
+	f.departures.commit = f.proposeDepartures
 	f.streams = newStreams(s.DataFolder != "", f.started)
 	f.view.Store(&view{})
 	choosesBootstrapper := s.FirstStart && len(s.Seeds) > 0 && slices.Min(s.Seeds) == s.Listen.Advertise
@@ -246,10 +250,15 @@
 }
 
 // updateRouting passes the registered endpoints and the router count to the routing state. Updates are serialized, so
-// that an older list cannot replace a newer one.
+// that an older list cannot replace a newer one. Calls that wait for a running update share the next one.
 func (f *fleet) updateRouting() {
+	request := f.routingRequests.Add(1)
 	f.routingUpdateMu.Lock()
 	defer f.routingUpdateMu.Unlock()
+	if f.routingUpdated >= request {
+		return
+	}
+	f.routingUpdated = f.routingRequests.Load()
 	v := f.view.Load()
 	f.mu.Lock()
 	f.addServices(v.plan)
@@ -330,7 +339,7 @@
 	for _, e := range list {
 		switch f.endpoints.Merge(now, e) {
 		case registrar.Changed:
-			changed = append(changed, e)
+			changed = append(changed, f.endpoints.Get(e.ID))
 		case registrar.Outdated:
 			newer = append(newer, f.endpoints.Get(e.ID))
 		}
--- a/node/node.go
+++ b/node/node.go
@@ -52,6 +52,7 @@
 			f.receiveState(st.Index, &st.Plan, st.TakenOut)
 			f.control.server.PublishState()
 		})
+		f.control.stateMachine.OnDepartures = f.recordDepartures
 		f.control.server = exchanger.NewServer(f.exchangeOptions, f)
 		f.streams.publish = f.control.server.PublishStreams
 		f.evidence.publish = func(e exchanger.Evidence) {
@@ -89,6 +90,7 @@
 	servicesCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	if n.fleet.control != nil {
+		n.fleet.control.openFirst()
 		n.fleet.loadStateCache()
 		n.fleet.streamLog = &streamLog{fs: n.fleet.control.disk(), folder: n.settings.DataFolder}
 		n.fleet.loadStreams()
--- a/node/state_cache.go
+++ b/node/state_cache.go
@@ -25,9 +25,12 @@
 	replicaFolder  = "replica"
 	stateCacheFile = "memory.cbor"
 
-	// stateCacheInterval is the minimum interval between writes of the state cache; heartbeats restore changes that
-	// were lost in a crash.
+	// stateCacheInterval is the minimum interval between writes of the state cache; heartbeats and departures in the log
+	// restore changes that were lost in a crash.
 	stateCacheInterval = 500 * time.Millisecond
+
+	// maxOpenWait bounds how long the start waits for the replica; opening it reads some MB.
+	maxOpenWait = time.Second
 )
 
 // stateCache is a copy of an instance's state on disk, with which it serves after a restart until the control group has
@@ -159,7 +162,7 @@
 		f.mu.Unlock()
 		f.recordRouterCount(cache.Routers)
 	}
-	f.mergeEndpoints(cache.Endpoints, "memory")
+	f.mergeCachedEndpoints(cache.Endpoints)
 	for i := range cache.Convictions {
 		// The clock may have been stepped.
 		c := &cache.Convictions[i]
@@ -169,6 +172,29 @@
 	f.receiveState(cache.State.Index, &cache.State.Plan, cache.State.TakenOut)
 }
 
+// mergeCachedEndpoints merges endpoints from the state cache once the replica is open, because its log may hold
+// departures that the cache lacks. With a disk that is slower than maxOpenWait, the node starts without them.
+func (f *fleet) mergeCachedEndpoints(list []registrar.Endpoint) {
+	first := f.control.first
+	merge := func() {
+		if first.err != nil {
+			f.log.failure("msg", "cached endpoints are used without the log", "err", first.err)
+		}
+		f.mergeEndpoints(list, "memory")
+	}
+	t := time.NewTimer(maxOpenWait)
+	defer t.Stop()
+	select {
+	case <-first.opened:
+		merge()
+	case <-t.C:
+		go func() {
+			<-first.opened
+			merge()
+		}()
+	}
+}
+
 func readStateCache(name string) (cache stateCache, err error) {
 	data, err := os.ReadFile(name)
 	if err != nil {
