--- a/core/confirmer/confirmer.go
+++ b/core/confirmer/confirmer.go
@@ -10,6 +10,10 @@
 	// unconfirmedDelay is how long a state waits for a confirmation before it is put in force without one. The election of
 	// a leader is over by then; without a quorum, an outdated state serves callers better than none.
 	unconfirmedDelay = 2 * time.Second
+
+	// maxUnconfirmedDelay applies while a confirmation is expected: the log of an instance with an emptied disk may take
+	// seconds, and a link may pass one way only.
+	maxUnconfirmedDelay = 10 * time.Second
 )
 
 // Confirmer tracks the confirmations of the replicated state of one process. It is not safe for concurrent use.
@@ -17,6 +21,7 @@
 	started     time.Time
 	index       uint64    // of the state that the newest confirmation is about
 	confirmedAt time.Time // of the newest confirmation, zero before the first one
+	expectedAt  time.Time // when a confirmation was last expected, zero if never
 
 	indexInForce       uint64
 	inForceConfirmedAt time.Time // zero if the state in force is not confirmed
@@ -34,6 +39,9 @@
 	c.confirmInForce()
 }
 
+// Expect records that a confirmation is to be expected, because a leader is in contact with this process.
+func (c *Confirmer) Expect(now time.Time) { c.expectedAt = now }
+
 // SetInForce records the index of the state in force.
 func (c *Confirmer) SetInForce(index uint64) {
 	c.indexInForce = index
@@ -56,7 +64,9 @@
 	if index >= c.index && c.isCurrent(now, c.confirmedAt) {
 		return true
 	}
-	return now.Sub(c.lastCertain()) >= unconfirmedDelay
+	waited := now.Sub(c.lastCertain())
+	isExpected := !c.expectedAt.IsZero() && now.Sub(c.expectedAt) < unconfirmedDelay
+	return waited >= unconfirmedDelay && !isExpected || waited >= maxUnconfirmedDelay
 }
 
 // MayDeny reports whether a request may be denied because the plan in force has no route or key for it: a newer plan
--- a/core/confirmer/confirmer_test.go
+++ b/core/confirmer/confirmer_test.go
@@ -18,24 +18,31 @@
 	for _, c := range []struct {
 		name      string
 		confirmed time.Duration // of index 5; 0 means never
+		expected  time.Duration // 0 means never
 		index     uint64
 		now       time.Duration
 		may       bool
 	}{
-		{"nothing is confirmed yet", 0, 5, unconfirmedDelay - 1, false},
-		{"no confirmation comes", 0, 5, unconfirmedDelay, true},
-		{"the confirmed state", time.Second, 5, 2 * time.Second, true},
-		{"a newer state", time.Second, 6, 2 * time.Second, true},
-		{"a replayed state", time.Second, 4, 2 * time.Second, false},
-		{"a replayed state, and the newest does not come", time.Second, 4, time.Second + unconfirmedDelay, true},
-		{"an old confirmation", time.Second, 6, time.Second + maxAge + 1, false},
-		{"no further confirmation comes", time.Second, 6, time.Second + unconfirmedDelay, true},
-		{"a confirmation from before the start", -time.Second, 5, 400 * time.Millisecond, true},
+		{"nothing is confirmed yet", 0, 0, 5, unconfirmedDelay - 1, false},
+		{"no confirmation comes", 0, 0, 5, unconfirmedDelay, true},
+		{"a leader is in contact", 0, 3 * time.Second, 5, 3*time.Second + unconfirmedDelay - 1, false},
+		{"a leader was in contact", 0, 3 * time.Second, 5, 3*time.Second + unconfirmedDelay, true},
+		{"a leader is in contact and confirms nothing", 0, maxUnconfirmedDelay, 5, maxUnconfirmedDelay, true},
+		{"the confirmed state", time.Second, 0, 5, 2 * time.Second, true},
+		{"a newer state", time.Second, 0, 6, 2 * time.Second, true},
+		{"a replayed state", time.Second, 0, 4, 2 * time.Second, false},
+		{"a replayed state, and the newest does not come", time.Second, 0, 4, time.Second + unconfirmedDelay, true},
+		{"an old confirmation", time.Second, 0, 6, time.Second + maxAge + 1, false},
+		{"no further confirmation comes", time.Second, 0, 6, time.Second + unconfirmedDelay, true},
+		{"a confirmation from before the start", -time.Second, 0, 5, 400 * time.Millisecond, true},
 	} {
 		confirmer := New(start)
 		if c.confirmed != 0 {
 			confirmer.Confirm(5, after(c.confirmed))
 		}
+		if c.expected != 0 {
+			confirmer.Expect(after(c.expected))
+		}
 		assert.Equal(t, confirmer.MayPutInForce(after(c.now), c.index), c.may, c.name)
 	}
 }
--- a/core/fleetapplier/statemachine.go
+++ b/core/fleetapplier/statemachine.go
@@ -4,9 +4,12 @@
 	"fmt"
 	"iter"
 	"maps"
+	"slices"
 	"sync"
 
 	"github.com/fxamacker/cbor/v2"
+
+	"cactusroute.dev/core/registrar"
 )
 
 // Command is the content of a log entry; exactly one of the first three fields is set.
@@ -17,6 +20,8 @@
 	// After is the index of the last order about the failure domain that the sender has seen. If there is a newer one, the
 	// command is a late copy that must not undo it. It is nil in entries of earlier releases.
 	After *uint64 `cbor:"4,keyasint,omitempty"`
+	// Departures are starts of endpoints that accept no new requests any more.
+	Departures []registrar.Departure `cbor:"10,keyasint,omitempty"`
 }
 
 // OvertakenError reports a command about a failure domain that was committed after a newer order.
@@ -40,10 +45,16 @@
 	TakenOut map[string]bool `cbor:"3,keyasint"` // failure domains out of service
 	// Orders holds the index of the last order about each failure domain, also of one that has changed nothing.
 	Orders map[string]uint64 `cbor:"4,keyasint,omitempty"`
+	// Departures has one departure of each endpoint, the oldest ones first, at most registrar.MaxDepartures.
+	Departures []registrar.Departure `cbor:"10,keyasint,omitempty"`
 }
 
 // StateMachine applies log entries to the state. Apply and Restore must be called by one goroutine, State by any.
 type StateMachine struct {
+	// OnDepartures is called with departures before the call of Apply, Restore or Preview returns. They may not be
+	// committed yet. It must be set before these methods are called; it may be nil.
+	OnDepartures func([]registrar.Departure)
+
 	mu       sync.Mutex
 	state    State
 	onChange func(State)
@@ -74,6 +85,12 @@
 	s := m.State()
 	s.Index = index
 	switch {
+	case len(c.Departures) > 0:
+		// Endpoints are sent as records, so that this change is not published.
+		s.Departures = addDepartures(s.Departures, c.Departures)
+		m.set(s)
+		m.reportDepartures(c.Departures)
+		return nil
 	case c.Plan != nil:
 		if c.Plan.Version <= s.Plan.Version {
 			return nil
@@ -116,13 +133,60 @@
 	return orders
 }
 
-func (m *StateMachine) publish(s State) {
+func (m *StateMachine) set(s State) {
 	m.mu.Lock()
+	defer m.mu.Unlock()
 	m.state = s
-	m.mu.Unlock()
+}
+
+func (m *StateMachine) publish(s State) {
+	m.set(s)
 	m.onChange(s)
 }
 
+func (m *StateMachine) reportDepartures(list []registrar.Departure) {
+	if m.OnDepartures != nil && len(list) > 0 {
+		m.OnDepartures(list)
+	}
+}
+
+// addDepartures returns the list with those added that say more. Elements of the list are not changed.
+func addDepartures(list, added []registrar.Departure) []registrar.Departure {
+	for _, d := range added {
+		i := indexOfDeparture(list, d.ID)
+		switch {
+		case i >= 0 && !d.Supersedes(&list[i]):
+			continue
+		case i >= 0:
+			list = slices.Concat(list[:i], list[i+1:])
+		}
+		list = append(list, d)
+	}
+	return list[max(0, len(list)-registrar.MaxDepartures):]
+}
+
+func indexOfDeparture(list []registrar.Departure, id string) int {
+	return slices.IndexFunc(list, func(d registrar.Departure) bool { return d.ID == id })
+}
+
+// HasDeparted reports whether the state includes a departure, or one that says more.
+func (m *StateMachine) HasDeparted(d registrar.Departure) bool {
+	list := m.State().Departures
+	i := indexOfDeparture(list, d.ID)
+	return i >= 0 && !d.Supersedes(&list[i])
+}
+
+// Preview reports the departures in a log entry that may not be committed. No endpoint takes back its departure.
+func (m *StateMachine) Preview(entry []byte) {
+	var c struct {
+		Departures []registrar.Departure `cbor:"10,keyasint"`
+	}
+	if err := cbor.Unmarshal(entry, &c); err != nil {
+		return // Apply reports it
+	}
+	m.reportDepartures(c.Departures)
+}
+
 // Snapshot returns the encoded state after the last applied entry.
 func (m *StateMachine) Snapshot() iter.Seq2[[]byte, error] {
 	s := m.State()
@@ -150,6 +214,7 @@
 		if s.Orders == nil {
 			s.Orders = map[string]uint64{}
 		}
+		m.reportDepartures(s.Departures)
 		m.publish(s)
 	}
 	return nil
--- a/core/registrar/registrar.go
+++ b/core/registrar/registrar.go
@@ -19,7 +19,11 @@
 
 // String returns the state in lower case.
 func (s State) String() string {
-	return [...]string{"unknown", "ready", "draining", "gone", "silent"}[s]
+	names := [...]string{"unknown", "ready", "draining", "gone", "silent"}
+	if int(s) >= len(names) {
+		return names[0]
+	}
+	return names[s]
 }
 
 // finalSequence is the sequence number of a record that no heartbeat of the same start can replace.
@@ -32,6 +36,12 @@
 // goneRetention is how long the record of a deregistered endpoint is kept, so that late heartbeats don't restore it.
 const goneRetention = 2 * time.Minute
 
+// unknownRetention is how long the record of a silent endpoint is kept whose service no plan has named.
+const unknownRetention = 2 * time.Minute
+
+// maxServices bounds the names of services of earlier plans.
+const maxServices = 10_000
+
 // Endpoint is the record of one start of an endpoint. Instances store it in CBOR under its field names.
 type Endpoint struct {
 	ID       string
@@ -58,14 +68,30 @@
 	heartbeatInterval time.Duration
 	records           map[string]*Endpoint
 	lastHeartbeat     map[string]time.Time // by ID, of endpoints that send their heartbeats to this instance
+	services          map[string]bool      // that plans have named; empty before the first plan
+	departures        map[string]Departure // by ID
+	departureOrder    []string             // IDs in departures, oldest first
 }
 
 // New returns an empty table for endpoints that send a heartbeat in each interval.
 func New(heartbeatInterval time.Duration) *Registrar {
 	return &Registrar{heartbeatInterval: heartbeatInterval, records: map[string]*Endpoint{},
-		lastHeartbeat: map[string]time.Time{}}
+		lastHeartbeat: map[string]time.Time{}, services: map[string]bool{}, departures: map[string]Departure{}}
+}
+
+// AddServices records the services of a plan. Those of earlier plans remain known, because their endpoints may still be
+// at their addresses.
+func (r *Registrar) AddServices(names []string) {
+	if len(r.services)+len(names) > maxServices {
+		clear(r.services)
+	}
+	for _, name := range names {
+		r.services[name] = true
+	}
 }
 
+func (r *Registrar) isKnownService(name string) bool { return len(r.services) == 0 || r.services[name] }
+
 // MergeResult is the effect of a merge on the table.
 type MergeResult uint8
 
@@ -74,10 +100,14 @@
 	Unchanged MergeResult = iota
 	Changed               // the record affects routing
 	Outdated              // the table holds a newer record that the sender lacks
+	Invalid               // the record was not merged, see Endpoint.Check
 )
 
 // RecordHeartbeat merges a record that an endpoint sent to this instance and restarts its heartbeat timeout.
 func (r *Registrar) RecordHeartbeat(now time.Time, e Endpoint) MergeResult {
+	if e.CheckHeartbeat(now) != nil {
+		return Invalid
+	}
 	result := r.Merge(now, e)
 	if cur := r.records[e.ID]; cur != nil && cur.Born == e.Born && cur.State != Gone {
 		r.lastHeartbeat[e.ID] = now
@@ -99,6 +129,17 @@
 
 // Merge replaces the record of an endpoint if the given one is newer.
 func (r *Registrar) Merge(now time.Time, e Endpoint) MergeResult {
+	if e.Check() != nil {
+		return Invalid
+	}
+	unchanged := Unchanged
+	if d, ok := r.departures[e.ID]; ok {
+		departed := d.applyTo(e)
+		if departed.State != e.State {
+			unchanged = Outdated
+		}
+		e = departed
+	}
 	e.Changed = now
 	cur := r.records[e.ID]
 	if cur == nil {
@@ -113,11 +154,11 @@
 		if isNewer(cur, &e) && affectsRouting(cur, &e) {
 			return Outdated
 		}
-		return Unchanged
+		return unchanged
 	}
 	if !affectsRouting(cur, &e) {
 		cur.Sequence = e.Sequence
-		return Unchanged
+		return unchanged
 	}
 	r.records[e.ID] = &e
 	return Changed
@@ -145,7 +186,8 @@
 	return Outdated // the sender does not know that the endpoint drains
 }
 
-// isNewer reports whether a replaces b: by start, then by sequence number. Silent replaces ready under the same number.
+// isNewer reports whether a replaces b: by start, then by sequence number. Under the same number silent replaces ready,
+// and draining replaces both.
 func isNewer(a, b *Endpoint) bool {
 	switch {
 	case a.Born != b.Born:
@@ -153,7 +195,7 @@
 	case a.Sequence != b.Sequence:
 		return a.Sequence > b.Sequence
 	default:
-		return a.State == Silent && b.State == Ready
+		return a.State == Silent && b.State == Ready || a.State == Draining && (b.State == Ready || b.State == Silent)
 	}
 }
 
@@ -167,7 +209,7 @@
 }
 
 // Expire marks endpoints as silent whose heartbeats to this instance have timed out, and returns their records. It also
-// removes expired records of deregistered endpoints.
+// removes expired records of deregistered endpoints, and of silent ones of unknown services.
 func (r *Registrar) Expire(now time.Time) (changed []Endpoint) {
 	for id, at := range r.lastHeartbeat {
 		if now.Sub(at) < silentAfterIntervals*r.heartbeatInterval {
@@ -185,7 +227,9 @@
 		}
 	}
 	for id, e := range r.records {
-		if e.State == Gone && now.Sub(e.Changed) > goneRetention {
+		age := now.Sub(e.Changed)
+		if e.State == Gone && age > goneRetention ||
+			e.State == Silent && age > unknownRetention && !r.isKnownService(e.Service) {
 			delete(r.records, id)
 		}
 	}
@@ -201,11 +245,15 @@
 	return all
 }
 
-// RegisteredEndpoints returns the latest endpoint at each address unless it is gone. It includes silent endpoints,
-// because they may be unreachable from this instance only.
+// RegisteredEndpoints returns the latest endpoint of a known service at each address unless it is gone. It includes
+// silent endpoints, because they may be unreachable from this instance only. A record of an unknown service may be from
+// another writer and takes no address until a plan names its service.
 func (r *Registrar) RegisteredEndpoints() []Endpoint {
 	latest := map[string]*Endpoint{}
 	for _, e := range r.records {
+		if !r.isKnownService(e.Service) {
+			continue
+		}
 		if cur := latest[e.Address]; cur == nil || e.Born > cur.Born {
 			latest[e.Address] = e
 		}
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -15,6 +15,7 @@
 	"cactusroute.dev/adapters/sleeper"
 	"cactusroute.dev/core/confirmer"
 	"cactusroute.dev/core/fleetapplier"
+	"cactusroute.dev/core/planner"
 	"cactusroute.dev/core/registrar"
 )
 
@@ -98,6 +99,7 @@
 	cacheDirty     chan struct{} // capacity 1: the state cache on disk is out of date
 	suspectReports chan exchanger.Suspect
 	leavingReports chan registrar.Endpoint // for the control instance
+	departures     departures
 	evidence       *evidence
 	streams        *streams
 	streamLog      *streamLog // of a control instance, while it runs
@@ -107,7 +109,9 @@
 	planKnown chan struct{} // closed when the first plan is in force
 	planOnce  sync.Once
 
-	routingUpdateMu sync.Mutex // locked before mu
+	routingRequests atomic.Uint64 // calls of updateRouting
+	routingUpdateMu sync.Mutex    // locked before mu
+	routingUpdated  uint64        // calls whose changes routing has; guarded by routingUpdateMu
 
 	mu    sync.Mutex
 	seeds []string
@@ -115,6 +119,7 @@
 	seedsInformedAt map[string]time.Time
 	exchanging      map[string]bool // addresses with which an exchange of contacts runs
 	endpoints       *registrar.Registrar
+	servicesOf      *planner.Plan // whose services endpoints knows
 	received        receivedState // the newest one
 	released        receivedState // the newest one that may be put in force
 	confirmer       *confirmer.Confirmer
@@ -166,6 +171,7 @@
 		seedsInformedAt: map[string]time.Time{}, exchanging: map[string]bool{}, suspects: map[uint64]*suspect{},
 		evidence: newEvidence(s.Place.Name, s.DataFolder != "", log), started: time.Now()}
 	f.confirmer = confirmer.New(f.started)
+	f.departures.commit = f.proposeDepartures
 	f.streams = newStreams(s.DataFolder != "", f.started)
 	f.view.Store(&view{})
 	choosesBootstrapper := s.FirstStart && len(s.Seeds) > 0 && slices.Min(s.Seeds) == s.Listen.Advertise
@@ -279,12 +285,18 @@
 }
 
 // updateRouting passes the registered endpoints and the router count to the routing state. Updates are serialized, so
-// that an older list cannot replace a newer one.
+// that an older list cannot replace a newer one. Calls that wait for a running update share the next one.
 func (f *fleet) updateRouting() {
+	request := f.routingRequests.Add(1)
 	f.routingUpdateMu.Lock()
 	defer f.routingUpdateMu.Unlock()
+	if f.routingUpdated >= request {
+		return
+	}
+	f.routingUpdated = f.routingRequests.Load()
 	v := f.view.Load()
 	f.mu.Lock()
+	f.addServices(v.plan)
 	list := f.endpoints.RegisteredEndpoints()
 	routers := f.maxRecentRouters()
 	f.mu.Unlock()
@@ -299,6 +311,19 @@
 	f.routing.update(inService, outOfService, routers)
 }
 
+// addServices passes the services of a plan to the endpoints; the caller holds mu.
+func (f *fleet) addServices(p *planner.Plan) {
+	if p == nil || p == f.servicesOf {
+		return
+	}
+	f.servicesOf = p
+	names := make([]string, 0, len(p.Services))
+	for i := range p.Services {
+		names = append(names, p.Services[i].Name)
+	}
+	f.endpoints.AddServices(names)
+}
+
 // maxRecentRouters returns the highest router count within routerCountWindow; the caller holds mu.
 func (f *fleet) maxRecentRouters() int {
 	n := 1
@@ -363,6 +388,11 @@
 	}
 }
 
+// logRejectedEndpoints logs that invalid records were dropped; err is the reason for the first one.
+func (f *fleet) logRejectedEndpoints(source string, n int, err error) {
+	f.log.failure("msg", "endpoint records rejected", "records", n, "source", source, "err", err)
+}
+
 // receiveState stores a newer replicated state, and releases it unless it has to wait for a confirmation.
 func (f *fleet) receiveState(index uint64, plan *fleetapplier.EncodedPlan, takenOut map[string]bool, source string) {
 	f.mu.Lock()
@@ -438,6 +468,11 @@
 				f.mu.Unlock()
 				f.confirm(index, at)
 			}
+			if c.Status().Leader != "" {
+				f.mu.Lock()
+				f.confirmer.Expect(time.Now())
+				f.mu.Unlock()
+			}
 		}
 		if isQuorate != wasQuorate {
 			wasQuorate = isQuorate
--- a/node/state_cache.go
+++ b/node/state_cache.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -24,9 +25,12 @@
 	replicaFolder  = "replica"
 	stateCacheFile = "memory.cbor"
 
-	// stateCacheInterval is the minimum interval between writes of the state cache; heartbeats restore changes that
-	// were lost in a crash.
+	// stateCacheInterval is the minimum interval between writes of the state cache; heartbeats and departures in the log
+	// restore changes that were lost in a crash.
 	stateCacheInterval = 500 * time.Millisecond
+
+	// maxOpenWait bounds how long the start waits for the replica; opening it reads some MB.
+	maxOpenWait = time.Second
 )
 
 // stateCache is a copy of an instance's state on disk, with which it serves after a restart until the control group has
@@ -41,6 +45,55 @@
 	ColdMillis map[string]int64 `cbor:"4,keyasint,omitempty"`
 	// Routers is the number of nodes that route requests.
 	Routers int `cbor:"5,keyasint,omitempty"`
+
+	rejected     int   // invalid endpoints in the file
+	rejectReason error // for the first one
+}
+
+// storedStateCache is a stateCache whose endpoints are decoded one by one.
+type storedStateCache struct {
+	State       fleetapplier.State      `cbor:"1,keyasint"`
+	Endpoints   []cbor.RawMessage       `cbor:"2,keyasint"`
+	Convictions []attributor.Conviction `cbor:"3,keyasint,omitempty"`
+	ColdMillis  map[string]int64        `cbor:"4,keyasint,omitempty"`
+	Routers     int                     `cbor:"5,keyasint,omitempty"`
+}
+
+// decode returns the state cache with the valid endpoints.
+func (s *storedStateCache) decode() stateCache {
+	cache := stateCache{State: s.State, Convictions: s.Convictions, ColdMillis: s.ColdMillis, Routers: s.Routers}
+	for _, raw := range s.Endpoints {
+		var e registrar.Endpoint
+		err := cbor.Unmarshal(raw, &e)
+		if err == nil {
+			err = e.Check()
+		}
+		if err != nil {
+			cache.reject(err)
+			continue
+		}
+		cache.Endpoints = append(cache.Endpoints, e)
+	}
+	return cache
+}
+
+func (c *stateCache) reject(err error) {
+	c.rejected++
+	c.rejectReason = cmp.Or(c.rejectReason, err)
+}
+
+// warmUp sets the end of the warm-up of the endpoints, and drops those for which it is invalid.
+func (c *stateCache) warmUp(now time.Time) {
+	valid := c.Endpoints[:0]
+	for _, e := range c.Endpoints {
+		var err error
+		if e.ColdUntil, err = registrar.ColdUntil(now, float64(c.ColdMillis[e.ID])); err != nil {
+			c.reject(err)
+			continue
+		}
+		valid = append(valid, e)
+	}
+	c.Endpoints = valid
 }
 
 // persistStateCache writes the state cache after changes until ctx ends.
@@ -99,11 +152,9 @@
 	f.log.event("memory read", "index", cache.State.Index, "version", cache.State.Plan.Version,
 		"endpoints", len(cache.Endpoints))
 	now := time.Now()
-	for i := range cache.Endpoints {
-		e := &cache.Endpoints[i]
-		if left := cache.ColdMillis[e.ID]; left > 0 {
-			e.ColdUntil = now.Add(time.Duration(left) * time.Millisecond)
-		}
+	cache.warmUp(now)
+	if cache.rejected > 0 {
+		f.logRejectedEndpoints(name, cache.rejected, cache.rejectReason)
 	}
 	if cache.Routers > 0 {
 		f.mu.Lock()
@@ -111,7 +162,7 @@
 		f.mu.Unlock()
 		f.recordRouterCount(cache.Routers)
 	}
-	f.mergeEndpoints(cache.Endpoints, "memory")
+	f.mergeCachedEndpoints(cache.Endpoints)
 	for i := range cache.Convictions {
 		// The clock may have been stepped.
 		c := &cache.Convictions[i]
@@ -121,12 +172,39 @@
 	f.receiveState(cache.State.Index, &cache.State.Plan, cache.State.TakenOut, stateFromCache)
 }
 
+// mergeCachedEndpoints merges endpoints from the state cache once the replica is open, because its log may hold
+// departures that the cache lacks. With a disk that is slower than maxOpenWait, the node starts without them.
+func (f *fleet) mergeCachedEndpoints(list []registrar.Endpoint) {
+	first := f.control.first
+	merge := func() {
+		if first.err != nil {
+			f.log.failure("msg", "cached endpoints are used without the log", "err", first.err)
+		}
+		f.mergeEndpoints(list, "memory")
+	}
+	t := time.NewTimer(maxOpenWait)
+	defer t.Stop()
+	select {
+	case <-first.opened:
+		merge()
+	case <-t.C:
+		go func() {
+			<-first.opened
+			merge()
+		}()
+	}
+}
+
 func readStateCache(name string) (cache stateCache, err error) {
 	data, err := os.ReadFile(name)
 	if err != nil {
 		return cache, err
 	}
-	return cache, cbor.Unmarshal(data, &cache)
+	var stored storedStateCache
+	if err := cbor.Unmarshal(data, &stored); err != nil {
+		return cache, err
+	}
+	return stored.decode(), nil
 }
 
 // writeStateCache replaces the file atomically: after a crash or power loss the old or the new content is complete.
