Report an endpoint that leaves again after a lost connection

A report that was taken from the queue of a subscription and not sent was lost if the next subscription had sent its records already. It is queued again, as the origins of streams are. Noticed by reading; there is no test of that moment.

--- a/node/quiet.go
+++ b/node/quiet.go
@@ -120,9 +120,12 @@
 func (f *fleet) reportLeaving(e registrar.Endpoint) {
 	e.State = registrar.Draining
 	f.mergeEndpoints([]registrar.Endpoint{e}, "response")
-	if f.control != nil {
-		return
+	if f.control == nil {
+		f.queueLeavingReport(e)
 	}
+}
+
+func (f *fleet) queueLeavingReport(e registrar.Endpoint) {
 	select {
 	case f.leavingReports <- e:
 	default: // the next subscription starts with all records
@@ -137,6 +140,7 @@
 			return
 		case e := <-f.leavingReports:
 			if sub.ReportEndpoints(ctx, []registrar.Endpoint{e}) != nil {
+				f.queueLeavingReport(e) // the next subscription may have begun already
 				return
 			}
 		}
