Let a restarted process earn its retries

Cause: a process that starts has an empty window and a whole part of the slack, which its last process may have spent a moment before.

Evidence: TestWindowBudgetHoldsOverRestarts, in which four routers whose requests all fail are killed and started again, failed before in 3 of its 5 cases: 372 retries for 1,213 first attempts, 465 for 1,175 and 940 for 1,255, where 359, 351 and 367 are allowed. TestRestartedNodeEarnsItsRetries failed, too.

Change: a process that starts while its fleet runs counts its part of the slack as spent until a window has passed since its start. Until then it retries in proportion to the first attempts that it has counted itself, which no other process counts. On the first start of a fleet nothing changes.

A node without slack refuses where it would have retried: in the first window after a restart, its first retry of a service comes after 7 first attempts. The test proxy is on its first start now, since its tests are about retries, not restarts.

--- a/core/retrier/window_budget.go
+++ b/core/retrier/window_budget.go
@@ -16,12 +16,19 @@
 	Slack  float64 // additional retries allowed per window over all routers
 	Window time.Duration
 
+	spentUntil    time.Time // the router's part of the slack counts as spent before
 	bucketStart   time.Time
 	bucket        int
 	firstAttempts [windowBuckets]float64
 	retries       [windowBuckets]float64
 }
 
+// NewRestartedWindowBudget returns the budget of a process that starts while its fleet runs. An earlier process of the
+// router may have spent its part of the slack, so that there is none until that is out of the window.
+func NewRestartedWindowBudget(startedAt time.Time, ratio, slack float64, window time.Duration) *WindowBudget {
+	return &WindowBudget{Ratio: ratio, Slack: slack, Window: window, spentUntil: startedAt.Add(window)}
+}
+
 func (b *WindowBudget) advance(now time.Time) {
 	bucketLength := b.Window / windowBuckets
 	if bucketLength <= 0 {
@@ -46,12 +53,16 @@
 // Remaining returns the retries that the router may still make now, including its part of the slack.
 func (b *WindowBudget) Remaining(now time.Time, routers int) float64 {
 	b.advance(now)
+	slack := b.Slack / float64(max(1, routers))
+	if now.Before(b.spentUntil) {
+		slack = 0
+	}
 	firstAttempts, retries := 0.0, 0.0
 	for i := range windowBuckets {
 		firstAttempts += b.firstAttempts[i]
 		retries += b.retries[i]
 	}
-	return windowSafetyFactor*(b.Ratio*firstAttempts+b.Slack/float64(max(1, routers))) - retries
+	return windowSafetyFactor*(b.Ratio*firstAttempts+slack) - retries
 }
 
 // Take takes one retry from the budget; ok is false if the budget is exhausted.
--- a/node/fakes_test.go
+++ b/node/fakes_test.go
@@ -167,6 +167,7 @@
 	obs := observer.New(queue, "test")
 	log := newRateLimitedLog(obs, queue)
 	settings := testSettings("router")
+	settings.FirstStart = true // otherwise the slack of the retry budget counts as spent
 	f := newFleet(settings, testDialect(), log)
 	pool := forwarder.NewPool(settings.EndpointLimits.Limits)
 	p := &proxy{dialect: testDialect(), fleet: f, pool: pool, log: log, metrics: newMetrics(obs, f, pool, queue)}
--- a/node/view.go
+++ b/node/view.go
@@ -23,6 +23,9 @@
 type routingState struct {
 	budgetSettings RetryBudget
 
+	// restartedAt is when this process started, if its fleet ran before.
+	restartedAt time.Time
+
 	mu      sync.Mutex
 	chooser *chooser.Chooser
 	routers int
@@ -34,7 +37,8 @@
 		chooser: chooser.New(s.Load.chooserLimits(), s.Place.Name, s.Place.FailureDomain),
 		routers: 1, budgets: map[string]*retrier.WindowBudget{}}
 	if !s.FirstStart {
-		r.chooser.RecordRestart(time.Now())
+		r.restartedAt = time.Now()
+		r.chooser.RecordRestart(r.restartedAt)
 	}
 	return r
 }
@@ -50,8 +54,10 @@
 func (r *routingState) serviceBudget(service string) *retrier.WindowBudget {
 	b := r.budgets[service]
 	if b == nil {
-		b = &retrier.WindowBudget{Ratio: r.budgetSettings.Ratio, Slack: r.budgetSettings.Slack,
-			Window: time.Duration(r.budgetSettings.WindowMillis) * time.Millisecond}
+		s, window := &r.budgetSettings, time.Duration(r.budgetSettings.WindowMillis)*time.Millisecond
+		if b = (&retrier.WindowBudget{Ratio: s.Ratio, Slack: s.Slack, Window: window}); !r.restartedAt.IsZero() {
+			b = retrier.NewRestartedWindowBudget(r.restartedAt, s.Ratio, s.Slack, window)
+		}
 		r.budgets[service] = b
 	}
 	return b
