Bound what callers of a router hold that stop sending or reading

What callers saw: no response to a request whose upload stalled, neither at their deadline nor at the pool's timeout; the same for one that was refused before (401, 404). A caller that read slowly was cut when one write, which may be a whole response of 8 MiB, took 30 s.

In addition, the read deadline was 30 s whatever the request allowed, and deadlines counted from the end of the upload.

Change: server.Body and server.CallerConn bound uploads and writes; the deadline of a write per call is gone, and 30 s without any progress end a response, as callers are told. Deadlines count from the header of a request. A late body is answered 408 body_timeout, not-run; for a chat without a deadline of its caller, the longest timeout of the workspace's pools bounds the upload, since only the body names the pool.

The non-blocking write uses syscall.Write, which the race detector knows as a synchronisation of both ends; with unix.Write it reported a race between the two goroutines of TestShutdownFinishesRequestsInFlight.

--- a/adapters/socket/socket.go
+++ b/adapters/socket/socket.go
@@ -24,15 +24,15 @@
 		var m int
 		var werr error
 		if err := raw.Write(func(fd uintptr) bool {
-			m, werr = unix.Write(int(fd), b[n:])
+			m, werr = syscall.Write(int(fd), b[n:]) // which the race detector knows, unlike that of unix
 			return true
 		}); err != nil {
 			return n, err
 		}
 		switch {
-		case errors.Is(werr, unix.EAGAIN):
+		case errors.Is(werr, syscall.EAGAIN):
 			return n, nil
-		case errors.Is(werr, unix.EINTR):
+		case errors.Is(werr, syscall.EINTR):
 		case werr != nil:
 			return n, os.NewSyscallError("write", werr)
 		default:
--- a/router/doc.go
+++ b/router/doc.go
@@ -3,8 +3,8 @@
 // An error response has the header X-Cactusroute-Outcome: not-run only in the cases below. For a request without an
 // Idempotency-Key it means that no endpoint has run or will run this request:
 //
-//   - The route is unknown, the API key is missing or wrong, or a header, body, model, service or path is malformed
-//     or too large (400, 401, 404, 413, 431): the request was not sent to an endpoint.
+//   - The route is unknown, the API key is missing or wrong, or a header, body, model, service or path is malformed,
+//     late or too large (400, 401, 404, 408, 413, 431): the request was not sent to an endpoint.
 //   - The router has had no current view since its start (503): it has no endpoints to send requests to.
 //   - The router's limit, or the workspace's share of its fleet-wide limit, is reached (503, 429): the request was not
 //     sent to an endpoint.
--- a/router/forward.go
+++ b/router/forward.go
@@ -24,8 +24,6 @@
 const (
 	// maxBufferedBytes limits the buffered bytes of a response; agents have the same limit.
 	maxBufferedBytes = 8 << 20
-	// writeTimeout limits each write to a caller that does not read.
-	writeTimeout = 30 * time.Second
 	// restartDelay is how long a request that must not fail yet waits for capacity before its candidates are tried
 	// again.
 	restartDelay = 200 * time.Millisecond
@@ -372,7 +370,6 @@
 func writeResponse(w http.ResponseWriter, h relayer.Head, body []byte) error {
 	w.Header().Set("Content-Type", h.ContentType)
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
 	w.WriteHeader(h.Status)
 	if _, err := w.Write(body); err != nil {
 		return errCallerDisconnected
@@ -446,7 +443,6 @@
 		t.w.Header().Set("Cache-Control", "no-store")
 		t.w.WriteHeader(http.StatusOK)
 	}
-	_ = http.NewResponseController(t.w).SetWriteDeadline(time.Now().Add(writeTimeout))
 	if _, err := t.w.Write(event); err != nil {
 		return errCallerDisconnected
 	}
--- a/router/http_error.go
+++ b/router/http_error.go
@@ -70,8 +70,13 @@
 		h.Set(headerRetryAfter, strconv.Itoa(int(math.Ceil(e.RetryAfter.Seconds()))))
 	}
 	h.Set("Content-Type", "application/json")
+	body, err := json.Marshal(e.body())
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	h.Set("Content-Length", strconv.Itoa(len(body)+1))
 	w.WriteHeader(e.Status)
-	_ = json.NewEncoder(w).Encode(e.body())
+	_, _ = w.Write(append(body, '\n'))
 }
 
 // defaultRetryAfter is the base of Retry-After if no agent returned a time.
--- a/router/request.go
+++ b/router/request.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"os"
 	"path"
 	"slices"
 	"strconv"
@@ -96,10 +97,13 @@
 	return now.Add(time.Duration(millis) * time.Millisecond), nil
 }
 
-// readBody reads a body of at most maxBodyBytes.
-func readBody(w http.ResponseWriter, r *http.Request) ([]byte, *httpError) {
+// readBody reads a body of at most maxBodyBytes that arrives until the deadline and within bodyTimeout.
+func readBody(w http.ResponseWriter, r *http.Request, deadline time.Time) ([]byte, *httpError) {
+	if latest := time.Now().Add(bodyTimeout); latest.Before(deadline) {
+		deadline = latest
+	}
 	rc := http.NewResponseController(w)
-	_ = rc.SetReadDeadline(time.Now().Add(bodyTimeout))
+	_ = rc.SetReadDeadline(deadline)
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
 	_ = rc.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
@@ -109,6 +113,11 @@
 			Status: http.StatusRequestEntityTooLarge, Type: errorTypeInvalidRequest, Code: "body_too_large",
 			Message: "the body exceeds 1 MiB", NotRun: true,
 		}
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, &httpError{
+			Status: http.StatusRequestTimeout, Type: errorTypeInvalidRequest, Code: "body_timeout",
+			Message: "the body did not arrive in time", NotRun: true,
+		}
 	case err != nil:
 		return nil, badRequest("incomplete_body", "the body could not be read")
 	default:
@@ -197,7 +206,12 @@
 		return "", httpErr
 	}
 	defer admitted.release()
-	body, httpErr := readBody(w, r)
+	// The pool is known by the body only.
+	latest, httpErr := requestDeadline(admitted.receivedAt, slowestPool(v, &admitted.workspace), r)
+	if httpErr != nil {
+		return "", httpErr
+	}
+	body, httpErr := readBody(w, r, latest)
 	if httpErr != nil {
 		return "", httpErr
 	}
@@ -228,16 +242,29 @@
 	return rt.forward(ctx, w, relayReq, cacheNeed(&req), planner.KindRepeatable), nil
 }
 
+// slowestPool returns the pool with the longest timeout of a workspace.
+func slowestPool(v *viewer.View, ws *bundler.Workspace) *bundler.Pool {
+	slowest := &bundler.Pool{}
+	for _, name := range ws.Pools {
+		if p := v.Pools[name]; p.TimeoutMillis > slowest.TimeoutMillis {
+			slowest = &p
+		}
+	}
+	return slowest
+}
+
 // admittedRequest is a request that was authenticated and admitted.
 type admittedRequest struct {
-	workspace bundler.Workspace
-	priority  bundler.Priority
-	release   func()
+	receivedAt time.Time
+	workspace  bundler.Workspace
+	priority   bundler.Priority
+	release    func()
 }
 
 // admit authenticates a request and applies the limits. It is called before the body is read, so that refused requests
 // use no memory.
 func (rt *Router) admit(v *viewer.View, r *http.Request) (admitted admittedRequest, httpErr *httpError) {
+	admitted.receivedAt = time.Now()
 	if admitted.workspace, httpErr = authenticate(v, r); httpErr != nil {
 		return admitted, httpErr
 	}
@@ -258,7 +285,7 @@
 func (rt *Router) newRelayRequest(
 	r *http.Request, v *viewer.View, admitted admittedRequest, pool *bundler.Pool, body []byte,
 ) (relayer.Request, *httpError) {
-	deadline, httpErr := requestDeadline(time.Now(), pool, r)
+	deadline, httpErr := requestDeadline(admitted.receivedAt, pool, r)
 	return relayer.Request{
 		Workspace: admitted.workspace.Name, Priority: admitted.priority, Weight: admitted.workspace.Weight, Pool: pool.Name,
 		Method: r.Method, ContentType: r.Header.Get("Content-Type"), Body: body, Deadline: deadline,
@@ -317,7 +344,11 @@
 	if httpErr != nil {
 		return "", httpErr
 	}
-	body, httpErr := readBody(w, r)
+	deadline, httpErr := requestDeadline(admitted.receivedAt, &pool, r)
+	if httpErr != nil {
+		return "", httpErr
+	}
+	body, httpErr := readBody(w, r, deadline)
 	if httpErr != nil {
 		return "", httpErr
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"slices"
 	"strings"
@@ -41,7 +42,9 @@
 	operationRuns    *flightGroup
 	fingerprintLocks *keyedMutex
 	draining         atomic.Bool
-	hadCurrentView   atomic.Bool // a request has found a current view
+	// callerStallTimeout is shorter in tests.
+	callerStallTimeout time.Duration
+	hadCurrentView     atomic.Bool // a request has found a current view
 
 	mu     sync.Mutex // guards budget and rng
 	budget *retrier.Budget
@@ -75,7 +78,7 @@
 	rt := &Router{
 		settings: s, control: control, relay: relay, obs: obs, admission: newAdmissionController(s.MaxConcurrent),
 		placement: newPlacementTable(), operationRuns: newFlightGroup(), fingerprintLocks: newKeyedMutex(),
-		budget: retrier.NewBudget(), rng: rand.New(rand.NewPCG(seed, 0)),
+		callerStallTimeout: callerStallTimeout, budget: retrier.NewBudget(), rng: rand.New(rand.NewPCG(seed, 0)),
 	}
 	rt.metrics = newMetrics(obs.Registry, rt)
 	return rt
@@ -126,6 +129,9 @@
 ) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set(headerRequestID, crand.Text())
+		body := server.NewBody(r)
+		r = r.WithContext(r.Context()) // net/http needs the body of the original request
+		r.Body = body
 		outcome, httpErr := "", checkHeaderBytes(r)
 		if httpErr == nil {
 			outcome, httpErr = serve(w, r)
@@ -133,11 +139,11 @@
 		if httpErr != nil {
 			outcome = httpErr.Code
 			httpErr.NotRun = httpErr.NotRun && !hasOperationKey(r)
+			finish := body.Leave(w)
 			httpErr.write(w)
+			finish()
 		}
 		rt.metrics.requests.WithLabelValues(kind, outcome).Inc()
-		// The write deadline must not apply to the next request on the connection.
-		_ = http.NewResponseController(w).SetWriteDeadline(time.Time{})
 	}
 }
 
@@ -240,6 +246,10 @@
 	return c
 }
 
+// callerStallTimeout is how long a caller may read nothing while a response waits for it. Agents buffer responses, so
+// that such a caller holds no engine.
+const callerStallTimeout = 30 * time.Second
+
 // drainTimeout limits the time for requests in flight after the listener is closed.
 const drainTimeout = 60 * time.Second
 
@@ -270,6 +280,11 @@
 	})()
 	srv := &server.Server{
 		Addr: rt.settings.Listen, Handler: rt.Handler(), TLS: rt.certifier.PublicConfig(), GracePeriod: drainTimeout,
+		WrapListener: func(l net.Listener) net.Listener {
+			return &server.CallerListener{Listener: l, StallTimeout: rt.callerStallTimeout, OnStall: func(c net.Conn) {
+				rt.obs.Event("caller reads nothing", "caller", c.RemoteAddr().String())
+			}}
+		},
 	}
 	err := srv.Serve(listenCtx)
 	rt.operationRuns.wg.Wait() // operations whose callers have disconnected, at most until their deadlines
