Send no request of a caller that has left

Cause: net/http looks for the end of a caller's connection in a goroutine that it starts after the body was read. On one processor the handler goes on first, and writes the request to a kept connection of the endpoint.

Evidence: TestRequestOfACallerThatHasLeftIsNotSent, with one processor, failed before: the first request of a caller that had closed its connection before it was accepted was sent (sends=1).

Change: before the first attempt the node looks at the caller's socket itself, without waiting. Later attempts follow a wait, in which net/http has looked.

--- a/adapters/server/caller_conn.go
+++ b/adapters/server/caller_conn.go
@@ -55,6 +55,9 @@
 	return n, ErrCallerStalled
 }
 
+// HasLeft reports whether the caller has closed the connection after what was read of it.
+func (c *CallerConn) HasLeft() bool { return socket.HasEnded(c.Conn) }
+
 // SetLinger sets what a close does with unsent data, as that of net.TCPConn.
 func (c *CallerConn) SetLinger(sec int) error {
 	tc, ok := c.Conn.(*net.TCPConn)
--- a/adapters/socket/socket.go
+++ b/adapters/socket/socket.go
@@ -60,3 +60,28 @@
 	})
 	return n, ok && err == nil
 }
+
+// HasEnded reports whether the peer has closed a connection whose data has been read up to there. It does not wait,
+// also not for a read in progress.
+func HasEnded(c net.Conn) bool {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	hasEnded := false
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		switch {
+		case err == nil:
+			hasEnded = n == 0
+		case !errors.Is(err, unix.EAGAIN) && !errors.Is(err, unix.EINTR):
+			hasEnded = true
+		}
+	})
+	return err != nil || hasEnded
+}
--- a/node/caller_conn.go
+++ b/node/caller_conn.go
@@ -17,6 +17,13 @@
 // lingerConn is a connection whose close can be made a reset.
 type lingerConn interface{ SetLinger(sec int) error }
 
+// hasCallerLeft reports whether the caller has closed its connection, also before net/http has noticed it: it looks at
+// the connection in another goroutine, which may run only when the handler waits.
+func hasCallerLeft(ctx context.Context) bool {
+	c, ok := ctx.Value(callerConnKey{}).(interface{ HasLeft() bool })
+	return isDisconnected(ctx) || ok && c.HasLeft()
+}
+
 const (
 	lingerReset   = 0  // a close discards unsent data and resets the connection
 	lingerDefault = -1 // a close sends what is left
--- a/node/slow_caller_test.go
+++ b/node/slow_caller_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"runtime"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -131,3 +134,41 @@
 		})
 	}
 }
+
+// Guards against requests that are sent to an endpoint although their callers gave up before the node could read them.
+// On one processor, the handler runs before net/http looks at the connection again.
+func TestRequestOfACallerThatHasLeftIsNotSent(t *testing.T) {
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	for _, request := range []string{
+		"GET /safe/ HTTP/1.1\r\nHost: h.example\r\nApi-Key: key\r\nReq-Id: left-%d\r\n\r\n",
+		"POST /once/ HTTP/1.1\r\nHost: h.example\r\nApi-Key: key\r\nReq-Id: left-%d\r\nContent-Length: 4\r\n\r\nbody",
+	} {
+		var out bytes.Buffer
+		p := newLoggingTestProxy(t, &out, testPlan(1), newFakeEndpoint(t, respondOK))
+		handled := make(chan struct{}, 1)
+		s := &frontServer{handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			defer func() { handled <- struct{}{} }()
+			p.ServeHTTP(w, r)
+		}), limits: func() planner.Limits { return planner.Limits{} }, onStall: func(net.Conn) {}}
+		for n := range 10 {
+			// Leaves a connection to the endpoint, so that the next request need not wait for one.
+			assert.Equal(t, p.call(t, http.MethodPost, "/once/", "body", "Req-Id", "first-"+strconv.Itoa(n)).status, 200)
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			assert.NilError(t, err)
+			s.updateLimits(ln.Addr())
+			c, err := net.Dial("tcp", ln.Addr().String())
+			assert.NilError(t, err)
+			_, err = fmt.Fprintf(c, request, n)
+			assert.NilError(t, err)
+			assert.NilError(t, c.Close())
+			go s.acceptLoop(ln)
+			<-handled
+			assert.NilError(t, ln.Close())
+		}
+		p.queue.Flush()
+		for line := range strings.SplitSeq(out.String(), "\n") {
+			assert.Assert(t, !strings.Contains(line, "request=left-") || !strings.Contains(line, "sends=1"), line)
+		}
+		assert.Equal(t, strings.Count(out.String(), "request=left-"), 10, out.String())
+	}
+}
--- a/node/transfer.go
+++ b/node/transfer.go
@@ -96,6 +96,10 @@
 func (t *transfer) run(ctx context.Context) {
 	q, p := t.request, t.proxy
 	var ref refusal
+	if hasCallerLeft(ctx) {
+		t.finish(abandonRequest, refusal{reason: "callerLeft"})
+		return
+	}
 	for {
 		if c, ok := p.fleet.evidence.check(q.sharedParts); !ok {
 			t.finish(t.finalDecision(), t.convictedRefusal(c))
