Control: an odd report of a router or an agent costs itself alone

Fleets with agents had faults of the same class as the lists of endpoints of fleets without: numbers of one process that overflow in what all others get.

Demands are bounded to 2^20 requests, loads outside of 0 to 2^20 are ignored, and times of silence are bounded by the time after which a process is gone.

--- a/control/soft_state.go
+++ b/control/soft_state.go
@@ -27,7 +27,9 @@
 	// shareGrace is how long after its successor's start a former leader may still grant shares.
 	shareGrace          = 1500 * time.Millisecond
 	maxSoftMessageBytes = 1 << 20
-	noLimit             = math.MaxInt32
+	// maxInFlight is above the requests in flight at any endpoint; a report of more would move the mean of its pool.
+	maxInFlight = 1 << 20
+	noLimit     = math.MaxInt32
 )
 
 type softLoad struct {
@@ -132,13 +134,21 @@
 func (s *softState) reportLoad(name string, l subscriber.Load) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.loads[name] == l.InFlight {
+	if !s.setLoad(name, l.InFlight) {
 		return
 	}
-	s.loads[name], s.dirty = l.InFlight, true
 	s.nextMessage.Loads = append(s.nextMessage.Loads, softLoad{Name: name, InFlight: l.InFlight})
 }
 
+// setLoad ignores a load that is none; the caller holds mu.
+func (s *softState) setLoad(name string, inFlight int) (changed bool) {
+	if inFlight < 0 || inFlight > maxInFlight || s.loads[name] == inFlight {
+		return false
+	}
+	s.loads[name], s.dirty = inFlight, true
+	return true
+}
+
 // reportDemand handles the report if this instance allocates shares, and otherwise broadcasts it, which reaches the
 // leader.
 func (s *softState) reportDemand(name string, r allocator.Report) {
@@ -187,16 +197,15 @@
 	now := time.Now()
 	for i := range m.Processes {
 		p := &m.Processes[i]
-		lastMessageAt := now.Add(-time.Duration(p.SilentMillis) * time.Millisecond)
+		silentMillis := min(max(0, p.SilentMillis), goneAfter.Milliseconds())
+		lastMessageAt := now.Add(-time.Duration(silentMillis) * time.Millisecond)
 		key := processKey(&p.Identity)
 		if old, ok := s.processes[key]; !ok || old.lastMessageAt.Before(lastMessageAt) {
 			s.processes[key] = knownProcess{Process: p.Process, instance: from, lastMessageAt: lastMessageAt}
 		}
 	}
 	for _, l := range m.Loads {
-		if s.loads[l.Name] != l.InFlight {
-			s.loads[l.Name], s.dirty = l.InFlight, true
-		}
+		s.setLoad(l.Name, l.InFlight)
 	}
 	for _, r := range m.Reports {
 		if s.allocator != nil {
--- a/core/allocator/allocator.go
+++ b/core/allocator/allocator.go
@@ -11,6 +11,10 @@
 // allocator counts from when it received the report, which is later, so a share is never granted twice.
 const LeaseDuration = 5 * time.Second
 
+// maxDesired is above any sound demand. It keeps products of the limit, which has 31 bits, and the sum of the demands
+// of a thousand holders within 63 bits.
+const maxDesired = 1 << 20
+
 // Demand is the desired and the current share of one resource.
 type Demand struct {
 	Resource string `cbor:"1,keyasint"`
@@ -104,7 +108,7 @@
 	}
 	h.reportNumber, h.lastReport, h.desired = r.Number, now, make(map[string]int, len(r.Demands))
 	for _, d := range r.Demands {
-		h.desired[d.Resource] += max(0, d.Desired)
+		h.desired[d.Resource] = min(maxDesired, h.desired[d.Resource]+min(maxDesired, max(0, d.Desired)))
 		if d.Desired <= 0 {
 			delete(h.desiredSince, d.Resource)
 		} else if h.desiredSince[d.Resource].IsZero() {
--- a/core/allocator/allocator_test.go
+++ b/core/allocator/allocator_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -145,3 +146,23 @@
 		})
 	}
 }
+
+// Guards against reports with odd numbers that leave the other holders negative shares.
+func TestOddDemandsDoNotOverflow(t *testing.T) {
+	now := time.Unix(1000, 0)
+	const limit = 1000
+	limitOf := func(string) (int, bool) { return limit, false }
+	for _, desired := range []int{math.MaxInt, 3 << 61, 1 << 62, math.MinInt, -1} {
+		a := NewAllocator(1, now.Add(-time.Hour), 0)
+		for i, name := range []string{"odd1", "odd2", "sound", "odd3", "sound"} {
+			d := Demand{Resource: "r", Desired: desired}
+			if name == "sound" {
+				d.Desired = 8
+			}
+			g, ok := a.HandleReport(name, Report{Number: uint64(i) + 1, Demands: []Demand{d, {Resource: "other"}}}, now, limitOf)
+			assert.Assert(t, ok)
+			assert.Check(t, g.Shares[0].Amount >= 0 && g.Shares[0].Amount <= limit, "%d: %s gets %d", desired, name,
+				g.Shares[0].Amount)
+		}
+	}
+}
