Subscriber: odd identities are not announced to the fleet

The identity of an agent goes into the replicated log and the view of every router and agent. Names of megabytes, with control characters, unknown roles and addresses that nobody can reach (no host, port 0, 70000 or as text) were taken as they came.

TestOddIdentityIsRefused, before: "{a agent r d agent.example:70000 p s}" is connected, and nine others

A control instance closes the connection of such a process. The check is at the connection and not in the state machine, which must apply the entries of existing logs as before.

--- a/adapters/subscriber/server.go
+++ b/adapters/subscriber/server.go
@@ -122,7 +122,7 @@
 	defer cancelHello()
 	e, err := conn.Receive(helloCtx)
 	var hello helloMessage
-	if err != nil || e.Kind != kindHello || e.Decode(&hello) != nil || hello.Identity.Name == "" {
+	if err != nil || e.Kind != kindHello || e.Decode(&hello) != nil || hello.Identity.check() != nil {
 		return
 	}
 	c := &Connection{
--- a/adapters/subscriber/subscriber.go
+++ b/adapters/subscriber/subscriber.go
@@ -2,7 +2,12 @@
 
 import (
 	"fmt"
+	"net"
+	"strconv"
+	"strings"
 	"time"
+	"unicode"
+	"unicode/utf8"
 
 	"cactusroute.dev/core/viewer"
 )
@@ -43,6 +48,29 @@
 	Session string `cbor:"7,keyasint,omitempty"`
 }
 
+// maxIdentityBytes bounds each field of an Identity.
+const maxIdentityBytes = 200
+
+// check returns an error unless the identity may be announced to all processes.
+func (id *Identity) check() error {
+	for _, value := range []string{id.Name, id.Region, id.FailureDomain, id.Address, id.Pool, id.Session} {
+		if len(value) > maxIdentityBytes || !utf8.ValidString(value) || strings.ContainsFunc(value, unicode.IsControl) {
+			return fmt.Errorf("identity has an invalid field: %.40q", value)
+		}
+	}
+	if id.Name == "" || id.Role != RoleRouter && id.Role != RoleAgent {
+		return fmt.Errorf("identity has no name or the unknown role %.40q", id.Role)
+	}
+	if id.Role == RoleRouter {
+		return nil
+	}
+	host, port, err := net.SplitHostPort(id.Address)
+	if n, portErr := strconv.ParseUint(port, 10, 16); err != nil || host == "" || portErr != nil || n == 0 {
+		return fmt.Errorf("agent has an invalid address: %.40q", id.Address)
+	}
+	return nil
+}
+
 // Load is the load report of an agent for its endpoint.
 type Load struct {
 	InFlight int  `cbor:"1,keyasint"`
--- a/adapters/subscriber/subscriber_test.go
+++ b/adapters/subscriber/subscriber_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"fmt"
+	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -104,6 +107,53 @@
 	assert.Assert(t, err != nil && ctx.Err() == nil)
 }
 
+// connectedBackend is a Backend to which no client may connect.
+type connectedBackend struct {
+	Backend
+	connected atomic.Int32
+}
+
+func (b *connectedBackend) Connected(*Connection) {
+	b.connected.Add(1)
+	panic(http.ErrAbortHandler) // ends the connection
+}
+
+// Guards against an agent whose odd identity is announced, and then is in the views of all routers and agents.
+func TestOddIdentityIsRefused(t *testing.T) {
+	sound := Identity{Name: "a", Role: RoleAgent, Region: "r", FailureDomain: "d", Address: "agent.example:1", Pool: "p",
+		Session: "s"}
+	assert.NilError(t, sound.check())
+	router := Identity{Name: "r", Role: RoleRouter}
+	assert.NilError(t, router.check())
+	for _, change := range []func(id *Identity){
+		func(id *Identity) { id.Name = "" },
+		func(id *Identity) { id.Name = strings.Repeat("x", maxIdentityBytes+1) },
+		func(id *Identity) { id.Name = "a\r\nb" },
+		func(id *Identity) { id.Pool = "p\x00" },
+		func(id *Identity) { id.Role = "operator" },
+		func(id *Identity) { id.Address = "" },
+		func(id *Identity) { id.Address = ":1" },
+		func(id *Identity) { id.Address = "agent.example" },
+		func(id *Identity) { id.Address = "agent.example:0" },
+		func(id *Identity) { id.Address = "agent.example:70000" },
+		func(id *Identity) { id.Address = "agent.example:http" },
+	} {
+		id := sound
+		change(&id)
+		assert.Check(t, id.check() != nil, "%.100q", fmt.Sprint(id))
+		backend := &connectedBackend{}
+		srv := httptest.NewServer(&Server{Backend: backend})
+		conn, err := messenger.Dial(t.Context(), strings.TrimPrefix(srv.URL, "http://"), Path, messenger.Options{})
+		assert.NilError(t, err)
+		assert.NilError(t, conn.Send(t.Context(), kindHello, 0, helloMessage{Identity: id}))
+		_, err = conn.Receive(t.Context())
+		assert.Check(t, err != nil)
+		assert.Check(t, backend.connected.Load() == 0, "%.100q is connected", fmt.Sprint(id))
+		_ = conn.Close()
+		srv.Close()
+	}
+}
+
 func BenchmarkApplyDelta(b *testing.B) {
 	c := NewClient(ClientConfig{})
 	d := viewer.Delta{To: 1, BundleVersion: 1}
