Serve from the state cache at once if there is no sign of a quorum

Change: a state waits for half a second without a sign of a quorum (a leader in contact, or any process that knows instances with a quorum), and for two seconds after the last sign, so that one that restarts beside others still waits for the current state.

--- a/core/confirmer/confirmer.go
+++ b/core/confirmer/confirmer.go
@@ -7,12 +7,16 @@
 	// instance, and is shorter than the time within which a change has to be in force everywhere.
 	maxAge = 1500 * time.Millisecond
 
-	// unconfirmedDelay is how long a state waits for a confirmation before it is put in force without one. The election of
-	// a leader is over by then; without a quorum, an outdated state serves callers better than none.
-	unconfirmedDelay = 2 * time.Second
+	// unconfirmedDelay is how long a state waits for a sign that there is a quorum. Without one, after a failure of all
+	// processes, a state that may be outdated serves callers better than none.
+	unconfirmedDelay = 500 * time.Millisecond
 
-	// maxUnconfirmedDelay applies while a confirmation is expected: the log of an instance with an emptied disk may take
-	// seconds, and a link may pass one way only.
+	// expectationTimeout is how long a state waits after the last sign of a quorum: a current state or a confirmation is
+	// on its way.
+	expectationTimeout = 2 * time.Second
+
+	// maxUnconfirmedDelay bounds the wait while there are signs of a quorum: the log of an instance with an emptied disk
+	// may take seconds, and a link may pass one way only.
 	maxUnconfirmedDelay = 10 * time.Second
 )
 
@@ -21,7 +25,7 @@
 	started     time.Time
 	index       uint64    // of the state that the newest confirmation is about
 	confirmedAt time.Time // of the newest confirmation, zero before the first one
-	expectedAt  time.Time // when a confirmation was last expected, zero if never
+	expectedAt  time.Time // of the last sign of a quorum, zero if there was none
 
 	indexInForce       uint64
 	inForceConfirmedAt time.Time // zero if the state in force is not confirmed
@@ -39,7 +43,7 @@
 	c.confirmInForce()
 }
 
-// Expect records that a confirmation is to be expected, because a leader is in contact with this process.
+// Expect records a sign of a quorum, such as a message of a leader or the word of another process.
 func (c *Confirmer) Expect(now time.Time) { c.expectedAt = now }
 
 // SetInForce records the index of the state in force.
@@ -58,14 +62,13 @@
 func (c *Confirmer) Confirmed() (index uint64, at time.Time) { return c.index, c.confirmedAt }
 
 // MayPutInForce reports whether a received state may be put in force. States that are known to be outdated, such as
-// those that the log of an instance replays after its start, are held back until a current one arrives, or until no
-// confirmation has come for unconfirmedDelay.
+// those that the log of an instance replays after its start, are held back while a current one is to be expected.
 func (c *Confirmer) MayPutInForce(now time.Time, index uint64) bool {
 	if index >= c.index && c.isCurrent(now, c.confirmedAt) {
 		return true
 	}
 	waited := now.Sub(c.lastCertain())
-	isExpected := !c.expectedAt.IsZero() && now.Sub(c.expectedAt) < unconfirmedDelay
+	isExpected := now.Sub(c.confirmedAt) < expectationTimeout || now.Sub(c.expectedAt) < expectationTimeout
 	return waited >= unconfirmedDelay && !isExpected || waited >= maxUnconfirmedDelay
 }
 
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -255,6 +255,9 @@
 // HeartbeatReceived implements exchanger.Receiver.
 func (r *receiver) HeartbeatReceived(hb exchanger.Heartbeat) {
 	f := r.fleet
+	if len(hb.QuorateInstances) > 0 {
+		f.expectConfirmation()
+	}
 	if !r.isPeer && !hb.ConfirmedAt.IsZero() {
 		f.confirm(hb.Index, hb.ConfirmedAt)
 	}
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -193,6 +193,13 @@
 	return f.confirmer.MayDeny(now)
 }
 
+// expectConfirmation records a sign of a quorum.
+func (f *fleet) expectConfirmation() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.confirmer.Expect(time.Now())
+}
+
 // confirm records that a state of at least this index has all changes that were acknowledged before a point in time.
 func (f *fleet) confirm(index uint64, at time.Time) {
 	f.mu.Lock()
@@ -224,6 +231,9 @@
 
 // recordContacts records the quorate and the eligible instances that another process reported.
 func (f *fleet) recordContacts(instances, peers []exchanger.Contact) {
+	if len(instances) > 0 {
+		f.expectConfirmation()
+	}
 	f.mu.Lock()
 	for _, c := range instances {
 		f.recordInstance(c, true)
@@ -469,9 +479,7 @@
 				f.confirm(index, at)
 			}
 			if c.Status().Leader != "" {
-				f.mu.Lock()
-				f.confirmer.Expect(time.Now())
-				f.mu.Unlock()
+				f.expectConfirmation()
 			}
 		}
 		if isQuorate != wasQuorate {
