Resume streams only by versions that were just confirmed

Callers got streams with events of two software versions from a router that was paused or cut off for some seconds while endpoints of a new version joined: a stream that had begun at one of them elsewhere went on at an endpoint of the only version which that router knew, and a stream that had begun at the router itself went on at an endpoint that had restarted under its ID in the other version.

Cause: a router decides by the endpoints that it knows, and does not know that it missed changes. A caller that does not name its stream is bound to nothing while one version is known; one that does is bound to a version, but the versions of the endpoints are those from before the pause. The time of the last message of the control instance does not help: after a pause, messages of before it are read first.

Change: before a stream goes on, taken up by its caller or within one response, the node asks its control instance with the existing query of stream origins. The instance answers after all endpoints that it knows, on the same connection, and only when a majority of the voters has answered it likewise. An answer counts from the moment of its question, for 0.1 s. Without one within 0.3 s the stream is refused with 503 and a Retry-After (502 if something ran), or its response aborted. Endpoints that name no version are not told apart, and their streams go on within a response as before.

A control instance that stops now closes its subscriptions, as the end of its process does: in TestStreamIsResumedAtItsVersion the stopped instance had answered queries from its memory. The test proxy has a control instance that confirms; no assertion of an existing test has changed.

--- a/adapters/exchanger/exchanger_test.go
+++ b/adapters/exchanger/exchanger_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http/httptest"
 	"strings"
@@ -29,6 +30,7 @@
 	loads     Loads
 
 	refusesRouters bool
+	onStreamQuery  func()
 	recorded       []string
 }
 
@@ -93,10 +95,21 @@
 		Until: time.Now().Add(time.Minute)}}
 }
 
-func (s *fakeSource) StreamOrigin(_ context.Context, key resumer.Key) (o resumer.Origin, ok bool) {
-	return resumer.Origin{Service: "s", Version: fmt.Sprint("v", key)}, key != 0
+func (s *fakeSource) StreamOrigin(
+	_ context.Context, _ Contact, key resumer.Key,
+) (o resumer.Origin, ok bool, err error) {
+	if s.onStreamQuery != nil {
+		s.onStreamQuery()
+	}
+	if key == unconfirmedKey {
+		return o, false, errors.New("not confirmed")
+	}
+	return resumer.Origin{Service: "s", Version: fmt.Sprint("v", key)}, key != 0, nil
 }
 
+// unconfirmedKey is the key of a stream that a fakeSource can't answer for.
+const unconfirmedKey = resumer.Key(404)
+
 func (s *fakeSource) AllSuspects() []Suspect { return []Suspect{{Fingerprint: 9, Endpoint: "e"}} }
 
 // fakeReceiver is a Receiver that records its calls as text.
--- a/adapters/exchanger/server.go
+++ b/adapters/exchanger/server.go
@@ -45,8 +45,9 @@
 	StreamsReceived([]resumer.Stream)
 	// AllStreams returns the streams to send to another control instance that has just subscribed.
 	AllStreams() []resumer.Stream
-	// StreamOrigin returns where a stream began; ok is false if that is not known.
-	StreamOrigin(ctx context.Context, key resumer.Key) (o resumer.Origin, ok bool)
+	// StreamOrigin returns where a stream began, for a subscriber; ok is false if that is not known. It returns an error
+	// if this instance can't be sure that it knows what the others know.
+	StreamOrigin(ctx context.Context, from Contact, key resumer.Key) (o resumer.Origin, ok bool, err error)
 }
 
 // Server sends the state of a control instance to its subscribers.
@@ -70,6 +71,7 @@
 	evidence Evidence                      // unsent
 	resync   bool                          // all evidence is to be sent
 	streams  []resumer.Stream              // unsent, for a control instance
+	answers  []streamAnswer                // unsent
 	// resyncStreams is set if all streams are to be sent.
 	resyncStreams bool
 	index         uint64 // of the last state sent
@@ -189,11 +191,28 @@
 	}
 }
 
+// answerStreamQuery sends the answer after all endpoints that this instance knows by then: the subscriber chooses the
+// endpoint for the stream by their versions. Without an answer the subscriber takes the origin for not known.
 func (s *Server) answerStreamQuery(ctx context.Context, sub *subscriber, number uint64, key resumer.Key) {
-	o, ok := s.source.StreamOrigin(ctx, key)
-	// Without an answer the subscriber takes the origin for not known.
-	_ = sub.conn.Send(ctx, kindStreamAnswer, number,
-		streamAnswerMessage{Known: ok, Service: o.Service, Version: o.Version})
+	o, ok, err := s.source.StreamOrigin(ctx, sub.contact, key)
+	if err != nil {
+		return
+	}
+	a := streamAnswer{number, streamAnswerMessage{Known: ok, Service: o.Service, Version: o.Version}}
+	sub.mu.Lock()
+	if len(sub.answers) < maxStreamQueries {
+		sub.answers = append(sub.answers, a)
+	}
+	sub.mu.Unlock()
+	sub.notify()
+}
+
+// notify wakes the sender of updates.
+func (sub *subscriber) notify() {
+	select {
+	case sub.updated <- struct{}{}:
+	default:
+	}
 }
 
 // sendUpdates sends the full state and then the changes. Changes are coalesced, so that a slow subscriber gets only the
@@ -256,6 +275,8 @@
 	sub.evidence, sub.resync = Evidence{}, false
 	streams, resyncStreams := sub.streams, sub.resyncStreams
 	sub.streams, sub.resyncStreams = nil, false
+	answers := sub.answers
+	sub.answers = nil
 	sub.mu.Unlock()
 	if resyncStreams {
 		streams = s.source.AllStreams()
@@ -274,6 +295,11 @@
 			return err
 		}
 	}
+	for _, a := range answers {
+		if err := sub.conn.Send(ctx, kindStreamAnswer, a.number, a.message); err != nil {
+			return err
+		}
+	}
 	if evidence.Len() > 0 {
 		// Sent before the state, with which a router becomes ready.
 		if err := sub.conn.Send(ctx, kindEvidence, 0, encodeEvidence(time.Now(), evidence)); err != nil {
@@ -304,6 +330,15 @@
 	return nil
 }
 
+// Close ends all subscriptions, as the end of the process does.
+func (s *Server) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for sub := range s.subscribers {
+		_ = sub.conn.Close()
+	}
+}
+
 // PublishState sends the new state to all subscribers.
 func (s *Server) PublishState() {
 	s.forEachSubscriber(func(*subscriber) {})
@@ -355,10 +390,7 @@
 			continue
 		}
 		sub.addStreams(list)
-		select {
-		case sub.updated <- struct{}{}:
-		default:
-		}
+		sub.notify()
 	}
 }
 
@@ -377,9 +409,6 @@
 	defer s.mu.Unlock()
 	for sub := range s.subscribers {
 		update(sub)
-		select {
-		case sub.updated <- struct{}{}:
-		default:
-		}
+		sub.notify()
 	}
 }
--- a/adapters/exchanger/streams.go
+++ b/adapters/exchanger/streams.go
@@ -50,7 +50,7 @@
 }
 
 // streamQueryMessage asks a control instance for the origin of a stream; the number of the envelope's stream names the
-// query.
+// query. The answer follows all endpoints that the instance knows when it answers.
 type streamQueryMessage struct {
 	Key uint64 `cbor:"1,keyasint"`
 }
@@ -61,6 +61,12 @@
 	Version string `cbor:"3,keyasint,omitempty"`
 }
 
+// streamAnswer is the answer to the query of a subscriber with a number.
+type streamAnswer struct {
+	number  uint64
+	message streamAnswerMessage
+}
+
 // encodeStreams returns messages with the streams.
 func encodeStreams(now time.Time, list []resumer.Stream) (messages []streamsMessage) {
 	var m streamsMessage
--- a/adapters/exchanger/streams_test.go
+++ b/adapters/exchanger/streams_test.go
@@ -1,13 +1,18 @@
 package exchanger
 
 import (
+	"fmt"
+	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"gotest.tools/v3/assert"
 
+	"cactusroute.dev/adapters/messenger"
+	"cactusroute.dev/core/registrar"
 	"cactusroute.dev/core/resumer"
 )
 
@@ -63,3 +68,34 @@
 		assert.Assert(t, err != nil, c.name)
 	}
 }
+
+// Guards against a subscriber that takes the answer for a stream as a confirmation of the versions of endpoints, but is
+// sent a change that the instance knew before only after it, and against an answer of an instance that can't be sure.
+func TestStreamAnswerFollowsTheEndpoints(t *testing.T) {
+	const rounds = 50
+	s, r := &fakeSource{quorate: true}, &fakeReceiver{}
+	var server *Server
+	var queries atomic.Int64
+	s.onStreamQuery = func() {
+		server.PublishEndpoints([]registrar.Endpoint{{ID: fmt.Sprint("new", queries.Add(1)), State: registrar.Ready}})
+	}
+	server = NewServer(messenger.Options{}, s)
+	hs := httptest.NewServer(server)
+	t.Cleanup(hs.Close)
+	sub, err := Subscribe(t.Context(), Contact{Address: strings.TrimPrefix(hs.URL, "http://")}, Contact{Name: "router"},
+		messenger.Options{}, r, nil, Evidence{})
+	assert.NilError(t, err)
+	go func() { _ = sub.Receive(t.Context(), r, true) }()
+	assert.NilError(t, sub.QueryStream(t.Context(), 1000, unconfirmedKey))
+	waitFor(t, "the first query", func() bool { return r.hasRecorded("new1 ready") })
+	for n := uint64(2); n <= rounds; n++ {
+		assert.NilError(t, sub.QueryStream(t.Context(), n, 5))
+		answer := fmt.Sprintf("answer %d v5 true", n)
+		waitFor(t, answer, func() bool { return r.hasRecorded(answer) })
+		r.mu.Lock()
+		recorded := strings.Join(r.recorded, "\n")
+		r.mu.Unlock()
+		assert.Assert(t, strings.Index(recorded, fmt.Sprintf("new%d ready", n)) < strings.Index(recorded, answer), recorded)
+	}
+	assert.Assert(t, !r.hasRecorded("answer 1000"))
+}
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -158,10 +158,21 @@
 // AllStreams implements exchanger.Source.
 func (f *fleet) AllStreams() []resumer.Stream { return f.streams.all() }
 
-// StreamOrigin implements exchanger.Source.
-func (f *fleet) StreamOrigin(ctx context.Context, key resumer.Key) (resumer.Origin, bool) {
-	o, _, err := f.streams.origin(ctx, key)
-	return o, err == nil
+// StreamOrigin implements exchanger.Source. A router is answered once this instance knows what a majority knows, which
+// in turn is asked with confirmationKey.
+func (f *fleet) StreamOrigin(
+	ctx context.Context, from exchanger.Contact, key resumer.Key,
+) (o resumer.Origin, ok bool, err error) {
+	if !from.Eligible {
+		if err := f.streams.confirm(ctx); err != nil {
+			return o, false, err
+		}
+	}
+	if key == confirmationKey {
+		return o, false, nil
+	}
+	o, _, err = f.streams.origin(ctx, key)
+	return o, err == nil, nil
 }
 
 // EndpointsReceived implements exchanger.Source.
@@ -308,7 +319,10 @@
 		return err
 	}
 	f.log.event("control instance found", "instance", c.Name, "address", c.Address)
-	if !isPeer {
+	if isPeer {
+		f.streams.addPeer(c.Name, sub)
+		defer f.streams.removePeer(c.Name, sub)
+	} else {
 		f.mu.Lock()
 		f.subscribedTo = c.Name
 		f.mu.Unlock()
--- a/node/fakes_test.go
+++ b/node/fakes_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"encoding/json"
 	"io"
 	"net"
@@ -21,6 +22,7 @@
 	"cactusroute.dev/core/fleetapplier"
 	"cactusroute.dev/core/planner"
 	"cactusroute.dev/core/registrar"
+	"cactusroute.dev/core/resumer"
 )
 
 const testTimeout = 30 * time.Second
@@ -180,6 +182,7 @@
 			Domain: "d", State: registrar.Ready, Born: 1, Sequence: 1})
 	}
 	f.mergeEndpoints(registered, "test")
+	f.streams.querier = fakeControlInstance{f.streams}
 	srv := httptest.NewUnstartedServer(p)
 	srv.Config.ConnContext = withCallerConn
 	srv.Start()
@@ -187,6 +190,15 @@
 	return &testProxy{proxy: p, server: srv, url: srv.URL, queue: queue, obs: obs}
 }
 
+// fakeControlInstance is a control instance that knows no streams and no other endpoints.
+type fakeControlInstance struct{ streams *streams }
+
+// QueryStream implements streamQuerier.
+func (c fakeControlInstance) QueryStream(_ context.Context, number uint64, _ resumer.Key) error {
+	c.streams.answerReceived(number, streamAnswer{})
+	return nil
+}
+
 type callerResponse struct {
 	status int
 	header http.Header
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -144,12 +144,28 @@
 		seedsInformedAt: map[string]time.Time{}, suspects: map[uint64]*suspect{},
 		evidence: newEvidence(s.Place.Name, s.DataFolder != "", log), started: time.Now()}
 	f.streams = newStreams(s.DataFolder != "", f.started)
+	f.streams.self, f.streams.voters = f.self.Name, f.voters
 	f.view.Store(&view{})
 	choosesBootstrapper := s.FirstStart && len(s.Seeds) > 0 && slices.Min(s.Seeds) == s.Listen.Advertise
 	f.discovery = exchanger.NewDiscovery(f.self, choosesBootstrapper, f.quorateInstances, f.recordContacts)
 	return f
 }
 
+// voters returns the names of the voting members of the control group as this control instance knows them.
+func (f *fleet) voters() (names []string) {
+	if f.control == nil {
+		return nil
+	}
+	if c := f.control.replica.Load(); c != nil {
+		for _, m := range c.Status().Members {
+			if m.Voter {
+				names = append(names, m.Name)
+			}
+		}
+	}
+	return names
+}
+
 // viewAge returns the time since a quorate instance confirmed this node's view, or since the start if none ever did.
 func (f *fleet) viewAge(now time.Time) time.Duration {
 	if f.control != nil {
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -29,7 +29,10 @@
 	originKnown       = "known"
 	originUnknown     = "unknown"
 	originNotAnswered = "notAnswered"
-	originMoved       = "moved"
+
+	// originNotConfirmed means that the versions of endpoints may have changed unnoticed.
+	originNotConfirmed = "notConfirmed"
+	originMoved        = "moved"
 )
 
 // The values of the label direction.
@@ -107,7 +110,8 @@
 	for _, bound := range append(forwarder.Bounds(), boundEventBytes, boundBufferedBytes) {
 		m.limits.WithLabelValues(bound)
 	}
-	for _, outcome := range []string{originKnown, originUnknown, originNotAnswered, originMoved} {
+	for _, outcome := range []string{originKnown, originUnknown, originNotAnswered, originMoved,
+		originNotConfirmed} {
 		m.resumedStreams.WithLabelValues(outcome)
 	}
 	m.waitTime = prometheus.NewHistogram(prometheus.HistogramOpts{Name: "cactusroute_wait_seconds",
--- a/node/node.go
+++ b/node/node.go
@@ -104,6 +104,9 @@
 	if supErr := <-done; supErr != nil && !errors.Is(supErr, context.Canceled) {
 		n.obs.Event("supervisor stopped with an error", "err", supErr)
 	}
+	if n.fleet.control != nil {
+		n.fleet.control.server.Close()
+	}
 	n.queue.Flush()
 	return err
 }
--- a/node/stream_origin.go
+++ b/node/stream_origin.go
@@ -35,14 +35,19 @@
 // bindToOrigin restricts a request that resumes a stream to the service and the software version that began it, and
 // returns why it is refused if they are not known: what two versions write does not fit together.
 func (p *proxy) bindToOrigin(ctx context.Context, q *request) *refusal {
-	if q.route.Kind != planner.KindStream || !q.route.Resumable || q.lastEventID == "" || !p.namesVersions(q.route) {
-		return nil
-	}
-	if q.resumes == "" && p.hasOneVersion(q.route) {
+	if q.route.Kind != planner.KindStream || !q.route.Resumable || q.lastEventID == "" {
 		return nil
 	}
 	ctx, cancel := context.WithDeadline(ctx, q.deadline)
 	defer cancel()
+	if err := p.fleet.streams.confirm(ctx); err != nil {
+		p.metrics.resumedStreams.WithLabelValues(originNotConfirmed).Inc()
+		return &refusal{status: http.StatusServiceUnavailable, reason: reasonNotConfirmed, retryAfter: retryAfter(),
+			logFields: []any{"err", err}}
+	}
+	if !p.namesVersions(q.route) || q.resumes == "" && p.hasOneVersion(q.route) {
+		return nil
+	}
 	o, source, err := resumer.Origin{}, "", errUnknownStream
 	if q.resumes != "" {
 		o, source, err = p.fleet.streams.origin(ctx, streamKey(q, q.resumes))
@@ -70,6 +75,9 @@
 	return nil
 }
 
+// reasonNotConfirmed is the reason of refusals because the versions of endpoints may have changed unnoticed.
+const reasonNotConfirmed = "notConfirmed"
+
 // hasOneVersion reports whether all endpoints that this node knows, and those that have left recently, have one
 // version, so that a caller that does not name its stream can only mean one that began there.
 func (p *proxy) hasOneVersion(r *planner.Route) bool {
--- a/node/stream_version_test.go
+++ b/node/stream_version_test.go
@@ -9,6 +9,8 @@
 	"os"
 	"strconv"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -97,16 +99,44 @@
 	}
 }
 
+// Guards against a stream that goes on, within one response, at a node that has no connection to a control instance and
+// can't know the versions that the endpoints have by now.
+func TestInterruptedStreamIsAbortedWithoutConfirmedVersions(t *testing.T) {
+	endpoints := []*fakeEndpoint{newFakeEndpoint(t, versionedStream("v1")), newFakeEndpoint(t, versionedStream("v1"))}
+	for _, version := range []string{"v1", ""} {
+		p := newTestProxy(t, testPlan(1), endpoints...)
+		all := p.fleet.Endpoints()
+		for i := range all {
+			all[i].Version, all[i].Sequence = version, 2
+		}
+		p.fleet.mergeEndpoints(all, "test")
+		p.fleet.streams.querier = nil
+		p.fleet.streams.started = time.Now().Add(-time.Minute)
+		start := time.Now()
+		got := p.call(t, http.MethodPost, "/resume/", "body")
+		// Endpoints that name no versions are not told apart.
+		assert.Equal(t, got.err == nil, version == "", "%q %v", got.body, got.err)
+		assert.Assert(t, time.Since(start) < 2*streamQueryTimeout, "%v", time.Since(start))
+	}
+}
+
 // versionedFleet is a fleet whose endpoints have two software versions, two endpoints each.
 type versionedFleet struct {
 	*testFleet
 	endpoints map[string]registrar.Endpoint // by ID
+	versions  map[string]*atomic.Value      // that the endpoints run, by ID
 	fakes     []*fakeEndpoint
 	streams   int
 }
 
 func newVersionedFleet(t *testing.T, disks, routers int) *versionedFleet {
-	f := &versionedFleet{testFleet: newTestFleet(t, disks, routers), endpoints: map[string]registrar.Endpoint{}}
+	return newVersionedFleetWith(t, disks, routers, "a1", "b1", "a2", "b2")
+}
+
+// newVersionedFleetWith returns a fleet with the given endpoints, whose IDs end with their versions.
+func newVersionedFleetWith(t *testing.T, disks, routers int, ids ...string) *versionedFleet {
+	f := &versionedFleet{testFleet: newTestFleet(t, disks, routers), endpoints: map[string]registrar.Endpoint{},
+		versions: map[string]*atomic.Value{}}
 	f.startAll()
 	f.retryCommand("plan", f.nodes[:disks], func(c Control) error {
 		plan := testPlan(1)
@@ -115,18 +145,53 @@
 		return c.PutPlan(context.Background(), encodePlan(t, plan))
 	})
 	f.awaitPlan(1, f.nodes)
-	for _, id := range []string{"a1", "b1", "a2", "b2"} {
-		version := "v" + id[1:]
-		fake := newFakeEndpoint(t, versionedStream(version))
-		f.fakes = append(f.fakes, fake)
-		f.endpoints[id] = registrar.Endpoint{ID: id, Service: "s", Address: fake.address, Domain: "d", Version: version,
-			State: registrar.Ready, Born: 1, Sequence: 1}
-		f.register(id)
+	for _, id := range ids {
+		f.addEndpoint(id)
 	}
-	f.awaitEndpoints(4, f.nodes)
+	f.awaitEndpoints(len(ids), f.nodes)
 	return f
 }
 
+// addEndpoint starts an endpoint and registers it.
+func (f *versionedFleet) addEndpoint(id string) {
+	version := &atomic.Value{}
+	version.Store("v" + id[1:])
+	fake := newFakeEndpoint(f.t, func(req *receivedRequest) { versionedStream(version.Load().(string))(req) })
+	f.fakes = append(f.fakes, fake)
+	f.versions[id] = version
+	f.endpoints[id] = registrar.Endpoint{ID: id, Service: "s", Address: fake.address, Domain: "d", Version: "v" + id[1:],
+		State: registrar.Ready, Born: 1, Sequence: 1}
+	f.register(id)
+}
+
+// restartAs starts an endpoint again under its ID, at its address and with another version, and registers it.
+func (f *versionedFleet) restartAs(id, version string) {
+	f.versions[id].Store(version)
+	e := f.endpoints[id]
+	e.Version, e.Born = version, e.Born+1
+	f.endpoints[id] = e
+	f.register(id)
+}
+
+// gate holds up the messages that a node receives from control instances, as a pause of its process or a cut does.
+type gate struct{ sync.RWMutex }
+
+func (g *gate) pass(_ uint8, _ int, isSent bool) {
+	if !isSent {
+		g.RLock()
+		defer g.RUnlock()
+	}
+}
+
+// startGated starts a stopped node again behind a gate that is open.
+func (f *versionedFleet) startGated(n *testNode) *gate {
+	g := &gate{}
+	f.startWith(n, f.seeds, false, func(*controlInstance) { n.fleet.exchangeOptions.OnMessage = g.pass })
+	f.awaitPlan(1, []*testNode{n})
+	f.awaitEndpoints(len(f.endpoints), []*testNode{n})
+	return g
+}
+
 func (f *versionedFleet) register(id string) {
 	f.retryCommand("endpoint", f.nodes[:1], func(c Control) error {
 		_, err := c.Register(context.Background(), f.endpoints[id])
@@ -360,3 +425,53 @@
 	assert.Equal(t, got.status, http.StatusOK)
 	assert.Equal(t, len(versionsIn(got.body)), versionedEvents-1)
 }
+
+// Guards against a node that was paused or cut off while endpoints of a new version joined, knows one version only and
+// takes up a stream there whose version it never heard of.
+func TestStreamIsNotResumedByOutdatedVersions(t *testing.T) {
+	const count = 12
+	f := newVersionedFleetWith(t, 3, 2, "a1", "b1")
+	inStep, late := f.nodes[3], f.nodes[4]
+	late.stop()
+	g := f.startGated(late)
+	old := f.begin(late, 1)[0]
+	g.Lock()
+	for _, id := range []string{"a2", "b2"} {
+		f.addEndpoint(id)
+	}
+	f.awaitEndpoints(4, f.nodes[:4])
+	streams := f.begin(inStep, count)
+	start := time.Now()
+	for _, header := range [][]string{{}, {"Resumes", streams[0].id}, {"Resumes", old.id}} {
+		got := f.call(late, "/resume/x", "again", "body", append([]string{"Last-Event-Id", "1"}, header...)...)
+		assert.Equal(t, got.status, http.StatusServiceUnavailable, "%q %q", header, got.body)
+		assert.Assert(t, got.header.Get("Retry-After") != "", "%q", header)
+	}
+	assert.Assert(t, time.Since(start) < 3*time.Second, "%v", time.Since(start))
+	g.Unlock()
+	eventually(t, "all streams go on", func() bool { return f.resume(late, streams) == count })
+}
+
+// Guards against a node that was paused or cut off while endpoints restarted under their IDs in another version, and
+// takes up streams there by the version that they had before.
+func TestStreamIsNotResumedAtEndpointsThatRestarted(t *testing.T) {
+	const count = 12
+	f := newVersionedFleet(t, 3, 1)
+	router := f.nodes[3]
+	router.stop()
+	g := f.startGated(router)
+	streams := f.begin(router, count)
+	g.Lock()
+	for _, id := range []string{"a1", "b1"} {
+		f.restartAs(id, "v2")
+	}
+	assert.Equal(t, f.resume(router, streams), 0)
+	g.Unlock()
+	want := 0
+	for _, s := range streams {
+		if s.version == "v2" {
+			want++
+		}
+	}
+	eventually(t, "streams of the version that is left go on", func() bool { return f.resume(router, streams) == want })
+}
--- a/node/streams.go
+++ b/node/streams.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -37,11 +38,19 @@
 
 	// streamPollInterval is how often a request checks for a subscription or, after a start, for a stream.
 	streamPollInterval = 10 * time.Millisecond
+
+	// versionsTTL is how long the known versions of endpoints may be relied on after a confirmation was requested. It is
+	// shorter than an endpoint takes to start and to begin a stream.
+	versionsTTL = 100 * time.Millisecond
 )
 
+// confirmationKey is the key of a query that asks for no stream: its answer follows all known endpoints.
+const confirmationKey resumer.Key = 0
+
 var (
 	errUnknownStream = errors.New("no control instance knows the stream")
 	errNoStreamQuery = errors.New("no control instance has answered for the stream")
+	errNotConfirmed  = errors.New("no majority of the control instances has confirmed the versions of endpoints")
 )
 
 // streamQuerier is a subscription to a control instance.
@@ -61,22 +70,31 @@
 	isControl  bool
 	started    time.Time
 	publish    func([]resumer.Stream) // to the other control instances
+	self       string                 // name of this node
+	voters     func() []string        // names of the voting control instances, of a control instance
 	unreported chan struct{}          // capacity 1: pending is not empty
 	unsavedSet chan struct{}          // capacity 1: unsaved is not empty
 
 	mu        sync.Mutex
 	table     *resumer.Table
-	pending   []resumer.Stream // to be reported to the control instance, or published by it
-	unsaved   []resumer.Stream // of a control instance, to be written to disk
-	querier   streamQuerier    // nil without a subscription
+	pending   []resumer.Stream         // to be reported to the control instance, or published by it
+	unsaved   []resumer.Stream         // of a control instance, to be written to disk
+	querier   streamQuerier            // nil without a subscription
+	peers     map[string]streamQuerier // other control instances, of a control instance
 	queries   map[uint64]chan streamAnswer
 	lastQuery uint64
+
+	// confirmedAt is when the last confirmation was requested that was given; confirming is closed at the end of the one
+	// that is being requested, nil if none is.
+	confirmedAt time.Time
+	confirming  chan struct{}
 }
 
 func newStreams(isControl bool, started time.Time) *streams {
 	return &streams{isControl: isControl, started: started, publish: func([]resumer.Stream) {},
 		unreported: make(chan struct{}, 1), unsavedSet: make(chan struct{}, 1),
-		table: resumer.New(started, maxKnownStreams), queries: map[uint64]chan streamAnswer{}}
+		table: resumer.New(started, maxKnownStreams), peers: map[string]streamQuerier{},
+		queries: map[uint64]chan streamAnswer{}}
 }
 
 // record adds streams that began at this node or at a subscriber.
@@ -207,6 +225,126 @@
 	}
 }
 
+// addPeer and removePeer begin and end queries of another control instance.
+func (s *streams) addPeer(name string, q streamQuerier) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.peers[name] = q
+}
+
+func (s *streams) removePeer(name string, q streamQuerier) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.peers[name] == q {
+		delete(s.peers, name)
+	}
+}
+
+// confirm returns nil once this node knows the endpoints that a majority of the control instances knew at most
+// versionsTTL ago, and errNotConfirmed if it can't know them. A process that stood still or was cut off does not notice
+// that by itself, so that only an answer to a question asked since then counts.
+func (s *streams) confirm(ctx context.Context) error {
+	until := time.Now().Add(streamQueryTimeout)
+	if first := s.started.Add(firstPlanTimeout); until.Before(first) {
+		until = first
+	}
+	ctx, cancel := context.WithDeadline(ctx, until)
+	defer cancel()
+	for {
+		s.mu.Lock()
+		if !s.confirmedAt.IsZero() && time.Since(s.confirmedAt) <= versionsTTL {
+			s.mu.Unlock()
+			return nil
+		}
+		other := s.confirming
+		done := make(chan struct{})
+		if other == nil {
+			s.confirming = done
+		}
+		s.mu.Unlock()
+		if ctx.Err() != nil {
+			s.endConfirmation(other == nil, done, time.Time{})
+			return errNotConfirmed
+		}
+		if other != nil {
+			select {
+			case <-other:
+			case <-ctx.Done():
+			}
+			continue
+		}
+		requestedAt := time.Now()
+		isConfirmed := s.requestConfirmation(ctx)
+		if !isConfirmed {
+			requestedAt = time.Time{}
+		}
+		s.endConfirmation(true, done, requestedAt)
+		if !isConfirmed {
+			sleeper.Pause(ctx, streamPollInterval)
+		}
+	}
+}
+
+// endConfirmation ends the confirmation that the caller of confirm has requested; requestedAt is zero if it was not
+// given.
+func (s *streams) endConfirmation(isOwn bool, done chan struct{}, requestedAt time.Time) {
+	if !isOwn {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.confirming = nil
+	if requestedAt.After(s.confirmedAt) {
+		s.confirmedAt = requestedAt
+	}
+	close(done)
+}
+
+// requestConfirmation asks the control instance of a router, or a majority of the control instances.
+func (s *streams) requestConfirmation(ctx context.Context) bool {
+	if !s.isControl {
+		s.mu.Lock()
+		q := s.querier
+		s.mu.Unlock()
+		_, answered := s.query(ctx, q, confirmationKey)
+		return answered
+	}
+	voters := s.voters()
+	missing := len(voters)/2 + 1
+	if slices.Contains(voters, s.self) {
+		missing--
+	}
+	s.mu.Lock()
+	var peers []streamQuerier
+	for name, q := range s.peers {
+		if slices.Contains(voters, name) {
+			peers = append(peers, q)
+		}
+	}
+	s.mu.Unlock()
+	if len(voters) == 0 || len(peers) < missing {
+		return false
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answers := make(chan bool, len(peers))
+	for _, q := range peers {
+		go func() {
+			_, answered := s.query(ctx, q, confirmationKey)
+			answers <- answered
+		}()
+	}
+	for range peers {
+		if missing <= 0 {
+			break
+		}
+		if <-answers {
+			missing--
+		}
+	}
+	return missing <= 0
+}
+
 // lookup returns the origin of a stream that this node knows.
 func (s *streams) lookup(key resumer.Key) (o resumer.Origin, ok bool) {
 	s.mu.Lock()
@@ -239,7 +377,10 @@
 			return o, "", errUnknownStream
 		}
 		if !s.isControl {
-			answer, answered := s.query(ctx, key)
+			s.mu.Lock()
+			q := s.querier
+			s.mu.Unlock()
+			answer, answered := s.query(ctx, q, key)
 			switch {
 			case answered && answer.ok:
 				return answer.origin, streamKnownControl, nil
@@ -254,14 +395,12 @@
 	}
 }
 
-// query asks the control instance for the origin of a stream.
-func (s *streams) query(ctx context.Context, key resumer.Key) (a streamAnswer, answered bool) {
-	s.mu.Lock()
-	q := s.querier
+// query asks a control instance for the origin of a stream; q is nil without a subscription.
+func (s *streams) query(ctx context.Context, q streamQuerier, key resumer.Key) (a streamAnswer, answered bool) {
 	if q == nil {
-		s.mu.Unlock()
 		return a, false
 	}
+	s.mu.Lock()
 	s.lastQuery++
 	number, answer := s.lastQuery, make(chan streamAnswer, 1)
 	s.queries[number] = answer
--- a/node/transfer.go
+++ b/node/transfer.go
@@ -101,6 +101,12 @@
 			t.finish(t.finalDecision(), t.convictedRefusal(c))
 			return
 		}
+		if t.hasBegun && t.version != "" {
+			if err := p.fleet.streams.confirm(ctx); err != nil {
+				t.finish(t.finalDecision(), t.notConfirmedRefusal(err))
+				return
+			}
+		}
 		choice, reason := t.choose(ctx)
 		if reason != "" {
 			t.finish(refuseRequest, t.noEndpointRefusal(reason, ref))
@@ -159,6 +165,15 @@
 	return ref
 }
 
+// notConfirmedRefusal returns the refusal of a stream that can't go on because the versions of endpoints are not known.
+func (t *transfer) notConfirmedRefusal(cause error) refusal {
+	if t.runs > 0 {
+		return refusal{status: http.StatusBadGateway, reason: reasonNotConfirmed, logFields: []any{"err", cause}}
+	}
+	return refusal{status: http.StatusServiceUnavailable, reason: reasonNotConfirmed, retryAfter: retryAfter(),
+		logFields: []any{"err", cause}}
+}
+
 // choose selects an endpoint, and waits up to chooseTimeout if none is available.
 func (t *transfer) choose(ctx context.Context) (chooser.Choice, chooser.Reason) {
 	q := t.request
