Treat the version of an endpoint as unknown after its process may have ended

Callers got streams with events of two software versions when an endpoint restarted under its ID in another version and its first heartbeat was late: a stream of the old version went on there, and one that began there went on at an endpoint of the old version.

Cause: the version of the last heartbeat is that of a process which may have ended since.

Change: core/chooser keeps, for each endpoint, since when its process may have ended. It is set when a connection is refused, or ends within a response, or a kept connection was reset, or closed sooner than the endpoint has kept idle ones before. Until then the version is unknown: resumed streams don't go to the endpoint, don't open a connection there in place of a kept one that has ended, and streams that begin there have no known origin, so that they can't go on elsewhere.

Most such events are no end of a process (endpoints break off single responses). A connection from before that is still open refutes it, as does one that opens within 0.2 s, which is sooner than an endpoint restarts. What remains ends with the record of a later start, or after six heartbeat intervals in which the endpoint has not fallen silent. A refused connection is reported to all nodes in the existing message for suspects.

--- a/adapters/forwarder/exchange.go
+++ b/adapters/forwarder/exchange.go
@@ -26,6 +26,8 @@
 	Deadline time.Time
 	// FreshConn requires a new or recently used connection, for requests that can't be retried.
 	FreshConn bool
+	// SameProcess forbids a new connection after the endpoint has ended a kept one: another process may listen by now.
+	SameProcess bool
 	// IDHeader is the response header in which the endpoint returns ID. A response with another value belongs to
 	// another request.
 	IDHeader string
--- a/adapters/forwarder/forwarder_test.go
+++ b/adapters/forwarder/forwarder_test.go
@@ -422,3 +422,70 @@
 		})
 	}
 }
+
+// Guards against an endpoint's end that goes unnoticed while its connections are idle, against one that is taken for an
+// end because the endpoint closes idle connections, and against a request that then reaches another process.
+func TestEndOfKeptConnectionsIsReported(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		reset       bool          // instead of closed
+		keptBefore  time.Duration // idle time after which the connection was used again; 0 means that it was not
+		idle        time.Duration // until it ends
+		isReported  bool
+		isCollected bool // found by CloseExpired instead of the next request
+	}{
+		{"reset", true, 0, 10 * time.Millisecond, true, false},
+		{"reset, found later", true, 0, 10 * time.Millisecond, true, true},
+		{"closed", false, 0, 10 * time.Millisecond, false, false},
+		{"closed sooner than before", false, 200 * time.Millisecond, 10 * time.Millisecond, true, false},
+		{"closed sooner than before, found later", false, 200 * time.Millisecond, 10 * time.Millisecond, true, true},
+		{"closed later than before", false, 20 * time.Millisecond, 100 * time.Millisecond, false, true},
+	} {
+		end := make(chan struct{})
+		address := serve(t, func(n int, conn net.Conn, br *bufio.Reader) {
+			go func() {
+				<-end
+				if c.reset {
+					_ = conn.(*net.TCPConn).SetLinger(0)
+				}
+				_ = conn.Close()
+			}()
+			for {
+				r, _ := readRequest(br)
+				if r == nil {
+					return
+				}
+				_, _ = io.WriteString(conn, formatResponse(r.Header.Get("X-Id"), strconv.Itoa(n)))
+			}
+		})
+		p := NewPool(DefaultLimits())
+		var ends []time.Time
+		p.OnEnd = func(_ string, openAt time.Time) { ends = append(ends, openAt) }
+		opened := time.Now()
+		assert.Equal(t, sendAndRead(t, p, newRequest(address, "1", nil)), "1", c.name)
+		if c.keptBefore > 0 {
+			time.Sleep(c.keptBefore)
+			assert.Equal(t, sendAndRead(t, p, newRequest(address, "2", nil)), "1", c.name)
+		}
+		used := time.Now()
+		assert.Assert(t, p.HasOpen(address, used), c.name)
+		assert.Assert(t, !p.HasOpen(address, opened), c.name)
+		time.Sleep(c.idle)
+		close(end)
+		time.Sleep(10 * time.Millisecond) // lets the end arrive
+		assert.Assert(t, !p.HasOpen(address, used), c.name)
+		if c.isCollected {
+			p.CloseExpired(time.Now(), func(string) bool { return true })
+			assert.Equal(t, openCount(p, address), 0, c.name)
+		} else {
+			r := newRequest(address, "3", nil)
+			r.SameProcess = true
+			_, err := p.Send(context.Background(), r) //nolint:bodyclose // not read
+			assert.Equal(t, errors.Is(err, ErrProcessMayHaveEnded), c.isReported, "%s: %v", c.name, err)
+		}
+		assert.Equal(t, len(ends) > 0, c.isReported, c.name)
+		for _, openAt := range ends {
+			assert.Assert(t, !openAt.After(used), c.name)
+		}
+	}
+}
--- a/adapters/forwarder/pool.go
+++ b/adapters/forwarder/pool.go
@@ -49,8 +49,11 @@
 	head      []byte // buffer of the head that is being read
 	address   string
 	reused    bool // an earlier request was sent on the connection
+	openedAt  time.Time
 	idleSince time.Time
 	idleUntil time.Time
+	openAt    time.Time     // when an idle connection was last seen open
+	keptFor   time.Duration // how long it was idle before the last request
 }
 
 // writeNonBlocking writes as much as fits into the socket buffer and returns the number of bytes written.
@@ -90,10 +93,18 @@
 	dialer net.Dialer
 	limits Limits
 
+	// OnEnd is called after an endpoint has ended an idle connection, which was last seen open at a given time, unless it
+	// may have done so because the connection was idle. It may be nil and must be set before the first request.
+	OnEnd func(address string, openAt time.Time)
+
 	mu        sync.Mutex
 	idle      map[string][]*conn
-	openCount map[string]int // idle connections and those in use
+	open      map[string]map[*conn]bool // idle connections and those in use
+	openCount map[string]int            // of open
 	dialCount uint64
+	// keptFor is the longest time that an endpoint has kept an idle connection, by address, since it last ended one for
+	// another reason.
+	keptFor map[string]time.Duration
 }
 
 // NewPool returns a pool without connections.
@@ -101,7 +112,8 @@
 	return &Pool{limits: limits,
 		dialer: net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle,
 			Interval: keepAliveInterval, Count: keepAliveCount}, Control: setUserTimeout},
-		idle: map[string][]*conn{}, openCount: map[string]int{},
+		idle: map[string][]*conn{}, open: map[string]map[*conn]bool{}, openCount: map[string]int{},
+		keptFor: map[string]time.Duration{},
 	}
 }
 
@@ -123,26 +135,80 @@
 		if c == nil {
 			break
 		}
-		if !r.FreshConn || now.Sub(c.idleSince) <= maxFreshIdleTime {
-			if c.isReusable() {
-				c.reused = true
-				return c, nil
-			}
+		state := c.idleState()
+		if state == idleUsable && (!r.FreshConn || now.Sub(c.idleSince) <= maxFreshIdleTime) {
+			c.reused, c.keptFor = true, now.Sub(c.idleSince)
+			return c, nil
 		}
 		p.close(c)
+		if p.recordEnd(now, c, state) && r.SameProcess {
+			return nil, ErrProcessMayHaveEnded
+		}
 		if r.FreshConn {
 			break // a new connection replaces the closed one, so that their number doesn't grow
 		}
 	}
-	nc, err := p.dialer.DialContext(ctx, "tcp", r.Address)
+	return p.dial(ctx, r.Address)
+}
+
+// dial opens a connection, which counts as in use.
+func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
+	nc, err := p.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
+	c := &conn{Conn: nc, br: bufio.NewReaderSize(nc, readBufferBytes), address: address, openedAt: time.Now()}
 	p.mu.Lock()
-	p.openCount[r.Address]++
+	defer p.mu.Unlock()
+	p.openCount[address]++
 	p.dialCount++
+	if p.open[address] == nil {
+		p.open[address] = map[*conn]bool{}
+	}
+	p.open[address][c] = true
+	return c, nil
+}
+
+// ErrProcessMayHaveEnded means that a request with SameProcess was not sent because the endpoint has ended a kept
+// connection.
+var ErrProcessMayHaveEnded = errors.New("the endpoint has ended a kept connection")
+
+// recordEnd reports whether the state of an idle connection, which has been closed, tells that the endpoint's process
+// may have ended, and calls OnEnd then. An endpoint that closes a connection after it was idle for longer than the
+// endpoint has kept one before may do so because it was idle.
+func (p *Pool) recordEnd(now time.Time, c *conn, state idleState) bool {
+	p.mu.Lock()
+	isEnd := state == idleReset || state == idleClosed && now.Sub(c.idleSince) <= p.keptFor[c.address]
+	if isEnd {
+		delete(p.keptFor, c.address)
+	}
 	p.mu.Unlock()
-	return &conn{Conn: nc, br: bufio.NewReaderSize(nc, readBufferBytes), address: r.Address}, nil
+	if isEnd && p.OnEnd != nil {
+		p.OnEnd(c.address, c.openAt)
+	}
+	return isEnd
+}
+
+// HasOpen reports whether a connection to an address that was opened before a given time is still open, so that the
+// process that listened then is still there.
+func (p *Pool) HasOpen(address string, before time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.open[address] {
+		if c.openedAt.Before(before) && c.isOpen() {
+			return true
+		}
+	}
+	return false
+}
+
+// Open opens a connection to an address and keeps it for later requests.
+func (p *Pool) Open(ctx context.Context, address string) error {
+	c, err := p.dial(ctx, address)
+	if err == nil {
+		p.putIdle(c, defaultIdleTimeout)
+	}
+	return err
 }
 
 // Refuses reports whether an address refuses connections: the process that listened there has ended.
@@ -177,9 +243,12 @@
 // putIdle adds a connection without pending data to the idle ones for the duration of idleTimeout.
 func (p *Pool) putIdle(c *conn, idleTimeout time.Duration) {
 	now := time.Now()
-	c.idleSince, c.idleUntil = now, now.Add(idleTimeout)
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if c.reused {
+		p.keptFor[c.address] = max(p.keptFor[c.address], c.keptFor)
+	}
+	c.idleSince, c.idleUntil, c.openAt = now, now.Add(idleTimeout), now
 	p.idle[c.address] = append(p.idle[c.address], c)
 }
 
@@ -196,8 +265,10 @@
 	_ = c.Close()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	delete(p.open[c.address], c)
 	if p.openCount[c.address]--; p.openCount[c.address] <= 0 {
 		delete(p.openCount, c.address)
+		delete(p.open, c.address)
 	}
 }
 
@@ -208,17 +279,24 @@
 	return p.dialCount
 }
 
-// CloseExpired closes connections whose idle timeout has passed, and all idle ones to addresses that isKnown rejects.
+// CloseExpired closes connections whose idle timeout has passed or that the endpoint has ended, and all idle ones to
+// addresses that isKnown rejects.
 func (p *Pool) CloseExpired(now time.Time, isKnown func(address string) bool) {
 	var expired []*conn
+	ended := map[*conn]idleState{}
 	p.mu.Lock()
 	for address, list := range p.idle {
 		remaining := list[:0]
 		addressKnown := isKnown(address)
 		for _, c := range list {
-			if addressKnown && now.Before(c.idleUntil) {
+			state := c.idleState()
+			switch {
+			case state == idleReset, state == idleClosed:
+				ended[c] = state
+			case addressKnown && now.Before(c.idleUntil):
+				c.openAt = now
 				remaining = append(remaining, c)
-			} else {
+			default:
 				expired = append(expired, c)
 			}
 		}
@@ -231,28 +309,76 @@
 	for _, c := range expired {
 		p.close(c)
 	}
+	for c, state := range ended {
+		p.close(c)
+		p.recordEnd(now, c, state)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address := range p.keptFor {
+		if p.openCount[address] == 0 {
+			delete(p.keptFor, address)
+		}
+	}
 }
 
-// isReusable reports whether an idle connection is open and has no unread data. Unread data belongs to no pending
-// request.
-func (c *conn) isReusable() bool {
+// idleState is the state of an idle connection.
+type idleState uint8
+
+const (
+	idleUsable idleState = iota
+	idleDirty            // has unread data, which belongs to no pending request
+	idleClosed           // the endpoint has closed it
+	idleReset            // the endpoint has reset it, or it has failed
+)
+
+func (c *conn) idleState() idleState {
 	if c.br.Buffered() > 0 {
-		return false
+		return idleDirty
 	}
 	sc, ok := c.Conn.(syscall.Conn)
 	if !ok {
-		return false
+		return idleDirty
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return false
+		return idleDirty
 	}
-	reusable := false
+	state := idleReset
 	err = raw.Read(func(fd uintptr) bool {
 		var b [1]byte
 		n, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		reusable = n <= 0 && (err == unix.EAGAIN || err == unix.EWOULDBLOCK)
+		switch {
+		case n > 0:
+			state = idleDirty
+		case err == nil:
+			state = idleClosed
+		case err == unix.EAGAIN || err == unix.EWOULDBLOCK:
+			state = idleUsable
+		}
 		return true
 	})
-	return err == nil && reusable
+	if err != nil {
+		return idleDirty
+	}
+	return state
+}
+
+// isOpen reports whether neither side has ended a connection, which may be in use.
+func (c *conn) isOpen() bool {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	open := false
+	err = raw.Control(func(fd uintptr) {
+		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, err := unix.Poll(fds, 0)
+		open = err == nil && (n == 0 || fds[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR|unix.POLLNVAL) == 0)
+	})
+	return err == nil && open
 }
--- a/core/chooser/chooser.go
+++ b/core/chooser/chooser.go
@@ -79,6 +79,8 @@
 	ColdSlack  float64 // requests per second allowed in addition
 	LoadFactor float64 // allowed multiple of the mean load of the service's endpoints
 	LoadSlack  float64 // requests allowed in addition
+
+	HeartbeatInterval time.Duration // of the endpoints
 }
 
 // PromptPart is one segment of a prompt; only the last one is specific to the request or its session.
@@ -106,6 +108,7 @@
 const (
 	NoEndpoint        Reason = "the service has no endpoint in service"
 	NoVersion         Reason = "the service has no endpoint in service of the software version that began the stream"
+	VersionUnknown    Reason = "the endpoints of the version that began the stream may have restarted in another version"
 	AllTried          Reason = "every endpoint was already tried"
 	ColdRateExhausted Reason = "the rate limit of cold endpoints is exhausted"
 	AllAtCapacity     Reason = "every endpoint has as many requests as it can answer in time"
@@ -146,6 +149,7 @@
 	limitedAttempts     decayingCount // requests considered for it while nothing is known of the other routers
 	firstAttempts       []time.Time   // requests of this router for which it ranks first, within wantedWindow
 	otherAttempts       decayingCount // those that endpoints of a higher rank did not accept
+	processEnd          processEnd
 }
 
 // history is what a router remembers of its requests for a service.
@@ -206,6 +210,9 @@
 				known.knownSince = time.Time{} // was present before this router
 			}
 		}
+		if known.State == registrar.Silent && e.State == registrar.Ready {
+			known.extendProcessEnd(now, c.limits.HeartbeatInterval)
+		}
 		known.Endpoint, known.inService = e, i < len(inService)
 		c.byID[e.ID] = known
 		membersByService[e.Service] = append(membersByService[e.Service], placer.Endpoint{Name: e.ID})
@@ -275,6 +282,9 @@
 	if q.isOtherVersion(e) {
 		return NoVersion
 	}
+	if q.IsResumed && q.Version != "" && !e.isVersionKnown(now) {
+		return VersionUnknown
+	}
 	for _, id := range q.Tried {
 		if id == e.ID {
 			return AllTried
@@ -556,7 +566,8 @@
 }
 
 func reasonPrecedence(r Reason) int {
-	return slices.Index([]Reason{NoEndpoint, NoVersion, AllTried, RateLimited, AllAtCapacity, ColdRateExhausted}, r)
+	return slices.Index([]Reason{NoEndpoint, NoVersion, VersionUnknown, AllTried, RateLimited, AllAtCapacity,
+		ColdRateExhausted}, r)
 }
 
 // cacheSource returns the endpoint that is expected to cache the shared parts of the prompt: the highest-ranked one
--- a/node/clock.go
+++ b/node/clock.go
@@ -1,10 +1,14 @@
 package node
 
 import (
+	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"cactusroute.dev/adapters/sleeper"
 )
 
 // clockTolerance is the timer delay and the clock difference between two checks up to which nothing is logged; longer
@@ -76,3 +80,37 @@
 	}
 	return suspended, stepped
 }
+
+const (
+	// pauseTick is how often a process checks that it runs, and minPause the shortest time between two checks that
+	// counts as a pause. What was received meanwhile is old; pauseTail is how long it may take to read it.
+	pauseTick = 50 * time.Millisecond
+	minPause  = 200 * time.Millisecond
+	pauseTail = time.Second
+)
+
+// pauseDetector notices that the process stood still, for example because it was stopped or had no processor.
+type pauseDetector struct {
+	started  time.Time
+	lastTick atomic.Int64 // nanoseconds since started; 0 before the first tick
+	pausedAt atomic.Int64 // end of the last pause
+}
+
+// watch checks until ctx ends.
+func (d *pauseDetector) watch(ctx context.Context) error {
+	for ctx.Err() == nil {
+		now := max(1, int64(time.Since(d.started)))
+		if last := d.lastTick.Swap(now); last > 0 && now-last > int64(minPause) {
+			d.pausedAt.Store(now)
+		}
+		sleeper.Pause(ctx, pauseTick)
+	}
+	return ctx.Err()
+}
+
+// mayHavePaused reports whether events that are noticed now may have happened during a pause.
+func (d *pauseDetector) mayHavePaused(now time.Time) bool {
+	n := int64(now.Sub(d.started))
+	last, pausedAt := d.lastTick.Load(), d.pausedAt.Load()
+	return last > 0 && n-last > int64(minPause) || pausedAt > 0 && n-pausedAt < int64(pauseTail)
+}
--- a/node/fakes_test.go
+++ b/node/fakes_test.go
@@ -100,6 +100,11 @@
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = ln.Close() })
+	return serveFakeEndpoint(ln, handle)
+}
+
+// serveFakeEndpoint serves the connections of ln.
+func serveFakeEndpoint(ln net.Listener, handle func(req *receivedRequest)) *fakeEndpoint {
 	e := &fakeEndpoint{address: ln.Addr().String(), listener: ln}
 	go func() {
 		for {
@@ -172,6 +177,7 @@
 	f := newFleet(settings, testDialect(), log)
 	pool := forwarder.NewPool(settings.EndpointLimits.Limits)
 	p := &proxy{dialect: testDialect(), fleet: f, pool: pool, log: log, metrics: newMetrics(obs, f, pool, queue)}
+	pool.OnEnd = p.recordIdleEnd
 	if plan != nil {
 		assert.NilError(t, plan.Index())
 		f.view.Store(&view{plan: plan})
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -88,6 +88,7 @@
 	suspectReports chan exchanger.Suspect
 	evidence       *evidence
 	streams        *streams
+	pauses         *pauseDetector
 	streamLog      *streamLog // of a control instance, while it runs
 
 	exchangeOptions messenger.Options // of connections to other nodes
@@ -144,6 +145,7 @@
 		seedsInformedAt: map[string]time.Time{}, suspects: map[uint64]*suspect{},
 		evidence: newEvidence(s.Place.Name, s.DataFolder != "", log), started: time.Now()}
 	f.streams = newStreams(s.DataFolder != "", f.started)
+	f.pauses = &pauseDetector{started: f.started}
 	f.streams.self, f.streams.voters = f.self.Name, f.voters
 	f.view.Store(&view{})
 	choosesBootstrapper := s.FirstStart && len(s.Seeds) > 0 && slices.Min(s.Seeds) == s.Listen.Advertise
@@ -428,6 +430,9 @@
 // addSuspects records suspects, publishes new ones to subscribers, and reports whether any was new.
 func (f *fleet) addSuspects(list []exchanger.Suspect) (isNew bool) {
 	isNew = f.recordSuspects(list)
+	if isNew {
+		f.recordReportedEnds(list)
+	}
 	if isNew && f.control != nil {
 		f.control.server.PublishSuspects(list)
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -62,6 +62,7 @@
 	pool := forwarder.NewPool(s.EndpointLimits.Limits)
 	n := &Node{settings: s, obs: obs, queue: queue, fleet: f}
 	n.front = &proxy{dialect: d, fleet: f, pool: pool, log: log, metrics: newMetrics(obs, f, pool, queue)}
+	pool.OnEnd = n.front.recordIdleEnd
 	n.front.bodies.limit = s.BodyMemoryBytes
 	n.ready.Check = func() error {
 		if !f.isReady() {
@@ -153,6 +154,7 @@
 	sup.Add(service{"views", f.publishViews})
 	sup.Add(service{"seek", f.discover})
 	sup.Add(service{"tick", n.runMaintenance})
+	sup.Add(service{"pauses", f.pauses.watch})
 	exchange := http.NewServeMux()
 	exchange.Handle(exchanger.DiscoveryPath, f.discovery)
 	exchange.Handle(recorder.Path, n.obs.TimelineHandler())
--- a/node/settings.go
+++ b/node/settings.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"errors"
+	"time"
 
 	"cactusroute.dev/adapters/configurer"
 	"cactusroute.dev/adapters/forwarder"
@@ -138,6 +139,8 @@
 	s.EndpointLimits.EventBytes = cmp.Or(s.EndpointLimits.EventBytes, defaultEventBytes)
 }
 
-func (l LoadLimits) chooserLimits() chooser.Limits {
-	return chooser.Limits{ColdFactor: l.ColdOver, ColdSlack: l.ColdSlack, LoadFactor: l.LoadOver, LoadSlack: l.LoadSlack}
+func (s *Settings) chooserLimits() chooser.Limits {
+	l := &s.Load
+	return chooser.Limits{ColdFactor: l.ColdOver, ColdSlack: l.ColdSlack, LoadFactor: l.LoadOver, LoadSlack: l.LoadSlack,
+		HeartbeatInterval: time.Duration(s.HeartbeatMillis) * time.Millisecond}
 }
--- a/node/transfer.go
+++ b/node/transfer.go
@@ -57,22 +57,24 @@
 	request *request
 	w       http.ResponseWriter
 
-	tried           []string   // IDs of endpoints
-	sends           int        // attempts, including rejected ones
-	runs            int        // attempts that an endpoint may have executed
-	headerSent      bool       // the response header was sent to the caller
-	callerConn      lingerConn // set if the response ends with the caller's connection
-	splitter        eventSplitter
-	eventsBefore    uint64            // events of earlier attempts
-	hasBegun        bool              // the caller has an event of the stream
-	version         string            // software version of the endpoint that sent it
-	isRecorded      bool              // the origin of the stream is recorded under the ID of this request
-	answered        bool              // recorded as evidence that its prompt is sound
-	sentAt          time.Time         // start of the current attempt
-	firstByteAt     time.Time         // when the first bytes of the body were sent to the caller
-	lastWriteAt     time.Time         // of a stream
-	choiceLogFields []any             // endpoint and load of the current attempt
-	lastError       *bufferedResponse // last 5xx response of an endpoint
+	tried        []string   // IDs of endpoints
+	sends        int        // attempts, including rejected ones
+	runs         int        // attempts that an endpoint may have executed
+	headerSent   bool       // the response header was sent to the caller
+	callerConn   lingerConn // set if the response ends with the caller's connection
+	splitter     eventSplitter
+	eventsBefore uint64 // events of earlier attempts
+	hasBegun     bool   // the caller has an event of the stream
+	version      string // software version of the endpoint that sent it
+	isRecorded   bool   // the origin of the stream is recorded under the ID of this request
+	// isVersionUnknown is set if the endpoint that sent it may have restarted in another version since its heartbeat.
+	isVersionUnknown bool
+	answered         bool              // recorded as evidence that its prompt is sound
+	sentAt           time.Time         // start of the current attempt
+	firstByteAt      time.Time         // when the first bytes of the body were sent to the caller
+	lastWriteAt      time.Time         // of a stream
+	choiceLogFields  []any             // endpoint and load of the current attempt
+	lastError        *bufferedResponse // last 5xx response of an endpoint
 }
 
 // bufferedResponse is a complete response of an endpoint that was not forwarded to the caller.
@@ -101,7 +103,12 @@
 			t.finish(t.finalDecision(), t.convictedRefusal(c))
 			return
 		}
+		if t.hasBegun && t.isVersionUnknown {
+			t.finish(t.finalDecision(), t.versionRefusal(chooser.VersionUnknown))
+			return
+		}
 		if t.hasBegun && t.version != "" {
+			p.refuteProcessEnds(ctx, q.service.Name, t.version)
 			if err := p.fleet.streams.confirm(ctx); err != nil {
 				t.finish(t.finalDecision(), t.notConfirmedRefusal(err))
 				return
@@ -183,7 +190,8 @@
 		now := time.Now()
 		c, reason := t.proxy.fleet.routing.choose(now, chooser.Query{Service: q.service, Parts: q.promptParts, Tried: t.tried,
 			Random: rand.Float64(), Priority: q.priority, Version: t.version, IsResumed: t.hasBegun})
-		isFinal := reason == "" || reason == chooser.AllTried || reason == chooser.RateLimited || reason == chooser.NoVersion
+		isFinal := reason == "" || reason == chooser.AllTried || reason == chooser.RateLimited ||
+			reason == chooser.NoVersion || reason == chooser.VersionUnknown
 		if isFinal || now.After(until) || isDisconnected(ctx) {
 			t.proxy.metrics.waitTime.Observe(now.Sub(start).Seconds())
 			return c, reason
@@ -194,13 +202,8 @@
 
 // noEndpointRefusal returns the refusal of a request for which no endpoint was selected.
 func (t *transfer) noEndpointRefusal(cause chooser.Reason, last refusal) refusal {
-	if cause == chooser.NoVersion {
-		ref := refusal{status: http.StatusServiceUnavailable, reason: "noVersion", retryAfter: retryAfter(),
-			logFields: []any{"why", string(cause), "service", t.request.service.Name, "begunAt", t.version}}
-		if t.runs > 0 {
-			ref.status, ref.retryAfter = http.StatusBadGateway, 0
-		}
-		return ref
+	if cause == chooser.NoVersion || cause == chooser.VersionUnknown {
+		return t.versionRefusal(cause)
 	}
 	if t.runs > 0 || last.status != 0 && cause == chooser.AllTried {
 		return last
@@ -218,6 +221,20 @@
 		logFields: []any{"why", string(cause), "service", t.request.service.Name}}
 }
 
+// versionRefusal returns the refusal of a stream that can't go on at any endpoint because of their versions.
+func (t *transfer) versionRefusal(cause chooser.Reason) refusal {
+	reason := "noVersion"
+	if cause == chooser.VersionUnknown {
+		reason = "versionUnknown"
+	}
+	ref := refusal{status: http.StatusServiceUnavailable, reason: reason, retryAfter: retryAfter(),
+		logFields: []any{"why", string(cause), "service", t.request.service.Name, "begunAt", t.version}}
+	if t.runs > 0 {
+		ref.status, ref.retryAfter = http.StatusBadGateway, 0
+	}
+	return ref
+}
+
 // attempt sends the request to one endpoint and forwards the response.
 func (t *transfer) attempt(ctx context.Context, c chooser.Choice) (decision, refusal) {
 	q, p := t.request, t.proxy
@@ -272,7 +289,8 @@
 	}
 	return &forwarder.Request{Address: c.Endpoint.Address, Method: q.inbound.Method, Target: q.inbound.RequestURI,
 		Host: q.inbound.Host, Header: header, Body: q.body, Deadline: q.deadline, FreshConn: !q.route.CanRetry(),
-		IDHeader: h.RequestID, ID: q.id}
+		SameProcess: t.hasBegun && t.version != "",
+		IDHeader:    h.RequestID, ID: q.id}
 }
 
 // canRetry reports whether the request may be executed by another endpoint.
@@ -323,6 +341,9 @@
 	if errors.As(err, &limitErr) {
 		p.metrics.limits.WithLabelValues(limitErr.Bound).Inc()
 	}
+	if isProcessEnd(outcome, err) {
+		p.recordProcessEnd(c.Endpoint, outcome, t.sentAt, t.lastWriteAt)
+	}
 	var avoidUntil time.Time
 	p.fleet.routing.withChooser(func(ch *chooser.Chooser) { avoidUntil = ch.RecordFailure(time.Now(), c.Endpoint) })
 	p.log.failure("msg", "endpoint failed", "request", t.request.id, "endpoint", describeEndpoint(&c.Endpoint),
@@ -536,9 +557,14 @@
 	rc := http.NewResponseController(t.w)
 	buf := make([]byte, streamBufferBytes)
 	stall := newStallTimer(t.request.route.StallTimeout(), resp)
+	isChecked := !t.hasBegun || t.version == ""
 	for {
 		n, err := resp.Body.Read(buf)
 		out := buf[:n]
+		if n > 0 && !isChecked && !t.proxy.isVersionKnown(ctx, c.Endpoint) {
+			return t.retryOrEnd(), t.versionRefusal(chooser.VersionUnknown)
+		}
+		isChecked = isChecked || n > 0
 		if !t.request.route.Resumable {
 			t.splitter.observe(out)
 		} else {
@@ -558,7 +584,7 @@
 			}
 		}
 		if err = stall.update(t.splitter.events, err); len(out) > 0 {
-			t.recordOrigin(c)
+			t.recordOrigin(ctx, c)
 			now := time.Now()
 			if t.firstByteAt.IsZero() {
 				t.firstByteAt = now
@@ -587,15 +613,20 @@
 	}
 }
 
-// recordOrigin records, before the first event of a stream reaches the caller, where the stream began.
-func (t *transfer) recordOrigin(c chooser.Choice) {
+// recordOrigin records, before the first event of a stream reaches the caller, where the stream began. Where that is
+// not known for certain, the stream can't go on elsewhere.
+func (t *transfer) recordOrigin(ctx context.Context, c chooser.Choice) {
 	if !t.request.route.Resumable || t.isRecorded {
 		return
 	}
 	if !t.hasBegun {
 		t.hasBegun, t.version = true, c.Endpoint.Version
+		t.isVersionUnknown = t.version != "" && !t.proxy.isVersionKnown(ctx, c.Endpoint)
 	}
 	t.isRecorded = true
+	if t.isVersionUnknown {
+		return
+	}
 	t.proxy.recordOrigin(t.request, resumer.Origin{Service: t.request.service.Name, Version: t.version})
 }
 
--- a/node/view.go
+++ b/node/view.go
@@ -31,7 +31,7 @@
 
 func newRoutingState(s *Settings) *routingState {
 	r := &routingState{budgetSettings: s.RetryBudget,
-		chooser: chooser.New(s.Load.chooserLimits(), s.Place.Name, s.Place.FailureDomain),
+		chooser: chooser.New(s.chooserLimits(), s.Place.Name, s.Place.FailureDomain),
 		routers: 1, budgets: map[string]*retrier.WindowBudget{}}
 	if !s.FirstStart {
 		r.chooser.RecordRestart(time.Now())
