Write no other response into a stream that has begun

Callers of resumable streams got status 200, the first events, the body of a failure (404, 409 or 429) of the endpoint at which the stream went on, and a regular end, so that the stream looked complete.

Cause: once the header has been sent, attempt kept only responses from 500 on out of the response. Any other was written behind the events without its header.

Change: a response that follows events has to have the status, the media type and the content encoding of the one that began the stream. Any other (3xx, 4xx, 5xx, 204, 206, another or no type, an encoded body) leads to the next endpoint where the route's attempts and the budget allow one, else the response is aborted. An empty stream of the right type still ends it, because the first attempt may have broken off just before its end.

--- a/node/stream_end_test.go
+++ b/node/stream_end_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -82,3 +83,62 @@
 		}
 	}
 }
+
+// Guards against a response of another kind, such as the body of a failure, that is written into a stream which has
+// begun, and that then ends it as complete.
+func TestOtherResponseIsNotWrittenIntoAStream(t *testing.T) {
+	const first, rest = "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"
+	const length = "Content-Length: 15\r\n\r\n" + rest
+	for _, c := range []struct {
+		name, response string
+		fits           bool
+	}{
+		{"not found", "404 Not Found\r\n" + streamType + length, false},
+		{"conflict", "409 Conflict\r\n" + plainType + length, false},
+		{"too many requests", "429 Too Many Requests\r\n" + plainType + length, false},
+		{"redirect", "307 Temporary Redirect\r\n" + streamType + "Location: /x\r\n" + length, false},
+		{"server error", "500 Failed\r\n" + streamType + length, false},
+		{"no content", "204 No Content\r\n" + streamType + "\r\n", false},
+		{"part of the content", "206 Partial Content\r\n" + streamType + length, false},
+		{"another type", "200 OK\r\nContent-Type: application/json\r\n" + length, false},
+		{"no type", "200 OK\r\n" + length, false},
+		{"no type, empty", "200 OK\r\nContent-Length: 0\r\n\r\n", false},
+		{"encoded", "200 OK\r\n" + streamType + "Content-Encoding: gzip\r\n" + length, false},
+		{"the rest", "200 OK\r\n" + streamType + length, true},
+		{"the rest, with a parameter", "200 OK\r\nContent-Type: text/event-stream; charset=utf-8\r\n" + length, true},
+	} {
+		for _, attempts := range []int{2, 3} {
+			var mu sync.Mutex
+			n := 0
+			handle := func(req *receivedRequest) {
+				mu.Lock()
+				n++
+				attempt := n
+				mu.Unlock()
+				switch attempt {
+				case 1:
+					_, _ = fmt.Fprintf(req.conn, "HTTP/1.1 200 OK\r\nReq-Id: id-1\r\n%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n",
+						streamType, len(first), first)
+					_ = req.conn.Close()
+				case 2:
+					status, header, _ := strings.Cut(c.response, "\r\n")
+					_, _ = fmt.Fprintf(req.conn, "HTTP/1.1 %s\r\nReq-Id: id-1\r\n%s", status, header)
+				default:
+					req.respond("200 OK", streamType, rest)
+				}
+			}
+			plan := testPlan(1)
+			plan.Routes[4].MaxAttempts = attempts
+			p := newTestProxy(t, plan, newFakeEndpoint(t, handle), newFakeEndpoint(t, handle), newFakeEndpoint(t, handle))
+			got := p.call(t, http.MethodPost, "/resume/", "x")
+			assert.Equal(t, got.status, http.StatusOK, c.name)
+			if c.fits || attempts == 3 {
+				assert.NilError(t, got.err, c.name)
+				assert.Equal(t, got.body, first+rest, c.name)
+				continue
+			}
+			assert.Assert(t, got.err != nil, "%s: looks complete: %q", c.name, got.body)
+			assert.Equal(t, got.body, first, c.name)
+		}
+	}
+}
--- a/node/transfer.go
+++ b/node/transfer.go
@@ -61,6 +61,7 @@
 	sends        int        // attempts, including rejected ones
 	runs         int        // attempts that an endpoint may have executed
 	headerSent   bool       // the response header was sent to the caller
+	sentStatus   int        // its status
 	callerConn   lingerConn // set if the response ends with the caller's connection
 	splitter     eventSplitter
 	eventsBefore uint64 // events of earlier attempts
@@ -259,7 +260,10 @@
 		p.metrics.unframed.Inc()
 	}
 	t.choiceLogFields = append(t.choiceLogFields, "framed", !resp.EndsWithConn)
-	if resp.Status >= http.StatusInternalServerError && (t.canRetry() || t.headerSent) {
+	if t.headerSent && !t.isContinuation(resp) {
+		return t.handleOtherResponse(c, resp)
+	}
+	if resp.Status >= http.StatusInternalServerError && t.canRetry() {
 		return t.handleServerError(c, resp)
 	}
 	if t.isMisleadingStatus(resp) {
@@ -478,6 +482,31 @@
 		logFields: []any{"endpointStatus", resp.Status}}
 }
 
+// isContinuation reports whether the body of a response can follow what the caller has of an earlier one.
+func (t *transfer) isContinuation(resp *forwarder.Response) bool {
+	sent := t.w.Header()
+	return resp.Status == t.sentStatus && mediaType(resp.Header) == mediaType(sent) &&
+		resp.Header.Get("Content-Encoding") == sent.Get("Content-Encoding")
+}
+
+// mediaType returns the media type of a body without its parameters.
+func mediaType(h http.Header) string {
+	value, _, _ := strings.Cut(h.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(value))
+}
+
+// handleOtherResponse decides how to proceed after a response that can't follow what the caller has.
+func (t *transfer) handleOtherResponse(c chooser.Choice, resp *forwarder.Response) (decision, refusal) {
+	if resp.Status >= http.StatusMultipleChoices {
+		if _, err := readBounded(resp.Body); err != nil {
+			t.recordFailure(c, forwarder.Unknown, err)
+		}
+	}
+	return t.retryOrEnd(), refusal{status: http.StatusBadGateway, reason: "endpointError",
+		logFields: []any{"endpointStatus", resp.Status, "contentType", resp.Header.Get("Content-Type"),
+			"contentEncoding", resp.Header.Get("Content-Encoding")}}
+}
+
 // sendHeader sends the header of the first response without hop-by-hop fields. length is the length of the whole body,
 // or -1. The caller gets a framing only if the endpoint's response has one, because the end of its connection does not
 // tell whether the body is complete.
@@ -485,7 +514,7 @@
 	if t.headerSent {
 		return
 	}
-	t.headerSent = true
+	t.headerSent, t.sentStatus = true, resp.Status
 	header := t.w.Header()
 	for name, values := range resp.Header {
 		header[name] = values
@@ -642,8 +671,7 @@
 
 // isInsideEvent reports whether a stream that has ended was broken off, although its framing doesn't show it.
 func (t *transfer) isInsideEvent(resp *forwarder.Response) bool {
-	contentType, _, _ := strings.Cut(resp.Header.Get("Content-Type"), ";")
-	if !resp.EndsWithConn || contentType != "" && !strings.EqualFold(strings.TrimSpace(contentType), eventStreamType) {
+	if contentType := mediaType(resp.Header); !resp.EndsWithConn || contentType != "" && contentType != eventStreamType {
 		return false
 	}
 	return t.splitter.events == t.eventsBefore || t.splitter.isInsideEvent()
