Refuse requests that a stopping node can't complete

Callers got streams that ended in the middle, 7.4 s after the SIGTERM of their node, although they had been sent more than 3 s after it, on connections that were open.

Cause: a stopping node accepted all requests on the connections that it had, and new connections for 3.2 s, whatever they might last, and closed those in use 0.6 s before the end of the grace period.

Change: from 2.8 s after the signal on, a request whose deadline lies behind the closing of connections is refused at once with 503, a Retry-After and Connection: close. That is decided once its body has been read. Requests with an earlier deadline are served, and those that came before keep the whole time.

--- a/node/front_server.go
+++ b/node/front_server.go
@@ -22,6 +22,13 @@
 	// readiness checks at an interval of 1 s.
 	drainNotice = 3200 * time.Millisecond
 
+	// lateNotice is how long after the start of a shutdown requests are accepted that may last longer than the node: a
+	// load balancer has moved most callers by then. It is below drainNotice, because a busy node notices a signal late.
+	lateNotice = 2800 * time.Millisecond
+
+	// lateMargin is the time for the last response of a request at its deadline.
+	lateMargin = 100 * time.Millisecond
+
 	// shutdownMargin is the part of the grace period reserved for closing the remaining connections.
 	shutdownMargin = 600 * time.Millisecond
 
@@ -35,7 +42,7 @@
 	handler http.Handler
 	limits  func() planner.Limits
 	grace   time.Duration
-	onStop  func()
+	onStop  func(startedAt, closeAt time.Time) // closeAt is when connections in use are closed
 
 	// onAcceptError is called after a failed accept, for example for lack of file descriptors.
 	onAcceptError func(err error)
@@ -193,8 +200,9 @@
 
 // shutdown drains the servers as described at Serve.
 func (s *frontServer) shutdown(ln net.Listener) {
-	deadline := time.Now().Add(s.grace - shutdownMargin)
-	s.onStop()
+	now := time.Now()
+	deadline := now.Add(s.grace - shutdownMargin)
+	s.onStop(now, deadline)
 	time.Sleep(drainNotice)
 	_ = ln.Close()
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
@@ -212,3 +220,25 @@
 	}
 	wg.Wait()
 }
+
+// stopTimes are the times of a shutdown.
+type stopTimes struct {
+	lateAt  time.Time // from when requests must end in time
+	closeAt time.Time // when connections in use are closed
+}
+
+// stop begins a shutdown.
+func (p *proxy) stop(startedAt, closeAt time.Time) {
+	p.stopTimes.Store(&stopTimes{lateAt: startedAt.Add(lateNotice), closeAt: closeAt})
+	p.stopping.Store(true)
+}
+
+// refuseLate refuses a request that has arrived late in a shutdown and may last longer than its connection.
+func (p *proxy) refuseLate(q *request) *refusal {
+	s := p.stopTimes.Load()
+	if s == nil || time.Now().Before(s.lateAt) || q.deadline.Before(s.closeAt.Add(-lateMargin)) {
+		return nil
+	}
+	return &refusal{status: http.StatusServiceUnavailable, reason: "stopping", retryAfter: retryAfter(),
+		logFields: []any{"closeMs", time.Until(s.closeAt).Milliseconds()}}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -139,9 +139,9 @@
 			return planner.Limits{}
 		},
 		onAcceptError: func(err error) { n.fleet.log.failure("msg", "connection of a caller not accepted", "err", err) },
-		onStop: func() {
+		onStop: func(startedAt, closeAt time.Time) {
 			n.ready.SetNotReady()
-			n.front.stopping.Store(true)
+			n.front.stop(startedAt, closeAt)
 			n.obs.Event("node is stopping", "graceMs", n.settings.GraceMillis)
 		}}
 	return fs.Serve(ctx)
--- a/node/proxy.go
+++ b/node/proxy.go
@@ -54,13 +54,14 @@
 
 // proxy serves the requests of callers by forwarding them to endpoints.
 type proxy struct {
-	dialect  Dialect
-	fleet    *fleet
-	pool     *forwarder.Pool
-	log      *rateLimitedLog
-	metrics  *metrics
-	stopping atomic.Bool
-	bodies   byteBudget
+	dialect   Dialect
+	fleet     *fleet
+	pool      *forwarder.Pool
+	log       *rateLimitedLog
+	metrics   *metrics
+	stopping  atomic.Bool
+	stopTimes atomic.Pointer[stopTimes] // nil until stopping
+	bodies    byteBudget
 }
 
 // request is one request of a caller.
@@ -126,6 +127,9 @@
 	if ref == nil {
 		ref = p.readBody(w, q)
 	}
+	if ref == nil {
+		ref = p.refuseLate(q)
+	}
 	if ref == nil {
 		ref = p.bindToOrigin(r.Context(), q)
 	}
