Take no open connection for a sign of life after a cut

A stream could go on at an endpoint that had restarted in another version while the network between it and the router was cut: a dial had timed out or sent data was not acknowledged, so that the endpoint's version counted as unknown, and a connection from before the cut, which still looked open, refuted it.

Evidence, before the change: go test -race -run TestOpenConnectionsProve ./node, true (bool) != false (c.isKnown bool): not acknowledged

Change: after a timeout of the network, neither an open connection nor a new one tells that the process has not ended; only a later start or the time without other news does. A process end that is suspected already is not logged and checked again, so that an endpoint with many streams in progress leads to one check and not to one for each stream.

--- a/core/chooser/process_end.go
+++ b/core/chooser/process_end.go
@@ -17,11 +17,16 @@
 	until   time.Time // when the absence of other news refutes it
 }
 
-// RecordProcessEnd records that the process of an endpoint may have ended after aliveAt.
-func (c *Chooser) RecordProcessEnd(now, aliveAt time.Time, target registrar.Endpoint) {
-	if e := c.lookup(target); e != nil {
-		e.recordProcessEnd(now, aliveAt, c.limits.HeartbeatInterval)
+// RecordProcessEnd records that the process of an endpoint may have ended after aliveAt. It reports whether the version
+// of the endpoint was known until then.
+func (c *Chooser) RecordProcessEnd(now, aliveAt time.Time, target registrar.Endpoint) (isNew bool) {
+	e := c.lookup(target)
+	if e == nil {
+		return false
 	}
+	isNew = e.isVersionKnown(now)
+	e.recordProcessEnd(now, aliveAt, c.limits.HeartbeatInterval)
+	return isNew
 }
 
 // RecordProcessEndAt records the same for the endpoint at an address. What was seen before that endpoint became known
--- a/node/process_end.go
+++ b/node/process_end.go
@@ -5,6 +5,7 @@
 	"errors"
 	"hash/fnv"
 	"io"
+	"net"
 	"strconv"
 	"strings"
 	"syscall"
@@ -22,6 +23,10 @@
 	// address: a connection that opens within it belongs to the same process.
 	minRestartTime = 200 * time.Millisecond
 
+	// maxConnAge is longer than a connection to an endpoint is kept. Connections from before a cut of the network look
+	// open after it, until something is sent on them.
+	maxConnAge = 24 * time.Hour
+
 	// processEndReportDelay bounds how long ago a process has ended that another node reports.
 	processEndReportDelay = time.Second
 
@@ -43,12 +48,25 @@
 	return outcome == forwarder.NotSent
 }
 
-// recordProcessEnd records that the process of an endpoint may have ended, after an attempt that began at sentAt and in
-// which the endpoint last sent something at readAt, and checks it.
-func (p *proxy) recordProcessEnd(e registrar.Endpoint, outcome forwarder.Outcome, sentAt, readAt time.Time) {
+// isCut reports whether an attempt failed because the network did not reach the endpoint.
+func isCut(err error) bool {
+	var netErr net.Error
+	return errors.Is(err, syscall.ETIMEDOUT) || errors.As(err, &netErr) && netErr.Timeout()
+}
+
+// recordProcessEnd records that the process of an endpoint may have ended, if the failure of an attempt is one that
+// this would cause, and checks it. The attempt began at sentAt, and the endpoint last sent something at readAt.
+func (p *proxy) recordProcessEnd(
+	e registrar.Endpoint, outcome forwarder.Outcome, err error, sentAt, readAt time.Time,
+) {
+	if !isProcessEnd(outcome, err) {
+		return
+	}
 	now := time.Now()
 	aliveAt := now
 	switch {
+	case isCut(err):
+		aliveAt = now.Add(-maxConnAge)
 	case outcome == forwarder.NotSent:
 		aliveAt = sentAt.Add(-minRestartTime) // no connection since then is one to the former process
 	case p.fleet.pauses.mayHavePaused(now) && readAt.After(sentAt):
@@ -56,7 +74,11 @@
 	case p.fleet.pauses.mayHavePaused(now):
 		aliveAt = sentAt
 	}
-	p.fleet.routing.withChooser(func(ch *chooser.Chooser) { ch.RecordProcessEnd(now, aliveAt, e) })
+	var isNew bool
+	p.fleet.routing.withChooser(func(ch *chooser.Chooser) { isNew = ch.RecordProcessEnd(now, aliveAt, e) })
+	if !isNew {
+		return
+	}
 	p.log.failure("msg", "process of endpoint may have ended", "endpoint", describeEndpoint(&e), "software", e.Version,
 		"cause", outcome, "aliveMs", now.Sub(aliveAt).Milliseconds())
 	if outcome != forwarder.NotSent {
--- a/node/transfer.go
+++ b/node/transfer.go
@@ -345,9 +345,7 @@
 	if errors.As(err, &limitErr) {
 		p.metrics.limits.WithLabelValues(limitErr.Bound).Inc()
 	}
-	if isProcessEnd(outcome, err) {
-		p.recordProcessEnd(c.Endpoint, outcome, t.sentAt, t.lastWriteAt)
-	}
+	p.recordProcessEnd(c.Endpoint, outcome, err, t.sentAt, t.lastWriteAt)
 	var avoidUntil time.Time
 	p.fleet.routing.withChooser(func(ch *chooser.Chooser) { avoidUntil = ch.RecordFailure(time.Now(), c.Endpoint) })
 	p.log.failure("msg", "endpoint failed", "request", t.request.id, "endpoint", describeEndpoint(&c.Endpoint),
