--- a/adapters/exchanger/fuzz_test.go
+++ b/adapters/exchanger/fuzz_test.go
@@ -35,7 +35,7 @@
 		f.Add(kind, body)
 	}
 	f.Fuzz(func(_ *testing.T, kind uint8, body []byte) {
-		var dec decoders
+		dec := decoders{heartbeats: heartbeatDecoder{pings: &sentPings{}}}
 		dec.loads.ids = []string{"a", "b"}
 		switch e := (messenger.Envelope{Kind: kind, Body: body}); kind {
 		case kindLoads:
--- a/adapters/exchanger/server.go
+++ b/adapters/exchanger/server.go
@@ -76,12 +76,21 @@
 	resyncStreams bool
 	index         uint64 // of the last state sent
 	version       uint64 // of the last plan sent
+	lastPing      receivedPing
+}
+
+// encodeHeartbeat encodes a heartbeat with the confirmation relative to the subscriber's last ping.
+func (sub *subscriber) encodeHeartbeat(e *heartbeatEncoder, h Heartbeat) heartbeatMessage {
+	sub.mu.Lock()
+	last := sub.lastPing
+	sub.mu.Unlock()
+	return e.encode(h, last)
 }
 
 // NewServer returns a server without subscribers.
 func NewServer(opts messenger.Options, source Source) *Server {
 	opts.MaxMessageBytes = maxMessageBytes
-	opts.WriteTimeout = silenceTimeout
+	opts.WriteTimeout = lostTimeout
 	return &Server{opts: opts, source: source, subscribers: map[*subscriber]bool{}}
 }
 
@@ -94,7 +103,7 @@
 	defer func() { _ = conn.Close() }()
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
-	e, err := conn.ReceiveWithTimeout(ctx, silenceTimeout)
+	e, err := conn.ReceiveWithTimeout(ctx, lostTimeout)
 	if err != nil || e.Kind != kindHello {
 		return
 	}
@@ -103,7 +112,7 @@
 		return
 	}
 	sub := &subscriber{conn: conn, contact: h.Contact, updated: make(chan struct{}, 1), index: h.Index, version: h.Version,
-		pending: map[string]registrar.Endpoint{}}
+		pending: map[string]registrar.Endpoint{}, lastPing: receivedPing{at: time.Now()}}
 	s.mu.Lock()
 	s.subscribers[sub] = true
 	s.mu.Unlock()
@@ -122,16 +131,20 @@
 }
 
 // receive passes the subscriber's messages to the source until the connection ends or the subscriber is silent for
-// 2*silenceTimeout.
+// lostTimeout.
 func (s *Server) receive(ctx context.Context, sub *subscriber) {
 	var dec loadDecoder
 	queries := make(chan struct{}, maxStreamQueries)
 	for {
-		e, err := sub.conn.ReceiveWithTimeout(ctx, 2*silenceTimeout)
+		e, err := sub.conn.ReceiveWithTimeout(ctx, lostTimeout)
 		if err != nil {
 			return
 		}
 		switch e.Kind {
+		case kindPing:
+			sub.mu.Lock()
+			sub.lastPing = receivedPing{number: e.Stream, at: time.Now()}
+			sub.mu.Unlock()
 		case kindSuspects:
 			var list []Suspect
 			if e.Decode(&list) != nil {
@@ -220,7 +233,7 @@
 func (s *Server) sendUpdates(ctx context.Context, sub *subscriber) error {
 	// Sent before the endpoints, because rates to cold endpoints are divided by the number of routers.
 	var heartbeats heartbeatEncoder
-	if err := sub.conn.Send(ctx, kindHeartbeat, 0, heartbeats.encode(s.source.Heartbeat())); err != nil {
+	if err := sub.conn.Send(ctx, kindHeartbeat, 0, sub.encodeHeartbeat(&heartbeats, s.source.Heartbeat())); err != nil {
 		return err
 	}
 	full := endpointsMessage{Full: true, Records: encodeEndpoints(time.Now(), s.source.Endpoints())}
@@ -248,7 +261,7 @@
 		case <-sub.updated:
 			err = s.sendPending(ctx, sub)
 		case <-heartbeatTicker.C:
-			err = sub.conn.Send(ctx, kindHeartbeat, 0, heartbeats.encode(s.source.Heartbeat()))
+			err = sub.conn.Send(ctx, kindHeartbeat, 0, sub.encodeHeartbeat(&heartbeats, s.source.Heartbeat()))
 		case <-loadTicker.C:
 			if !sender.isDue() {
 				continue
--- a/adapters/exchanger/streams_test.go
+++ b/adapters/exchanger/streams_test.go
@@ -85,7 +85,7 @@
 	sub, err := Subscribe(t.Context(), Contact{Address: strings.TrimPrefix(hs.URL, "http://")}, Contact{Name: "router"},
 		messenger.Options{}, r, nil, Evidence{})
 	assert.NilError(t, err)
-	go func() { _ = sub.Receive(t.Context(), r, true) }()
+	go func() { _ = sub.Receive(t.Context(), r) }()
 	assert.NilError(t, sub.QueryStream(t.Context(), 1000, unconfirmedKey))
 	waitFor(t, "the first query", func() bool { return r.hasRecorded("new1 ready") })
 	for n := uint64(2); n <= rounds; n++ {
--- a/adapters/forwarder/exchange.go
+++ b/adapters/forwarder/exchange.go
@@ -10,6 +10,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"cactusroute.dev/adapters/socket"
 )
 
 // maxJoinedBytes is the size up to which the header and the body are copied into one buffer, to save a system call.
@@ -32,8 +34,13 @@
 	// another request.
 	IDHeader string
 	ID       string
+	// MaySend is asked once a connection is open, if it is set. Nothing is sent if it returns false.
+	MaySend func() bool
 }
 
+// ErrWithdrawn is the cause of an *Error if MaySend has returned false.
+var ErrWithdrawn = errors.New("request withdrawn before it was sent")
+
 // Response is the response of an endpoint. The caller must close its body.
 type Response struct {
 	Status int
@@ -43,7 +50,12 @@
 	// EndsWithConn is set if the body has no framing: it is complete when the endpoint closes the connection, also if it
 	// does so because it fails.
 	EndsWithConn bool
+	// NamesRequest is set if the response carries the ID of the request, or if the request has none. A refusal without it
+	// does not prove that the request was not executed.
+	NamesRequest bool
 	Body         io.ReadCloser
+	// Trailer returns the fields after the last chunk, once the body has been read to its end.
+	Trailer func() http.Header
 	// SetReadDeadline limits reads of the body, up to the deadline of the request.
 	SetReadDeadline func(t time.Time)
 }
@@ -57,6 +69,11 @@
 	if err != nil {
 		return nil, &Error{Outcome: NotSent, Cause: err}
 	}
+	if r.MaySend != nil && !r.MaySend() {
+		p.close(c)
+		return nil, &Error{Outcome: NotSent, Cause: ErrWithdrawn}
+	}
+	c.sentIDs.add(r.ID)
 	x := &exchange{pool: p, conn: c, written: make(chan struct{}), deadline: r.Deadline}
 	_ = c.SetDeadline(r.Deadline)
 	x.stopCancelHook = context.AfterFunc(ctx, x.cancel)
@@ -82,6 +99,7 @@
 	idleTimeout    time.Duration
 	body           io.Reader
 	bodyRead       bool
+	hasSkipped     bool // the connection had a response to another request
 	closed         bool
 
 	mu         sync.Mutex
@@ -116,10 +134,10 @@
 	}
 	// Most requests fit into the socket buffer. The rest of a larger one is written by a goroutine, because an endpoint
 	// may respond before it has read the whole request.
-	n, err := x.conn.writeNonBlocking(header)
+	n, err := socket.WriteAvailable(x.conn.Conn, header)
 	if err == nil && n == len(header) && len(body) > 0 {
 		var m int
-		m, err = x.conn.writeNonBlocking(body)
+		m, err = socket.WriteAvailable(x.conn.Conn, body)
 		body = body[m:]
 	}
 	if n > 0 {
@@ -171,7 +189,8 @@
 	return b.Bytes()
 }
 
-// readResponse reads the header of the response to r. It skips late responses to earlier requests.
+// readResponse reads the header of the response to r. It skips late responses to earlier requests; the connection is
+// not used again after one, because further ones may follow.
 func (x *exchange) readResponse(r *Request) (*Response, error) {
 	limits := &x.pool.limits
 	for skipped := int64(0); ; {
@@ -184,9 +203,10 @@
 			return nil, err
 		}
 		if x.isResponseTo(r, resp) {
-			return x.newResponse(resp, body), nil
+			return x.newResponse(r, resp, body), nil
 		}
 		skipped++
+		x.hasSkipped = true
 		if err := checkLimit(BoundSkippedResponses, limits.SkippedResponses, skipped); err != nil {
 			return nil, err
 		}
@@ -212,14 +232,16 @@
 	return !x.conn.reused && (resp.StatusCode >= http.StatusBadRequest || r.ID == "")
 }
 
-func (x *exchange) newResponse(resp *http.Response, body io.Reader) *Response {
+func (x *exchange) newResponse(r *Request, resp *http.Response, body io.Reader) *Response {
 	x.body = body
 	_, isCloseDelimited := body.(*closeDelimitedBody)
-	if !resp.Close && !isCloseDelimited && resp.ProtoAtLeast(1, 1) {
+	if !resp.Close && !isCloseDelimited && !x.hasSkipped && resp.ProtoAtLeast(1, 1) {
 		x.idleTimeout = parseIdleTimeout(resp.Header.Get("Keep-Alive"))
 	}
+	_, hasID := resp.Header[r.IDHeader]
 	return &Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
-		EndsWithConn: isCloseDelimited, Body: x, SetReadDeadline: x.setReadDeadline}
+		EndsWithConn: isCloseDelimited, NamesRequest: hasID || r.ID == "", Body: x, Trailer: x.trailer,
+		SetReadDeadline: x.setReadDeadline}
 }
 
 // parseIdleTimeout returns how long a connection may be idle, from the endpoint's Keep-Alive header in whole seconds.
@@ -245,6 +267,13 @@
 	return n, err
 }
 
+func (x *exchange) trailer() http.Header {
+	if b, ok := x.body.(*chunkedBody); ok && x.bodyRead {
+		return b.trailer
+	}
+	return nil
+}
+
 // Close returns the connection to the pool if the request was written and the response read completely, with nothing
 // left in the read buffer. It closes the connection otherwise.
 func (x *exchange) Close() error {
--- a/adapters/forwarder/forwarder_test.go
+++ b/adapters/forwarder/forwarder_test.go
@@ -86,8 +86,8 @@
 		}
 	})
 	p := NewPool(DefaultLimits())
-	for range 3 {
-		assert.Equal(t, sendAndRead(t, p, newRequest(address, "1", body)), "true")
+	for _, id := range []string{"1", "2", "3"} {
+		assert.Equal(t, sendAndRead(t, p, newRequest(address, id, body)), "true")
 	}
 	assert.Equal(t, p.DialCount(), uint64(1))
 }
@@ -145,6 +145,59 @@
 	assert.Equal(t, p.DialCount(), uint64(2))
 }
 
+// Guards against a request that is sent although it was withdrawn, and against one that counts as sent.
+func TestWithdrawnRequestIsNotSent(t *testing.T) {
+	var received atomic.Int64
+	address := serve(t, func(_ int, c net.Conn, br *bufio.Reader) {
+		for r, _ := readRequest(br); r != nil; r, _ = readRequest(br) {
+			received.Add(1)
+			_, _ = io.WriteString(c, formatResponse(r.Header.Get("X-Id"), ""))
+		}
+	})
+	p := NewPool(DefaultLimits())
+	for i, maySend := range []bool{false, true, false} { // on a new, a new and a kept connection
+		r := newRequest(address, strconv.Itoa(i), nil)
+		r.MaySend = func() bool { return maySend }
+		if maySend {
+			sendAndRead(t, p, r)
+			continue
+		}
+		_, err := p.Send(t.Context(), r)
+		var sendErr *Error
+		assert.Assert(t, errors.As(err, &sendErr) && errors.Is(err, ErrWithdrawn), "%v", err)
+		assert.Equal(t, sendErr.Outcome, NotSent)
+		assert.Equal(t, openCount(p, address), 0)
+	}
+	assert.Equal(t, received.Load(), int64(1))
+}
+
+// Guards against a trailer that is lost, that is read before the end of the body, or that a malformed line spoils.
+func TestTrailer(t *testing.T) {
+	for _, c := range []struct {
+		name, trailer string
+		want          http.Header
+	}{
+		{"none", "", nil},
+		{"fields", "x-a: 1\r\nX-A:2\r\nX-B: \r\n", http.Header{"X-A": {"1", "2"}, "X-B": {""}}},
+		{"line without a colon", "x-a\r\nX-B: 3\r\n", http.Header{"X-B": {"3"}}},
+	} {
+		address := serve(t, func(_ int, conn net.Conn, br *bufio.Reader) {
+			if r, _ := readRequest(br); r != nil {
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n"+
+					c.trailer+"\r\n")
+			}
+		})
+		resp, err := NewPool(DefaultLimits()).Send(t.Context(), newRequest(address, "1", nil))
+		assert.NilError(t, err)
+		assert.Equal(t, len(resp.Trailer()), 0)
+		body, err := io.ReadAll(resp.Body)
+		assert.NilError(t, err)
+		assert.Equal(t, string(body), "ok")
+		assert.DeepEqual(t, resp.Trailer(), c.want)
+		assert.NilError(t, resp.Body.Close())
+	}
+}
+
 // Guards against truncated responses that look complete, and against a request that may have been executed but is
 // reported as not sent.
 func TestMalformedResponses(t *testing.T) {
@@ -317,7 +370,7 @@
 					if r == nil {
 						return
 					}
-					_, _ = io.WriteString(c, formatResponse("1", "answer"))
+					_, _ = io.WriteString(c, formatResponse(r.Header.Get("X-Id"), "answer"))
 				}
 			}()
 		}
@@ -325,7 +378,9 @@
 	p := NewPool(DefaultLimits())
 	r := newRequest(ln.Addr().String(), "1", make([]byte, 2<<10))
 	b.ReportAllocs()
-	for b.Loop() {
+	for n := 0; b.Loop(); n++ {
+		r.ID = strconv.Itoa(n)
+		r.Header["X-Id"][0] = r.ID
 		resp, err := p.Send(context.Background(), r)
 		if err != nil {
 			b.Fatal(err)
@@ -356,8 +411,8 @@
 	})
 	p := NewPool(DefaultLimits())
 	body := bytes.Repeat([]byte("x"), 100<<10)
-	for range 500 {
-		assert.Equal(t, sendAndRead(t, p, newRequest(address, "1", body)), "answer")
+	for n := range 500 {
+		assert.Equal(t, sendAndRead(t, p, newRequest(address, strconv.Itoa(n), body)), "answer")
 	}
 	assert.Equal(t, p.DialCount(), uint64(1))
 }
--- a/agent/endpoint.go
+++ b/agent/endpoint.go
@@ -23,10 +23,13 @@
 // endpoint is an HTTP client for the engine or service of the agent.
 type endpoint struct {
 	baseURL string
-	// pooledClient sends requests that may be retried. singleUseClient opens a connection for each request, because
-	// net/http resends a request when a reused connection breaks.
+	// pooledClient sends the agent's own calls. singleUseClient sends the requests of callers and opens a connection for
+	// each: responses carry no ID, so that one which the endpoint writes once more could be taken for the response to the
+	// next request, and net/http resends a request when a reused connection breaks.
 	pooledClient    *http.Client
 	singleUseClient *http.Client
+	// onResponse is called with each response to a call, if it is set.
+	onResponse func(path string, resp *http.Response)
 }
 
 func newEndpoint(base string) *endpoint {
@@ -84,6 +87,9 @@
 		return err
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if e.onResponse != nil {
+		e.onResponse(path, resp)
+	}
 	if resp.StatusCode >= http.StatusMultipleChoices {
 		return &statusError{status: resp.StatusCode, path: path}
 	}
--- a/agent/forward.go
+++ b/agent/forward.go
@@ -58,6 +58,7 @@
 	status      int
 	isStream    bool
 	tail        []byte
+	said        statement
 	mayHaveRun  bool // false if the endpoint certainly has not run the request
 }
 
@@ -166,17 +167,14 @@
 	if err != nil {
 		return stats, err
 	}
-	client := a.endpoint.pooledClient
-	if req.Operation != nil {
-		client = a.endpoint.singleUseClient
-	}
 	stats.sentAt = time.Now()
-	resp, err := client.Do(r)
+	resp, err := a.endpoint.singleUseClient.Do(r)
 	if err != nil {
 		stats.mayHaveRun = !isDialError(err)
 		return stats, err
 	}
 	defer func() { _ = resp.Body.Close() }()
+	stats.said.read(resp.StatusCode, resp.Header)
 	if kind == bundler.PoolModel && resp.StatusCode == http.StatusServiceUnavailable {
 		return stats, errEngineUnavailable // the router tries another endpoint
 	}
@@ -195,6 +193,7 @@
 		src = io.TeeReader(io.LimitReader(src, maxUnframedBytes), unframed)
 	}
 	err = copyResponse(src, w, &stats)
+	stats.said.read(http.StatusOK, resp.Trailer)
 	if err == nil && unframed != nil && !isWholeJSON(h.ContentType, unframed.Bytes()) {
 		return stats, errUnframedResponse
 	}
--- a/core/chooser/chooser.go
+++ b/core/chooser/chooser.go
@@ -107,8 +107,10 @@
 // The reasons for which no endpoint is selected.
 const (
 	NoEndpoint        Reason = "the service has no endpoint in service"
+	AllLeaving        Reason = "every endpoint has told that it leaves"
 	NoVersion         Reason = "the service has no endpoint in service of the software version that began the stream"
 	VersionUnknown    Reason = "the endpoints of the version that began the stream may have restarted in another version"
+	AllQuiet          Reason = "every endpoint has asked for no requests for some time"
 	AllTried          Reason = "every endpoint was already tried"
 	ColdRateExhausted Reason = "the rate limit of cold endpoints is exhausted"
 	AllAtCapacity     Reason = "every endpoint has as many requests as it can answer in time"
@@ -150,6 +152,7 @@
 	firstAttempts       []time.Time   // requests of this router for which it ranks first, within wantedWindow
 	otherAttempts       decayingCount // those that endpoints of a higher rank did not accept
 	processEnd          processEnd
+	said                *statement // nil unless it leaves or has asked for quiet
 }
 
 // history is what a router remembers of its requests for a service.
@@ -178,6 +181,9 @@
 	pools    map[string]*pool
 	iterator placer.MemberIterator
 
+	statements map[string]*statement // by endpoint ID
+	ended      []EndedStatement      // since the last call of EndedStatements
+
 	candidates []candidate // buffer of chooseByAffinity and chooseByLoad
 
 	remoteAt       time.Time     // when the loads of the other routers were received
@@ -189,7 +195,7 @@
 // New returns a chooser without endpoints for the named router in a failure domain.
 func New(limits Limits, name, domain string) *Chooser {
 	return &Chooser{limits: limits, name: name, domain: domain, routers: 1, byID: map[string]*endpoint{},
-		pools: map[string]*pool{}}
+		pools: map[string]*pool{}, statements: map[string]*statement{}}
 }
 
 // RecordRestart records that an earlier process of this router may have sent requests that this one does not know.
@@ -217,6 +223,7 @@
 		c.byID[e.ID] = known
 		membersByService[e.Service] = append(membersByService[e.Service], placer.Endpoint{Name: e.ID})
 	}
+	c.updateStatements(now)
 	oldPools := c.pools
 	c.pools = make(map[string]*pool, len(membersByService))
 	for service, members := range membersByService {
@@ -276,12 +283,19 @@
 
 // checkAdmission returns the reason why the endpoint can't receive the request at any load, or "" if it can.
 func (c *Chooser) checkAdmission(now time.Time, q Query, e *endpoint) Reason {
+	said := e.said.refusal(now)
+	if said == AllLeaving {
+		return said
+	}
 	if !e.inService {
 		return NoEndpoint
 	}
 	if q.isOtherVersion(e) {
 		return NoVersion
 	}
+	if said != "" {
+		return said
+	}
 	if q.IsResumed && q.Version != "" && !e.isVersionKnown(now) {
 		return VersionUnknown
 	}
@@ -335,7 +349,7 @@
 	for _, e := range p.endpoints {
 		n := e.load(now, c.remoteAt)
 		l.total += n
-		if e.inService {
+		if e.accepts(now) {
 			inService += n
 			slots += e.Slots
 		}
@@ -436,7 +450,7 @@
 			break
 		}
 		e := p.endpoints[i]
-		if e.inService && !q.isOtherVersion(e) {
+		if e.accepts(now) && !q.isOtherVersion(e) {
 			rank++
 		}
 		if r := c.checkAdmission(now, q, e); r != "" {
@@ -566,7 +580,8 @@
 }
 
 func reasonPrecedence(r Reason) int {
-	return slices.Index([]Reason{NoEndpoint, NoVersion, VersionUnknown, AllTried, RateLimited, AllAtCapacity,
+	return slices.Index([]Reason{NoEndpoint, AllLeaving, NoVersion, VersionUnknown, AllQuiet, AllTried, RateLimited,
+		AllAtCapacity,
 		ColdRateExhausted}, r)
 }
 
--- a/node/fakes_test.go
+++ b/node/fakes_test.go
@@ -28,8 +28,8 @@
 const testTimeout = 30 * time.Second
 
 var testHeaders = Headers{RequestID: "Req-Id", RemainingMillis: "Left-Ms", Key: "Api-Key", Workspace: "Workspace",
-	ExpectedEndpoint: "Expected-Endpoint", NotRun: "Not-Run", Load: "Load", RateLimit: "Rate-Limit", PromptParts: "Parts",
-	CacheSource: "Fetch", LastEventID: "Last-Event-Id", Resumes: "Resumes", Priority: "Urgency",
+	ExpectedEndpoint: "Expected-Endpoint", NotRun: "Not-Run", Load: "Load", RateLimit: "Rate-Limit", Leaving: "Leaving",
+	PromptParts: "Parts", CacheSource: "Fetch", LastEventID: "Last-Event-Id", Resumes: "Resumes", Priority: "Urgency",
 	Reserved: []string{"Hold"}}
 
 // testDialect returns a dialect with short header names, one of them reserved.
@@ -175,6 +175,7 @@
 	log := newRateLimitedLog(obs, queue)
 	settings := testSettings("router")
 	f := newFleet(settings, testDialect(), log)
+	f.confirm(0, time.Now().Add(time.Hour)) // stands for the confirmations of a control instance
 	pool := forwarder.NewPool(settings.EndpointLimits.Limits)
 	p := &proxy{dialect: testDialect(), fleet: f, pool: pool, log: log, metrics: newMetrics(obs, f, pool, queue)}
 	pool.OnEnd = p.recordIdleEnd
--- a/node/log_test.go
+++ b/node/log_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"cactusroute.dev/adapters/observer"
+	"cactusroute.dev/core/chooser"
 	"cactusroute.dev/core/registrar"
 )
 
@@ -44,6 +45,24 @@
 	})
 }
 
+// Guards against an overload whose refusals displace the changes of state that explain it.
+func TestFailuresDoNotSuppressEvents(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out strings.Builder
+		queue := observer.NewAsyncWriter(&out)
+		log := newRateLimitedLog(observer.New(queue, "n"), queue)
+		for range 2 * maxFailureLinesPerSecond {
+			log.failure("msg", "request refused")
+		}
+		for range 2 * maxEventLinesPerSecond {
+			log.event("state in force")
+		}
+		queue.Flush()
+		assert.Equal(t, strings.Count(out.String(), "request refused"), maxFailureLinesPerSecond)
+		assert.Equal(t, strings.Count(out.String(), "state in force"), maxEventLinesPerSecond)
+	})
+}
+
 // Guards against API keys in the log lines of served and refused requests.
 func TestKeysAreNotLogged(t *testing.T) {
 	var out strings.Builder
@@ -80,6 +99,10 @@
 		p.call(t, "GET", "/safe/", "")
 	}
 	p.call(t, "GET", "/safe/", "", "Api-Key", "wrong")
+	p.fleet.routing.withChooser(func(ch *chooser.Chooser) {
+		ch.RecordLeaving(time.Now(), e)
+		ch.RecordQuiet(time.Now(), e, time.Minute)
+	})
 	f := newTestFleet(t, 1, 0)
 	f.startAll()
 	f.putPlan(1, f.nodes)
--- a/node/node.go
+++ b/node/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"runtime"
@@ -49,8 +50,7 @@
 		f.control = &controlInstance{settings: s, obs: obs, eligibleInstances: f.eligibleInstances,
 			suspensions: newSuspensionDetector()}
 		f.control.stateMachine = fleetapplier.New(func(st fleetapplier.State) {
-			f.receiveState(st.Index, &st.Plan, st.TakenOut)
-			f.control.server.PublishState()
+			f.receiveState(st.Index, &st.Plan, st.TakenOut, stateFromLog)
 		})
 		f.control.server = exchanger.NewServer(f.exchangeOptions, f)
 		f.streams.publish = f.control.server.PublishStreams
@@ -139,6 +139,10 @@
 			return planner.Limits{}
 		},
 		onAcceptError: func(err error) { n.fleet.log.failure("msg", "connection of a caller not accepted", "err", err) },
+		onStall: func(c net.Conn) {
+			n.fleet.log.failure("msg", "caller reads nothing", "caller", c.RemoteAddr().String(),
+				"ms", callerStallTimeout.Milliseconds())
+		},
 		onStop: func(startedAt, closeAt time.Time) {
 			n.ready.SetNotReady()
 			n.front.stop(startedAt, closeAt)
@@ -152,6 +156,7 @@
 	f, l := n.fleet, n.settings.Listen
 	sup.Add(n.queue)
 	sup.Add(service{"views", f.publishViews})
+	sup.Add(service{"heldStates", f.releaseHeldStates})
 	sup.Add(service{"seek", f.discover})
 	sup.Add(service{"tick", n.runMaintenance})
 	sup.Add(service{"pauses", f.pauses.watch})
@@ -160,6 +165,7 @@
 	exchange.Handle(recorder.Path, n.obs.TimelineHandler())
 	if f.control != nil {
 		sup.Add(f.control)
+		sup.Add(service{"confirmations", f.trackConfirmations})
 		sup.Add(service{"peers", f.subscribeToPeers})
 		sup.Add(service{"loads", f.aggregateLoads})
 		sup.Add(service{"memory", f.persistStateCache})
--- a/node/proxy.go
+++ b/node/proxy.go
@@ -16,6 +16,7 @@
 
 	"cactusroute.dev/adapters/exchanger"
 	"cactusroute.dev/adapters/forwarder"
+	"cactusroute.dev/adapters/server"
 	"cactusroute.dev/adapters/sleeper"
 	"cactusroute.dev/core/attributor"
 	"cactusroute.dev/core/chooser"
@@ -80,9 +81,10 @@
 	priority    float64           // from 0 for the highest to 1 for the lowest
 	planVersion uint64
 	inbound     *http.Request
-	fingerprint uint64 // of method, host, target, workspace and body
-	lastEventID string // set if the caller resumes a stream
-	resumes     string // ID of the request that brought the first event of that stream
+	incoming    *server.Body // of inbound
+	fingerprint uint64       // of method, host, target, workspace and body
+	lastEventID string       // set if the caller resumes a stream
+	resumes     string       // ID of the request that brought the first event of that stream
 	plan        *planner.Plan
 	// resumableUntil is when the caller no longer resumes the stream that this request begins.
 	resumableUntil time.Time
@@ -146,13 +148,16 @@
 // admit determines the route, workspace, service and deadline of a request, or returns why it is refused.
 func (p *proxy) admit(r *http.Request) (*request, *refusal) {
 	h := &p.dialect.Headers
-	q := &request{id: r.Header.Get(h.RequestID), receivedAt: time.Now(), inbound: r}
+	q := &request{id: r.Header.Get(h.RequestID), receivedAt: time.Now(), inbound: r,
+		incoming: server.NewBody(r)}
 	callerRemaining, hasDeadline := parseRemaining(r.Header.Get(h.RemainingMillis))
 	waitUntil := p.fleet.started.Add(firstPlanTimeout)
 	if callerDeadline := q.receivedAt.Add(callerRemaining); hasDeadline && callerDeadline.Before(waitUntil) {
 		waitUntil = callerDeadline
 	}
-	v := p.fleet.awaitPlan(r.Context(), waitUntil)
+	p.fleet.awaitPlan(r.Context(), waitUntil)
+	mayDeny := p.fleet.mayDeny(time.Now())
+	v := p.fleet.view.Load()
 	if waited := time.Since(q.receivedAt); waited > time.Millisecond {
 		p.metrics.waitTime.Observe(waited.Seconds())
 	}
@@ -162,11 +167,11 @@
 	q.plan, q.planVersion = v.plan, v.plan.Version
 	path, _, _ := strings.Cut(r.RequestURI, "?")
 	if q.route = v.plan.Match(r.Host, path); q.route == nil {
-		return q, &refusal{status: http.StatusNotFound, reason: "noRoute"}
+		return q, p.denial(http.StatusNotFound, "noRoute", mayDeny)
 	}
 	if v.plan.HasWorkspaces() && !q.route.Public {
 		if q.workspace = v.plan.Workspace(r.Header.Get(h.Key)); q.workspace == nil {
-			return q, &refusal{status: http.StatusUnauthorized, reason: "unknownKey"}
+			return q, p.denial(http.StatusUnauthorized, "unknownKey", mayDeny)
 		}
 	}
 	q.setService(v.plan.Service(q.route.PickService(rand.Float64())), r.Header.Get(h.PromptParts))
@@ -183,6 +188,16 @@
 	return q, nil
 }
 
+// denial returns the refusal of a request for which the plan has no route or no key. Unless the plan is known to be
+// current, the caller is told to come back, because a newer plan may have them.
+func (p *proxy) denial(status int, reason string, isCertain bool) *refusal {
+	if isCertain {
+		return &refusal{status: status, reason: reason}
+	}
+	return &refusal{status: http.StatusServiceUnavailable, reason: "unconfirmedPlan", retryAfter: retryAfter(),
+		logFields: []any{"why", reason, "confirmedMs", p.fleet.viewAge(time.Now()).Milliseconds()}}
+}
+
 // parseRemaining parses the time until the caller's deadline; ok is false if the value is not a number.
 func parseRemaining(value string) (remaining time.Duration, ok bool) {
 	ms, err := strconv.ParseInt(value, 10, 64)
@@ -244,12 +259,12 @@
 // readBody buffers the body, so that it can be resent and the server detects a disconnect of the caller.
 func (p *proxy) readBody(w http.ResponseWriter, q *request) *refusal {
 	limit := p.fleet.view.Load().plan.Limits.BodyBytes
-	var r io.Reader = q.inbound.Body
+	var r io.Reader = q.incoming
 	if limit > 0 {
 		if q.inbound.ContentLength > limit {
 			return &refusal{status: http.StatusRequestEntityTooLarge, reason: "bodyTooLarge"}
 		}
-		r = http.MaxBytesReader(w, q.inbound.Body, limit)
+		r = http.MaxBytesReader(w, q.incoming, limit)
 	}
 	if q.inbound.ContentLength != 0 {
 		rc := http.NewResponseController(w)
@@ -344,14 +359,16 @@
 	}
 	keyvals = append(keyvals, q.resumeLogFields()...)
 	p.log.failure(append(keyvals, ref.logFields...)...)
+	defer q.incoming.Leave(w)()
 	header := w.Header()
 	if q.id != "" {
 		header[p.dialect.Headers.RequestID] = []string{q.id}
 	}
 	if ref.retryAfter > 0 {
-		header.Set("Retry-After", strconv.FormatFloat(ref.retryAfter.Seconds(), 'f', 2, 64))
+		header.Set(retryAfterHeader, formatRetryAfter(ref.retryAfter))
 	}
 	header.Set("Content-Type", "text/plain; charset=utf-8")
+	header.Set("Content-Length", strconv.Itoa(len(ref.reason)+1))
 	w.WriteHeader(ref.status)
 	_, _ = io.WriteString(w, ref.reason+"\n")
 }
