--- a/core/chooser/chooser.go
+++ b/core/chooser/chooser.go
@@ -79,6 +79,8 @@
 	ColdSlack  float64 // requests per second allowed in addition
 	LoadFactor float64 // allowed multiple of the mean load of the service's endpoints
 	LoadSlack  float64 // requests allowed in addition
+
+	HeartbeatInterval time.Duration // of the endpoints
 }
 
 // PromptPart is one segment of a prompt; only the last one is specific to the request or its session.
@@ -107,6 +109,7 @@
 	NoEndpoint        Reason = "the service has no endpoint in service"
 	AllLeaving        Reason = "every endpoint has told that it leaves"
 	NoVersion         Reason = "the service has no endpoint in service of the software version that began the stream"
+	VersionUnknown    Reason = "the endpoints of the version that began the stream may have restarted in another version"
 	AllQuiet          Reason = "every endpoint has asked for no requests for some time"
 	AllTried          Reason = "every endpoint was already tried"
 	ColdRateExhausted Reason = "the rate limit of cold endpoints is exhausted"
@@ -148,7 +151,8 @@
 	limitedAttempts     decayingCount // requests considered for it while nothing is known of the other routers
 	firstAttempts       []time.Time   // requests of this router for which it ranks first, within wantedWindow
 	otherAttempts       decayingCount // those that endpoints of a higher rank did not accept
-	said                *statement    // nil unless it leaves or has asked for quiet
+	processEnd          processEnd
+	said                *statement // nil unless it leaves or has asked for quiet
 }
 
 // history is what a router remembers of its requests for a service.
@@ -212,6 +216,9 @@
 				known.knownSince = time.Time{} // was present before this router
 			}
 		}
+		if known.State == registrar.Silent && e.State == registrar.Ready {
+			known.extendProcessEnd(now, c.limits.HeartbeatInterval)
+		}
 		known.Endpoint, known.inService = e, i < len(inService)
 		c.byID[e.ID] = known
 		membersByService[e.Service] = append(membersByService[e.Service], placer.Endpoint{Name: e.ID})
@@ -289,6 +296,9 @@
 	if said != "" {
 		return said
 	}
+	if q.IsResumed && q.Version != "" && !e.isVersionKnown(now) {
+		return VersionUnknown
+	}
 	for _, id := range q.Tried {
 		if id == e.ID {
 			return AllTried
@@ -570,7 +580,8 @@
 }
 
 func reasonPrecedence(r Reason) int {
-	return slices.Index([]Reason{NoEndpoint, AllLeaving, NoVersion, AllQuiet, AllTried, RateLimited, AllAtCapacity,
+	return slices.Index([]Reason{NoEndpoint, AllLeaving, NoVersion, VersionUnknown, AllQuiet, AllTried, RateLimited,
+		AllAtCapacity,
 		ColdRateExhausted}, r)
 }
 
--- a/node/fakes_test.go
+++ b/node/fakes_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"encoding/json"
 	"io"
 	"net"
@@ -21,6 +22,7 @@
 	"cactusroute.dev/core/fleetapplier"
 	"cactusroute.dev/core/planner"
 	"cactusroute.dev/core/registrar"
+	"cactusroute.dev/core/resumer"
 )
 
 const testTimeout = 30 * time.Second
@@ -98,6 +100,11 @@
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = ln.Close() })
+	return serveFakeEndpoint(ln, handle)
+}
+
+// serveFakeEndpoint serves the connections of ln.
+func serveFakeEndpoint(ln net.Listener, handle func(req *receivedRequest)) *fakeEndpoint {
 	e := &fakeEndpoint{address: ln.Addr().String(), listener: ln}
 	go func() {
 		for {
@@ -172,6 +179,7 @@
 	f.confirm(0, time.Now().Add(time.Hour)) // stands for the confirmations of a control instance
 	pool := forwarder.NewPool(settings.EndpointLimits.Limits)
 	p := &proxy{dialect: testDialect(), fleet: f, pool: pool, log: log, metrics: newMetrics(obs, f, pool, queue)}
+	pool.OnEnd = p.recordIdleEnd
 	if plan != nil {
 		assert.NilError(t, plan.Index())
 		f.view.Store(&view{plan: plan})
@@ -182,6 +190,7 @@
 			Domain: "d", State: registrar.Ready, Born: 1, Sequence: 1})
 	}
 	f.mergeEndpoints(registered, "test")
+	f.streams.querier = fakeControlInstance{f.streams}
 	srv := httptest.NewUnstartedServer(p)
 	srv.Config.ConnContext = withCallerConn
 	srv.Start()
@@ -189,6 +198,15 @@
 	return &testProxy{proxy: p, server: srv, url: srv.URL, queue: queue, obs: obs}
 }
 
+// fakeControlInstance is a control instance that knows no streams and no other endpoints.
+type fakeControlInstance struct{ streams *streams }
+
+// QueryStream implements streamQuerier.
+func (c fakeControlInstance) QueryStream(_ context.Context, number uint64, _ resumer.Key) error {
+	c.streams.answerReceived(number, streamAnswer{})
+	return nil
+}
+
 type callerResponse struct {
 	status int
 	header http.Header
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -102,6 +102,7 @@
 	departures     departures
 	evidence       *evidence
 	streams        *streams
+	pauses         *pauseDetector
 	streamLog      *streamLog // of a control instance, while it runs
 
 	exchangeOptions messenger.Options // of connections to other nodes
@@ -173,12 +174,29 @@
 	f.confirmer = confirmer.New(f.started)
 	f.departures.commit = f.proposeDepartures
 	f.streams = newStreams(s.DataFolder != "", f.started)
+	f.pauses = &pauseDetector{started: f.started}
+	f.streams.self, f.streams.voters = f.self.Name, f.voters
 	f.view.Store(&view{})
 	choosesBootstrapper := s.FirstStart && len(s.Seeds) > 0 && slices.Min(s.Seeds) == s.Listen.Advertise
 	f.discovery = exchanger.NewDiscovery(f.self, choosesBootstrapper, f.quorateInstances, f.recordContacts)
 	return f
 }
 
+// voters returns the names of the voting members of the control group as this control instance knows them.
+func (f *fleet) voters() (names []string) {
+	if f.control == nil {
+		return nil
+	}
+	if c := f.control.replica.Load(); c != nil {
+		for _, m := range c.Status().Members {
+			if m.Voter {
+				names = append(names, m.Name)
+			}
+		}
+	}
+	return names
+}
+
 // viewAge returns the time since a quorum confirmed this node's view, or since the start if none ever did.
 func (f *fleet) viewAge(now time.Time) time.Duration {
 	f.mu.Lock()
@@ -577,6 +595,9 @@
 // addSuspects records suspects, publishes new ones to subscribers, and reports whether any was new.
 func (f *fleet) addSuspects(list []exchanger.Suspect) (isNew bool) {
 	isNew = f.recordSuspects(list)
+	if isNew {
+		f.recordReportedEnds(list)
+	}
 	if isNew && f.control != nil {
 		f.control.server.PublishSuspects(list)
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -63,6 +63,7 @@
 	pool := forwarder.NewPool(s.EndpointLimits.Limits)
 	n := &Node{settings: s, obs: obs, queue: queue, fleet: f}
 	n.front = &proxy{dialect: d, fleet: f, pool: pool, log: log, metrics: newMetrics(obs, f, pool, queue)}
+	pool.OnEnd = n.front.recordIdleEnd
 	n.front.bodies.limit = s.BodyMemoryBytes
 	n.ready.Check = func() error {
 		if !f.isReady() {
@@ -106,6 +107,9 @@
 	if supErr := <-done; supErr != nil && !errors.Is(supErr, context.Canceled) {
 		n.obs.Event("supervisor stopped with an error", "err", supErr)
 	}
+	if n.fleet.control != nil {
+		n.fleet.control.server.Close()
+	}
 	n.queue.Flush()
 	return err
 }
@@ -141,9 +145,9 @@
 			n.fleet.log.failure("msg", "caller reads nothing", "caller", c.RemoteAddr().String(),
 				"ms", callerStallTimeout.Milliseconds())
 		},
-		onStop: func() {
+		onStop: func(startedAt, closeAt time.Time) {
 			n.ready.SetNotReady()
-			n.front.stopping.Store(true)
+			n.front.stop(startedAt, closeAt)
 			n.obs.Event("node is stopping", "graceMs", n.settings.GraceMillis)
 		}}
 	return fs.Serve(ctx)
@@ -157,6 +161,7 @@
 	sup.Add(service{"heldStates", f.releaseHeldStates})
 	sup.Add(service{"seek", f.discover})
 	sup.Add(service{"tick", n.runMaintenance})
+	sup.Add(service{"pauses", f.pauses.watch})
 	exchange := http.NewServeMux()
 	exchange.Handle(exchanger.DiscoveryPath, f.discovery)
 	exchange.Handle(recorder.Path, n.obs.TimelineHandler())
--- a/node/subscription.go
+++ b/node/subscription.go
@@ -237,6 +237,10 @@
 		return err
 	}
 	r.setSubscription(sub)
+	if r.isPeer {
+		f.streams.addPeer(r.instance.Name, sub)
+		defer f.streams.removePeer(r.instance.Name, sub)
+	}
 	go r.report(ctx, sub)
 	return sub.Receive(ctx, r)
 }
--- a/node/transfer.go
+++ b/node/transfer.go
@@ -57,22 +57,25 @@
 	request *request
 	w       http.ResponseWriter
 
-	tried           []string   // IDs of endpoints
-	sends           int        // attempts, including rejected ones
-	runs            int        // attempts that an endpoint may have executed
-	headerSent      bool       // the response header was sent to the caller
-	callerConn      lingerConn // set if the response ends with the caller's connection
-	splitter        eventSplitter
-	eventsBefore    uint64            // events of earlier attempts
-	hasBegun        bool              // the caller has an event of the stream
-	version         string            // software version of the endpoint that sent it
-	isRecorded      bool              // the origin of the stream is recorded under the ID of this request
-	answered        bool              // recorded as evidence that its prompt is sound
-	sentAt          time.Time         // start of the current attempt
-	firstByteAt     time.Time         // when the first bytes of the body were sent to the caller
-	lastWriteAt     time.Time         // of a stream
-	choiceLogFields []any             // endpoint and load of the current attempt
-	lastError       *bufferedResponse // last 5xx response of an endpoint
+	tried        []string   // IDs of endpoints
+	sends        int        // attempts, including rejected ones
+	runs         int        // attempts that an endpoint may have executed
+	headerSent   bool       // the response header was sent to the caller
+	sentStatus   int        // its status
+	callerConn   lingerConn // set if the response ends with the caller's connection
+	splitter     eventSplitter
+	eventsBefore uint64 // events of earlier attempts
+	hasBegun     bool   // the caller has an event of the stream
+	version      string // software version of the endpoint that sent it
+	isRecorded   bool   // the origin of the stream is recorded under the ID of this request
+	// isVersionUnknown is set if the endpoint that sent it may have restarted in another version since its heartbeat.
+	isVersionUnknown bool
+	answered         bool              // recorded as evidence that its prompt is sound
+	sentAt           time.Time         // start of the current attempt
+	firstByteAt      time.Time         // when the first bytes of the body were sent to the caller
+	lastWriteAt      time.Time         // of a stream
+	choiceLogFields  []any             // endpoint and load of the current attempt
+	lastError        *bufferedResponse // last 5xx response of an endpoint
 }
 
 // bufferedResponse is a complete response of an endpoint that was not forwarded to the caller.
@@ -105,6 +108,17 @@
 			t.finish(t.finalDecision(), t.convictedRefusal(c))
 			return
 		}
+		if t.hasBegun && t.isVersionUnknown {
+			t.finish(t.finalDecision(), t.versionRefusal(chooser.VersionUnknown))
+			return
+		}
+		if t.hasBegun && t.version != "" {
+			p.refuteProcessEnds(ctx, q.service.Name, t.version)
+			if err := p.fleet.streams.confirm(ctx); err != nil {
+				t.finish(t.finalDecision(), t.notConfirmedRefusal(err))
+				return
+			}
+		}
 		choice, reason := t.choose(ctx)
 		if reason != "" {
 			t.finish(refuseRequest, t.noEndpointRefusal(reason, ref))
@@ -163,6 +177,15 @@
 	return ref
 }
 
+// notConfirmedRefusal returns the refusal of a stream that can't go on because the versions of endpoints are not known.
+func (t *transfer) notConfirmedRefusal(cause error) refusal {
+	if t.runs > 0 {
+		return refusal{status: http.StatusBadGateway, reason: reasonNotConfirmed, logFields: []any{"err", cause}}
+	}
+	return refusal{status: http.StatusServiceUnavailable, reason: reasonNotConfirmed, retryAfter: retryAfter(),
+		logFields: []any{"err", cause}}
+}
+
 func (t *transfer) query() chooser.Query {
 	q := t.request
 	return chooser.Query{Service: q.service, Parts: q.promptParts, Tried: t.tried, Random: rand.Float64(),
@@ -177,7 +200,8 @@
 		now := time.Now()
 		c, reason := t.proxy.fleet.routing.choose(now, t.query())
 		isFinal := reason == "" || reason == chooser.AllTried || reason == chooser.RateLimited ||
-			reason == chooser.NoVersion || reason == chooser.AllQuiet || reason == chooser.AllLeaving
+			reason == chooser.NoVersion || reason == chooser.VersionUnknown ||
+			reason == chooser.AllQuiet || reason == chooser.AllLeaving
 		if isFinal || now.After(until) || isDisconnected(ctx) {
 			t.proxy.metrics.waitTime.Observe(now.Sub(start).Seconds())
 			return c, reason
@@ -188,13 +212,8 @@
 
 // noEndpointRefusal returns the refusal of a request for which no endpoint was selected.
 func (t *transfer) noEndpointRefusal(cause chooser.Reason, last refusal) refusal {
-	if cause == chooser.NoVersion {
-		ref := refusal{status: http.StatusServiceUnavailable, reason: "noVersion", retryAfter: retryAfter(),
-			logFields: []any{"why", string(cause), "service", t.request.service.Name, "begunAt", t.version}}
-		if t.runs > 0 {
-			ref.status, ref.retryAfter = http.StatusBadGateway, 0
-		}
-		return ref
+	if cause == chooser.NoVersion || cause == chooser.VersionUnknown {
+		return t.versionRefusal(cause)
 	}
 	if t.runs > 0 || last.status != 0 && cause == chooser.AllTried {
 		return last
@@ -216,6 +235,20 @@
 		logFields: []any{"why", string(cause), "service", t.request.service.Name}}
 }
 
+// versionRefusal returns the refusal of a stream that can't go on at any endpoint because of their versions.
+func (t *transfer) versionRefusal(cause chooser.Reason) refusal {
+	reason := "noVersion"
+	if cause == chooser.VersionUnknown {
+		reason = "versionUnknown"
+	}
+	ref := refusal{status: http.StatusServiceUnavailable, reason: reason, retryAfter: retryAfter(),
+		logFields: []any{"why", string(cause), "service", t.request.service.Name, "begunAt", t.version}}
+	if t.runs > 0 {
+		ref.status, ref.retryAfter = http.StatusBadGateway, 0
+	}
+	return ref
+}
+
 // attempt sends the request to one endpoint and forwards the response.
 func (t *transfer) attempt(ctx context.Context, c chooser.Choice) (decision, refusal) {
 	q, p := t.request, t.proxy
@@ -241,7 +274,10 @@
 		p.metrics.unframed.Inc()
 	}
 	t.choiceLogFields = append(t.choiceLogFields, "framed", !resp.EndsWithConn)
-	if resp.Status >= http.StatusInternalServerError && (t.canRetry() || t.headerSent) {
+	if t.headerSent && !t.isContinuation(resp) {
+		return t.handleOtherResponse(c, resp)
+	}
+	if resp.Status >= http.StatusInternalServerError && t.canRetry() {
 		return t.handleServerError(c, resp)
 	}
 	if t.isMisleadingStatus(resp) {
@@ -271,7 +307,8 @@
 	}
 	return &forwarder.Request{Address: c.Endpoint.Address, Method: q.inbound.Method, Target: q.inbound.RequestURI,
 		Host: q.inbound.Host, Header: header, Body: q.body, Deadline: q.deadline, FreshConn: !q.route.CanRetry(),
-		IDHeader: h.RequestID, ID: q.id, MaySend: func() bool { return t.proxy.fleet.routing.accepts(c.Endpoint) }}
+		SameProcess: t.hasBegun && t.version != "",
+		IDHeader:    h.RequestID, ID: q.id, MaySend: func() bool { return t.proxy.fleet.routing.accepts(c.Endpoint) }}
 }
 
 // canRetry reports whether the request may be executed by another endpoint.
@@ -324,6 +361,7 @@
 	if errors.As(err, &limitErr) {
 		p.metrics.limits.WithLabelValues(limitErr.Bound).Inc()
 	}
+	p.recordProcessEnd(c.Endpoint, outcome, err, t.sentAt, t.lastWriteAt)
 	var avoidUntil time.Time
 	p.fleet.routing.withChooser(func(ch *chooser.Chooser) { avoidUntil = ch.RecordFailure(time.Now(), c.Endpoint) })
 	p.log.failure("msg", "endpoint failed", "request", t.request.id, "endpoint", describeEndpoint(&c.Endpoint),
@@ -466,6 +504,31 @@
 		logFields: []any{"endpointStatus", resp.Status}}
 }
 
+// isContinuation reports whether the body of a response can follow what the caller has of an earlier one.
+func (t *transfer) isContinuation(resp *forwarder.Response) bool {
+	sent := t.w.Header()
+	return resp.Status == t.sentStatus && mediaType(resp.Header) == mediaType(sent) &&
+		resp.Header.Get("Content-Encoding") == sent.Get("Content-Encoding")
+}
+
+// mediaType returns the media type of a body without its parameters.
+func mediaType(h http.Header) string {
+	value, _, _ := strings.Cut(h.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(value))
+}
+
+// handleOtherResponse decides how to proceed after a response that can't follow what the caller has.
+func (t *transfer) handleOtherResponse(c chooser.Choice, resp *forwarder.Response) (decision, refusal) {
+	if resp.Status >= http.StatusMultipleChoices {
+		if _, err := readBounded(resp.Body); err != nil {
+			t.recordFailure(c, forwarder.Unknown, err)
+		}
+	}
+	return t.retryOrEnd(), refusal{status: http.StatusBadGateway, reason: "endpointError",
+		logFields: []any{"endpointStatus", resp.Status, "contentType", resp.Header.Get("Content-Type"),
+			"contentEncoding", resp.Header.Get("Content-Encoding")}}
+}
+
 // sendHeader sends the header of the first response without hop-by-hop fields. length is the length of the whole body,
 // or -1. The caller gets a framing only if the endpoint's response has one, because the end of its connection does not
 // tell whether the body is complete.
@@ -473,7 +536,7 @@
 	if t.headerSent {
 		return
 	}
-	t.headerSent = true
+	t.headerSent, t.sentStatus = true, resp.Status
 	header := t.w.Header()
 	for name, values := range resp.Header {
 		header[name] = values
@@ -547,9 +610,14 @@
 	rc := http.NewResponseController(t.w)
 	buf := make([]byte, streamBufferBytes)
 	stall := newStallTimer(t.request.route.StallTimeout(), resp)
+	isChecked := !t.hasBegun || t.version == ""
 	for {
 		n, err := resp.Body.Read(buf)
 		out := buf[:n]
+		if n > 0 && !isChecked && !t.proxy.isVersionKnown(ctx, c.Endpoint) {
+			return t.retryOrEnd(), t.versionRefusal(chooser.VersionUnknown)
+		}
+		isChecked = isChecked || n > 0
 		if !t.request.route.Resumable {
 			t.splitter.observe(out)
 		} else {
@@ -569,7 +637,7 @@
 			}
 		}
 		if err = stall.update(t.splitter.events, err); len(out) > 0 {
-			t.recordOrigin(c)
+			t.recordOrigin(ctx, c)
 			now := time.Now()
 			if t.firstByteAt.IsZero() {
 				t.firstByteAt = now
@@ -598,15 +666,20 @@
 	}
 }
 
-// recordOrigin records, before the first event of a stream reaches the caller, where the stream began.
-func (t *transfer) recordOrigin(c chooser.Choice) {
+// recordOrigin records, before the first event of a stream reaches the caller, where the stream began. Where that is
+// not known for certain, the stream can't go on elsewhere.
+func (t *transfer) recordOrigin(ctx context.Context, c chooser.Choice) {
 	if !t.request.route.Resumable || t.isRecorded {
 		return
 	}
 	if !t.hasBegun {
 		t.hasBegun, t.version = true, c.Endpoint.Version
+		t.isVersionUnknown = t.version != "" && !t.proxy.isVersionKnown(ctx, c.Endpoint)
 	}
 	t.isRecorded = true
+	if t.isVersionUnknown {
+		return
+	}
 	t.proxy.recordOrigin(t.request, resumer.Origin{Service: t.request.service.Name, Version: t.version})
 }
 
@@ -622,8 +695,7 @@
 
 // isInsideEvent reports whether a stream that has ended was broken off, although its framing doesn't show it.
 func (t *transfer) isInsideEvent(resp *forwarder.Response) bool {
-	contentType, _, _ := strings.Cut(resp.Header.Get("Content-Type"), ";")
-	if !resp.EndsWithConn || contentType != "" && !strings.EqualFold(strings.TrimSpace(contentType), eventStreamType) {
+	if contentType := mediaType(resp.Header); !resp.EndsWithConn || contentType != "" && contentType != eventStreamType {
 		return false
 	}
 	return t.splitter.events == t.eventsBefore || t.splitter.isInsideEvent()
