--- a/adapters/forwarder/refusal_test.go
+++ b/adapters/forwarder/refusal_test.go
@@ -190,3 +190,18 @@
 		}
 	}
 }
+
+// Guards against a refusal of another request that comes first on a new connection.
+func TestForeignRefusalOnANewConnectionIsSkipped(t *testing.T) {
+	for _, ids := range [][]string{{"9"}, {"1", "9"}, {"9", "1"}, {"1", "1"}, {""}} {
+		address := serve(t, func(_ int, conn net.Conn, br *bufio.Reader) {
+			if r, _ := readRequest(br); r == nil {
+				return
+			}
+			_, _ = io.WriteString(conn, formatRefusal("503 Service Unavailable", ids...)+formatResponse("1", "answer"))
+		})
+		p := NewPool(DefaultLimits())
+		assert.Equal(t, sendAndRead(t, p, newRequest(address, "1", nil)), "answer", "%q", ids)
+		assert.Equal(t, openCount(p, address), 0)
+	}
+}
--- a/adapters/server/caller_conn_test.go
+++ b/adapters/server/caller_conn_test.go
@@ -180,3 +180,29 @@
 		})
 	}
 }
+
+// BenchmarkWrite compares writes of an event's size with those of the connection below.
+func BenchmarkWrite(b *testing.B) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(b, err)
+	defer func() { _ = ln.Close() }()
+	caller, err := net.Dial("tcp", ln.Addr().String())
+	assert.NilError(b, err)
+	go func() { _, _ = io.Copy(io.Discard, caller) }()
+	conn, err := ln.Accept()
+	assert.NilError(b, err)
+	defer func() { _ = conn.Close() }()
+	event := make([]byte, 300)
+	for _, c := range []struct {
+		name string
+		conn net.Conn
+	}{{"direct", conn}, {"caller", NewCallerConn(conn, testTimeout, func(net.Conn) {})}} {
+		b.Run(c.name, func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				_, err := c.conn.Write(event)
+				assert.NilError(b, err)
+			}
+		})
+	}
+}
