--- a/soaker/cmd/soaker/main.go
+++ b/soaker/cmd/soaker/main.go
@@ -27,7 +27,8 @@
 			&cli.IntFlag{Name: "jobs", Usage: "maximum number of concurrent runs", Value: 2},
 			&cli.DurationFlag{Name: "for", Usage: "duration of fault injection", Value: 12 * time.Second},
 		},
-		Action: run,
+		Action:   run,
+		Commands: []*cli.Command{plansCommand()},
 	}
 	if err := cmd.Run(context.Background(), os.Args); err != nil {
 		_, _ = fmt.Fprintln(os.Stderr, "soaker:", err)
@@ -87,3 +88,43 @@
 		fmt.Println("  injected:", f)
 	}
 }
+
+// plansCommand returns the command that changes the plan of a fleet all the time.
+func plansCommand() *cli.Command {
+	return &cli.Command{Name: "plans", Usage: "change the plan of a fleet beside traffic and check which plan each node obeys",
+		Flags: []cli.Flag{
+			&cli.IntFlag{Name: "instances", Usage: "control instances", Value: 5},
+			&cli.IntFlag{Name: "routers", Usage: "nodes without a disk", Value: 65},
+			&cli.FloatFlag{Name: "instance-share", Usage: "share of a core of each control instance; 0 is unlimited"},
+			&cli.FloatFlag{Name: "router-share", Usage: "share of a core of each router; 0 is unlimited"},
+			&cli.DurationFlag{Name: "interval", Usage: "mean time between two plans of an operator", Value: time.Second},
+			&cli.IntFlag{Name: "routes", Usage: "additional routes of each plan", Value: 10},
+			&cli.IntFlag{Name: "loaded", Usage: "nodes that get traffic, control instances first"},
+			&cli.IntFlag{Name: "conns", Usage: "connections to each of these nodes", Value: 32},
+			&cli.FloatFlag{Name: "link-bytes", Usage: "bytes per second to and from each control instance; 0 is unlimited"},
+			&cli.StringFlag{Name: "faults", Usage: "none, routers or all", Value: "none"},
+		},
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			binary, err := filepath.Abs(cmd.String("node"))
+			if err != nil {
+				return err
+			}
+			r, err := soaker.RunPlans(ctx, soaker.PlansConfig{
+				Config: soaker.Config{Binary: binary, Folder: cmd.String("folder"), Seed: cmd.Uint64("seed"),
+					FaultDuration: cmd.Duration("for")},
+				Instances: cmd.Int("instances"), Routers: cmd.Int("routers"), InstanceShare: cmd.Float("instance-share"),
+				RouterShare: cmd.Float("router-share"), Interval: cmd.Duration("interval"), Routes: cmd.Int("routes"),
+				LoadedNodes: cmd.Int("loaded"), LoadConns: cmd.Int("conns"), LinkBytes: cmd.Float("link-bytes"),
+				Faults: cmd.String("faults")})
+			fmt.Printf("seed %d: %d findings, %v\n", cmd.Uint64("seed"), len(r.Findings), r.Counts)
+			for _, list := range [][]string{r.Injected, r.Findings, r.Report} {
+				for _, line := range list {
+					fmt.Println(" ", line)
+				}
+			}
+			if err == nil && len(r.Findings) > 0 {
+				err = errFindings
+			}
+			return err
+		}}
+}
--- a/soaker/endpoint.go
+++ b/soaker/endpoint.go
@@ -33,6 +33,7 @@
 	service    string
 	version    string // of its software
 	bornMillis int64
+	slots      int
 	ln         net.Listener
 	checker    *Checker
 	fleet      *Fleet
@@ -49,7 +50,7 @@
 	if err != nil {
 		return nil, err
 	}
-	e := &Endpoint{id: id, service: service, version: versionOf(id), bornMillis: time.Now().UnixMilli(), ln: ln,
+	e := &Endpoint{id: id, service: service, version: versionOf(id), bornMillis: time.Now().UnixMilli(), slots: 8, ln: ln,
 		checker: f.checker, fleet: f, rng: rand.New(rand.NewPCG(seed, 7))}
 	go e.accept()
 	go e.sendHeartbeats(ctx)
@@ -238,7 +239,7 @@
 // register sends one heartbeat and returns whether a node acknowledged it.
 func (e *Endpoint) register(ctx context.Context, seq uint64, draining bool) bool {
 	body, err := json.Marshal(map[string]any{"service": e.service, "address": e.ln.Addr().String(), "failureDomain": "d",
-		"slots": 8, "version": e.version, "draining": draining, "bornMillis": e.bornMillis, "sequence": seq})
+		"slots": e.slots, "version": e.version, "draining": draining, "bornMillis": e.bornMillis, "sequence": seq})
 	if err != nil {
 		return false
 	}
--- a/soaker/fleet.go
+++ b/soaker/fleet.go
@@ -43,6 +43,7 @@
 
 	mu           sync.Mutex
 	process      *exec.Cmd
+	paused       bool // by a fault
 	exited       chan struct{}
 	isFirstStart bool
 }
@@ -56,6 +57,7 @@
 	DiskNodes int
 	checker   *Checker
 	client    *http.Client
+	env       []string // added to the environment of the processes
 }
 
 // NewFleet prepares nodes in a folder, on a separate loopback address, so that concurrent runs do not interfere.
@@ -120,6 +122,7 @@
 	defer func() { _ = out.Close() }()
 	cmd := exec.Command(f.binary, "--config", file) //nolint:noctx // it is stopped by a signal
 	cmd.Stdout, cmd.Stderr = out, out
+	cmd.Env = append(os.Environ(), f.env...)
 	if err := cmd.Start(); err != nil {
 		return err
 	}
--- a/soaker/proxy.go
+++ b/soaker/proxy.go
@@ -30,6 +30,8 @@
 	mode        Mode
 	modeChanged chan struct{} // closed when the mode changes
 	conns       map[net.Conn]bool
+	rate        float64      // bytes per second of all connections together, in each direction; 0 is unlimited
+	freeAt      [2]time.Time // when the bytes of a direction that were accepted so far have been sent
 }
 
 // NewProxy starts a proxy that listens at address and forwards to target.
@@ -55,6 +57,30 @@
 	p.modeChanged = make(chan struct{})
 }
 
+// SetRate limits the bytes per second of all connections together, in each direction.
+func (p *Proxy) SetRate(bytesPerSecond float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.rate = bytesPerSecond
+}
+
+// pace waits until n bytes of a direction have been sent at the rate of the proxy.
+func (p *Proxy) pace(n, direction int) {
+	p.mu.Lock()
+	if p.rate <= 0 {
+		p.mu.Unlock()
+		return
+	}
+	now := time.Now()
+	if p.freeAt[direction].Before(now) {
+		p.freeAt[direction] = now
+	}
+	p.freeAt[direction] = p.freeAt[direction].Add(time.Duration(float64(n) / p.rate * float64(time.Second)))
+	until := p.freeAt[direction]
+	p.mu.Unlock()
+	time.Sleep(time.Until(until))
+}
+
 // ResetConnections closes all connections with a TCP reset.
 func (p *Proxy) ResetConnections() {
 	p.mu.Lock()
@@ -108,10 +134,15 @@
 func (p *Proxy) copy(dst, src net.Conn, inbound bool) {
 	defer func() { _, _ = dst.Close(), src.Close() }()
 	buf := make([]byte, 32<<10)
+	direction := 0
+	if inbound {
+		direction = 1
+	}
 	for {
 		n, err := src.Read(buf)
 		if n > 0 {
 			p.applyMode(inbound)
+			p.pace(n, direction)
 			if _, werr := dst.Write(buf[:n]); werr != nil {
 				return
 			}
