--- a/soaker/plans.go
+++ b/soaker/plans.go
@@ -48,7 +48,7 @@
 	Routes                     int           // of a plan, beside those that the checker needs
 	LoadedNodes, LoadConns     int           // nodes that get traffic, and connections to each of them
 	LinkBytes                  float64       // per second and control instance; 0 is unlimited
-	Faults                     string        // "none", "routers" or "all"
+	Faults                     string        // "none", "routers", "emptyDisk" (of a control instance) or "all"
 }
 
 // PlansResult holds the outcome of a run.
@@ -430,7 +430,7 @@
 	}
 	for end := time.Now().Add(r.cfg.FaultDuration); time.Now().Before(end); {
 		i := r.cfg.Instances + r.rng.IntN(max(1, r.cfg.Routers))
-		if r.cfg.Faults == "all" && r.rng.IntN(2) == 0 || r.cfg.Routers == 0 {
+		if r.cfg.Faults == "all" && r.rng.IntN(2) == 0 || r.cfg.Faults == "emptyDisk" || r.cfg.Routers == 0 {
 			i = r.rng.IntN(r.cfg.Instances)
 		}
 		r.disturbNode(ctx, r.fleet.Nodes[i], i < r.cfg.Instances, randomDuration(r.rng, 100*time.Millisecond, 3*time.Second))
@@ -441,6 +441,9 @@
 // disturbNode injects one fault into a node, or kills all of them.
 func (r *plansRun) disturbNode(ctx context.Context, n *Node, isCore bool, d time.Duration) {
 	kind := []string{"kill", "terminate", "pause", "silence", "emptyDisk", "killAll"}[r.rng.IntN(6)]
+	if r.cfg.Faults == "emptyDisk" {
+		kind = r.cfg.Faults
+	}
 	if kind == "emptyDisk" && !isCore || kind == "killAll" && r.cfg.Faults != "all" {
 		kind = "kill"
 	}
