--- a/adapters/exchanger/client.go
+++ b/adapters/exchanger/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"cactusroute.dev/adapters/messenger"
@@ -34,27 +33,25 @@
 
 // Subscription is one connection to a control instance.
 type Subscription struct {
-	conn *messenger.Conn
+	conn  *messenger.Conn
+	pings sentPings
 }
 
-// errNotQuorate ends a subscription to a control instance that has lost its quorum.
-var errNotQuorate = errors.New("control instance has no quorum")
-
 // Subscribe connects to a control instance and sends it the endpoints and the evidence known here, because an instance
 // that has just started knows none.
 func Subscribe(ctx context.Context, instance, self Contact, opts messenger.Options, r Receiver,
 	endpoints []registrar.Endpoint, evidence Evidence) (*Subscription, error) {
 	opts.MaxMessageBytes = maxMessageBytes
-	opts.WriteTimeout = silenceTimeout
-	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
-	conn, err := messenger.Dial(dialCtx, instance.Address, SubscriptionPath, opts)
+	opts.WriteTimeout = lostTimeout
+	opts.ConnectTimeout = connectTimeout
+	conn, err := messenger.Dial(ctx, instance.Address, SubscriptionPath, opts)
 	if err != nil {
 		return nil, err
 	}
+	s := &Subscription{conn: conn}
 	h := helloMessage{Contact: self}
 	h.Index, h.Version = r.LastReceived()
-	err = conn.Send(ctx, kindHello, 0, h)
+	err = conn.Send(ctx, kindHello, s.pings.add(time.Now()), h)
 	if err == nil && len(endpoints) > 0 {
 		m := endpointsMessage{Records: encodeEndpoints(time.Now(), endpoints)}
 		err = conn.Send(ctx, kindEndpoints, 0, m)
@@ -66,7 +63,7 @@
 		_ = conn.Close()
 		return nil, err
 	}
-	return &Subscription{conn: conn}, nil
+	return s, nil
 }
 
 // ReportSuspects sends suspects to the control instance.
@@ -97,37 +94,30 @@
 // Close ends the subscription.
 func (s *Subscription) Close() { _ = s.conn.Close() }
 
-// Receive passes messages to r until the connection ends, or no message arrives within silenceTimeout, or, if
-// needQuorum, the instance has reported no quorum for silenceTimeout.
-func (s *Subscription) Receive(ctx context.Context, r Receiver, needQuorum bool) error {
+// HeardAt returns when the last bytes of the instance arrived.
+func (s *Subscription) HeardAt() time.Time { return s.conn.HeardAt() }
+
+// Receive passes messages to r until the connection ends, or nothing arrives within lostTimeout.
+func (s *Subscription) Receive(ctx context.Context, r Receiver) error {
 	defer s.Close()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go s.ping(ctx)
 	go s.reportLoads(ctx, r)
-	quorateAt := time.Now()
 	var e messenger.Envelope
-	var dec decoders
+	dec := decoders{heartbeats: heartbeatDecoder{pings: &s.pings}}
 	for {
-		if err := s.receiveWithTimeout(ctx, &e); err != nil {
+		if err := s.conn.ReceiveIntoWithTimeout(ctx, &e, lostTimeout); err != nil {
 			return err
 		}
-		if err := dispatch(&e, r, &dec, &quorateAt); err != nil {
+		if err := dispatch(&e, r, &dec); err != nil {
 			return err
 		}
-		if needQuorum && time.Since(quorateAt) > silenceTimeout {
-			return errNotQuorate
-		}
 	}
 }
 
-func (s *Subscription) receiveWithTimeout(ctx context.Context, e *messenger.Envelope) error {
-	ctx, cancel := context.WithTimeout(ctx, silenceTimeout)
-	defer cancel()
-	return s.conn.ReceiveInto(ctx, e)
-}
-
-// ping sends periodic messages, so that the instance detects a lost subscriber by its silence.
+// ping sends periodic messages, so that the instance detects a lost subscriber by its silence, and the subscriber
+// learns how old the confirmations of the instance are.
 func (s *Subscription) ping(ctx context.Context) {
 	t := time.NewTicker(2 * heartbeatInterval)
 	defer t.Stop()
@@ -136,7 +126,7 @@
 		case <-ctx.Done():
 			return
 		case <-t.C:
-			if s.conn.Send(ctx, kindPing, 0, nil) != nil {
+			if s.conn.Send(ctx, kindPing, s.pings.add(time.Now()), nil) != nil {
 				s.Close()
 				return
 			}
@@ -175,7 +165,7 @@
 	heartbeats heartbeatDecoder
 }
 
-func dispatch(e *messenger.Envelope, r Receiver, dec *decoders, quorateAt *time.Time) error {
+func dispatch(e *messenger.Envelope, r Receiver, dec *decoders) error {
 	switch e.Kind {
 	case kindState:
 		var m stateMessage
@@ -240,11 +230,7 @@
 		if err := e.Decode(&m); err != nil {
 			return err
 		}
-		hb := dec.heartbeats.decode(&m)
-		if hb.Quorate {
-			*quorateAt = time.Now()
-		}
-		r.HeartbeatReceived(hb)
+		r.HeartbeatReceived(dec.heartbeats.decode(&m))
 	}
 	return nil
 }
