--- a/soaker/cmd/soaker/main.go
+++ b/soaker/cmd/soaker/main.go
@@ -102,7 +102,7 @@
 			&cli.IntFlag{Name: "loaded", Usage: "nodes that get traffic, control instances first"},
 			&cli.IntFlag{Name: "conns", Usage: "connections to each of these nodes", Value: 32},
 			&cli.FloatFlag{Name: "link-bytes", Usage: "bytes per second to and from each control instance; 0 is unlimited"},
-			&cli.StringFlag{Name: "faults", Usage: "none, routers, emptyDisk or all", Value: "none"},
+			&cli.StringFlag{Name: "faults", Usage: "none, stalls, emptyDisk, routers or all", Value: "none"},
 		},
 		Action: func(ctx context.Context, cmd *cli.Command) error {
 			binary, err := filepath.Abs(cmd.String("node"))
--- a/soaker/plans.go
+++ b/soaker/plans.go
@@ -29,6 +29,10 @@
 	// operatorTimeout is how long an operator sends one plan again before it gives up.
 	operatorTimeout = 15 * time.Second
 
+	// minStall and maxStall are about the silence after which a subscription ends.
+	minStall = 600 * time.Millisecond
+	maxStall = 1500 * time.Millisecond
+
 	plansOperatorCount = 2
 	plansEndpointCount = 8
 	plansEndpointSlots = 64
@@ -48,7 +52,7 @@
 	Routes                     int           // of a plan, beside those that the checker needs
 	LoadedNodes, LoadConns     int           // nodes that get traffic, and connections to each of them
 	LinkBytes                  float64       // per second and control instance; 0 is unlimited
-	Faults                     string        // "none", "routers", "emptyDisk" (of a control instance) or "all"
+	Faults                     string        // "none", "stalls" or "emptyDisk" (of control instances), "routers" or "all"
 }
 
 // PlansResult holds the outcome of a run.
@@ -429,6 +433,10 @@
 		return
 	}
 	for end := time.Now().Add(r.cfg.FaultDuration); time.Now().Before(end); {
+		if r.cfg.Faults == "stalls" {
+			r.stall(ctx)
+			continue
+		}
 		i := r.cfg.Instances + r.rng.IntN(max(1, r.cfg.Routers))
 		if r.cfg.Faults == "all" && r.rng.IntN(2) == 0 || r.cfg.Faults == "emptyDisk" || r.cfg.Routers == 0 {
 			i = r.rng.IntN(r.cfg.Instances)
@@ -438,6 +446,27 @@
 	}
 }
 
+// stall holds up one control instance or two for a moment, as processor time that it lacks does. Callers and operators
+// don't know of it, so that all bounds hold.
+func (r *plansRun) stall(ctx context.Context) {
+	first := r.rng.IntN(r.cfg.Instances)
+	stalled := []*Node{r.fleet.Nodes[first]}
+	if second := r.rng.IntN(r.cfg.Instances); second != first && r.rng.IntN(2) == 0 {
+		stalled = append(stalled, r.fleet.Nodes[second])
+	}
+	d := randomDuration(r.rng, minStall, maxStall)
+	for _, n := range stalled {
+		r.recordInjected(fmt.Sprintf("%s stall %s for %v", time.Now().UTC().Format("15:04:05.000"), n.name(),
+			d.Round(time.Millisecond)))
+		n.pause()
+	}
+	sleeper.Pause(ctx, d)
+	for _, n := range stalled {
+		n.resume()
+	}
+	sleeper.Pause(ctx, randomDuration(r.rng, time.Second, 4*time.Second))
+}
+
 // disturbNode injects one fault into a node, or kills all of them.
 func (r *plansRun) disturbNode(ctx context.Context, n *Node, isCore bool, d time.Duration) {
 	kind := []string{"kill", "terminate", "pause", "silence", "emptyDisk", "killAll"}[r.rng.IntN(6)]
--- a/soaker/plans_report.go
+++ b/soaker/plans_report.go
@@ -57,7 +57,7 @@
 		peaks[isInstance] = max(peaks[isInstance], n.peakMemory())
 	}
 	lines = append(lines, fmt.Sprintf("peak memory: %d MB of a control instance, %d MB of a router", peaks[true], peaks[false]))
-	if r.cfg.Faults != "none" {
+	if r.cfg.Faults != "none" && r.cfg.Faults != "stalls" {
 		return lines
 	}
 	var medians, lasts []time.Duration
