--- a/adapters/forwarder/exchange.go
+++ b/adapters/forwarder/exchange.go
@@ -30,8 +30,13 @@
 	// another request.
 	IDHeader string
 	ID       string
+	// MaySend is asked once a connection is open, if it is set. Nothing is sent if it returns false.
+	MaySend func() bool
 }
 
+// ErrWithdrawn is the cause of an *Error if MaySend has returned false.
+var ErrWithdrawn = errors.New("request withdrawn before it was sent")
+
 // Response is the response of an endpoint. The caller must close its body.
 type Response struct {
 	Status int
@@ -42,6 +47,8 @@
 	// does so because it fails.
 	EndsWithConn bool
 	Body         io.ReadCloser
+	// Trailer returns the fields after the last chunk, once the body has been read to its end.
+	Trailer func() http.Header
 	// SetReadDeadline limits reads of the body, up to the deadline of the request.
 	SetReadDeadline func(t time.Time)
 }
@@ -55,6 +62,10 @@
 	if err != nil {
 		return nil, &Error{Outcome: NotSent, Cause: err}
 	}
+	if r.MaySend != nil && !r.MaySend() {
+		p.close(c)
+		return nil, &Error{Outcome: NotSent, Cause: ErrWithdrawn}
+	}
 	x := &exchange{pool: p, conn: c, written: make(chan struct{}), deadline: r.Deadline}
 	_ = c.SetDeadline(r.Deadline)
 	x.stopCancelHook = context.AfterFunc(ctx, x.cancel)
@@ -217,7 +228,7 @@
 		x.idleTimeout = parseIdleTimeout(resp.Header.Get("Keep-Alive"))
 	}
 	return &Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
-		EndsWithConn: isCloseDelimited, Body: x, SetReadDeadline: x.setReadDeadline}
+		EndsWithConn: isCloseDelimited, Body: x, Trailer: x.trailer, SetReadDeadline: x.setReadDeadline}
 }
 
 // parseIdleTimeout returns how long a connection may be idle, from the endpoint's Keep-Alive header in whole seconds.
@@ -243,6 +254,13 @@
 	return n, err
 }
 
+func (x *exchange) trailer() http.Header {
+	if b, ok := x.body.(*chunkedBody); ok && x.bodyRead {
+		return b.trailer
+	}
+	return nil
+}
+
 // Close returns the connection to the pool if the request was written and the response read completely, with nothing
 // left in the read buffer. It closes the connection otherwise.
 func (x *exchange) Close() error {
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -97,6 +97,7 @@
 	heldSignal     chan struct{} // capacity 1: a received state is held back
 	cacheDirty     chan struct{} // capacity 1: the state cache on disk is out of date
 	suspectReports chan exchanger.Suspect
+	leavingReports chan registrar.Endpoint // for the control instance
 	evidence       *evidence
 	streams        *streams
 	streamLog      *streamLog // of a control instance, while it runs
@@ -156,7 +157,8 @@
 func newFleet(s Settings, d Dialect, log *rateLimitedLog) *fleet {
 	f := &fleet{settings: s, dialect: d, log: log, routing: newRoutingState(&s), decodeSignal: make(chan struct{}, 1),
 		heldSignal: make(chan struct{}, 1), cacheDirty: make(chan struct{}, 1),
-		suspectReports: make(chan exchanger.Suspect, 256), planKnown: make(chan struct{}),
+		suspectReports: make(chan exchanger.Suspect, 256),
+		leavingReports: make(chan registrar.Endpoint, maxLeavingReports), planKnown: make(chan struct{}),
 		self: exchanger.Contact{Name: s.Place.Name, Address: s.Listen.Advertise, Control: s.Listen.Control,
 			Domain: s.Place.FailureDomain, Eligible: s.DataFolder != ""},
 		seeds: s.Seeds, endpoints: registrar.New(time.Duration(s.HeartbeatMillis) * time.Millisecond),
@@ -347,7 +349,7 @@
 	for _, e := range list {
 		switch f.endpoints.Merge(now, e) {
 		case registrar.Changed:
-			changed = append(changed, e)
+			changed = append(changed, f.endpoints.Get(e.ID))
 		case registrar.Outdated:
 			newer = append(newer, f.endpoints.Get(e.ID))
 		}
@@ -577,6 +579,7 @@
 	if len(changed) > 0 {
 		f.publishEndpoints(changed, "noHeartbeat")
 	}
+	f.logEndedStatements(now)
 	f.evidence.expire(now)
 	f.streams.expire(now)
 	if f.control != nil {
