Soaker: keep processes at a share of a core, and check plans beside it

Operators saw CONFIG broken on a fleet of 70 processes; a rig with kills, pauses and emptied disks had found nothing. `soaker plans` adds what that rig lacked: traffic that saturates the share of a core of the processes, links of limited bytes in front of the control instances, plans of any number of routes, two operators that resend and send other content under one version, invalid plans, and stalls of control instances that nobody is told of. A process is stopped while its processor clock is ahead of its share, so that an idle one answers at once.

Each request shows the version that its node obeys by the name of its workspace. The checker finds a version that is late, older than an earlier effect, invalid or of two contents, a route that is not known or no longer due, an older read, and counts requests that are not answered by their timeout. The report compares acknowledgements with the logs of the nodes.

--- a/soaker/cmd/soaker/main.go
+++ b/soaker/cmd/soaker/main.go
@@ -91,7 +91,7 @@
 
 // plansCommand returns the command that changes the plan of a fleet all the time.
 func plansCommand() *cli.Command {
-	return &cli.Command{Name: "plans", Usage: "change the plan of a fleet beside traffic and check which plan each node obeys",
+	return &cli.Command{Name: "plans", Usage: "change the plan beside traffic and check which plan each node obeys",
 		Flags: []cli.Flag{
 			&cli.IntFlag{Name: "instances", Usage: "control instances", Value: 5},
 			&cli.IntFlag{Name: "routers", Usage: "nodes without a disk", Value: 65},
--- a/soaker/plans.go
+++ b/soaker/plans.go
@@ -358,7 +358,8 @@
 	if c, err := (&net.Dialer{Timeout: loadTimeout}).DialContext(ctx, "tcp", n.settings.Listen.Front); err == nil {
 		defer func() { _ = c.Close() }()
 		_ = c.SetDeadline(sent.Add(2 * loadTimeout))
-		_, _ = fmt.Fprintf(c, "POST /load/ HTTP/1.1\r\nHost: %s\r\nCactus-Key: key\r\nContent-Length: 1000\r\n\r\nhalf", plansHost)
+		_, _ = fmt.Fprintf(c, "POST /load/ HTTP/1.1\r\nHost: %s\r\nCactus-Key: key\r\nContent-Length: 1000\r\n\r\nhalf",
+			plansHost)
 		if resp, err := http.ReadResponse(bufio.NewReader(c), nil); err == nil {
 			status = resp.StatusCode
 			_ = resp.Body.Close()
@@ -371,8 +372,8 @@
 
 // load sends requests to a node, one after the other on connections of 20 requests, until ctx ends.
 func (r *plansRun) load(ctx context.Context, n *Node) {
-	text := fmt.Sprintf("POST /load/ HTTP/1.1\r\nHost: %s\r\nCactus-Key: key\r\nCactus-Request-Id: %%d\r\nContent-Length: 500"+
-		"\r\n\r\n%s", plansHost, strings.Repeat("x", 500))
+	text := fmt.Sprintf("POST /load/ HTTP/1.1\r\nHost: %s\r\nCactus-Key: key\r\nCactus-Request-Id: %%d\r\n"+
+		"Content-Length: 500\r\n\r\n%s", plansHost, strings.Repeat("x", 500))
 	for ctx.Err() == nil {
 		c, err := (&net.Dialer{Timeout: loadTimeout}).DialContext(ctx, "tcp", n.settings.Listen.Front)
 		if err != nil {
@@ -390,6 +391,7 @@
 				break
 			}
 			_, err = io.Copy(io.Discard, resp.Body)
+			_ = resp.Body.Close()
 			r.checker.count(fmt.Sprintf("load%d", resp.StatusCode))
 			if err != nil || resp.Close {
 				break
@@ -446,13 +448,13 @@
 	}
 }
 
-// stall holds up one control instance or two for a moment, as processor time that it lacks does. Callers and operators
+// stall holds up some control instances for a moment, as processor time that they lack does. Callers and operators
 // don't know of it, so that all bounds hold.
 func (r *plansRun) stall(ctx context.Context) {
-	first := r.rng.IntN(r.cfg.Instances)
-	stalled := []*Node{r.fleet.Nodes[first]}
-	if second := r.rng.IntN(r.cfg.Instances); second != first && r.rng.IntN(2) == 0 {
-		stalled = append(stalled, r.fleet.Nodes[second])
+	picked := r.rng.Perm(r.cfg.Instances)[:1+r.rng.IntN(r.cfg.Instances)]
+	stalled := make([]*Node, 0, len(picked))
+	for _, i := range picked {
+		stalled = append(stalled, r.fleet.Nodes[i])
 	}
 	d := randomDuration(r.rng, minStall, maxStall)
 	for _, n := range stalled {
--- a/soaker/plans_report.go
+++ b/soaker/plans_report.go
@@ -56,7 +56,8 @@
 		isInstance := i < r.cfg.Instances
 		peaks[isInstance] = max(peaks[isInstance], n.peakMemory())
 	}
-	lines = append(lines, fmt.Sprintf("peak memory: %d MB of a control instance, %d MB of a router", peaks[true], peaks[false]))
+	lines = append(lines, fmt.Sprintf("peak memory: %d MB of a control instance, %d MB of a router", peaks[true],
+		peaks[false]))
 	if r.cfg.Faults != "none" && r.cfg.Faults != "stalls" {
 		return lines
 	}
@@ -82,8 +83,9 @@
 	at := func(list []time.Duration, q float64) time.Duration {
 		return list[int(q*float64(len(list)-1))].Round(time.Millisecond)
 	}
-	return append(lines, fmt.Sprintf("acknowledged to in force, %d of %d plans at all nodes: median node %v (worst plan %v), "+
-		"last node %v (p90 %v, worst plan %v)", len(lasts), len(r.checker.acked), at(medians, 0.5), at(medians, 1),
+	return append(lines, fmt.Sprintf("acknowledged to in force, %d of %d plans at all nodes: "+
+		"median node %v (worst plan %v), last node %v (p90 %v, worst plan %v)", len(lasts),
+		len(r.checker.acked), at(medians, 0.5), at(medians, 1),
 		at(lasts, 0.5), at(lasts, 0.9), at(lasts, 1)))
 }
 
--- a/soaker/soaker_test.go
+++ b/soaker/soaker_test.go
@@ -44,6 +44,23 @@
 	}
 }
 
+// Guards against a node in a fleet of processes that obeys an outdated or invalid plan while nothing disturbs it.
+func TestPlans(t *testing.T) {
+	binary := filepath.Join(t.TempDir(), "node")
+	build := exec.CommandContext(t.Context(), "go", "build", "-o", binary, "cactusroute.dev/node/cmd/node")
+	out, err := build.CombinedOutput()
+	assert.NilError(t, err, string(out))
+	r, err := RunPlans(t.Context(), PlansConfig{Config: Config{Binary: binary, Folder: t.TempDir(), Seed: 240,
+		FaultDuration: 2 * testFaultDuration}, Instances: 3, Routers: 3, InstanceShare: 0.3, RouterShare: 0.1,
+		Interval: 200 * time.Millisecond, Routes: 100, LoadedNodes: 4, LoadConns: 2, Faults: "none"})
+	assert.NilError(t, err)
+	for _, f := range r.Findings {
+		t.Error(f)
+	}
+	assert.Assert(t, r.Counts["served"] > 0 && r.Counts["notFound"] > 0 && r.Counts["reads"] > 0, "%v", r.Counts)
+	t.Log(r.Counts, r.Report)
+}
+
 // Guards against a checker that misses a violation, or that reports one in a correct run.
 func TestCheckerFindsViolations(t *testing.T) {
 	for _, c := range []struct {
--- a/soaker/throttle.go
+++ b/soaker/throttle.go
@@ -18,8 +18,8 @@
 	maxThrottleCredit = 100 * time.Millisecond
 )
 
-// throttle keeps the process of a node at a share of a core until ctx ends: it stops the process while it has used more.
-// A process that uses less is never stopped.
+// throttle keeps the process of a node at a share of a core until ctx ends: it stops the process while it has used
+// more. A process that uses less is never stopped.
 func throttle(ctx context.Context, n *Node, share float64) {
 	var credit, used time.Duration
 	pid, stopped := 0, false
@@ -31,7 +31,8 @@
 		if current != pid {
 			pid, used, credit, stopped = current, total, 0, false
 		}
-		credit = min(credit+time.Duration(share*float64(elapsed)), time.Duration(share*float64(maxThrottleCredit))) - (total - used)
+		credit += time.Duration(share * float64(elapsed))
+		credit = min(credit, time.Duration(share*float64(maxThrottleCredit))) - (total - used)
 		used = total
 		switch {
 		case credit < 0 && !stopped:
@@ -89,5 +90,6 @@
 	return pid, time.Duration(t.Nano())
 }
 
-// cpuClockOfProcess selects the scheduler's clock in the clock ID that clock_getcpuclockid(3) derives from a process ID.
+// cpuClockOfProcess selects the scheduler's clock in the clock ID that clock_getcpuclockid(3) derives from a process
+// ID.
 const cpuClockOfProcess = 2
