Take up no stream at a service that has no share of its route

What callers saw: a stream that was taken up went on at the service that had begun it, although a newer plan gives this service the weight 0, so that the request was handled as only the older plan allows.

Cause: the check whether the route still uses the service looked for its name among the shares and ignored the weight.

TestStreamIsNotResumedAtAServiceWithoutAShare fails before: 200 in place of 503 for weight 0.

--- a/node/stream_origin.go
+++ b/node/stream_origin.go
@@ -64,7 +64,9 @@
 	}
 	q.version, q.isBound, q.originSource = o.Version, true, source
 	service := q.plan.Service(o.Service)
-	isShare := slices.ContainsFunc(q.route.Shares, func(s planner.Share) bool { return s.Service == o.Service })
+	isShare := slices.ContainsFunc(q.route.Shares, func(s planner.Share) bool {
+		return s.Service == o.Service && s.Weight > 0
+	})
 	if service == nil || !isShare {
 		p.metrics.resumedStreams.WithLabelValues(originMoved).Inc()
 		return &refusal{status: http.StatusServiceUnavailable, reason: "noVersion",
--- a/node/stream_version_test.go
+++ b/node/stream_version_test.go
@@ -426,6 +426,37 @@
 	assert.Equal(t, len(versionsIn(got.body)), versionedEvents-1)
 }
 
+// Guards against a stream that is taken up at the service which began it, although a newer plan gives that service no
+// share of the route: the request would be handled as only the older plan allows.
+func TestStreamIsNotResumedAtAServiceWithoutAShare(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		shares []planner.Share
+		status int
+	}{
+		{"half", []planner.Share{{Service: "s", Weight: 1}, {Service: "other", Weight: 1}}, http.StatusOK},
+		{"weight 0", []planner.Share{{Service: "s"}, {Service: "other", Weight: 1}}, http.StatusServiceUnavailable},
+		{"no longer named", []planner.Share{{Service: "other", Weight: 1}}, http.StatusServiceUnavailable},
+	} {
+		p := newTestProxy(t, testPlan(1), newFakeEndpoint(t, versionedStream("v1")))
+		all := p.fleet.Endpoints()
+		all[0].Version, all[0].Sequence = "v1", 2
+		p.fleet.mergeEndpoints(all, "test")
+		key := resumer.NewKey("w", "h.example", "/resume/x", "first")
+		p.fleet.streams.record([]resumer.Stream{{Key: key, Origin: resumer.Origin{Service: "s", Version: "v1"},
+			Until: time.Now().Add(time.Minute)}})
+		plan := testPlan(2)
+		plan.Services = append(plan.Services, planner.Service{Name: "other"})
+		for i := range plan.Routes {
+			plan.Routes[i].Shares = c.shares
+		}
+		assert.NilError(t, plan.Index())
+		p.fleet.view.Store(&view{plan: plan})
+		got := p.call(t, http.MethodPost, "/resume/x", "body", "Last-Event-Id", "1", "Resumes", "first")
+		assert.Equal(t, got.status, c.status, c.name)
+	}
+}
+
 // Guards against a node that was paused or cut off while endpoints of a new version joined, knows one version only and
 // takes up a stream there whose version it never heard of.
 func TestStreamIsNotResumedByOutdatedVersions(t *testing.T) {
