--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 GOLANGCI_VERSION := v2.15.0
 GOLANGCI := $(BIN)/golangci-lint-$(GOLANGCI_VERSION)
 
-.PHONY: all build run test lint fmt bench model measure soak vet fuzz
+.PHONY: all build run test lint fmt bench model measure soak vet fuzz review
 
 all: build
 
@@ -62,3 +62,11 @@
 
 soak: build
 	$(BIN)/soaker --seeds 50 --jobs 3
+
+# The cases of review/ run real processes for some eight minutes; their records are written to target/review.
+REVIEW := resumedFailure drainLost staleOrder lateStop lateHeartbeat otherWriter slowClients
+
+review:
+	go build -ldflags=-linkmode=external -o target/ ./platform/cmd/cactusroute
+	./review/build.sh
+	@set -e; for c in $(REVIEW); do echo $$c; TROUBLE=1 target/review/standin $$c target/review/$$c.txt; done
