Send no request of a caller of a router that has left

Cause: as in node, net/http looks for the end of a connection in a goroutine that runs after the handler on one processor.

Change: server.HasCallerLeft looks at the socket of a request's connection; node uses it, too. Behind TLS it sees only callers that are reset or that close without a notice. Operations go on without their callers, as before.

--- a/adapters/server/caller_conn.go
+++ b/adapters/server/caller_conn.go
@@ -1,6 +1,8 @@
 package server
 
 import (
+	"context"
+	"crypto/tls"
 	"errors"
 	"net"
 	"os"
@@ -58,6 +60,25 @@
 // HasLeft reports whether the caller has closed the connection after what was read of it.
 func (c *CallerConn) HasLeft() bool { return socket.HasEnded(c.Conn) }
 
+// connKey is the context key of the connection that a request arrived on.
+type connKey struct{}
+
+// WithConn is a ConnContext function of an http.Server for HasCallerLeft.
+func WithConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// HasCallerLeft reports whether the caller of a request has closed its CallerConn, also before net/http has noticed it:
+// that looks at the connection in another goroutine, which may run only when the handler waits.
+func HasCallerLeft(ctx context.Context) bool {
+	c, _ := ctx.Value(connKey{}).(net.Conn)
+	if tc, ok := c.(*tls.Conn); ok {
+		c = tc.NetConn()
+	}
+	cc, ok := c.(*CallerConn)
+	return ok && cc.HasLeft()
+}
+
 // SetLinger sets what a close does with unsent data, as that of net.TCPConn.
 func (c *CallerConn) SetLinger(sec int) error {
 	tc, ok := c.Conn.(*net.TCPConn)
--- a/adapters/server/server.go
+++ b/adapters/server/server.go
@@ -90,7 +90,7 @@
 	if s.TLS != nil {
 		l = tls.NewListener(l, s.TLS)
 	}
-	hs := &http.Server{Handler: s.Handler, ReadHeaderTimeout: readHeaderTimeout}
+	hs := &http.Server{Handler: s.Handler, ReadHeaderTimeout: readHeaderTimeout, ConnContext: WithConn}
 	done := make(chan error, 1)
 	go func() { done <- hs.Serve(l) }()
 	select {
--- a/node/caller_conn.go
+++ b/node/caller_conn.go
@@ -4,6 +4,8 @@
 	"context"
 	"net"
 	"net/http"
+
+	"cactusroute.dev/adapters/server"
 )
 
 // callerConnKey is the context key of the connection that a request arrived on.
@@ -11,19 +13,12 @@
 
 // withCallerConn is the ConnContext function of the servers of a proxy.
 func withCallerConn(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, callerConnKey{}, c)
+	return context.WithValue(server.WithConn(ctx, c), callerConnKey{}, c)
 }
 
 // lingerConn is a connection whose close can be made a reset.
 type lingerConn interface{ SetLinger(sec int) error }
 
-// hasCallerLeft reports whether the caller has closed its connection, also before net/http has noticed it: it looks at
-// the connection in another goroutine, which may run only when the handler waits.
-func hasCallerLeft(ctx context.Context) bool {
-	c, ok := ctx.Value(callerConnKey{}).(interface{ HasLeft() bool })
-	return isDisconnected(ctx) || ok && c.HasLeft()
-}
-
 const (
 	lingerReset   = 0  // a close discards unsent data and resets the connection
 	lingerDefault = -1 // a close sends what is left
--- a/node/transfer.go
+++ b/node/transfer.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"cactusroute.dev/adapters/forwarder"
+	"cactusroute.dev/adapters/server"
 	"cactusroute.dev/adapters/sleeper"
 	"cactusroute.dev/core/attributor"
 	"cactusroute.dev/core/chooser"
@@ -96,7 +97,7 @@
 func (t *transfer) run(ctx context.Context) {
 	q, p := t.request, t.proxy
 	var ref refusal
-	if hasCallerLeft(ctx) {
+	if server.HasCallerLeft(ctx) {
 		t.finish(abandonRequest, refusal{reason: "callerLeft"})
 		return
 	}
--- a/router/forward.go
+++ b/router/forward.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"cactusroute.dev/adapters/relayer"
+	"cactusroute.dev/adapters/server"
 	"cactusroute.dev/adapters/sleeper"
 	"cactusroute.dev/core/bundler"
 	"cactusroute.dev/core/placer"
@@ -60,6 +61,9 @@
 func (rt *Router) forward(
 	ctx context.Context, w http.ResponseWriter, req relayer.Request, need placer.Need, kind planner.Kind,
 ) string {
+	if server.HasCallerLeft(ctx) {
+		return "caller_gone"
+	}
 	now := time.Now()
 	t := &transfer{
 		rt: rt, w: w, req: req, receivedAt: now,
--- a/router/slow_caller_test.go
+++ b/router/slow_caller_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -15,6 +16,7 @@
 	"gotest.tools/v3/poll"
 
 	"cactusroute.dev/adapters/relayer"
+	"cactusroute.dev/adapters/server"
 )
 
 // listen runs a router until the test ends and returns its address.
@@ -130,3 +132,37 @@
 		assert.NilError(t, conn.Close())
 	}
 }
+
+// Guards against requests that are sent to an agent although their callers gave up before the router could read them.
+// On one processor, the handler runs before net/http looks at the connection again.
+func TestRequestOfACallerThatHasLeftIsNotSent(t *testing.T) {
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	for _, path := range []string{"/v1/chat/completions", "/services/orders/stock"} {
+		f := &fakeRelay{respond: func(context.Context, int, string, relayer.Request) (Response, error) {
+			return jsonResponse("{}", nil), nil
+		}}
+		rt := testRouter(&fakeControl{}, f)
+		for range 10 {
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			assert.NilError(t, err)
+			handled := make(chan struct{})
+			s := &http.Server{ReadHeaderTimeout: time.Second, ConnContext: server.WithConn,
+				Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					defer close(handled)
+					rt.Handler().ServeHTTP(w, r)
+				})}
+			conn, err := net.Dial("tcp", ln.Addr().String())
+			assert.NilError(t, err)
+			_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer %s\r\n"+
+				"Content-Length: %d\r\n\r\n%s", path, testKey, len(chatBody), chatBody)
+			assert.NilError(t, err)
+			assert.NilError(t, conn.Close())
+			go func() {
+				_ = s.Serve(&server.CallerListener{Listener: ln, StallTimeout: time.Second, OnStall: func(net.Conn) {}})
+			}()
+			<-handled
+			assert.NilError(t, s.Close())
+		}
+		assert.Equal(t, len(f.requests), 0, path)
+	}
+}
