Confirmer: put a state in force that is newer than the one in force

A process held a received state back whenever the last confirmation was older than 1.5 s and there were signs of a quorum, also if an even older state was in force: a router for 2 s, an instance, which sees its leader all the time, for up to 10 s, and with it all its routers. Confirmations are late in the very case that the change was made for: heartbeats wait behind a plan on a slow link, read confirmations behind appends.

To hold back helps only while nothing is in force. Any newer state replaces the one in force now; MayDeny is as strict as before.

--- a/core/confirmer/confirmer.go
+++ b/core/confirmer/confirmer.go
@@ -62,9 +62,10 @@
 func (c *Confirmer) Confirmed() (index uint64, at time.Time) { return c.index, c.confirmedAt }
 
 // MayPutInForce reports whether a received state may be put in force. States that are known to be outdated, such as
-// those that the log of an instance replays after its start, are held back while a current one is to be expected.
+// those that the log of an instance replays after its start, are held back while a current one is to be expected. A
+// newer state than the one in force is never held back, because a process that waits uses an even older one meanwhile.
 func (c *Confirmer) MayPutInForce(now time.Time, index uint64) bool {
-	if index >= c.index && c.isCurrent(now, c.confirmedAt) {
+	if c.indexInForce > 0 && index > c.indexInForce || index >= c.index && c.isCurrent(now, c.confirmedAt) {
 		return true
 	}
 	waited := now.Sub(c.lastCertain())
