Decide alike about an order after an upgrade of some instances

Commands about a failure domain referred to the index of the last order about it, and were refused by an instance that knew another index.

A command refers to the last entry that its sender has seen now, which includes all orders before it whether or not their indexes are known, and is late only if the domain has an order after that entry. Commands with the former meaning are decided as before where the indexes are known.

Evidence: the new test failed before with "order 7: another order about failure domain d was committed meanwhile" at one instance only.

--- a/core/fleetapplier/statemachine.go
+++ b/core/fleetapplier/statemachine.go
@@ -17,8 +17,9 @@
 	Plan          *EncodedPlan `cbor:"1,keyasint,omitempty"`
 	TakeOutDomain string       `cbor:"2,keyasint,omitempty"` // failure domain to take out of service
 	RestoreDomain string       `cbor:"3,keyasint,omitempty"` // failure domain to return to service
-	// After is the index of the last order about the failure domain that the sender has seen. If there is a newer one, the
-	// command is a late copy that must not undo it. It is nil in entries of earlier releases.
+	// After is the index of the last entry that the sender has seen. If there is a newer order about the failure domain,
+	// the command is a late copy that must not undo it. It is nil in entries of earlier releases. It is not the index of
+	// the last order about the failure domain, because snapshots of earlier releases lack that.
 	After *uint64 `cbor:"4,keyasint,omitempty"`
 	// Departures are starts of endpoints that accept no new requests any more.
 	Departures []registrar.Departure `cbor:"10,keyasint,omitempty"`
@@ -49,6 +50,9 @@
 	Departures []registrar.Departure `cbor:"10,keyasint,omitempty"`
 }
 
+// After returns what a command about a failure domain refers to if its sender has seen this state.
+func (s *State) After(domain string) uint64 { return max(s.Index, s.Orders[domain]) }
+
 // StateMachine applies log entries to the state. Apply and Restore must be called by one goroutine, State by any.
 type StateMachine struct {
 	// OnDepartures is called with departures before the call of Apply, Restore or Preview returns. They may not be
@@ -116,7 +120,7 @@
 }
 
 func isLate(s *State, c *Command, domain string) bool {
-	return c.After != nil && *c.After != s.Orders[domain]
+	return c.After != nil && *c.After < s.Orders[domain]
 }
 
 // overtaken returns the result of a late order: none if what it asks for is the case anyway.
--- a/core/fleetapplier/statemachine_test.go
+++ b/core/fleetapplier/statemachine_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"testing"
 
+	"github.com/fxamacker/cbor/v2"
 	"gotest.tools/v3/assert"
 
 	"cactusroute.dev/core/registrar"
@@ -149,3 +150,34 @@
 		})
 	}
 }
+
+// Guards against instances that decide differently about an order after an upgrade: snapshots of earlier releases lack
+// the orders before them, and each instance writes its snapshots at other entries.
+func TestSnapshotWithoutOrdersDecidesAlike(t *testing.T) {
+	const d = "d"
+	replayed, restored := New(func(State) {}), New(func(State) {})
+	apply(t, replayed, 5, Command{TakeOutDomain: d})
+	apply(t, replayed, 6, Command{RestoreDomain: d})
+	snapshot := replayed.State()
+	snapshot.Orders = nil // as an earlier release wrote it
+	chunk, err := cbor.Marshal(snapshot)
+	assert.NilError(t, err)
+	assert.NilError(t, restored.Restore(func(yield func([]byte, error) bool) { yield(chunk, nil) }))
+	index := uint64(7)
+	for _, proposer := range []*StateMachine{replayed, restored, replayed} {
+		for _, c := range []Command{{TakeOutDomain: d}, {RestoreDomain: d}, {TakeOutDomain: d}} {
+			s := proposer.State()
+			after := s.After(d)
+			c.After = &after
+			entry, err := EncodeCommand(c)
+			assert.NilError(t, err)
+			for _, m := range []*StateMachine{replayed, restored} {
+				if err, ok := m.Apply(index, entry).(error); ok {
+					t.Errorf("order %d: %v", index, err)
+				}
+			}
+			assert.DeepEqual(t, replayed.State().TakenOut, restored.State().TakenOut)
+			index++
+		}
+	}
+}
--- a/node/control.go
+++ b/node/control.go
@@ -150,7 +150,7 @@
 	if err := ctx.Err(); err != nil {
 		return &UnavailableError{Reason: "the sender of the order has left: " + err.Error()}
 	}
-	after := s.Orders[domain]
+	after := s.After(domain)
 	cmd.After = &after
 	err = ci.propose(ctx, cmd)
 	if overtaken := (*fleetapplier.OvertakenError)(nil); errors.As(err, &overtaken) {
