Pass on only those instances that heartbeats report

When nodes without a quorum exchanged contacts, each recorded the instances that the other one counted as quorate as if they had been so at that moment, and passed them on for 1.5 s. Two of them kept an instance alive that had ended: operators were redirected to it, its routers stayed in the router count, and it was a sign of a quorum, for which states are held back for up to 10 s after a start.

Nodes pass on what heartbeats report, which come from the instance itself or one that hears it. What a node knows by discovery is for its own choices only, and expires.

Evidence: the new test did not end within 30 s before; its package passes in 6.3 s now.

--- a/node/exchange.go
+++ b/node/exchange.go
@@ -34,7 +34,7 @@
 
 // Heartbeat implements exchanger.Source.
 func (f *fleet) Heartbeat() exchanger.Heartbeat {
-	hb := exchanger.Heartbeat{Quorate: f.control.isQuorate(), QuorateInstances: f.quorateInstances()}
+	hb := exchanger.Heartbeat{Quorate: f.control.isQuorate(), QuorateInstances: f.heardInstances()}
 	hb.SubscribedRouters, hb.Routers = f.connectedRouters(time.Now())
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -275,7 +275,11 @@
 	f.mu.Lock()
 	for _, c := range hb.QuorateInstances {
 		// Control instances receive heartbeats from each other; what a peer reports about a third instance is older.
-		inst := f.recordInstance(c, c.Name == r.instance.Name || !r.isPeer)
+		isFirstHand := c.Name == r.instance.Name || !r.isPeer
+		inst := f.recordInstance(c, isFirstHand)
+		if isFirstHand {
+			inst.heardAt = inst.quorateAt
+		}
 		if c.Name == r.instance.Name {
 			inst.routers = hb.SubscribedRouters
 		}
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -72,6 +72,7 @@
 	exchanger.Contact
 	seenAt     time.Time       // when any node last reported it
 	quorateAt  time.Time       // when it was last reported to be quorate
+	heardAt    time.Time       // when a heartbeat last reported it to be quorate
 	routers    int             // routers subscribed to it
 	loads      exchanger.Loads // requests in flight of it and of its routers
 	failedAt   time.Time       // when a subscription to it last failed
@@ -178,7 +179,7 @@
 	f.streams.self, f.streams.voters = f.self.Name, f.voters
 	f.view.Store(&view{})
 	choosesBootstrapper := s.FirstStart && len(s.Seeds) > 0 && slices.Min(s.Seeds) == s.Listen.Advertise
-	f.discovery = exchanger.NewDiscovery(f.self, choosesBootstrapper, f.quorateInstances, f.recordContacts)
+	f.discovery = exchanger.NewDiscovery(f.self, choosesBootstrapper, f.heardInstances, f.recordContacts)
 	return f
 }
 
@@ -231,6 +232,17 @@
 
 // quorateInstances returns the quorate control instances, including this one.
 func (f *fleet) quorateInstances() []exchanger.Contact {
+	return f.instancesSeen(func(inst *knownInstance) time.Time { return inst.quorateAt })
+}
+
+// heardInstances returns the quorate control instances to tell other nodes about: this one and those that heartbeats
+// report. If nodes passed on what they know from each other by discovery, they would keep it alive for ever.
+func (f *fleet) heardInstances() []exchanger.Contact {
+	return f.instancesSeen(func(inst *knownInstance) time.Time { return inst.heardAt })
+}
+
+// instancesSeen returns this instance if it is quorate, and those that were quorate at a recent time.
+func (f *fleet) instancesSeen(at func(*knownInstance) time.Time) []exchanger.Contact {
 	selfQuorate := f.control != nil && f.control.isQuorate()
 	now := time.Now()
 	f.mu.Lock()
@@ -240,7 +252,7 @@
 		list = append(list, f.self)
 	}
 	for _, name := range slices.Sorted(maps.Keys(f.instances)) {
-		if inst := f.instances[name]; name != f.self.Name && now.Sub(inst.quorateAt) <= quorateTimeout {
+		if inst := f.instances[name]; name != f.self.Name && now.Sub(at(inst)) <= quorateTimeout {
 			list = append(list, inst.Contact)
 		}
 	}
--- a/node/subscription_test.go
+++ b/node/subscription_test.go
@@ -136,3 +136,19 @@
 	n := conns.Load()
 	assert.Assert(t, n >= 2 && n <= maxConns, "%d connections", n)
 }
+
+// Guards against nodes that tell each other for ever that an instance has a quorum, although none of them has heard of it
+// since.
+func TestNodesForgetAnInstanceThatNoneHears(t *testing.T) {
+	f := newTestFleet(t, 5, 1)
+	f.startAll()
+	f.putPlan(1, f.nodes[:5])
+	f.awaitPlan(1, f.nodes)
+	for _, n := range f.nodes[:3] {
+		n.stop()
+	}
+	eventually(t, "the instances that are left know none with a quorum", func() bool {
+		return len(f.nodes[3].fleet.quorateInstances())+len(f.nodes[4].fleet.quorateInstances())+
+			len(f.nodes[5].fleet.quorateInstances()) == 0
+	})
+}
