Keep a link between instances while a large message moves

A sender closes its connection to a peer if no pong comes for 1.5 s. The pings wait behind the message that is being sent, so that a message that takes longer on its link (an entry or a proposal of some hundred KB over a few Mbit/s, shared with other followers) ended its own connection, and was sent from its first byte on the next one, with all heartbeats queued meanwhile dropped.

The receiver sends a pong in each ping interval in which bytes arrived, part of a message or not. Peers of earlier releases don't, and receivers of pongs of either release take any number of them.

--- a/adapters/transporter/transporter.go
+++ b/adapters/transporter/transporter.go
@@ -213,6 +213,9 @@
 
 // read passes the messages of one connection to receive until the connection fails or is silent for too long.
 func (t *Transporter) read(ctx context.Context, conn *messenger.Conn) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go reportProgress(ctx, conn)
 	from := ""
 	for {
 		e, err := conn.ReceiveWithTimeout(ctx, 2*silenceTimeout)
@@ -241,6 +244,28 @@
 	}
 }
 
+// reportProgress sends a pong whenever bytes have arrived in a pingInterval, because the pings behind a large message
+// on a slow link are received only after its end.
+func reportProgress(ctx context.Context, conn *messenger.Conn) {
+	t := time.NewTicker(pingInterval)
+	defer t.Stop()
+	for last := conn.HeardAt(); ; {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		heardAt := conn.HeardAt()
+		if heardAt.Equal(last) {
+			continue
+		}
+		last = heardAt
+		if sendWithTimeout(ctx, conn, outgoingMessage{kindPong, nil}) != nil {
+			return
+		}
+	}
+}
+
 // decodeMessage returns false if the body can't be decoded. A message of an unknown kind is empty rather than an error,
 // so that later versions can add kinds.
 func decodeMessage(e messenger.Envelope) (m Message, ok bool) {
