--- a/adapters/exchanger/streams_test.go
+++ b/adapters/exchanger/streams_test.go
@@ -77,7 +77,8 @@
 	var server *Server
 	var queries atomic.Int64
 	s.onStreamQuery = func() {
-		server.PublishEndpoints([]registrar.Endpoint{{ID: fmt.Sprint("new", queries.Add(1)), State: registrar.Ready}})
+		server.PublishEndpoints([]registrar.Endpoint{{ID: fmt.Sprint("new", queries.Add(1)), Service: "s",
+			Address: "127.0.0.1:1", State: registrar.Ready}})
 	}
 	server = NewServer(messenger.Options{}, s)
 	hs := httptest.NewServer(server)
