Bind streams that are not named to the only version

A caller that did not name its stream could get events of another version while all endpoints were known to have one: the request was sent to any of them, also to one whose process may have ended and restarted in another version.

Evidence, before the change: go test -race -run TestStreamIsNotJoined ./node, v2 (v string) != v1 (string): "id: 2\ndata: v2 ..." in two of three cases

Change: such a request is bound to the only version like one that names its stream, so that it goes to endpoints only whose version is known for certain.

TestStreamsGoOnWhileEndpointsBreakOff holds that endpoints which break off responses, on their only connection and after a pause longer than minRestartTime, still continue the streams of each other. It passed before this change as well.

--- a/node/stream_origin.go
+++ b/node/stream_origin.go
@@ -45,7 +45,11 @@
 		return &refusal{status: http.StatusServiceUnavailable, reason: reasonNotConfirmed, retryAfter: retryAfter(),
 			logFields: []any{"err", err}}
 	}
-	if !p.namesVersions(q.route) || q.resumes == "" && p.hasOneVersion(q.route) {
+	if !p.namesVersions(q.route) {
+		return nil
+	}
+	if version, ok := p.onlyVersion(q.route); ok && q.resumes == "" {
+		q.version, q.isBound = version, true
 		return nil
 	}
 	o, source, err := resumer.Origin{}, "", errUnknownStream
@@ -78,12 +82,17 @@
 // reasonNotConfirmed is the reason of refusals because the versions of endpoints may have changed unnoticed.
 const reasonNotConfirmed = "notConfirmed"
 
-// hasOneVersion reports whether all endpoints that this node knows, and those that have left recently, have one
-// version, so that a caller that does not name its stream can only mean one that began there.
-func (p *proxy) hasOneVersion(r *planner.Route) bool {
+// onlyVersion returns the version that all endpoints which this node knows have, and those that have left recently, so
+// that a caller that does not name its stream can only mean one that began there; ok is false if there is no such
+// version.
+func (p *proxy) onlyVersion(r *planner.Route) (version string, ok bool) {
 	p.fleet.mu.Lock()
 	defer p.fleet.mu.Unlock()
-	return len(p.fleet.endpoints.Versions(time.Now(), routeServices(r))) == 1
+	versions := p.fleet.endpoints.Versions(time.Now(), routeServices(r))
+	if len(versions) != 1 {
+		return "", false
+	}
+	return versions[0], true
 }
 
 func routeServices(r *planner.Route) []string {
--- a/node/stream_restart_test.go
+++ b/node/stream_restart_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"fmt"
 	"net"
 	"net/http"
 	"strings"
@@ -133,6 +134,14 @@
 				assert.Assert(t, len(versions) == 0 || isOneVersion(versions), "%q", got.body)
 				time.Sleep(10 * time.Millisecond)
 			}
+			// A caller that does not name its stream has it from the only version that was known.
+			for range 20 {
+				got := p.call(t, http.MethodPost, "/resume/", "again", "Last-Event-Id", "1")
+				for _, v := range versionsIn(got.body) {
+					assert.Equal(t, v, "v1", "%q", got.body)
+				}
+			}
+
 			// Its heartbeat tells the version.
 			c := newRestartingEndpoint(t, "v2")
 			p.fleet.mergeEndpoints([]registrar.Endpoint{
@@ -152,3 +161,32 @@
 		})
 	}
 }
+
+// Guards against streams that don't go on because endpoints break off single responses, which looks like the end of
+// their processes, and that are the only ones on their endpoints.
+func TestStreamsGoOnWhileEndpointsBreakOff(t *testing.T) {
+	const delay = minRestartTime + 50*time.Millisecond // between events
+	handle := func(req *receivedRequest) {
+		if req.r.Header.Get("Last-Event-Id") != "" {
+			req.respond("200 OK", "Content-Type: text/event-stream\r\n", testEvent(2))
+			return
+		}
+		time.Sleep(delay)
+		_, _ = fmt.Fprintf(req.conn, "HTTP/1.1 200 OK\r\nReq-Id: id-1\r\n%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n",
+			streamType, len(testEvent(1)), testEvent(1))
+		time.Sleep(delay)
+		_ = req.conn.(*net.TCPConn).SetLinger(0)
+		_ = req.conn.Close()
+	}
+	p := newTestProxy(t, testPlan(1), newFakeEndpoint(t, handle), newFakeEndpoint(t, handle))
+	all := p.fleet.Endpoints()
+	for i := range all {
+		all[i].Version, all[i].Sequence = "v1", 2
+	}
+	p.fleet.mergeEndpoints(all, "test")
+	for i := range 6 {
+		got := p.call(t, http.MethodPost, "/resume/", itoa(i))
+		assert.NilError(t, got.err)
+		assert.Equal(t, got.body, testEvent(1)+testEvent(2))
+	}
+}
