Wait 0.3 s for a sign of a quorum

After a failure of all processes, instances answer each other's discovery within some milliseconds of their start, so that half a second was longer than needed.

--- a/core/confirmer/confirmer.go
+++ b/core/confirmer/confirmer.go
@@ -9,7 +9,7 @@
 
 	// unconfirmedDelay is how long a state waits for a sign that there is a quorum. Without one, after a failure of all
 	// processes, a state that may be outdated serves callers better than none.
-	unconfirmedDelay = 500 * time.Millisecond
+	unconfirmedDelay = 300 * time.Millisecond
 
 	// expectationTimeout is how long a state waits after the last sign of a quorum: a current state or a confirmation is
 	// on its way.
