Deny nothing by a plan before one that can't be decoded

A node that can't decode a plan, for example one of a later release, keeps the former one. It counted as confirmed all the same, so that the node answered 404 and 401 for routes and keys that the newer plan has. The state in force counts as confirmed only with its plan now, so that these requests get 503.

Evidence: the new test failed before with "f.mayDeny(time.Now()) is true".

--- a/node/fleet.go
+++ b/node/fleet.go
@@ -560,8 +560,11 @@
 			}
 		}
 		f.view.Store(v)
+		hasPlan := released.plan.Version == 0 || v.plan != nil && v.plan.Version >= released.plan.Version
 		f.mu.Lock()
-		f.confirmer.SetInForce(v.index)
+		if hasPlan {
+			f.confirmer.SetInForce(v.index)
+		}
 		age := f.confirmer.Age(time.Now())
 		f.mu.Unlock()
 		if v.plan != nil {
--- a/node/outdated_plan_test.go
+++ b/node/outdated_plan_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -12,6 +13,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"cactusroute.dev/core/confirmer"
+	"cactusroute.dev/core/fleetapplier"
 	"cactusroute.dev/core/planner"
 )
 
@@ -106,3 +109,18 @@
 		assert.Equal(t, status(r.path, r.key), http.StatusServiceUnavailable, "%s", r.path)
 	}
 }
+
+// Guards against a node that denies requests by the plan in force although it could not decode a newer one, for example
+// of a later release.
+func TestNodeDeniesNothingByThePlanBeforeOneThatItCannotDecode(t *testing.T) {
+	f := newTestProxy(t, testPlan(1)).fleet
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	f.confirmer = confirmer.New(time.Now()) // without the confirmation that a test proxy has
+	go func() { _ = f.publishViews(ctx) }()
+	f.confirm(5, time.Now().Add(time.Hour))
+	f.receiveState(5, &fleetapplier.EncodedPlan{Version: 2, Content: []byte("{")}, nil, "instance")
+	eventually(t, "the rest of the state is in force", func() bool { return f.view.Load().index == 5 })
+	time.Sleep(50 * time.Millisecond)
+	assert.Assert(t, !f.mayDeny(time.Now()))
+}
--- a/node/subscription_test.go
+++ b/node/subscription_test.go
@@ -137,8 +137,8 @@
 	assert.Assert(t, n >= 2 && n <= maxConns, "%d connections", n)
 }
 
-// Guards against nodes that tell each other for ever that an instance has a quorum, although none of them has heard of it
-// since.
+// Guards against nodes that tell each other for ever that an instance has a quorum, although none of them has heard of
+// it since.
 func TestNodesForgetAnInstanceThatNoneHears(t *testing.T) {
 	f := newTestFleet(t, 5, 1)
 	f.startAll()
