Wait for no confirmation of an instance that reports none

Control instances of earlier releases report that they have a quorum, but no confirmations. Each of their heartbeats was a sign of a quorum, for which a router of this release held back its first state until 10 s after its start, so that it answered 503 all that time while a fleet was being upgraded, routers first. Such a heartbeat is no sign that a confirmation comes.

Evidence: the new test failed before with "isReleased is false" after 1 s.

--- a/node/exchange.go
+++ b/node/exchange.go
@@ -266,7 +266,8 @@
 // HeartbeatReceived implements exchanger.Receiver.
 func (r *receiver) HeartbeatReceived(hb exchanger.Heartbeat) {
 	f := r.fleet
-	if len(hb.QuorateInstances) > 0 {
+	// An instance with a quorum that confirms nothing is of an earlier release, or its messages are too old.
+	if len(hb.QuorateInstances) > 0 && (!hb.Quorate || !hb.ConfirmedAt.IsZero() || r.isPeer) {
 		f.expectConfirmation()
 	}
 	if !r.isPeer && !hb.ConfirmedAt.IsZero() {
--- a/node/outdated_plan_test.go
+++ b/node/outdated_plan_test.go
@@ -13,6 +13,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"cactusroute.dev/adapters/exchanger"
 	"cactusroute.dev/core/confirmer"
 	"cactusroute.dev/core/fleetapplier"
 	"cactusroute.dev/core/planner"
@@ -110,6 +111,22 @@
 	}
 }
 
+// Guards against a router that has no plan for ten seconds after its start, because its instance is of an earlier
+// release and has a quorum, but reports no confirmations.
+func TestRouterUsesTheStateOfAnInstanceThatReportsNoConfirmations(t *testing.T) {
+	f := newTestProxy(t, nil).fleet
+	f.confirmer = confirmer.New(time.Now()) // without the confirmation that a test proxy has
+	instance := exchanger.Contact{Name: "instance", Address: "10.0.0.1:80"}
+	r := newReceiver(f, instance, nil)
+	r.StateReceived(5, &fleetapplier.EncodedPlan{Version: 1, Content: encodePlan(t, testPlan(1))}, nil)
+	isReleased := false
+	for end := time.Now().Add(time.Second); !isReleased && time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		r.HeartbeatReceived(exchanger.Heartbeat{Quorate: true, QuorateInstances: []exchanger.Contact{instance}})
+		isReleased = f.releaseState()
+	}
+	assert.Assert(t, isReleased)
+}
+
 // Guards against a node that denies requests by the plan in force although it could not decode a newer one, for example
 // of a later release.
 func TestNodeDeniesNothingByThePlanBeforeOneThatItCannotDecode(t *testing.T) {
