Replace no subscription by an attempt that has ended

An attempt to subscribe could be promoted after it had ended or had been cancelled for taking too long, if its first heartbeat came between the check for that and the promotion. The router then ended the subscription that served it and had none until it noticed, at a moment at which its instances were slow.

Evidence: the new test failed before with "s.current is not current".

--- a/node/subscription.go
+++ b/node/subscription.go
@@ -48,6 +48,7 @@
 	cancel    context.CancelCauseFunc
 	ended     chan struct{}
 	err       error // valid once ended is closed
+	isRefused bool  // has been cancelled as an attempt
 }
 
 func (s *routerSubscription) hasEnded() bool {
@@ -59,6 +60,12 @@
 	}
 }
 
+// refuse ends an attempt, which must not become the subscription in the time until it has ended.
+func (s *routerSubscription) refuse(cause error) {
+	s.isRefused = true
+	s.cancel(cause)
+}
+
 // routerSubscriber keeps a router subscribed. It holds a subscription until another instance has answered, also if its
 // instance has no quorum or is slow: what it sends is newer than nothing, and when many routers leave at once, the
 // instances spend on their attempts the time that they need to regain the quorum.
@@ -107,9 +114,9 @@
 		case a.hasEnded():
 			s.recordFailure(ctx, now, a)
 		case hasAnswered && !isQuorate && s.current != nil:
-			a.cancel(errNoQuorum)
+			a.refuse(errNoQuorum)
 		case now.Sub(a.startedAt) > subscribeTimeout:
-			a.cancel(errSubscribeTimeout)
+			a.refuse(errSubscribeTimeout)
 		}
 	}
 	s.attempts = slices.DeleteFunc(s.attempts, (*routerSubscription).hasEnded)
@@ -135,6 +142,9 @@
 	best := -1
 	for i, a := range s.attempts {
 		answered, quorate := a.receiver.status()
+		if a.isRefused || a.hasEnded() {
+			continue
+		}
 		if quorate {
 			best = i
 			break
--- a/node/subscription_test.go
+++ b/node/subscription_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"cactusroute.dev/adapters/exchanger"
 )
 
 // subscribedInstance returns the instance that a router is subscribed to, or nil.
@@ -152,3 +154,28 @@
 			len(f.nodes[5].fleet.quorateInstances()) == 0
 	})
 }
+
+// Guards against a router that gives up its subscription for one that has ended, because the end and the first heartbeat
+// came together.
+func TestEndedAttemptReplacesNoSubscription(t *testing.T) {
+	f := newTestProxy(t, testPlan(1)).fleet
+	start := func(name string) *routerSubscription {
+		c := exchanger.Contact{Name: name}
+		return &routerSubscription{instance: c, receiver: newReceiver(f, c, nil), startedAt: time.Now(),
+			cancel: func(error) {}, ended: make(chan struct{})}
+	}
+	for _, end := range []func(s *routerSubscriber, a *routerSubscription){
+		func(_ *routerSubscriber, a *routerSubscription) { close(a.ended) },
+		func(s *routerSubscriber, a *routerSubscription) {
+			a.startedAt = time.Now().Add(-2 * subscribeTimeout)
+			s.removeEnded(t.Context(), time.Now())
+		},
+	} {
+		current, attempt := start("current"), start("attempt")
+		s := &routerSubscriber{fleet: f, current: current, attempts: []*routerSubscription{attempt}}
+		end(s, attempt)
+		attempt.receiver.observe(time.Now(), exchanger.Heartbeat{Quorate: true})
+		s.promoteAttempt()
+		assert.Assert(t, s.current == current)
+	}
+}
