Drop a departure whose sender has left during a pause

An instance that stood still reads the call of an endpoint that leaves when it runs again. The endpoint may have left through another instance and started again meanwhile; the late call then marked the new start as gone, with its acknowledgement in the log, so that the endpoint took no requests until its next start. Orders of operators have been guarded against this; departures were not.

After a pause, a departure waits for a round of the quorum, in which a sender that has left is noticed, as for orders.

Evidence: the new test failed before with "node.accepts(id): n00".

--- a/node/control.go
+++ b/node/control.go
@@ -143,13 +143,10 @@
 // have stood still before it read the order, while its sender went on to another instance: the state that the order
 // refers to is read by a round of the quorum, after which a sender that has left is noticed.
 func commitDomainCommand(ctx context.Context, ci *controlInstance, domain string, cmd fleetapplier.Command) error {
-	s, err := ci.read(ctx)
+	s, err := readForSender(ctx, ci)
 	if err != nil {
 		return err
 	}
-	if err := ctx.Err(); err != nil {
-		return &UnavailableError{Reason: "the sender of the order has left: " + err.Error()}
-	}
 	after := s.After(domain)
 	cmd.After = &after
 	err = ci.propose(ctx, cmd)
@@ -159,6 +156,19 @@
 	return err
 }
 
+// readForSender returns a state that includes every command acknowledged before the call, or an error if the sender of
+// the call has left meanwhile.
+func readForSender(ctx context.Context, ci *controlInstance) (fleetapplier.State, error) {
+	s, err := ci.read(ctx)
+	if err != nil {
+		return s, err
+	}
+	if err := ctx.Err(); err != nil {
+		return s, &UnavailableError{Reason: "the sender of the order has left: " + err.Error()}
+	}
+	return s, nil
+}
+
 // Register implements Control; it returns a *BadRequestError for a record that describes no endpoint. A draining
 // endpoint is acknowledged only once a quorum of the control instances has stored that it drains, because the
 // acknowledgement guarantees that its state reaches all routers.
@@ -196,12 +206,21 @@
 // Deregister implements Control. Routers learn of the departure at once; it is acknowledged once a quorum of the
 // control instances has stored it.
 func (f *fleet) Deregister(ctx context.Context, id string) error {
-	if _, err := f.localControl(); err != nil {
+	ci, err := f.localControl()
+	if err != nil {
 		return err
 	}
 	if err := registrar.CheckID(id); err != nil {
 		return &BadRequestError{Reason: err.Error()}
 	}
+	if f.pauses.mayHavePaused(time.Now()) {
+		// The sender may have left long ago, and the endpoint may have started again.
+		readCtx, cancel := context.WithTimeout(ctx, departureTimeout)
+		defer cancel()
+		if _, err := readForSender(readCtx, ci); err != nil {
+			return err
+		}
+	}
 	now := time.Now()
 	f.mu.Lock()
 	e, known := f.endpoints.Deregister(now, id)
--- a/node/departures_test.go
+++ b/node/departures_test.go
@@ -176,3 +176,26 @@
 	assert.NilError(t, err)
 	assert.Equal(t, index()-before, entries)
 }
+
+// Guards against an instance that stood still and then carries out the departure of an endpoint which its sender has
+// given up: the endpoint has started again meanwhile, and would take no requests until its next start.
+func TestDepartureOfASenderThatHasLeftIsDroppedAfterAPause(t *testing.T) {
+	f := startWithEndpoints(t, 1)
+	n, id := f.nodes[0], endpointName(0)
+	leave := func(ctx context.Context) error {
+		pauses := n.fleet.pauses
+		pauses.pausedAt.Store(int64(time.Since(pauses.started)))
+		return n.fleet.Deregister(ctx, id)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
+	defer cancel()
+	assert.Assert(t, leave(ctx) != nil)
+	time.Sleep(2 * departureTimeout)
+	for _, node := range f.nodes {
+		assert.Assert(t, node.accepts(id), "%s", node.settings.Place.Name)
+	}
+	assert.NilError(t, leave(t.Context()))
+	for _, node := range f.nodes {
+		eventually(t, "departure at "+node.settings.Place.Name, func() bool { return !node.accepts(id) })
+	}
+}
--- a/node/subscription_test.go
+++ b/node/subscription_test.go
@@ -155,8 +155,8 @@
 	})
 }
 
-// Guards against a router that gives up its subscription for one that has ended, because the end and the first heartbeat
-// came together.
+// Guards against a router that gives up its subscription for one that has ended, because the end and the first
+// heartbeat came together.
 func TestEndedAttemptReplacesNoSubscription(t *testing.T) {
 	f := newTestProxy(t, testPlan(1)).fleet
 	start := func(name string) *routerSubscription {
