Keep a relay connection while a large request moves

Both ends of a connection between a router and an agent close it after 2.5 s without a message while requests are in flight. On a slow link the keepalives of a router wait behind a large request, and an agent noticed nothing before its last byte: it closed the connection, with all other responses on it, and the router refused or sent the request again from its first byte. The bytes of an incomplete message count as activity now, as on subscriptions to control instances.

The test of the heartbeat has no connection and sets when bytes arrived itself, as it sets how a keepalive is written.

--- a/adapters/relayer/heartbeat.go
+++ b/adapters/relayer/heartbeat.go
@@ -19,6 +19,7 @@
 // router detects a lost agent and an agent detects a lost router.
 type heartbeat struct {
 	writeKeepalive    func() error
+	heardAt           func() time.Time // when the last bytes arrived, also those of a message that is not complete
 	opened            time.Time
 	lastActivityNanos atomic.Int64 // since opened
 	inFlight          atomic.Int64
@@ -28,13 +29,17 @@
 
 func newHeartbeat(transport *messenger.Conn) *heartbeat {
 	write := func() error { return transport.Send(context.Background(), kindKeepalive, 0, nil) }
-	return &heartbeat{writeKeepalive: write, opened: time.Now(), wake: make(chan struct{}, 1)}
+	return &heartbeat{writeKeepalive: write, heardAt: transport.HeardAt, opened: time.Now(), wake: make(chan struct{}, 1)}
 }
 
 func (h *heartbeat) recordActivity() { h.lastActivityNanos.Store(int64(time.Since(h.opened))) }
 
 func (h *heartbeat) lastActivity() time.Time {
-	return h.opened.Add(time.Duration(h.lastActivityNanos.Load()))
+	at := h.opened.Add(time.Duration(h.lastActivityNanos.Load()))
+	if heardAt := h.heardAt(); heardAt.After(at) {
+		return heardAt
+	}
+	return at
 }
 
 func (h *heartbeat) startRequest() {
--- a/adapters/relayer/heartbeat_test.go
+++ b/adapters/relayer/heartbeat_test.go
@@ -16,6 +16,7 @@
 		var suspectedAfter time.Duration
 		h := newHeartbeat(nil)
 		h.writeKeepalive = func() error { sent.Add(1); return nil }
+		h.heardAt = func() time.Time { return time.Time{} }
 		started := time.Now()
 		assert.ErrorIs(t, h.watch(nil, idleTimeout, func() {}), errIdleTimeout)
 		assert.Equal(t, time.Since(started), idleTimeout)
