Subscriber: wait for a reply while a large view moves

A router or an agent with a control instance of its own went on to the next instance if no reply to a probe came for 1.2 s. Replies wait behind a view that is being sent, also in the buffers of the kernel, and the next instance began with its first byte: over a slow link, no instance could ever send a large view.

Without any reply, but with bytes that arrive, a client waits now, for up to 30 s. An instance that replies that it has no quorum is left after the same time as before.

--- a/adapters/subscriber/client.go
+++ b/adapters/subscriber/client.go
@@ -192,7 +192,7 @@
 	c.setConn(conn)
 	defer c.setConn(nil)
 	cc := &clientConnection{
-		client: c, conn: conn, probesSent: map[uint64]time.Time{}, lastConfirmation: time.Now(),
+		client: c, conn: conn, probesSent: map[uint64]time.Time{}, lastConfirmation: time.Now(), lastReply: time.Now(),
 		loadReportInterval: initialLoadReportInterval,
 	}
 	var wg sync.WaitGroup
--- a/adapters/subscriber/connection.go
+++ b/adapters/subscriber/connection.go
@@ -25,6 +25,7 @@
 	lastProbe          uint64
 	probesSent         map[uint64]time.Time
 	lastConfirmation   time.Time // receipt of the last recent quorum confirmation
+	lastReply          time.Time // receipt of the last probe reply
 	loadReportInterval time.Duration
 }
 
@@ -113,16 +114,26 @@
 				return err
 			}
 		case <-check.C:
-			c.mu.Lock()
-			unconfirmed := time.Since(c.lastConfirmation) > probeTimeout
-			c.mu.Unlock()
-			if unconfirmed {
+			if c.isUnconfirmed(time.Now()) {
 				return errNoConfirmation
 			}
 		}
 	}
 }
 
+// isUnconfirmed reports whether another instance is to be tried. Replies wait behind a large view on a slow link, and
+// the next instance would begin to send it anew.
+func (c *clientConnection) isUnconfirmed(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if now.Sub(c.lastConfirmation) <= probeTimeout {
+		return false
+	}
+	noReply := now.Sub(c.lastReply)
+	isDelayed := noReply > probeTimeout && noReply <= maxReplyDelay && now.Sub(c.conn.HeardAt()) <= probeTimeout
+	return !isDelayed
+}
+
 // reportDemand reports demand every demandReportInterval, and earlier for a newly demanded workspace or permit.
 func (c *clientConnection) reportDemand(ctx context.Context) error {
 	t := time.NewTicker(demandReportInterval)
@@ -165,6 +176,7 @@
 	if !ok {
 		return nil
 	}
+	c.lastReply = time.Now()
 	for n := range c.probesSent {
 		if n <= m.Number {
 			delete(c.probesSent, n)
--- a/adapters/subscriber/subscriber.go
+++ b/adapters/subscriber/subscriber.go
@@ -21,6 +21,8 @@
 	leaseDuration = 2 * time.Second
 	// probeTimeout is how long a client waits for a quorum-confirmed probe reply before it connects to another instance.
 	probeTimeout = 1200 * time.Millisecond
+	// maxReplyDelay bounds the wait for a reply while other bytes of the instance arrive.
+	maxReplyDelay = 30 * time.Second
 )
 
 // Role is the kind of a client.
