--- a/adapters/exchanger/slow_link_test.go
+++ b/adapters/exchanger/slow_link_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"io"
 	"math/rand/v2"
-	"net"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -13,51 +11,12 @@
 	"gotest.tools/v3/assert"
 
 	"cactusroute.dev/adapters/messenger"
+	"cactusroute.dev/adapters/slowlinker"
 	"cactusroute.dev/core/fleetapplier"
 )
 
-const (
-	// slowLinkBytesPerSecond is the rate that remains for one of many subscribers that connect at once.
-	slowLinkBytesPerSecond = 100_000
-
-	// slowLinkBufferBytes is small, so that writers notice the rate of the link.
-	slowLinkBufferBytes = 16 << 10
-)
-
-// slowLink returns the address of a proxy that passes at most slowLinkBytesPerSecond on from a server.
-func slowLink(t *testing.T, target string) string {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { _ = ln.Close() })
-	go func() {
-		for {
-			client, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go relaySlowly(client, target)
-		}
-	}()
-	return ln.Addr().String()
-}
-
-func relaySlowly(client net.Conn, target string) {
-	defer func() { _ = client.Close() }()
-	server, err := net.Dial("tcp", target)
-	if err != nil {
-		return
-	}
-	defer func() { _ = server.Close() }()
-	_ = server.(*net.TCPConn).SetReadBuffer(slowLinkBufferBytes)
-	go func() { _, _ = io.Copy(server, client) }()
-	const piece = slowLinkBytesPerSecond / 50
-	for {
-		if _, err := io.CopyN(client, server, piece); err != nil {
-			return
-		}
-		time.Sleep(time.Second / 50)
-	}
-}
+// slowLinkBytesPerSecond is the rate that remains for one of many connections that share a link.
+const slowLinkBytesPerSecond = 100_000
 
 // Guards against a plan that never reaches a subscriber because it takes longer than the timeout of a lost peer: both
 // ends gave up in the middle of the message, and the next subscription began with its first byte.
@@ -73,8 +32,9 @@
 	r := &fakeReceiver{}
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
-	address := slowLink(t, strings.TrimPrefix(hs.URL, "http://"))
-	sub, err := Subscribe(ctx, Contact{Address: address}, Contact{Name: "router"}, messenger.Options{}, r, nil, Evidence{})
+	link := slowlinker.New(t, strings.TrimPrefix(hs.URL, "http://"), slowLinkBytesPerSecond)
+	sub, err := Subscribe(ctx, Contact{Address: link.Address}, Contact{Name: "router"}, messenger.Options{}, r, nil,
+		Evidence{})
 	assert.NilError(t, err)
 	ended := make(chan error, 1)
 	go func() { ended <- sub.Receive(ctx, r) }()
--- a/adapters/relayer/slow_link_test.go
+++ b/adapters/relayer/slow_link_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"testing"
@@ -13,56 +11,18 @@
 	"gotest.tools/v3/assert"
 
 	"cactusroute.dev/adapters/messenger"
+	"cactusroute.dev/adapters/slowlinker"
 )
 
-const (
-	slowLinkBytesPerSecond = 200_000
-	slowLinkBufferBytes    = 16 << 10
-)
-
-// slowLink returns the address of a proxy that passes at most slowLinkBytesPerSecond on to an agent, and counts its
-// connections.
-func slowLink(t *testing.T, target string, conns *atomic.Int64) string {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { _ = ln.Close() })
-	go func() {
-		for {
-			client, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			conns.Add(1)
-			go relaySlowly(client, target)
-		}
-	}()
-	return ln.Addr().String()
-}
-
-func relaySlowly(client net.Conn, target string) {
-	defer func() { _ = client.Close() }()
-	server, err := net.Dial("tcp", target)
-	if err != nil {
-		return
-	}
-	defer func() { _ = server.Close() }()
-	_ = client.(*net.TCPConn).SetReadBuffer(slowLinkBufferBytes)
-	go func() { _, _ = io.Copy(client, server) }()
-	const piece = slowLinkBytesPerSecond / 50
-	for {
-		if _, err := io.CopyN(server, client, piece); err != nil {
-			return
-		}
-		time.Sleep(time.Second / 50)
-	}
-}
+// slowLinkBytesPerSecond is the rate that remains for one of many connections that share a link.
+const slowLinkBytesPerSecond = 200_000
 
 // Guards against an agent that closes a connection on which a large request is arriving over a slow link, because the
 // keepalives wait behind it, so that the request is sent again from its first byte.
 func TestLargeRequestKeepsItsConnectionOverASlowLink(t *testing.T) {
 	t.Parallel()
 	duration := 2 * heartbeatLimits.FailAfter
-	var runs, conns atomic.Int64
+	var runs atomic.Int64
 	end := make(chan struct{})
 	_, proxy, _ := setup(t, func(ctx context.Context, req Request, w *ResponseBuffer) (End, error) {
 		runs.Add(1)
@@ -76,11 +36,11 @@
 		return End{Outcome: OutcomeRan}, nil
 	}, modeForward)
 	c := NewClient(t.Context(), messenger.Options{})
-	addr := slowLink(t, proxy.addr(), &conns)
+	link := slowlinker.New(t, proxy.addr(), slowLinkBytesPerSecond)
 	start := func(id string, body []byte) *Stream {
 		req := request(id)
 		req.Deadline, req.Body = time.Now().Add(time.Minute), body
-		s, err := c.Start(t.Context(), addr, req)
+		s, err := c.Start(t.Context(), link.Address, req)
 		assert.NilError(t, err)
 		return s
 	}
@@ -96,5 +56,5 @@
 	_, err = readAll(long)
 	assert.NilError(t, err)
 	assert.Equal(t, runs.Load(), int64(2))
-	assert.Equal(t, conns.Load(), int64(1))
+	assert.Equal(t, link.Conns(), int64(1))
 }
--- a/adapters/subscriber/slow_link_test.go
+++ b/adapters/subscriber/slow_link_test.go
@@ -4,10 +4,8 @@
 	"context"
 	"crypto/rand"
 	"io"
-	"net"
 	"net/http/httptest"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -15,52 +13,14 @@
 
 	"cactusroute.dev/adapters/messenger"
 	"cactusroute.dev/adapters/observer"
+	"cactusroute.dev/adapters/slowlinker"
 	"cactusroute.dev/core/allocator"
 	"cactusroute.dev/core/bundler"
 	"cactusroute.dev/core/viewer"
 )
 
-const (
-	slowLinkBytesPerSecond = 200_000
-	slowLinkBufferBytes    = 16 << 10
-)
-
-// slowLink returns the address of a proxy that passes at most slowLinkBytesPerSecond on from a control instance, and
-// counts its connections.
-func slowLink(t *testing.T, target string, conns *atomic.Int64) string {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { _ = ln.Close() })
-	go func() {
-		for {
-			client, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			conns.Add(1)
-			go relaySlowly(client, target)
-		}
-	}()
-	return ln.Addr().String()
-}
-
-func relaySlowly(client net.Conn, target string) {
-	defer func() { _ = client.Close() }()
-	server, err := net.Dial("tcp", target)
-	if err != nil {
-		return
-	}
-	defer func() { _ = server.Close() }()
-	_ = server.(*net.TCPConn).SetReadBuffer(slowLinkBufferBytes)
-	go func() { _, _ = io.Copy(server, client) }()
-	const piece = slowLinkBytesPerSecond / 50
-	for {
-		if _, err := io.CopyN(client, server, piece); err != nil {
-			return
-		}
-		time.Sleep(time.Second / 50)
-	}
-}
+// slowLinkBytesPerSecond is the rate that remains for one of many connections that share a link.
+const slowLinkBytesPerSecond = 200_000
 
 // largeBackend has a view of many workspaces; it has a quorum if isQuorate is set.
 type largeBackend struct {
@@ -107,18 +67,17 @@
 	} {
 		hs := httptest.NewServer(&Server{Backend: newLargeBackend(c.bytes, c.isQuorate), Options: messenger.Options{}})
 		t.Cleanup(hs.Close)
-		var conns atomic.Int64
-		addr := slowLink(t, strings.TrimPrefix(hs.URL, "http://"), &conns)
-		client := NewClient(ClientConfig{Identity: Identity{Name: "r", Role: RoleRouter}, Controls: []string{addr},
+		link := slowlinker.New(t, strings.TrimPrefix(hs.URL, "http://"), slowLinkBytesPerSecond)
+		client := NewClient(ClientConfig{Identity: Identity{Name: "r", Role: RoleRouter}, Controls: []string{link.Address},
 			Observer: observer.New(io.Discard, "test")})
 		ctx, cancel := context.WithCancel(t.Context())
 		go func() { _ = client.Serve(ctx) }()
 		for end := time.Now().Add(5 * duration); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
-			if client.View().Index > 0 && conns.Load() >= c.minConns {
+			if client.View().Index > 0 && link.Conns() >= c.minConns {
 				break
 			}
 		}
-		n := conns.Load()
+		n := link.Conns()
 		cancel()
 		assert.Assert(t, client.View().Index == 5, "no view after %d connections", n)
 		assert.Assert(t, n >= c.minConns && n <= c.maxConns, "%d connections", n)
--- a/adapters/transporter/slow_link_test.go
+++ b/adapters/transporter/slow_link_test.go
@@ -2,62 +2,21 @@
 
 import (
 	"context"
-	"io"
 	"math/rand/v2"
-	"net"
 	"net/http/httptest"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"cactusroute.dev/adapters/messenger"
+	"cactusroute.dev/adapters/slowlinker"
 	"cactusroute.dev/core/replicator"
 )
 
-const (
-	slowLinkBytesPerSecond = 200_000
-	slowLinkBufferBytes    = 16 << 10
-)
-
-// slowLink returns the address of a proxy that passes at most slowLinkBytesPerSecond on to a target, and counts its
-// connections.
-func slowLink(t *testing.T, target string, conns *atomic.Int64) string {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { _ = ln.Close() })
-	go func() {
-		for {
-			client, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			conns.Add(1)
-			go relaySlowly(client, target)
-		}
-	}()
-	return ln.Addr().String()
-}
-
-func relaySlowly(client net.Conn, target string) {
-	defer func() { _ = client.Close() }()
-	server, err := net.Dial("tcp", target)
-	if err != nil {
-		return
-	}
-	defer func() { _ = server.Close() }()
-	_ = client.(*net.TCPConn).SetReadBuffer(slowLinkBufferBytes)
-	go func() { _, _ = io.Copy(client, server) }()
-	const piece = slowLinkBytesPerSecond / 50
-	for {
-		if _, err := io.CopyN(server, client, piece); err != nil {
-			return
-		}
-		time.Sleep(time.Second / 50)
-	}
-}
+// slowLinkBytesPerSecond is the rate that remains for one of many connections that share a link.
+const slowLinkBytesPerSecond = 200_000
 
 // Guards against a large entry that never reaches a replica over a slow link: no pong came while it was on its way, so
 // that its sender closed the connection, and the next one began with its first byte.
@@ -79,8 +38,8 @@
 	hs := httptest.NewServer(b.Handler())
 	t.Cleanup(hs.Close)
 	a := New("a", messenger.Options{}, func(Message) {})
-	var conns atomic.Int64
-	a.Connect("b", slowLink(t, strings.TrimPrefix(hs.URL, "http://"), &conns))
+	link := slowlinker.New(t, strings.TrimPrefix(hs.URL, "http://"), slowLinkBytesPerSecond)
+	a.Connect("b", link.Address)
 	go func() { _ = a.Serve(ctx) }()
 	l := a.links["b"]
 	deadline := time.After(10 * duration)
@@ -94,7 +53,7 @@
 		select {
 		case n := <-received:
 			assert.Equal(t, n, len(data))
-			assert.Equal(t, conns.Load(), int64(1))
+			assert.Equal(t, link.Conns(), int64(1))
 			return
 		case <-resend.C:
 		case <-deadline:
