Keep the bound of a test on refused subscriptions

TestInstanceWithoutStateRefusesRouters allowed 0.5 s, and 1.5 s since the timeout of silent peers that it referred to has changed. It requires 0.5 s again.

--- a/adapters/exchanger/exchanger_test.go
+++ b/adapters/exchanger/exchanger_test.go
@@ -225,11 +225,12 @@
 // Guards against routers that stay subscribed to an instance which has lost its disk and has no state yet, while other
 // instances serve: after a power failure, eight routers had no plan for half a second longer.
 func TestInstanceWithoutStateRefusesRouters(t *testing.T) {
+	const maxDuration = 500 * time.Millisecond
 	s, r := &fakeSource{refusesRouters: true}, &fakeReceiver{}
 	hs := httptest.NewServer(NewServer(messenger.Options{}, s))
 	t.Cleanup(hs.Close)
 	instance := Contact{Name: "hub", Address: strings.TrimPrefix(hs.URL, "http://")}
-	ctx, cancel := context.WithTimeout(t.Context(), lostTimeout/2)
+	ctx, cancel := context.WithTimeout(t.Context(), maxDuration)
 	defer cancel()
 	sub, err := Subscribe(ctx, instance, Contact{Name: "router"}, messenger.Options{}, r, nil, Evidence{})
 	if err == nil {
