Send a subscriber the next state once it has the one before

What callers saw: routers obeyed versions that were seconds old while the plan changed in quick succession, although their subscriptions were sound.

Cause: an instance coalesces changes for a slow subscriber, but a message counted as sent once the kernel had taken it. The buffers of a connection hold several plans, so that a subscriber on a slow link got version after version, each older than the newest by the time that the buffer needs. Since subscriptions are no longer cut after a second, nothing emptied the buffers.

Change: subscribers acknowledge states, and an instance keeps one state on the way to each. Subscribers of earlier releases get states as before.

--- a/adapters/exchanger/client.go
+++ b/adapters/exchanger/client.go
@@ -51,7 +51,7 @@
 		return nil, err
 	}
 	s := &Subscription{conn: conn}
-	h := helloMessage{Contact: self}
+	h := helloMessage{Contact: self, AcksStates: true}
 	h.Index, h.Version = r.LastReceived()
 	err = conn.Send(ctx, kindHello, s.pings.add(time.Now()), h)
 	if err == nil && len(endpoints) > 0 {
@@ -120,6 +120,11 @@
 		if err := dispatch(&e, r, &dec); err != nil {
 			return err
 		}
+		if e.Kind == kindState && e.Stream != 0 { // instances of earlier releases don't number states
+			if err := s.conn.Send(ctx, kindStateAck, e.Stream, nil); err != nil {
+				return err
+			}
+		}
 	}
 }
 
--- a/adapters/exchanger/server.go
+++ b/adapters/exchanger/server.go
@@ -79,6 +79,40 @@
 	index         uint64 // of the last state sent
 	version       uint64 // of the last plan sent
 	lastPing      receivedPing
+	acksStates    bool
+	unackedIndex  uint64 // of the state that is on its way to a subscriber that acknowledges states; 0 if none is
+}
+
+// notifyUpdated records that there may be unsent changes.
+func (sub *subscriber) notifyUpdated() {
+	select {
+	case sub.updated <- struct{}{}:
+	default:
+	}
+}
+
+// mayGetState reports whether a state may be sent. While one is on its way, later ones would wait behind it in the
+// buffers of the connection; the subscriber gets the newest one once it has acknowledged.
+func (sub *subscriber) mayGetState() bool {
+	sub.mu.Lock()
+	defer sub.mu.Unlock()
+	return sub.unackedIndex == 0
+}
+
+func (sub *subscriber) recordStateSent(index uint64) {
+	sub.mu.Lock()
+	defer sub.mu.Unlock()
+	if sub.acksStates {
+		sub.unackedIndex = index
+	}
+}
+
+func (sub *subscriber) recordStateAck(index uint64) {
+	sub.mu.Lock()
+	defer sub.mu.Unlock()
+	if index >= sub.unackedIndex {
+		sub.unackedIndex = 0
+	}
 }
 
 // encodeHeartbeat encodes a heartbeat with the confirmation relative to the subscriber's last ping.
@@ -114,7 +148,7 @@
 		return
 	}
 	sub := &subscriber{conn: conn, contact: h.Contact, updated: make(chan struct{}, 1), index: h.Index, version: h.Version,
-		pending: map[string]registrar.Endpoint{}, lastPing: receivedPing{at: time.Now()}}
+		pending: map[string]registrar.Endpoint{}, lastPing: receivedPing{at: time.Now()}, acksStates: h.AcksStates}
 	s.mu.Lock()
 	s.subscribers[sub] = true
 	s.mu.Unlock()
@@ -147,6 +181,9 @@
 			sub.mu.Lock()
 			sub.lastPing = receivedPing{number: e.Stream, at: time.Now()}
 			sub.mu.Unlock()
+		case kindStateAck:
+			sub.recordStateAck(e.Stream)
+			sub.notifyUpdated()
 		case kindSuspects:
 			var list []Suspect
 			if e.Decode(&list) != nil {
@@ -331,7 +368,7 @@
 		}
 	}
 	st := s.source.State()
-	if st.Index <= sub.index {
+	if st.Index <= sub.index || !sub.mayGetState() {
 		return nil
 	}
 	m := stateMessage{Index: st.Index, Version: st.Plan.Version, TakenOut: slices.Sorted(maps.Keys(st.TakenOut))}
@@ -342,7 +379,8 @@
 		}
 		m.Plan = compressed
 	}
-	if err := sub.conn.Send(ctx, kindState, 0, m); err != nil {
+	sub.recordStateSent(st.Index)
+	if err := sub.conn.Send(ctx, kindState, st.Index, m); err != nil {
 		return err
 	}
 	sub.index, sub.version = st.Index, st.Plan.Version
--- a/adapters/exchanger/slow_link_test.go
+++ b/adapters/exchanger/slow_link_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -50,3 +51,58 @@
 	time.Sleep(2 * heartbeatInterval)
 	assert.Equal(t, len(ended), 0)
 }
+
+// stateTimes is a receiver that compares the states that arrive with the newest one of their source.
+type stateTimes struct {
+	fakeReceiver
+	newest *atomic.Uint64
+	maxLag atomic.Uint64
+	count  atomic.Uint64
+}
+
+func (r *stateTimes) StateReceived(index uint64, _ *fleetapplier.EncodedPlan, _ []string) {
+	r.count.Add(1)
+	if lag := r.newest.Load() - index; lag > r.maxLag.Load() {
+		r.maxLag.Store(lag)
+	}
+}
+
+// Guards against plans in quick succession that wait behind each other in the buffers of a slow link, so that a
+// subscriber gets versions that are seconds old, one after the other.
+func TestSubscriberOverASlowLinkGetsTheNewestState(t *testing.T) {
+	const (
+		interval  = 100 * time.Millisecond
+		planBytes = slowLinkBytesPerSecond / 2
+		states    = 40
+		maxLag    = 12 // the time of two plans on the link, and some for delays of the machine
+	)
+	source := &fakeSource{quorate: true}
+	server := NewServer(messenger.Options{}, source)
+	hs := httptest.NewServer(server)
+	t.Cleanup(hs.Close)
+	var newest atomic.Uint64
+	publish := func() {
+		content := make([]byte, planBytes)
+		for i := range content {
+			content[i] = byte(rand.Uint32()) // can't be compressed
+		}
+		index := newest.Add(1)
+		source.mu.Lock()
+		source.state = fleetapplier.State{Index: index, Plan: fleetapplier.EncodedPlan{Version: index, Content: content}}
+		source.mu.Unlock()
+		server.PublishState()
+	}
+	publish()
+	r := &stateTimes{newest: &newest}
+	link := slowlinker.New(t, strings.TrimPrefix(hs.URL, "http://"), slowLinkBytesPerSecond)
+	sub, err := Subscribe(t.Context(), Contact{Address: link.Address}, Contact{Name: "router"}, messenger.Options{}, r,
+		nil, Evidence{})
+	assert.NilError(t, err)
+	go func() { _ = sub.Receive(t.Context(), r) }()
+	for range states {
+		time.Sleep(interval)
+		publish()
+	}
+	assert.Assert(t, r.count.Load() >= 2, "%d states", r.count.Load())
+	assert.Assert(t, r.maxLag.Load() <= maxLag, "%d states behind", r.maxLag.Load())
+}
--- a/adapters/exchanger/wire.go
+++ b/adapters/exchanger/wire.go
@@ -63,13 +63,15 @@
 	kindStreams
 	kindStreamQuery
 	kindStreamAnswer
+	kindStateAck // of a subscriber, with the index of the state as its number
 )
 
 // KindNames are the names of the kinds of messages, by kind, for metrics.
 func KindNames() map[uint8]string {
 	return map[uint8]string{kindHello: "hello", kindPing: "ping", kindState: "state", kindEndpoints: "endpoints",
 		kindHeartbeat: "heartbeat", kindSuspects: "suspects", kindLoads: "loads", kindEvidence: "evidence",
-		kindStreams: "streams", kindStreamQuery: "streamQuery", kindStreamAnswer: "streamAnswer"}
+		kindStreams: "streams", kindStreamQuery: "streamQuery", kindStreamAnswer: "streamAnswer",
+		kindStateAck: "stateAck"}
 }
 
 // Contact is the identity of a process and its addresses.
@@ -170,6 +172,8 @@
 	Contact Contact `cbor:"1,keyasint"`
 	Version uint64  `cbor:"2,keyasint"` // of the last plan that the subscriber received
 	Index   uint64  `cbor:"3,keyasint"` // of the last state that the subscriber received
+	// AcksStates is set by subscribers that acknowledge each state.
+	AcksStates bool `cbor:"4,keyasint,omitempty"`
 }
 
 // stateMessage is the replicated state. It omits the plan if the subscriber has received its version.
