Serve from the state cache as soon as another node knows of no quorum

A process now waits for the first answer of another one, for a second at most, in place of a fixed time: if nobody knows of a quorum, the state is released at once. One that restarts beside others gets the answer that there is one.

--- a/core/confirmer/confirmer.go
+++ b/core/confirmer/confirmer.go
@@ -7,9 +7,9 @@
 	// instance, and is shorter than the time within which a change has to be in force everywhere.
 	maxAge = 1500 * time.Millisecond
 
-	// unconfirmedDelay is how long a state waits for a sign that there is a quorum. Without one, after a failure of all
-	// processes, a state that may be outdated serves callers better than none.
-	unconfirmedDelay = 300 * time.Millisecond
+	// unconfirmedDelay is how long a state waits for the word of another process. If there is no sign of a quorum, after a
+	// failure of all processes, a state that may be outdated serves callers better than none.
+	unconfirmedDelay = time.Second
 
 	// expectationTimeout is how long a state waits after the last sign of a quorum: a current state or a confirmation is
 	// on its way.
@@ -26,6 +26,7 @@
 	index       uint64    // of the state that the newest confirmation is about
 	confirmedAt time.Time // of the newest confirmation, zero before the first one
 	expectedAt  time.Time // of the last sign of a quorum, zero if there was none
+	isAnswered  bool      // another process has said that it knows of no quorum
 
 	indexInForce       uint64
 	inForceConfirmedAt time.Time // zero if the state in force is not confirmed
@@ -46,6 +47,9 @@
 // Expect records a sign of a quorum, such as a message of a leader or the word of another process.
 func (c *Confirmer) Expect(now time.Time) { c.expectedAt = now }
 
+// RecordNoQuorum records that another process knows of no quorum.
+func (c *Confirmer) RecordNoQuorum() { c.isAnswered = true }
+
 // SetInForce records the index of the state in force.
 func (c *Confirmer) SetInForce(index uint64) {
 	c.indexInForce = index
@@ -70,7 +74,7 @@
 	}
 	waited := now.Sub(c.lastCertain())
 	isExpected := now.Sub(c.confirmedAt) < expectationTimeout || now.Sub(c.expectedAt) < expectationTimeout
-	return waited >= unconfirmedDelay && !isExpected || waited >= maxUnconfirmedDelay
+	return !isExpected && (c.isAnswered || waited >= unconfirmedDelay) || waited >= maxUnconfirmedDelay
 }
 
 // MayDeny reports whether a request may be denied because the plan in force has no route or key for it: a newer plan
--- a/core/confirmer/confirmer_test.go
+++ b/core/confirmer/confirmer_test.go
@@ -18,13 +18,14 @@
 	for _, c := range []struct {
 		name      string
 		confirmed time.Duration // of index 5; 0 means never
-		expected  time.Duration // 0 means never
+		expected  time.Duration // 0 means never, below 0 that another process knows of no quorum
 		index     uint64
 		now       time.Duration
 		may       bool
 	}{
 		{"nothing is confirmed yet", 0, 0, 5, unconfirmedDelay - 1, false},
 		{"no confirmation comes", 0, 0, 5, unconfirmedDelay, true},
+		{"another process knows of no quorum", 0, -1, 5, 0, true},
 		{"there is a quorum", 0, time.Second, 5, time.Second + expectationTimeout - 1, false},
 		{"there was a quorum", 0, time.Second, 5, time.Second + expectationTimeout, true},
 		{"there is a quorum that confirms nothing", 0, maxUnconfirmedDelay, 5, maxUnconfirmedDelay, true},
@@ -40,7 +41,10 @@
 		if c.confirmed != 0 {
 			confirmer.Confirm(5, after(c.confirmed))
 		}
-		if c.expected != 0 {
+		switch {
+		case c.expected < 0:
+			confirmer.RecordNoQuorum()
+		case c.expected > 0:
 			confirmer.Expect(after(c.expected))
 		}
 		assert.Equal(t, confirmer.MayPutInForce(after(c.now), c.index), c.may, c.name)
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -219,6 +219,18 @@
 	f.confirmer.Expect(time.Now())
 }
 
+// recordSignOfQuorum records whether another process knows of instances with a quorum.
+func (f *fleet) recordSignOfQuorum(isKnown bool) {
+	if isKnown {
+		f.expectConfirmation()
+		return
+	}
+	f.mu.Lock()
+	f.confirmer.RecordNoQuorum()
+	f.mu.Unlock()
+	f.releaseState()
+}
+
 // confirm records that a state of at least this index has all changes that were acknowledged before a point in time.
 func (f *fleet) confirm(index uint64, at time.Time) {
 	f.mu.Lock()
@@ -261,9 +273,7 @@
 
 // recordContacts records the quorate and the eligible instances that another process reported.
 func (f *fleet) recordContacts(instances, peers []exchanger.Contact) {
-	if len(instances) > 0 {
-		f.expectConfirmation()
-	}
+	f.recordSignOfQuorum(len(instances) > 0)
 	f.mu.Lock()
 	for _, c := range instances {
 		f.recordInstance(c, true)
