Slow discovery down only after two seconds

The pause is 0.2 s for the first ten rounds again. In the collapse that the growth is for, nodes look for much longer.

--- a/node/exchange.go
+++ b/node/exchange.go
@@ -391,7 +391,7 @@
 // discover exchanges contacts with other nodes while this one is not subscribed to a control instance or has no quorum,
 // and contacts lost subscribers, until ctx ends. The bootstrapper of a first start creates the control group.
 func (f *fleet) discover(ctx context.Context) error {
-	delay := discoveryInterval
+	delay, lostRounds := discoveryInterval, 0
 	for ctx.Err() == nil {
 		targets, isLost := f.discoveryTargets()
 		for _, address := range targets {
@@ -402,9 +402,12 @@
 				c.Bootstrap()
 			}
 		}
-		// Nodes that find nobody look less often, so that many of them don't load the few that could answer.
-		if delay = min(delay*3/2, maxDiscoveryInterval); !isLost {
-			delay = discoveryInterval
+		// Nodes that find nobody look less often after some rounds, so that many of them don't load the few that could
+		// answer. The first rounds find each other after a failure of all.
+		if lostRounds++; !isLost {
+			delay, lostRounds = discoveryInterval, 0
+		} else if lostRounds > fastDiscoveryRounds {
+			delay = min(delay*3/2, maxDiscoveryInterval)
 		}
 		sleeper.Pause(ctx, delay)
 	}
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -23,8 +23,10 @@
 	// discoveryInterval is the pause between two attempts to find a control instance.
 	discoveryInterval = 200 * time.Millisecond
 
-	// maxDiscoveryInterval is the pause that discoveryInterval grows to while no control instance is found.
+	// maxDiscoveryInterval is the pause that discoveryInterval grows to while no control instance is found, after
+	// fastDiscoveryRounds attempts.
 	maxDiscoveryInterval = time.Second
+	fastDiscoveryRounds  = 10
 
 	// expiryInterval is how often heartbeats, idle connections, suspects and known instances are checked for expiry.
 	expiryInterval = 500 * time.Millisecond
