Expect no confirmation of an instance that reports none

TestRouterUsesTheStateOfAnInstanceThatReportsNoConfirmations failed since the time that a state waits without an answer is a second: an instance of an earlier release with a quorum reports no confirmations. Its heartbeat now counts as the word that none is to be expected, as that of a node which knows of no quorum.

--- a/core/confirmer/confirmer.go
+++ b/core/confirmer/confirmer.go
@@ -26,7 +26,7 @@
 	index       uint64    // of the state that the newest confirmation is about
 	confirmedAt time.Time // of the newest confirmation, zero before the first one
 	expectedAt  time.Time // of the last sign of a quorum, zero if there was none
-	isAnswered  bool      // another process has said that it knows of no quorum
+	expectsNone bool      // by the word of another process
 
 	indexInForce       uint64
 	inForceConfirmedAt time.Time // zero if the state in force is not confirmed
@@ -47,8 +47,8 @@
 // Expect records a sign of a quorum, such as a message of a leader or the word of another process.
 func (c *Confirmer) Expect(now time.Time) { c.expectedAt = now }
 
-// RecordNoQuorum records that another process knows of no quorum.
-func (c *Confirmer) RecordNoQuorum() { c.isAnswered = true }
+// ExpectNone records the word of another process that it knows of no quorum, or that it confirms nothing.
+func (c *Confirmer) ExpectNone() { c.expectsNone = true }
 
 // SetInForce records the index of the state in force.
 func (c *Confirmer) SetInForce(index uint64) {
@@ -74,7 +74,7 @@
 	}
 	waited := now.Sub(c.lastCertain())
 	isExpected := now.Sub(c.confirmedAt) < expectationTimeout || now.Sub(c.expectedAt) < expectationTimeout
-	return !isExpected && (c.isAnswered || waited >= unconfirmedDelay) || waited >= maxUnconfirmedDelay
+	return !isExpected && (c.expectsNone || waited >= unconfirmedDelay) || waited >= maxUnconfirmedDelay
 }
 
 // MayDeny reports whether a request may be denied because the plan in force has no route or key for it: a newer plan
--- a/core/confirmer/confirmer_test.go
+++ b/core/confirmer/confirmer_test.go
@@ -43,7 +43,7 @@
 		}
 		switch {
 		case c.expected < 0:
-			confirmer.RecordNoQuorum()
+			confirmer.ExpectNone()
 		case c.expected > 0:
 			confirmer.Expect(after(c.expected))
 		}
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -266,8 +266,11 @@
 // HeartbeatReceived implements exchanger.Receiver.
 func (r *receiver) HeartbeatReceived(hb exchanger.Heartbeat) {
 	f := r.fleet
-	// An instance with a quorum that confirms nothing is of an earlier release, or its messages are too old.
-	if len(hb.QuorateInstances) > 0 && (!hb.Quorate || !hb.ConfirmedAt.IsZero() || r.isPeer) {
+	switch {
+	case hb.Quorate && hb.ConfirmedAt.IsZero() && !r.isPeer:
+		// The instance is of an earlier release, or its messages are too old.
+		f.expectNoConfirmation()
+	case len(hb.QuorateInstances) > 0:
 		f.expectConfirmation()
 	}
 	if !r.isPeer && !hb.ConfirmedAt.IsZero() {
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -221,14 +221,10 @@
 	f.confirmer.Expect(time.Now())
 }
 
-// recordSignOfQuorum records whether another process knows of instances with a quorum.
-func (f *fleet) recordSignOfQuorum(isKnown bool) {
-	if isKnown {
-		f.expectConfirmation()
-		return
-	}
+// expectNoConfirmation records the word of another process that no confirmation is to be expected.
+func (f *fleet) expectNoConfirmation() {
 	f.mu.Lock()
-	f.confirmer.RecordNoQuorum()
+	f.confirmer.ExpectNone()
 	f.mu.Unlock()
 	f.releaseState()
 }
@@ -275,7 +271,11 @@
 
 // recordContacts records the quorate and the eligible instances that another process reported.
 func (f *fleet) recordContacts(instances, peers []exchanger.Contact) {
-	f.recordSignOfQuorum(len(instances) > 0)
+	if len(instances) > 0 {
+		f.expectConfirmation()
+	} else {
+		f.expectNoConfirmation()
+	}
 	f.mu.Lock()
 	for _, c := range instances {
 		f.recordInstance(c, true)
