--- a/adapters/exchanger/server.go
+++ b/adapters/exchanger/server.go
@@ -83,14 +83,6 @@
 	unackedIndex  uint64 // of the state that is on its way to a subscriber that acknowledges states; 0 if none is
 }
 
-// notifyUpdated records that there may be unsent changes.
-func (sub *subscriber) notifyUpdated() {
-	select {
-	case sub.updated <- struct{}{}:
-	default:
-	}
-}
-
 // mayGetState reports whether a state may be sent. While one is on its way, later ones would wait behind it in the
 // buffers of the connection; the subscriber gets the newest one once it has acknowledged.
 func (sub *subscriber) mayGetState() bool {
@@ -183,7 +175,7 @@
 			sub.mu.Unlock()
 		case kindStateAck:
 			sub.recordStateAck(e.Stream)
-			sub.notifyUpdated()
+			sub.notify()
 		case kindSuspects:
 			var list []Suspect
 			if e.Decode(&list) != nil {
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -460,10 +460,7 @@
 	f.mu.Unlock()
 	f.markCacheDirty()
 	if !f.releaseState() {
-		select {
-		case f.heldSignal <- struct{}{}:
-		default:
-		}
+		notify(f.heldSignal)
 	}
 }
 
@@ -481,10 +478,7 @@
 	}
 	f.released = f.received
 	f.mu.Unlock()
-	select {
-	case f.decodeSignal <- struct{}{}:
-	default:
-	}
+	notify(f.decodeSignal)
 	if f.control != nil {
 		f.control.server.PublishState()
 	}
