Pass on only events with later IDs of a resumed stream

What callers saw: a stream had begun and its endpoint broke off. The next one answered with status 200 and the type of an event stream, and with a body that is none: the text of an error, the head of another response, events without an ID, or the stream from its start. Those bytes were written into the stream, which then ended as complete. The same happened to a caller that took a stream up itself: an endpoint that ignored Last-Event-Id gave it events twice.

Cause: whether a response continues a stream was decided by its head alone (isContinuation: status, media type, encoding). Nothing looked at the events. Events without an ID were taken for resumable as well: the next endpoint was asked for what follows the last ID, or for everything.

Change: the splitter checks each event of a response that continues a stream, at the caller's or the node's request, before any byte of it is passed on: it has an ID above the last one (as numbers where both are numbers; other IDs have to differ). Comments may stand between events. The first event that doesn't fit ends the attempt, as a failure of the endpoint that does not count as a crash; the stream goes on elsewhere after the last good event or ends without its last chunk. A stream whose last event has no ID isn't resumed.

Why it works: bytes of anything but an event with a later ID never reach the writer, whatever the head or the framing says.

--- a/node/event_splitter.go
+++ b/node/event_splitter.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"fmt"
+	"strings"
 
 	"cactusroute.dev/adapters/forwarder"
 )
@@ -16,6 +18,8 @@
 	partial       []byte // start of an incomplete event
 	lastID        string // of the last complete event that has one
 	events        uint64 // complete events so far
+	isUnnumbered  bool   // the last complete event has no ID, so that the stream can't be resumed after it
+	isResumed     bool   // the response is to continue the stream after lastID
 
 	// The state at the end of partial.
 	lineHasBytes  bool
@@ -28,17 +32,20 @@
 // reset discards an incomplete event; the stream continues with the first event of another response.
 func (s *eventSplitter) reset() {
 	s.partial = nil
+	s.isResumed = s.lastID != ""
 	s.lineHasBytes, s.eventHasBytes, s.afterCR = false, false, false
 }
 
 // isInsideEvent reports whether an event has begun and not ended.
 func (s *eventSplitter) isInsideEvent() bool { return s.lineHasBytes || s.eventHasBytes }
 
-// observe counts the events in data of a stream that is forwarded without being split.
-func (s *eventSplitter) observe(data []byte) { s.scan(data) }
+// observe counts the events in data of a stream that is forwarded without being split, and returns the end of the last
+// one.
+func (s *eventSplitter) observe(data []byte) (end int) { return s.scan(data) }
 
 // split appends data to the stream and returns the bytes up to the end of the last complete event, which are valid
-// until the next call. It returns a *forwarder.LimitError for an event above maxEventBytes.
+// until the next call. It returns a *forwarder.LimitError for an event above maxEventBytes, and a *contentError with the
+// events before the first one that does not continue a resumed stream.
 func (s *eventSplitter) split(data []byte) (events []byte, err error) {
 	end := s.scan(data) // in data
 	if end == 0 {
@@ -49,13 +56,72 @@
 	if len(s.partial) > 0 {
 		events = append(s.partial, events...)
 	}
-	if id, ok := lastEventID(events); ok {
-		s.lastID = id
-	}
 	s.partial = bytes.Clone(data[end:])
+	if s.isResumed {
+		if events, err = s.checkResumed(events); err != nil {
+			return events, err
+		}
+		return events, s.checkPartial()
+	}
+	if id, hasID, isEvent := lastEvent(events); isEvent {
+		s.isUnnumbered = !hasID
+		if !hasID {
+			id, hasID = lastEventID(events)
+		}
+		if hasID {
+			s.lastID = id
+		}
+	}
 	return events, s.checkPartial()
 }
 
+// checkResumed returns the events up to the first one that has no ID or one that is not after the last ID.
+func (s *eventSplitter) checkResumed(events []byte) (valid []byte, err error) {
+	for n := 0; n < len(events); {
+		end := n + eventEnd(events[n:])
+		id, hasID, isEvent := lastEvent(events[n:end])
+		switch {
+		case !isEvent:
+		case !hasID:
+			return events[:n], &contentError{fault: "event without an ID", lastID: s.lastID}
+		case !isAfter(id, s.lastID):
+			return events[:n], &contentError{fault: "event out of order", lastID: s.lastID, id: id}
+		default:
+			s.lastID = id
+		}
+		n = end
+	}
+	return events, nil
+}
+
+// contentError means that an endpoint that is still up sent bytes that can't be part of the stream.
+type contentError struct {
+	fault  string
+	lastID string // of the last event before
+	id     string // of the event, if it has one
+}
+
+// Error implements error.
+func (e *contentError) Error() string {
+	return fmt.Sprintf("%s: ID %q after %q", e.fault, e.id, e.lastID)
+}
+
+// isAfter reports whether an event may follow the one with the ID last. IDs that are not numbers have no known order.
+func isAfter(id, last string) bool {
+	if !isNumber(id) || !isNumber(last) {
+		return id != last
+	}
+	id, last = strings.TrimLeft(id, "0"), strings.TrimLeft(last, "0")
+	if len(id) != len(last) {
+		return len(id) > len(last)
+	}
+	return id > last
+}
+
+func isNumber(id string) bool {
+	return id != "" && strings.Trim(id, "0123456789") == ""
+}
+
 func (s *eventSplitter) checkPartial() error {
 	if n := int64(len(s.partial)); n > s.maxEventBytes {
 		return &forwarder.LimitError{Bound: boundEventBytes, Limit: s.maxEventBytes, Seen: n}
@@ -102,3 +168,47 @@
 	}
 	return "", false
 }
+
+// eventEnd returns the end of the first event, or of the empty lines before it.
+func eventEnd(events []byte) int {
+	lineStart := 0
+	for i, c := range events {
+		isLineEnd := c == '\n' || c == '\r' && !bytes.HasPrefix(events[i+1:], []byte("\n"))
+		if !isLineEnd {
+			continue
+		}
+		if len(bytes.TrimRight(events[lineStart:i], "\r")) == 0 {
+			return i + 1
+		}
+		lineStart = i + 1
+	}
+	return len(events)
+}
+
+// lastEvent returns the ID of the last event. isEvent is false without an event: comments alone are none.
+func lastEvent(events []byte) (id string, hasID, isEvent bool) {
+	events = bytes.TrimRight(events, "\r\n")
+	for len(events) > 0 {
+		start := bytes.LastIndexAny(events, "\r\n") + 1
+		line := events[start:]
+		if name, value, _ := bytes.Cut(line, []byte(":")); bytes.Equal(name, idField) {
+			value = bytes.TrimSpace(value)
+			return string(value), len(value) > 0, true
+		}
+		isEvent = isEvent || line[0] != ':'
+		events = trimLineEnd(events[:start])
+		if trimmed := bytes.TrimRight(events, "\r\n"); len(trimmed) < len(events) {
+			if isEvent {
+				return "", false, true
+			}
+			events = trimmed
+		}
+	}
+	return "", false, isEvent
+}
+
+// trimLineEnd removes one line end.
+func trimLineEnd(b []byte) []byte {
+	b = bytes.TrimSuffix(b, []byte("\n"))
+	return bytes.TrimSuffix(b, []byte("\r"))
+}
--- a/node/proxy.go
+++ b/node/proxy.go
@@ -142,6 +142,9 @@
 	p.fleet.routing.countFirstAttempt(q.receivedAt, q.service.Name)
 	t := &transfer{proxy: p, request: q, w: w, hasBegun: q.isBound, version: q.version,
 		splitter: eventSplitter{maxEventBytes: p.fleet.settings.EndpointLimits.EventBytes}}
+	if q.route.Kind == planner.KindStream && q.route.Resumable {
+		t.splitter.lastID = q.lastEventID
+	}
 	t.run(r.Context())
 }
 
--- a/node/stream_end_test.go
+++ b/node/stream_end_test.go
@@ -142,3 +142,108 @@
 		}
 	}
 }
+
+// Guards against bytes of a response that is no continuation of a stream, such as the text of an error or the head of
+// another response under a status of success, or events that the caller has already, in a stream that has begun.
+func TestOtherContentIsNotWrittenIntoAStream(t *testing.T) {
+	const first, second, rest = "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n", "id: 3\ndata: c\n\n"
+	withLength := func(body string) string { return "Content-Length: " + itoa(len(body)) + "\r\n\r\n" + body }
+	withChunks := func(body string) string {
+		return fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(body), body)
+	}
+	unframed := func(body string) string { return "Connection: close\r\n\r\n" + body }
+	for _, c := range []struct {
+		name, begun, body string
+		kept              string // what the caller gets of body
+		isWhole           bool   // body completes the stream
+		third             string // events of a third endpoint with which the stream goes on, if it can
+	}{
+		{"text of an error", first, "upstream unavailable\n", "", false, second},
+		{"text of an error with an empty line", first, "upstream unavailable\n\n", "", false, second},
+		{"JSON of an error", first, `{"error":"this endpoint cannot go on"}`, "", false, second},
+		{"head of another response", first, "HTTP/1.1 503 Busy\r\nContent-Type: text/plain\r\n\r\nbusy", "", false, second},
+		{"event without an ID", first, "data: b\n\n", "", false, second},
+		{"event with an empty ID", first, "id:\ndata: b\n\n", "", false, second},
+		{"begins anew", first, first + second, "", false, second},
+		{"lower ID", "id: 10\ndata: a\n\n", "id: 9\ndata: b\n\n", "", false, "id: 11\ndata: b\n\n"},
+		{"same ID with zeros", first, "id: 01\ndata: b\n\n", "", false, second},
+		{"same ID that is no number", "id: a\ndata: a\n\n", "id: a\ndata: a\n\n", "", false, second},
+		{"goes back after an event", first, second + first, second, false, rest},
+		{"text after an event", first, second + "busy\n\n", second, false, rest},
+		{"ends inside an event", first, second + "id: 3\nda", second, false, rest},
+		{"nothing but a part of an event", first, "id: 2\nda", "", false, second},
+		{"comment before the event", first, ": waiting\n\n" + second + rest, ": waiting\n\n" + second + rest, true, ""},
+		{"ID of more digits", "id: 9\ndata: a\n\n", "id: 10\ndata: b\n\n", "id: 10\ndata: b\n\n", true, ""},
+		{"other ID that is no number", "id: a\ndata: a\n\n", "id: b\ndata: b\n\n", "id: b\ndata: b\n\n", true, ""},
+		{"stream of events without IDs", "data: a\n\n", "data: a\n\n", "", false, ""},
+		{"event without an ID at the break", first + "data: b\n\n", rest, "", false, ""},
+	} {
+		for i, frame := range []func(string) string{withLength, withChunks, unframed} {
+			if i == 2 && c.isWhole {
+				continue // nothing tells that it is whole: TestChunkedStreamResumedWithoutFraming
+			}
+			for _, attempts := range []int{2, 3} {
+				got := callBrokenStream(t, attempts, c.begun, streamType+frame(c.body), c.third)
+				want, isComplete := c.begun+c.kept, c.isWhole
+				if attempts == 3 && c.third != "" {
+					want, isComplete = want+c.third, true
+				}
+				assert.Equal(t, got.status, http.StatusOK, c.name)
+				assert.Equal(t, got.body, want, "%s, framing %d, %d attempts", c.name, i, attempts)
+				assert.Equal(t, got.err == nil, isComplete, "%s, framing %d, %d attempts: %v", c.name, i, attempts, got.err)
+			}
+		}
+	}
+}
+
+// callBrokenStream returns what a caller gets of a resumable stream that breaks off after begun. The next endpoint responds
+// with status 200 and second, header fields and body, and the one after it with the events of third.
+func callBrokenStream(t *testing.T, attempts int, begun, second, third string) callerResponse {
+	t.Helper()
+	var mu sync.Mutex
+	n := 0
+	handle := func(req *receivedRequest) {
+		mu.Lock()
+		n++
+		attempt := n
+		mu.Unlock()
+		switch attempt {
+		case 1:
+			_, _ = fmt.Fprintf(req.conn, "HTTP/1.1 200 OK\r\nReq-Id: id-1\r\n%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n",
+				streamType, len(begun), begun)
+			_ = req.conn.Close()
+		case 2:
+			_, _ = fmt.Fprintf(req.conn, "HTTP/1.1 200 OK\r\nReq-Id: id-1\r\n%s", second)
+			if !strings.Contains(second, "Content-Length") && !strings.Contains(second, "chunked") {
+				_ = req.conn.Close()
+			}
+		default:
+			req.respond("200 OK", streamType, third)
+		}
+	}
+	plan := testPlan(1)
+	plan.Routes[4].MaxAttempts = attempts
+	p := newTestProxy(t, plan, newFakeEndpoint(t, handle), newFakeEndpoint(t, handle), newFakeEndpoint(t, handle))
+	return p.call(t, http.MethodPost, "/resume/", "x")
+}
+
+// Guards against a stream that a caller takes up and that an endpoint begins anew, so that the caller gets events twice.
+func TestTakenUpStreamDoesNotBeginAnew(t *testing.T) {
+	const all = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+	for _, c := range []struct {
+		name, lastID, want string
+		isComplete         bool
+	}{
+		{"not taken up", "", all, true},
+		{"before the first event", "0", all, true},
+		{"in between", "1", "", false},
+		{"after the last event", "2", "", false},
+		{"not by a number", "x", all, true},
+	} {
+		respond := func(req *receivedRequest) { req.respond("200 OK", streamType, all) }
+		p := newTestProxy(t, testPlan(1), newFakeEndpoint(t, respond), newFakeEndpoint(t, respond))
+		got := p.call(t, http.MethodPost, "/resume/", "x", "Last-Event-Id", c.lastID)
+		assert.Equal(t, got.body, c.want, c.name)
+		assert.Equal(t, got.err == nil && got.status == http.StatusOK, c.isComplete, "%s: %v", c.name, got.err)
+	}
+}
--- a/node/transfer.go
+++ b/node/transfer.go
@@ -314,9 +314,12 @@
 
 // canRetry reports whether the request may be executed by another endpoint.
 func (t *transfer) canRetry() bool {
-	return t.request.route.CanRetry() && t.runs < t.request.route.MaxAttempts && t.sends < maxSends
+	return t.request.route.CanRetry() && t.runs < t.request.route.MaxAttempts && t.sends < maxSends && t.canResume()
 }
 
+// canResume reports whether another endpoint can continue after what the caller has of the response.
+func (t *transfer) canResume() bool { return t.firstByteAt.IsZero() || !t.splitter.isUnnumbered }
+
 // handleSendError decides how to proceed after an attempt without a response header.
 func (t *transfer) handleSendError(ctx context.Context, c chooser.Choice, err error) (decision, refusal) {
 	q, p := t.request, t.proxy
@@ -628,14 +631,7 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			switch {
-			case t.isInsideEvent(resp):
-				err = errInsideEvent
-			case resp.EndsWithConn && t.callerConn == nil:
-				err = errUnknownEnd
-			default:
-				out = append(out, t.splitter.partial...)
-			}
+			out, err = t.endStream(resp, out)
 		}
 		if err = stall.update(t.splitter.events, err); len(out) > 0 {
 			t.recordOrigin(ctx, c)
@@ -653,10 +649,16 @@
 				return abandonRequest, refusal{reason: "callerLeft"}
 			}
 		}
-		if errors.Is(err, io.EOF) && !resp.EndsWithConn || t.splitter.events-t.eventsBefore >= soundEvents {
+		var contentErr *contentError
+		isMalformed := errors.As(err, &contentErr)
+		if !isMalformed && (errors.Is(err, io.EOF) && !resp.EndsWithConn || t.splitter.events-t.eventsBefore >= soundEvents) {
 			t.recordAnswered(resp)
 		}
 		switch {
+		case isMalformed:
+			t.recordFailure(c, forwarder.Unknown, err)
+			return t.retryOrEnd(), refusal{status: http.StatusBadGateway, reason: "malformedStream",
+				logFields: []any{"err", err}}
 		case errors.Is(err, io.EOF):
 			return finishRequest, refusal{status: resp.Status}
 		case errors.Is(err, errUnknownEnd):
@@ -694,12 +696,21 @@
 // eventStreamType is the media type of a stream of server-sent events.
 const eventStreamType = "text/event-stream"
 
-// isInsideEvent reports whether a stream that has ended was broken off, although its framing doesn't show it.
-func (t *transfer) isInsideEvent(resp *forwarder.Response) bool {
-	if contentType := mediaType(resp.Header); !resp.EndsWithConn || contentType != "" && contentType != eventStreamType {
-		return false
-	}
-	return t.splitter.events == t.eventsBefore || t.splitter.isInsideEvent()
+// endStream returns what to write of the last bytes of a stream and the error if it was broken off: io.EOF means that it is
+// complete.
+func (t *transfer) endStream(resp *forwarder.Response, last []byte) (out []byte, err error) {
+	contentType := mediaType(resp.Header)
+	hasEvents := contentType == eventStreamType || resp.EndsWithConn && contentType == ""
+	isBroken := hasEvents && t.splitter.isInsideEvent()
+	switch {
+	case resp.EndsWithConn && hasEvents && (isBroken || t.splitter.events == t.eventsBefore):
+		return last, errInsideEvent
+	case isBroken && t.splitter.isResumed:
+		return last, &contentError{fault: "end inside an event", lastID: t.splitter.lastID}
+	case resp.EndsWithConn && t.callerConn == nil:
+		return last, errUnknownEnd
+	}
+	return append(last, t.splitter.partial...), io.EOF
 }
 
 // recordAnswered records once that the endpoint has begun to answer the prompt and is still up.
