Take a framed stream that ends inside an event for broken off

What callers saw: a stream whose endpoint ended the chunks, or sent all bytes of the length, in the middle of an event reached its caller as complete; a resumable one was not continued.

Cause: the end of an event stream was checked only where its framing tells nothing (endStream). A regular end of the framing says that the endpoint has sent all that it wanted to, not that the stream is whole: an endpoint in trouble ends its response, too.

Change: an event stream that is not encoded and ends inside an event is broken off with every framing. With a length that was passed on, the incomplete event is held back, so that the caller misses bytes. The endpoint has not ended, so that no crash is suspected.

The test of such ends expected framed ones to be passed on as complete. The users' page says of a stream, whatever its framing, that it has been broken off if it ends inside an event, so this expectation was wrong. It now expects framed streams to be resumed or broken off as those without framing; a stream without any event that has a length or chunks is still complete. TestStreamThatEndsInsideAnEventIsBroken failed before in 12 cases ("id: 1 … data" with status 200 and no error).

--- a/node/stream_end_test.go
+++ b/node/stream_end_test.go
@@ -10,8 +10,8 @@
 	"gotest.tools/v3/assert"
 )
 
-// Guards against a stream without framing that ends inside an event, or before its first one, and is forwarded as
-// complete, and against complete streams that are taken for broken ones: with a length or chunks, the framing tells.
+// Guards against a stream that ends inside an event, or without framing before its first one, and is forwarded as
+// complete, and against complete streams that are taken for broken ones.
 func TestStreamThatEndsInsideAnEventIsBroken(t *testing.T) {
 	const events = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
 	framings := []struct {
@@ -32,14 +32,15 @@
 		name     string
 		body     string
 		complete bool
+		isFramed bool   // complete if it has a length or chunks
 		resumeAt string // Last-Event-Id of the second attempt where the route allows one
 	}{
-		{"complete", events, true, ""},
-		{"complete with CR LF", strings.ReplaceAll(events, "\n", "\r\n"), true, ""},
-		{"inside the data of the second event", events[:len(events)-5], false, "1"},
-		{"before the empty line of the second event", events[:len(events)-1], false, "1"},
-		{"inside the first event", "id: 1\nda", false, ""},
-		{"before the first event", "", false, ""},
+		{"complete", events, true, true, ""},
+		{"complete with CR LF", strings.ReplaceAll(events, "\n", "\r\n"), true, true, ""},
+		{"inside the data of the second event", events[:len(events)-5], false, false, "1"},
+		{"before the empty line of the second event", events[:len(events)-1], false, false, "1"},
+		{"inside the first event", "id: 1\nda", false, false, ""},
+		{"before the first event", "", false, true, ""},
 	} {
 		for _, f := range framings {
 			for _, path := range []string{"/stream/", "/resume/"} {
@@ -66,7 +67,7 @@
 							continue // the sound endpoint was chosen first
 						}
 						switch {
-						case c.complete || f.frames:
+						case c.complete || f.frames && c.isFramed:
 							assert.NilError(t, got.err)
 							assert.Equal(t, got.body, c.body)
 							assert.Equal(t, resumedAt, "none")
--- a/node/transfer.go
+++ b/node/transfer.go
@@ -622,8 +622,9 @@
 			return t.retryOrEnd(), t.versionRefusal(chooser.VersionUnknown)
 		}
 		isChecked = isChecked || n > 0
+		eventsEnd := len(out)
 		if !t.request.route.Resumable {
-			t.splitter.observe(out)
+			eventsEnd = t.splitter.observe(out)
 		} else {
 			var splitErr error
 			if out, splitErr = t.splitter.split(out); splitErr != nil {
@@ -631,7 +632,7 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			out, err = t.endStream(resp, out)
+			out, err = t.endStream(resp, out, eventsEnd)
 		}
 		if err = stall.update(t.splitter.events, err); len(out) > 0 {
 			t.recordOrigin(ctx, c)
@@ -696,16 +697,19 @@
 // eventStreamType is the media type of a stream of server-sent events.
 const eventStreamType = "text/event-stream"
 
-// endStream returns what to write of the last bytes of a stream and the error if it was broken off: io.EOF means that it is
-// complete.
-func (t *transfer) endStream(resp *forwarder.Response, last []byte) (out []byte, err error) {
+// endStream returns what to write of the last bytes of a stream, in which the last event ends at eventsEnd, and the error
+// if the stream was broken off: io.EOF means that it is complete.
+func (t *transfer) endStream(resp *forwarder.Response, last []byte, eventsEnd int) (out []byte, err error) {
 	contentType := mediaType(resp.Header)
 	hasEvents := contentType == eventStreamType || resp.EndsWithConn && contentType == ""
 	isBroken := hasEvents && t.splitter.isInsideEvent()
 	switch {
 	case resp.EndsWithConn && hasEvents && (isBroken || t.splitter.events == t.eventsBefore):
 		return last, errInsideEvent
-	case isBroken && t.splitter.isResumed:
+	case isBroken && !isEncoded(resp):
+		if resp.Length >= 0 && !t.request.route.Resumable {
+			last = last[:eventsEnd] // with the rest, the caller would have the whole length
+		}
 		return last, &contentError{fault: "end inside an event", lastID: t.splitter.lastID}
 	case resp.EndsWithConn && t.callerConn == nil:
 		return last, errUnknownEnd
@@ -713,6 +717,12 @@
 	return append(last, t.splitter.partial...), io.EOF
 }
 
+// isEncoded reports whether a body is compressed, so that its events can't be recognized.
+func isEncoded(resp *forwarder.Response) bool {
+	encoding := resp.Header.Get("Content-Encoding")
+	return encoding != "" && !strings.EqualFold(encoding, "identity")
+}
+
 // recordAnswered records once that the endpoint has begun to answer the prompt and is still up.
 func (t *transfer) recordAnswered(resp *forwarder.Response) {
 	if t.answered || resp.Status >= http.StatusMultipleChoices {
