--- a/node/event_splitter_test.go
+++ b/node/event_splitter_test.go
@@ -89,3 +89,39 @@
 		assert.Equal(t, ok, c.ok, c.events)
 	}
 }
+
+// Guards against events of a resumed stream that are lost, truncated or refused, or ones out of order that are passed on,
+// when they arrive in pieces of any size with any line ends.
+func TestResumedEventsInPieces(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		lineEnd := rapid.SampledFrom([]string{"\n", "\r\n", "\r"}).Draw(t, "line end")
+		id, want := 8, ""
+		for range rapid.IntRange(0, 4).Draw(t, "events") {
+			id += rapid.IntRange(1, 200).Draw(t, "step")
+			if rapid.Bool().Draw(t, "comment") {
+				want += ": x" + lineEnd + lineEnd
+			}
+			want += "data: " + rapid.StringMatching(`[id: x]{0,6}`).Draw(t, "data") + lineEnd + "id: " + itoa(id) + lineEnd + lineEnd
+		}
+		fault := rapid.SampledFrom([]string{"", "data: x" + lineEnd, "id: " + itoa(id) + lineEnd, "busy" + lineEnd}).Draw(t, "fault")
+		unread, got := want, ""
+		if fault != "" {
+			unread += fault + lineEnd + "id: 9999" + lineEnd + lineEnd
+		}
+		splitter := eventSplitter{maxEventBytes: 64, lastID: "8"}
+		splitter.reset()
+		var err error
+		for unread != "" && err == nil {
+			n := rapid.IntRange(1, len(unread)).Draw(t, "piece")
+			var out []byte
+			out, err = splitter.split([]byte(unread[:n]))
+			got += string(out)
+			unread = unread[n:]
+		}
+		got += string(splitter.partial[:min(len(splitter.partial), len(want)-len(got))])
+		var contentErr *contentError
+		if got != want || errors.As(err, &contentErr) != (fault != "") || splitter.lastID != itoa(id) {
+			t.Fatalf("got %q, want %q, last ID %q, error %v", got, want, splitter.lastID, err)
+		}
+	})
+}
