Router: pass on only chunks of a resumed stream

What callers saw, in a fleet with agents: a stream had begun, its endpoint was lost, and the endpoint that was to continue it answered with an event stream of something else. The text of an error or the head of another response reached the caller in the middle of the answer.

Cause: streamProgress passed on whatever it could not parse, for the sake of engines with other kinds of events, in continuations as well.

Evidence: TestOtherContentIsNotWrittenIntoAStream of router failed with "upstream unavailable" between the last token and [DONE].

Change: an event of a resumed response that is neither a comment nor a chunk with choices, usage or an error ends the attempt; the stream goes on at another endpoint or ends with the error event. The first response is passed on as it is.

An engine that ignores the tokens it is given and begins anew can't be recognized: chunks have no numbers.

--- a/router/sse.go
+++ b/router/sse.go
@@ -72,9 +72,20 @@
 	return data, hasData
 }
 
+// isComment reports whether an event has comment lines only.
+func isComment(event []byte) bool {
+	for line := range bytes.SplitSeq(event, []byte{'\n'}) {
+		if line = bytes.TrimSuffix(line, []byte{'\r'}); len(line) > 0 && line[0] != ':' {
+			return false
+		}
+	}
+	return true
+}
+
 // chunk contains the fields of a chat completion chunk that are needed to resume a response.
 type chunk struct {
 	Choices []chunkChoice   `json:"choices"`
+	Usage   json.RawMessage `json:"usage"`
 	Error   json.RawMessage `json:"error"`
 }
 
@@ -105,10 +116,15 @@
 // errEngineReported means that the stream contains an error of the engine.
 var errEngineReported = errors.New("engine reported an error within its response")
 
+// errNotContinued means that an endpoint that was to resume a stream sent something else.
+var errNotContinued = errors.New("response does not continue the stream")
+
 // record adds an event to the progress and reports whether to deliver it. Each event with text counts as one token.
 func (p *streamProgress) record(event []byte) (deliver bool, err error) {
 	data, ok := eventData(event)
 	switch {
+	case !ok && p.resumed && !p.done && !isComment(event):
+		return false, errNotContinued
 	case !ok:
 		return p.started && !p.done, nil
 	case p.done:
@@ -118,7 +134,12 @@
 		return true, nil
 	}
 	var c chunk
-	if json.Unmarshal(data, &c) != nil {
+	isChunk := json.Unmarshal(data, &c) == nil
+	hasContent := len(c.Choices) > 0 || len(c.Usage) > 0 || len(c.Error) > 0
+	if p.resumed && !(isChunk && hasContent) {
+		return false, errNotContinued
+	}
+	if !isChunk {
 		p.notResumable, p.started = true, true
 		return true, nil
 	}
