Router: end a broken stream without the regular end of its framing

What callers saw: a stream that no endpoint could continue ended with an error event, without [DONE], and with the last chunk. A caller that knows only the framing took it for a whole answer.

Cause: the handler returned normally after the error event, so that net/http ended the chunks.

Evidence: TestStreamThatEndsEarlyHasNoRegularEnd read the body without an error before; now it gets the error event and then an unexpected end.

Change: the error event is flushed, the request is counted, and the handler aborts the connection. Tests of such streams recover from this abort and from no other.

--- a/router/fakes_test.go
+++ b/router/fakes_test.go
@@ -204,9 +204,15 @@
 	return r
 }
 
-func (c call) do(t testing.TB, rt *Router) *httptest.ResponseRecorder {
+func (c call) do(t testing.TB, rt *Router) (w *httptest.ResponseRecorder) {
 	t.Helper()
-	w := httptest.NewRecorder()
+	w = httptest.NewRecorder()
+	defer func() {
+		// The connection of a stream that ends early is aborted after the error event.
+		if cause := recover(); cause != nil && (cause != http.ErrAbortHandler || !strings.Contains(w.Body.String(), `"error"`)) {
+			panic(cause)
+		}
+	}()
 	rt.Handler().ServeHTTP(w, c.request(t.Context()))
 	return w
 }
--- a/router/forward.go
+++ b/router/forward.go
@@ -51,18 +51,20 @@
 	moveHints  []moveHint
 	// modelVersion is the version of the model that began the stream; it is valid once progress.started is set.
 	modelVersion string
+	// streamError is the error with which the delivered part of a stream ends.
+	streamError *httpError
 }
 
 // moveHint means that the agent of the endpoint from reported that the chat was last served by to.
 type moveHint struct{ from, to string }
 
-// forward serves a request without a claim and returns its outcome for the metric; kind decides whether a request that
-// may have run is retried.
+// forward serves a request without a claim and returns its outcome for the metric, or the error that ended its stream;
+// kind decides whether a request that may have run is retried.
 func (rt *Router) forward(
 	ctx context.Context, w http.ResponseWriter, req relayer.Request, need placer.Need, kind planner.Kind,
-) string {
+) (string, *httpError) {
 	if server.HasCallerLeft(ctx) {
-		return "caller_gone"
+		return "caller_gone", nil
 	}
 	now := time.Now()
 	t := &transfer{
@@ -77,17 +79,18 @@
 		fingerprint := quarantiner.Fingerprint(req.Workspace, req.Path, req.ChatKey, req.Body)
 		unlock, ok := rt.fingerprintLocks.lock(ctx, fingerprint)
 		if !ok {
-			return t.handleContextEnd(ctx, retrier.Outcome{Kind: retrier.Refused})
+			return t.handleContextEnd(ctx, retrier.Outcome{Kind: retrier.Refused}), nil
 		}
 		defer unlock()
 		if v := rt.control.View().Verdicts[fingerprint]; v.Convicted && time.Now().Before(v.Until) {
-			return t.writeError(retrier.Decision{Action: retrier.Stop, Code: retrier.CodePoison, NotRun: true})
+			return t.writeError(retrier.Decision{Action: retrier.Stop, Code: retrier.CodePoison, NotRun: true}), nil
 		}
 	}
 	rt.mu.Lock()
 	rt.budget.CountFirstAttempt(req.Workspace)
 	rt.mu.Unlock()
-	return t.run(ctx)
+	outcome := t.run(ctx)
+	return outcome, t.streamError
 }
 
 // run makes attempts until the request is finished and returns its outcome for the metric.
@@ -468,5 +471,7 @@
 	if t.writeEvent([]byte("data: "+string(data)+"\n\n")) == nil {
 		_ = http.NewResponseController(t.w).Flush()
 	}
+	httpErr.EndsStream = true
+	t.streamError = httpErr
 	return httpErr.Code
 }
--- a/router/http_error.go
+++ b/router/http_error.go
@@ -29,6 +29,9 @@
 	NotRun bool
 	// RetryAfter is 0 if a retry would not succeed.
 	RetryAfter time.Duration
+	// EndsStream is set for an error that was sent as the last event of a stream. The connection is closed without the
+	// regular end of the response, so that the stream does not look complete.
+	EndsStream bool
 }
 
 // Error types of the OpenAI API.
--- a/router/request.go
+++ b/router/request.go
@@ -239,7 +239,7 @@
 		uint64(prefixKey(&admitted.workspace, &req))
 	ctx, cancel := context.WithDeadline(r.Context(), relayReq.Deadline)
 	defer cancel()
-	return rt.forward(ctx, w, relayReq, cacheNeed(&req), planner.KindRepeatable), nil
+	return rt.forward(ctx, w, relayReq, cacheNeed(&req), planner.KindRepeatable)
 }
 
 // slowestPool returns the pool with the longest timeout of a workspace.
@@ -365,7 +365,7 @@
 	}
 	if key == "" {
 		req.ChatKey = uint64(placer.KeyOf(req.ID))
-		return rt.forward(ctx, w, req, placer.NeedNothing, pool.RequestKind(cleanPath)), nil
+		return rt.forward(ctx, w, req, placer.NeedNothing, pool.RequestKind(cleanPath))
 	}
 	releaseTransferred = true
 	return rt.serveOperation(ctx, w, req, key, admitted.release), nil
--- a/router/router.go
+++ b/router/router.go
@@ -124,7 +124,8 @@
 	return mux
 }
 
-// instrument sets the request ID of every response, writes errors and counts outcomes.
+// instrument sets the request ID of every response, writes errors and counts outcomes. A stream that ended with an error
+// is aborted.
 func (rt *Router) instrument(kind string, serve func(http.ResponseWriter, *http.Request) (string, *httpError),
 ) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
@@ -136,6 +137,10 @@
 		if httpErr == nil {
 			outcome, httpErr = serve(w, r)
 		}
+		if httpErr != nil && httpErr.EndsStream {
+			rt.metrics.requests.WithLabelValues(kind, httpErr.Code).Inc()
+			panic(http.ErrAbortHandler)
+		}
 		if httpErr != nil {
 			outcome = httpErr.Code
 			httpErr.NotRun = httpErr.NotRun && !hasOperationKey(r)
--- a/router/stream_end_test.go
+++ b/router/stream_end_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 
@@ -45,3 +48,25 @@
 		}
 	}
 }
+
+// Guards against a stream that ends early with an error event and with the regular end of its framing, so that it looks
+// complete to callers that know only the framing.
+func TestStreamThatEndsEarlyHasNoRegularEnd(t *testing.T) {
+	f := &fakeRelay{respond: func(_ context.Context, _ int, addr string, req relayer.Request) (Response, error) {
+		return streamResponse(streamBody(req.ResumeTokens, 20)[:300], agentLostError(addr, true)), nil
+	}}
+	rt := testRouter(&fakeControl{}, f)
+	srv := httptest.NewServer(rt.Handler())
+	defer srv.Close()
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, srv.URL+"/v1/chat/completions",
+		strings.NewReader(chatBody))
+	assert.NilError(t, err)
+	r.Header.Set("Authorization", "Bearer "+testKey)
+	resp, err := http.DefaultClient.Do(r)
+	assert.NilError(t, err)
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	assert.ErrorIs(t, err, io.ErrUnexpectedEOF)
+	assert.Assert(t, strings.Contains(string(body), `"code":"answer_interrupted"`), "%q", body)
+	assert.Assert(t, !strings.Contains(string(body), "[DONE]"), "%q", body)
+}
