Commit the lift of a conviction before it is acknowledged

What operators saw: DELETE of a conviction was answered 200, and after a kill of all nodes within half a second the part was refused again; after the loss of the acknowledging instance, too, if that had not passed the change on. An order that had waited in an instance that stood still lifted a conviction from after its sender had left. Sent again, an acknowledged order was answered 404.

The state cache is written at once only after half a second of quiet.

Change: the order goes through the log, with the revision of the conviction that it ends, after a round of the quorum that notices a sender that has left. Orders count for nine minutes, less than the time for which revisions of a part are remembered, so that a replay after a restart ends no conviction from after it. Nodes without a control instance redirect, as for all other orders; the test of lifts expected a router to carry it out and now expects the redirection, and the rest of it from an instance.

--- a/core/attributor/attributor.go
+++ b/core/attributor/attributor.go
@@ -34,6 +34,10 @@
 	// convictionRetention is how long a conviction holds after the last refused request.
 	convictionRetention = 10 * time.Minute
 
+	// LiftRetention is how long the order to lift a conviction counts. It is shorter than convictionRetention, within
+	// which the revisions of a part don't begin anew, by more than clocks of machines differ.
+	LiftRetention = convictionRetention - time.Minute
+
 	// refusalInterval is how often a refusal extends a conviction at the other nodes.
 	refusalInterval = 30 * time.Second
 
@@ -252,15 +256,28 @@
 	return true, nil
 }
 
-// Lift ends a conviction; ok is false if the part is not convicted.
-func (a *Attributor) Lift(now time.Time, part Part) (c Conviction, ok bool) {
-	c, ok = a.convictions[part]
-	if !ok || c.Lifted {
+// Lift is an operator's order to end the conviction of a part up to a revision.
+type Lift struct {
+	Part     Part   `cbor:"1,keyasint"`
+	Revision uint64 `cbor:"2,keyasint"`
+	At       int64  `cbor:"3,keyasint"` // Unix milliseconds
+}
+
+// ApplyLift carries out an order, and returns the lifted conviction unless a newer one is known. An order from before
+// LiftRetention is ignored: the revisions of the part may have begun anew. The order is kept as a lifted conviction, so
+// that an older record of the conviction changes nothing.
+func (a *Attributor) ApplyLift(now time.Time, l Lift) (c Conviction, ok bool) {
+	c, ok = a.convictions[l.Part]
+	if ok && c.Revision > l.Revision || now.UnixMilli()-l.At >= LiftRetention.Milliseconds() {
 		return c, false
 	}
-	if st := a.parts[part]; st != nil {
+	if !ok {
+		c = Conviction{Part: l.Part, At: now}
+	}
+	if st := a.parts[l.Part]; st != nil {
 		st.answeredAt = now // the crashes so far count no more
 	}
+	c.Revision, c.RefusedAt = l.Revision, now
 	return a.lift(c), true
 }
 
--- a/core/attributor/traffic_test.go
+++ b/core/attributor/traffic_test.go
@@ -380,3 +380,44 @@
 		})
 	}
 }
+
+// Guards against an order to lift a conviction that ends a newer one, that is undone by an older record of the conviction
+// or by the crashes before it, or that counts for longer than the revisions of a part are remembered.
+func TestLiftEndsTheConvictionItRefersTo(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	convicted := func(revision uint64) Conviction {
+		return Conviction{Part: 7, Revision: revision, Crashes: 2, At: now, RefusedAt: now}
+	}
+	for _, c := range []struct {
+		name      string
+		known     uint64 // revision; 0 without a conviction
+		lift      uint64
+		age       time.Duration
+		applied   bool
+		convicted bool // after a record of revision 3 has been merged
+	}{
+		{"the one that is known", 3, 3, 0, true, false},
+		{"an older one", 3, 2, 0, false, true},
+		{"one that is not known yet", 2, 3, 0, true, false},
+		{"one that is not known at all", 0, 3, 0, true, false},
+		{"an older one that is not known at all", 0, 1, 0, true, true},
+		{"long ago", 3, 3, LiftRetention, false, true},
+		{"within the retention", 3, 3, LiftRetention - time.Millisecond, true, false},
+		{"by a clock that is ahead", 3, 3, -time.Minute, true, false},
+	} {
+		a := New()
+		if c.known > 0 {
+			a.MergeConviction(convicted(c.known))
+		}
+		l := Lift{Part: 7, Revision: c.lift, At: now.Add(-c.age).UnixMilli()}
+		_, applied := a.ApplyLift(now, l)
+		assert.Equal(t, applied, c.applied, c.name)
+		a.MergeConviction(convicted(3))
+		assert.Equal(t, a.IsConvicted(7), c.convicted, c.name)
+		_, applied = a.ApplyLift(now, l)
+		assert.Assert(t, !applied || !c.convicted, c.name)
+		a.Expire(now.Add(convictionRetention))
+		_, known := a.Conviction(7)
+		assert.Assert(t, known, "%s: forgotten while the order counts", c.name)
+	}
+}
--- a/core/fleetapplier/statemachine.go
+++ b/core/fleetapplier/statemachine.go
@@ -9,10 +9,11 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"cactusroute.dev/core/attributor"
 	"cactusroute.dev/core/registrar"
 )
 
-// Command is the content of a log entry; exactly one of the first three fields is set.
+// Command is the content of a log entry; exactly one of the fields but After is set.
 type Command struct {
 	Plan          *EncodedPlan `cbor:"1,keyasint,omitempty"`
 	TakeOutDomain string       `cbor:"2,keyasint,omitempty"` // failure domain to take out of service
@@ -23,8 +24,13 @@
 	After *uint64 `cbor:"4,keyasint,omitempty"`
 	// Departures are starts of endpoints that accept no new requests any more.
 	Departures []registrar.Departure `cbor:"10,keyasint,omitempty"`
+	// Lift ends the conviction of a prompt part.
+	Lift *attributor.Lift `cbor:"11,keyasint,omitempty"`
 }
 
+// maxLifts bounds the orders to lift convictions that are kept, the newest ones.
+const maxLifts = 256
+
 // OvertakenError reports a command about a failure domain that was committed after a newer order.
 type OvertakenError struct{ Domain string }
 
@@ -48,6 +54,8 @@
 	Orders map[string]uint64 `cbor:"4,keyasint,omitempty"`
 	// Departures has one departure of each endpoint, the oldest ones first, at most registrar.MaxDepartures.
 	Departures []registrar.Departure `cbor:"10,keyasint,omitempty"`
+	// Lifts has the last order to lift the conviction of each prompt part, the oldest ones first, at most maxLifts.
+	Lifts []attributor.Lift `cbor:"11,keyasint,omitempty"`
 }
 
 // After returns what a command about a failure domain refers to if its sender has seen this state.
@@ -59,6 +67,10 @@
 	// committed yet. It must be set before these methods are called; it may be nil.
 	OnDepartures func([]registrar.Departure)
 
+	// OnLifts is called with orders to lift convictions before the call of Apply or Restore returns. It must be set before
+	// these methods are called; it may be nil.
+	OnLifts func([]attributor.Lift)
+
 	mu       sync.Mutex
 	state    State
 	onChange func(State)
@@ -95,6 +107,11 @@
 		m.set(s)
 		m.reportDepartures(c.Departures)
 		return nil
+	case c.Lift != nil:
+		s.Lifts = addLift(s.Lifts, *c.Lift)
+		m.set(s)
+		m.reportLifts([]attributor.Lift{*c.Lift})
+		return nil
 	case c.Plan != nil:
 		if c.Plan.Version <= s.Plan.Version {
 			return nil
@@ -154,6 +171,22 @@
 	}
 }
 
+func (m *StateMachine) reportLifts(list []attributor.Lift) {
+	if m.OnLifts != nil && len(list) > 0 {
+		m.OnLifts(list)
+	}
+}
+
+// addLift returns the list with an order in place of an earlier one about the part. Elements of the list are not
+// changed.
+func addLift(list []attributor.Lift, l attributor.Lift) []attributor.Lift {
+	if i := slices.IndexFunc(list, func(known attributor.Lift) bool { return known.Part == l.Part }); i >= 0 {
+		list = slices.Concat(list[:i], list[i+1:])
+	}
+	list = append(slices.Clip(list), l)
+	return list[max(0, len(list)-maxLifts):]
+}
+
 // addDepartures returns the list with those added that say more. Elements of the list are not changed.
 func addDepartures(list, added []registrar.Departure) []registrar.Departure {
 	for _, d := range added {
@@ -219,6 +252,7 @@
 			s.Orders = map[string]uint64{}
 		}
 		m.reportDepartures(s.Departures)
+		m.reportLifts(s.Lifts)
 		m.publish(s)
 	}
 	return nil
--- a/core/fleetapplier/statemachine_test.go
+++ b/core/fleetapplier/statemachine_test.go
@@ -7,6 +7,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"gotest.tools/v3/assert"
 
+	"cactusroute.dev/core/attributor"
 	"cactusroute.dev/core/registrar"
 )
 
@@ -181,3 +182,32 @@
 		}
 	}
 }
+
+// Guards against orders to lift convictions that a snapshot forgets, that fill it, or that are reported in part.
+func TestLiftsSurviveASnapshot(t *testing.T) {
+	var reported []attributor.Lift
+	report := func(list []attributor.Lift) { reported = append(reported, list...) }
+	m := New(func(State) {})
+	m.OnLifts = report
+	apply := func(l attributor.Lift) {
+		entry, err := EncodeCommand(Command{Lift: &l})
+		assert.NilError(t, err)
+		assert.Assert(t, m.Apply(m.State().Index+1, entry) == nil)
+	}
+	for i := range maxLifts + 3 {
+		apply(attributor.Lift{Part: attributor.Part(i), Revision: 1, At: int64(i)})
+	}
+	apply(attributor.Lift{Part: 5, Revision: 2, At: 9})
+	assert.Equal(t, len(reported), maxLifts+4)
+	before := m.State().Lifts
+	assert.Equal(t, len(before), maxLifts)
+	assert.DeepEqual(t, before[0], attributor.Lift{Part: 3, Revision: 1, At: 3})
+	assert.DeepEqual(t, before[maxLifts-1], attributor.Lift{Part: 5, Revision: 2, At: 9})
+
+	reported = nil
+	restored := New(func(State) {})
+	restored.OnLifts = report
+	assert.NilError(t, restored.Restore(m.Snapshot()))
+	assert.DeepEqual(t, reported, before)
+	assert.DeepEqual(t, restored.State().Lifts, before)
+}
--- a/node/control.go
+++ b/node/control.go
@@ -36,7 +36,7 @@
 	// Convictions returns the prompt parts that this node knows as convicted or lifted.
 	Convictions() []attributor.Conviction
 	// LiftConviction ends the conviction of a prompt part at all nodes; it returns a *NotConvictedError if there is none.
-	LiftConviction(part attributor.Part) error
+	LiftConviction(ctx context.Context, part attributor.Part) error
 }
 
 // RedirectError holds the control address of the node that can handle the call.
@@ -238,12 +238,41 @@
 // Convictions implements Control.
 func (f *fleet) Convictions() []attributor.Conviction { return f.evidence.all().Convictions }
 
-// LiftConviction implements Control.
-func (f *fleet) LiftConviction(part attributor.Part) error {
-	if !f.evidence.lift(part) {
+// LiftConviction implements Control. It returns nil once a quorum of the control instances has stored the order, and
+// again if the sender repeats an acknowledged one.
+func (f *fleet) LiftConviction(ctx context.Context, part attributor.Part) error {
+	ci, err := f.localControl()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
+	defer cancel()
+	return f.logOrder("lift", part, f.commitLift(ctx, ci, part))
+}
+
+func (f *fleet) commitLift(ctx context.Context, ci *controlInstance, part attributor.Part) error {
+	// A lift that was delayed in this process must not end a conviction from after its sender has left.
+	if _, err := readForSender(ctx, ci); err != nil {
+		return err
+	}
+	c, ok := f.evidence.conviction(part)
+	if !ok {
 		return &NotConvictedError{Part: part}
 	}
-	return nil
+	// Without the conviction being in force, it was lifted; by whom is not known, so that the order is committed as well.
+	for {
+		l := attributor.Lift{Part: part, Revision: c.Revision, At: time.Now().UnixMilli()}
+		if c.Lifted {
+			l.Revision--
+		}
+		if err := ci.propose(ctx, fleetapplier.Command{Lift: &l}); err != nil {
+			return err
+		}
+		// A trial may have been granted meanwhile.
+		if c, ok = f.evidence.conviction(part); !ok || c.Lifted {
+			return nil
+		}
+	}
 }
 
 // preferredInstance returns another quorate control instance, preferably in the failure domain.
--- a/node/control_handlers.go
+++ b/node/control_handlers.go
@@ -95,7 +95,7 @@
 		writeResult(w, r, &BadRequestError{Reason: err.Error()})
 		return
 	}
-	writeResult(w, r, c.control.LiftConviction(part))
+	writeResult(w, r, c.control.LiftConviction(r.Context(), part))
 }
 
 // Register returns the handler of heartbeats, which decode parses. It responds with the result of encode for next, the
--- a/node/evidence.go
+++ b/node/evidence.go
@@ -270,16 +270,23 @@
 	ev.share(exchanger.Evidence{Convictions: changed}, true)
 }
 
-// lift ends a conviction on behalf of an operator; ok is false if the part is not convicted.
-func (ev *evidence) lift(part attributor.Part) (ok bool) {
+// applyLifts carries out orders of operators from the log.
+func (ev *evidence) applyLifts(list []attributor.Lift) {
 	ev.update(func(a *attributor.Attributor) (changed []attributor.Conviction) {
-		var c attributor.Conviction
-		if c, ok = a.Lift(time.Now(), part); ok {
-			changed = append(changed, c)
+		for _, l := range list {
+			if c, ok := a.ApplyLift(time.Now(), l); ok {
+				changed = append(changed, c)
+			}
 		}
 		return changed
 	})
-	return ok
+}
+
+// conviction returns the last conviction of a part; ok is false if there is none.
+func (ev *evidence) conviction(part attributor.Part) (c attributor.Conviction, ok bool) {
+	ev.mu.Lock()
+	defer ev.mu.Unlock()
+	return ev.attributor.Conviction(part)
 }
 
 // expire drops evidence and convictions that are past their retention.
--- a/node/evidence_test.go
+++ b/node/evidence_test.go
@@ -72,27 +72,39 @@
 	}
 	f.awaitConvicted(part, true, f.nodes)
 
-	control := httptest.NewServer(newNativeControl(late.fleet))
-	t.Cleanup(control.Close)
-	call := func(method, path string) (status int, body string) {
+	client := &http.Client{CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
+	call := func(n *testNode, method, path string) (status int, body string) {
+		control := httptest.NewServer(newNativeControl(n.fleet))
+		defer control.Close()
 		r, err := http.NewRequest(method, control.URL+path, nil)
 		assert.NilError(t, err)
-		resp, err := http.DefaultClient.Do(r)
+		resp, err := client.Do(r)
 		assert.NilError(t, err)
 		defer func() { _ = resp.Body.Close() }()
 		data, err := readBounded(resp.Body)
 		assert.NilError(t, err)
 		return resp.StatusCode, string(data)
 	}
-	status, body := call(http.MethodGet, "/v1/convictions")
+	status, body := call(late, http.MethodGet, "/v1/convictions")
 	assert.Equal(t, status, http.StatusOK)
 	assert.Assert(t, strings.Contains(body, `"part":"`+part.String()+`","lifted":false,"crashes":2`), body)
+	eventually(t, "a quorate instance", func() bool {
+		_, isKnown := late.fleet.preferredInstance("")
+		return isKnown && f.nodes[0].fleet.control.isQuorate()
+	})
 	for _, c := range []struct {
+		node   *testNode
 		path   string
 		status int
-	}{{"zz", http.StatusBadRequest}, {"1", http.StatusNotFound}, {part.String(), http.StatusOK}} {
-		status, _ := call(http.MethodDelete, "/v1/convictions/"+c.path)
-		assert.Equal(t, status, c.status, c.path)
+	}{
+		{late, "zz", http.StatusBadRequest},
+		{late, part.String(), http.StatusTemporaryRedirect},
+		{f.nodes[0], "zz", http.StatusBadRequest},
+		{f.nodes[0], "1", http.StatusNotFound},
+		{f.nodes[0], part.String(), http.StatusOK},
+	} {
+		status, _ := call(c.node, http.MethodDelete, "/v1/convictions/"+c.path)
+		assert.Equal(t, status, c.status, "%s at %s", c.path, c.node.settings.Place.Name)
 	}
 	f.awaitConvicted(part, false, f.nodes)
 }
--- a/node/node.go
+++ b/node/node.go
@@ -53,6 +53,7 @@
 			f.receiveState(st.Index, &st.Plan, st.TakenOut, stateFromLog)
 		})
 		f.control.stateMachine.OnDepartures = f.recordDepartures
+		f.control.stateMachine.OnLifts = f.evidence.applyLifts
 		f.control.server = exchanger.NewServer(f.exchangeOptions, f)
 		f.streams.publish = f.control.server.PublishStreams
 		f.evidence.publish = func(e exchanger.Evidence) {
