Control: let no late command undo a newer one

What operators saw, in a fleet with agents: an operator's request waited in a control instance that stood still. The operator went on to another instance, which acknowledged that request and then its opposite. The first instance woke, carried the old request out, and a failure domain or an endpoint that had been taken out of service was in service again.

Nothing checked that the sender still waited, and commands about the service state did not say what they refer to.

Evidence: with the check taken out, TestCommandOfASenderThatHasLeftIsDropped found the failure domain in service after requests of senders that had left. TestOrderThatWasHeldUpUndoesNothing and TestLateOrderChangesNothing need the index.

Change: each administration command, also one that changes the control group, is proposed after a round of the quorum, during which a sender that has left is noticed. Commands about the service state carry the index of that round; the state machine keeps the index of the last order about each failure domain and endpoint, and refuses an older one with "conflict". Entries of earlier releases carry none and count as before. Bundles, signatures, keys and operations had guards of their own (versions, digests, generations).

Until all control instances run this release, late orders are judged by the instances differently; do not combine an upgrade with orders about failure domains.

--- a/control/admin.go
+++ b/control/admin.go
@@ -124,7 +124,7 @@
 func (a *adminAPI) serve(
 	role applier.KeyRole, h handler, w http.ResponseWriter, r *http.Request,
 ) (response any, err error) {
-	isConfirmed := r.Method != http.MethodGet || a.control.awaitConfirmation(r.Context(), time.Now())
+	isConfirmed := r.Method != http.MethodGet || a.control.isConfirmed(r.Context(), time.Now())
 	if !isConfirmed {
 		w.Header().Set(staleHeader, "true")
 	}
@@ -135,7 +135,7 @@
 		}
 		// The key or its role may have been committed and not be applied here yet.
 		isReadConfirmed := r.Method == http.MethodGet && isConfirmed
-		if !isReadConfirmed && !a.control.awaitConfirmation(r.Context(), time.Now()) {
+		if !isReadConfirmed && !a.control.isConfirmed(r.Context(), time.Now()) {
 			return nil, errNoQuorum
 		}
 		if err := c.authorize(a.control, role); err != nil {
@@ -207,30 +207,47 @@
 	return &APIError{Status: http.StatusInternalServerError, Code: "internal", Message: err.Error()}
 }
 
-// awaitConfirmation returns true once a quorum has confirmed that all entries committed before since are applied here,
-// so that reads are linearizable. It returns false after confirmationTimeout.
-func (c *Control) awaitConfirmation(ctx context.Context, since time.Time) bool {
+// isConfirmed is awaitConfirmation without the index.
+func (c *Control) isConfirmed(ctx context.Context, since time.Time) bool {
+	_, ok := c.awaitConfirmation(ctx, since)
+	return ok
+}
+
+// awaitConfirmation returns once a quorum has confirmed that all entries committed before since are applied here, so
+// that reads are linearizable, and the index of the last of them. ok is false after confirmationTimeout.
+func (c *Control) awaitConfirmation(ctx context.Context, since time.Time) (index uint64, ok bool) {
 	ctx, cancel := context.WithTimeout(ctx, confirmationTimeout)
 	defer cancel()
 	t := time.NewTicker(confirmationPollInterval)
 	defer t.Stop()
 	for {
-		if _, at, ok := c.committer.Confirmed(); ok && !at.Before(since) {
-			return true
+		if index, at, ok := c.committer.Confirmed(); ok && !at.Before(since) {
+			return index, true
 		}
 		select {
 		case <-ctx.Done():
-			return false
+			return 0, false
 		case <-t.C:
 		}
 	}
 }
 
+// propose commits an administration command. This process may have stood still before it read the command, while its
+// sender went on to another instance: during a round of the quorum, a sender that has left is noticed.
 func (a *adminAPI) propose(c *adminCall, cmd applier.Command) (applier.Result, error) {
 	// Applying the proposal may have to wait for the end of all read transactions, so this one must end first.
 	if err := c.closeQuery(); err != nil {
 		return applier.Result{}, err
 	}
+	index, ok := a.control.awaitConfirmation(c.r.Context(), time.Now())
+	switch {
+	case c.r.Context().Err() != nil:
+		return applier.Result{}, errSenderLeft
+	case !ok:
+		return applier.Result{}, errNoQuorum
+	case cmd.SetServiceState != nil:
+		cmd.SetServiceState.After = &index
+	}
 	cmd.Actor = c.key.Name
 	r, err := a.control.propose(c.r.Context(), cmd)
 	if err != nil && r.Bundle != nil {
@@ -561,6 +578,9 @@
 	if _, err := a.propose(c, applier.Command{RecordAuditEvent: event}); err != nil {
 		return nil, err
 	}
+	if c.r.Context().Err() != nil {
+		return nil, errSenderLeft
+	}
 	if err := changeMembers(c.r.Context(), name); err != nil {
 		return nil, &APIError{Status: http.StatusConflict, Code: "conflict", Message: err.Error()}
 	}
--- a/control/admin_test.go
+++ b/control/admin_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"bytes"
+	"context"
 	"crypto/ed25519"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
@@ -246,3 +248,66 @@
 		}
 	}
 }
+
+// Guards against an administration command that an instance carries out although its sender has gone on to another
+// instance, where the command and its opposite may have been acknowledged meanwhile.
+func TestCommandOfASenderThatHasLeftIsDropped(t *testing.T) {
+	t.Parallel()
+	rs := startReplicas(t, 3, testBundle(1, 0))
+	announceEndpoint(t, rs[0].Control)
+	for _, path := range []string{"/failureDomains/a/out", "/endpoints/e/out"} {
+		assert.Equal(t, rs[0].do(t, "op", "POST", path, nil, nil), http.StatusOK)
+	}
+	members := func(r *replica) int { return len(r.committer.Status().Members) }
+	before := members(rs[0])
+	for range 4 {
+		for _, r := range rs {
+			for _, c := range []struct{ key, method, path string }{
+				{"op", "POST", "/failureDomains/a/in"}, {"op", "POST", "/endpoints/e/in"}, {"signer", "DELETE", "/keys/op2"},
+				{"op", "POST", "/members/c1/remove"},
+			} {
+				ctx, cancel := context.WithCancel(t.Context())
+				cancel()
+				req := httptest.NewRequestWithContext(ctx, c.method, "/admin/v1"+c.path, nil)
+				req.Header.Set("Authorization", "Bearer "+c.key)
+				w := httptest.NewRecorder()
+				r.Handler().ServeHTTP(w, req)
+				assert.Equal(t, w.Code, http.StatusServiceUnavailable, "%s: %s", c.path, w.Body)
+			}
+		}
+	}
+	time.Sleep(500 * time.Millisecond)
+	for _, r := range rs {
+		v := r.state.View()
+		assert.Assert(t, v.FailureDomains["a"].OutOfService && v.Endpoints["e"].OutOfService)
+		assert.Equal(t, members(r), before)
+		assert.Equal(t, r.do(t, "op2", "GET", "/status", nil, nil), http.StatusOK)
+	}
+	for _, path := range []string{"/failureDomains/a/in", "/endpoints/e/in"} {
+		assert.Equal(t, rs[1].do(t, "op", "POST", path, nil, nil), http.StatusOK)
+	}
+}
+
+// Guards against an order that an instance proposes after it has stood still, and that undoes one which was acknowledged
+// by another instance meanwhile.
+func TestOrderThatWasHeldUpUndoesNothing(t *testing.T) {
+	list := startGroup(t, 2, testBundle(1, 0))
+	held, other := list[0], list[1]
+	announceEndpoint(t, held.Control)
+	for _, target := range []string{"/failureDomains/a/", "/endpoints/e/"} {
+		order := func(c *testControl, state string) int { return c.do(t, "op", "POST", target+state, nil, nil) }
+		assert.Equal(t, order(other, "out"), http.StatusOK)
+		held.member.group.mu.Lock()
+		held.member.beforePropose = func() {
+			assert.Equal(t, order(other, "in"), http.StatusOK)
+			assert.Equal(t, order(other, "out"), http.StatusOK)
+		}
+		held.member.group.mu.Unlock()
+		assert.Equal(t, order(held, "in"), http.StatusConflict)
+		for _, c := range list {
+			v := c.state.View()
+			assert.Assert(t, target == "/endpoints/e/" && v.Endpoints["e"].OutOfService || v.FailureDomains["a"].OutOfService)
+		}
+		assert.Equal(t, order(held, "in"), http.StatusOK)
+	}
+}
--- a/control/control.go
+++ b/control/control.go
@@ -267,6 +267,11 @@
 	Code: subscriber.CodeNoQuorum, Message: "no quorum before the timeout; the command may still commit",
 }
 
+// errSenderLeft is the result of an administration command that nobody waits for.
+var errSenderLeft = &subscriber.CallError{
+	Code: subscriber.CodeNoQuorum, Message: "the sender of the command has left; it was not carried out",
+}
+
 // propose commits a command and returns its result. It returns a *subscriber.CallError without a quorum, or an
 // *applier.RefusalError.
 func (c *Control) propose(ctx context.Context, cmd applier.Command) (r applier.Result, err error) {
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -40,6 +40,7 @@
 	// repliesToLose is the number of calls of Propose that fail after the commit.
 	repliesToLose int
 	onSoftState   func(string, []byte)
+	beforePropose func() // called once, if it is set
 }
 
 var errPartitioned = errors.New("no quorum")
@@ -53,6 +54,13 @@
 }
 
 func (m *fakeMember) Propose(_ context.Context, entry []byte) (any, error) {
+	m.group.mu.Lock()
+	hook := m.beforePropose
+	m.beforePropose = nil
+	m.group.mu.Unlock()
+	if hook != nil {
+		hook()
+	}
 	m.group.mu.Lock()
 	defer m.group.mu.Unlock()
 	if m.isPartitioned {
--- a/core/applier/applier_test.go
+++ b/core/applier/applier_test.go
@@ -463,3 +463,39 @@
 		}
 	})
 }
+
+// Guards against an order that undoes a newer one about the same failure domain or endpoint, because it was committed
+// late, and against refusals of orders that are none.
+func TestLateOrderChangesNothing(t *testing.T) {
+	h := newHarness(t)
+	b := testBundle(1, 1)
+	assert.Assert(t, h.rollOut("op", b).Err == nil)
+	h.announce("e", "s")
+	order := func(o SetServiceState, after uint64) *RefusalError {
+		o.After = &after
+		return h.apply(Command{Actor: "op", SetServiceState: &o}).Err
+	}
+	for _, target := range []SetServiceState{{FailureDomain: b.FailureDomains[0].Name}, {Endpoint: "e"}} {
+		isOut := func() bool {
+			if target.FailureDomain != "" {
+				return h.View().FailureDomains[target.FailureDomain].OutOfService
+			}
+			return h.View().Endpoints[target.Endpoint].OutOfService
+		}
+		in, out := target, target
+		out.Out = true
+		first := h.Index()
+		assert.Assert(t, order(out, first) == nil)
+		assert.Equal(t, order(in, first).Code, CodeConflict)
+		assert.Assert(t, isOut())
+		second := h.Index()
+		assert.Assert(t, order(out, second) == nil) // changes nothing, and is newer all the same
+		assert.Equal(t, order(in, second).Code, CodeConflict)
+		assert.Assert(t, isOut())
+		assert.Assert(t, h.apply(Command{Actor: "op", SetServiceState: &in}).Err == nil) // of an earlier release
+		assert.Assert(t, !isOut())
+		assert.Assert(t, order(out, h.Index()) == nil)
+		assert.Assert(t, order(in, h.Index()) == nil)
+		assert.Assert(t, !isOut())
+	}
+}
--- a/core/applier/endpoints.go
+++ b/core/applier/endpoints.go
@@ -21,6 +21,34 @@
 	FailureDomain string `cbor:"1,keyasint,omitempty"`
 	Endpoint      string `cbor:"2,keyasint,omitempty"`
 	Out           bool   `cbor:"3,keyasint,omitempty"`
+	// After is the index of the last entry that the proposer had applied. If there is a newer order about the same failure
+	// domain or endpoint, the command is a late one that must not undo it. It is nil in entries of earlier releases.
+	After *uint64 `cbor:"4,keyasint,omitempty"`
+}
+
+// target returns the key of what the command is about.
+func (c *SetServiceState) target() string {
+	if c.FailureDomain != "" {
+		return "failure domain " + c.FailureDomain
+	}
+	return "endpoint " + c.Endpoint
+}
+
+// orderKeyPrefix precedes the target of an order in the keys of the meta table whose values are the indexes of the last
+// orders.
+const orderKeyPrefix = "order/"
+
+// checkOrder refuses a command that was committed after a newer order about its target, and records its index otherwise.
+func (a *Applier) checkOrder(c *SetServiceState) error {
+	key := orderKeyPrefix + c.target()
+	last, err := get[uint64](a.w, tableMeta, key)
+	if err != nil {
+		return err
+	}
+	if c.After != nil && last != nil && *c.After < *last {
+		return refuse(CodeConflict, "a newer order about %s was committed while this one waited", c.target())
+	}
+	return put(a.w, tableMeta, key, &a.meta.Index)
 }
 
 // Announce registers an endpoint; the result carries its incarnation.
@@ -64,15 +92,15 @@
 		if f == nil {
 			return refuse(CodeNotFound, "failure domain %q not found", c.FailureDomain)
 		}
-		if f.OutOfService == c.Out {
-			return nil
+		if err := a.checkOrder(c); err != nil || f.OutOfService == c.Out {
+			return err
 		}
 		f.OutOfService = c.Out
 		a.recordChange(viewer.Change{FailureDomain: f})
 		if err := put(a.w, tableDomains, f.Name, f); err != nil {
 			return err
 		}
-		return a.appendAudit(action, "failure domain "+f.Name, "")
+		return a.appendAudit(action, c.target(), "")
 	}
 	e, err := get[EndpointRecord](a.w, tableEndpoints, c.Endpoint)
 	if err != nil {
@@ -81,14 +109,14 @@
 	if e == nil {
 		return refuse(CodeNotFound, "endpoint %q not found", c.Endpoint)
 	}
-	if e.OutOfService == c.Out {
-		return nil
+	if err := a.checkOrder(c); err != nil || e.OutOfService == c.Out {
+		return err
 	}
 	e.OutOfService = c.Out
 	if err := a.putEndpoint(e); err != nil {
 		return err
 	}
-	return a.appendAudit(action, "endpoint "+e.Name, "")
+	return a.appendAudit(action, c.target(), "")
 }
 
 func (a *Applier) putEndpoint(e *EndpointRecord) error {
@@ -207,6 +235,10 @@
 			if err := a.w.Delete(tableEndpoints, e.Name); err != nil {
 				return err
 			}
+			order := SetServiceState{Endpoint: e.Name}
+			if err := a.w.Delete(tableMeta, orderKeyPrefix+order.target()); err != nil {
+				return err
+			}
 			continue
 		}
 		if e.Damped && e.Flaps.ExpireDamping(a.meta.Time) {
