--- a/node/control.go
+++ b/node/control.go
@@ -147,15 +147,21 @@
 	if err != nil {
 		return err
 	}
-	after := s.After(domain)
-	cmd.After = &after
-	err = ci.propose(ctx, cmd)
+	err = ci.propose(ctx, orderAfter(s, domain, cmd))
 	if overtaken := (*fleetapplier.OvertakenError)(nil); errors.As(err, &overtaken) {
 		return &UnavailableError{Reason: err.Error()}
 	}
 	return err
 }
 
+// orderAfter returns the command for an order about a failure domain that changes nothing if a newer one than those in a
+// state is committed first: this process may stand still before it proposes the command.
+func orderAfter(s fleetapplier.State, domain string, cmd fleetapplier.Command) fleetapplier.Command {
+	after := s.After(domain)
+	cmd.After = &after
+	return cmd
+}
+
 // readForSender returns a state that includes every command acknowledged before the call, or an error if the sender of
 // the call has left meanwhile.
 func readForSender(ctx context.Context, ci *controlInstance) (fleetapplier.State, error) {
