Answer what connections bring to a stopping node until its grace period ends

What callers saw: 3.2 s after its SIGTERM a node closed its idle connections and its listener. Requests that were on their way at that moment ended with a reset or the end of the connection: 1 of 40 callers that stayed on their connections, 6 of 200. No endpoint had seen them, but the caller of a request that must not be repeated can't know that.

Cause: the end of the time in which connections are accepted was also the moment at which idle connections were closed (http.Server.Shutdown), and connections that the kernel had established and nobody had accepted were reset with the listener.

Change: the listener accepts what is established before it closes. Open connections stay until 0.6 s before the end of the grace period, or until their callers have closed them; every response says that they close, and late requests that may last longer are refused as before, now also with that header if their head came before the stop. The process ends earlier if no connection is open.

Why it works: no connection is closed between responses by the node while its caller may use it, except for those that were idle for the whole grace period.

--- /dev/null
+++ b/adapters/server/drain.go
@@ -0,0 +1,86 @@
+package server
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"cactusroute.dev/adapters/sleeper"
+)
+
+const (
+	// acceptDrainTime is how long a listener that closes still takes connections that the kernel has established.
+	acceptDrainTime = 50 * time.Millisecond
+
+	// connPollInterval is how often a server that stops checks whether connections are open.
+	connPollInterval = 20 * time.Millisecond
+)
+
+// DrainingListener is a listener that loses no connection when it closes: a connection that is not accepted is reset,
+// with the request that its caller has sent.
+type DrainingListener struct {
+	net.Listener
+
+	once  sync.Once
+	ended chan struct{} // closed when Accept has failed
+}
+
+// NewDrainingListener returns a listener whose Accept is called in a loop.
+func NewDrainingListener(l net.Listener) *DrainingListener {
+	return &DrainingListener{Listener: l, ended: make(chan struct{})}
+}
+
+// Accept implements net.Listener; it returns net.ErrClosed after Drain.
+func (l *DrainingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		err = net.ErrClosed
+	}
+	if errors.Is(err, net.ErrClosed) {
+		l.once.Do(func() { close(l.ended) })
+	}
+	return c, err
+}
+
+// Drain accepts the connections that are established and closes the listener.
+func (l *DrainingListener) Drain() error {
+	d, ok := l.Listener.(interface{ SetDeadline(t time.Time) error })
+	if ok && d.SetDeadline(time.Now().Add(acceptDrainTime)) == nil {
+		select {
+		case <-l.ended:
+		case <-time.After(2 * acceptDrainTime):
+		}
+	}
+	if err := l.Close(); !errors.Is(err, net.ErrClosed) { // http.Server.Serve closes its listener, too
+		return err
+	}
+	return nil
+}
+
+// ConnCount counts the open connections of an http.Server, whose ConnState is Track.
+type ConnCount struct{ n atomic.Int64 }
+
+// Track is a ConnState function of an http.Server.
+func (c *ConnCount) Track(_ net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateNew:
+		c.n.Add(1)
+	case http.StateClosed, http.StateHijacked:
+		c.n.Add(-1)
+	}
+}
+
+// Open returns the number of open connections that are not hijacked.
+func (c *ConnCount) Open() int64 { return c.n.Load() }
+
+// AwaitClosed waits until open returns 0 or ctx ends.
+func AwaitClosed(ctx context.Context, open func() int64) {
+	for open() > 0 && ctx.Err() == nil {
+		sleeper.Pause(ctx, connPollInterval)
+	}
+}
--- a/node/front_server.go
+++ b/node/front_server.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"cactusroute.dev/adapters/server"
@@ -33,6 +32,9 @@
 	// shutdownMargin is the part of the grace period reserved for closing the remaining connections.
 	shutdownMargin = 600 * time.Millisecond
 
+	// closeGrace is how long the responses to the last requests may take.
+	closeGrace = 100 * time.Millisecond
+
 	// callerStallTimeout is how long a caller may read nothing while a response waits for it. It is longer than the pauses
 	// of callers that go on, and bounds how long such a caller holds an endpoint.
 	callerStallTimeout = 5 * time.Second
@@ -47,7 +49,7 @@
 	handler http.Handler
 	limits  func() planner.Limits
 	grace   time.Duration
-	onStop  func(startedAt, closeAt time.Time) // closeAt is when connections in use are closed
+	onStop  func(stop stopTimes)
 
 	// onAcceptError is called after a failed accept, for example for lack of file descriptors.
 	onAcceptError func(err error)
@@ -65,16 +67,7 @@
 type limitedServer struct {
 	*http.Server
 
-	conns atomic.Int64 // open connections
-}
-
-func (s *limitedServer) countConn(_ net.Conn, state http.ConnState) {
-	switch state {
-	case http.StateNew:
-		s.conns.Add(1)
-	case http.StateClosed, http.StateHijacked:
-		s.conns.Add(-1)
-	}
+	conns server.ConnCount
 }
 
 // connListener is a net.Listener that accepts connections from a channel.
@@ -108,12 +101,13 @@
 func (s *frontServer) String() string { return "front " + s.addr }
 
 // Serve serves callers until ctx ends, then shuts down: it reports not ready, accepts connections for drainNotice, and
-// waits for requests in progress within the grace period.
+// answers what the open ones bring until they are closed or the grace period ends.
 func (s *frontServer) Serve(ctx context.Context) error {
-	ln, err := (&net.ListenConfig{}).Listen(ctx, "tcp", s.addr)
+	plain, err := (&net.ListenConfig{}).Listen(ctx, "tcp", s.addr)
 	if err != nil {
 		return err
 	}
+	ln := server.NewDrainingListener(plain)
 	s.updateLimits(ln.Addr())
 	go s.acceptLoop(ln)
 	t := time.NewTicker(limitsCheckInterval)
@@ -145,7 +139,7 @@
 	s.listener = &connListener{conns: make(chan net.Conn), addr: addr, done: make(chan struct{})}
 	hs := &limitedServer{Server: &http.Server{Handler: s.handler, ConnContext: withCallerConn,
 		ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout}}
-	hs.ConnState = hs.countConn
+	hs.ConnState = hs.conns.Track
 	if limits.HeaderTimeoutMillis > 0 {
 		hs.ReadHeaderTimeout = time.Duration(limits.HeaderTimeoutMillis) * time.Millisecond
 	}
@@ -165,7 +159,7 @@
 		return
 	}
 	current := s.servers[len(s.servers)-1]
-	s.servers = slices.DeleteFunc(s.servers, func(hs *limitedServer) bool { return hs != current && hs.conns.Load() == 0 })
+	s.servers = slices.DeleteFunc(s.servers, func(hs *limitedServer) bool { return hs != current && hs.conns.Open() == 0 })
 }
 
 func (s *frontServer) acceptLoop(ln net.Listener) {
@@ -206,13 +200,31 @@
 	}
 }
 
-// shutdown drains the servers as described at Serve.
-func (s *frontServer) shutdown(ln net.Listener) {
+// shutdown drains the servers as described at Serve. An idle connection is closed by its caller, after a response that
+// says so, or at the end: a request may be on its way at any time before.
+func (s *frontServer) shutdown(ln *server.DrainingListener) {
 	now := time.Now()
-	deadline := now.Add(s.grace - shutdownMargin)
-	s.onStop(now, deadline)
+	closeAt := now.Add(s.grace - shutdownMargin)
+	s.onStop(newStopTimes(now, closeAt))
 	time.Sleep(drainNotice)
-	_ = ln.Close()
+	_ = ln.Drain()
+	ctx, cancel := context.WithDeadline(context.Background(), closeAt)
+	defer cancel()
+	server.AwaitClosed(ctx, s.openConns)
+	s.closeConns(closeAt.Add(closeGrace))
+}
+
+func (s *frontServer) openConns() (n int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, hs := range s.servers {
+		n += hs.conns.Open()
+	}
+	return n
+}
+
+// closeConns closes idle connections, and at a deadline those in use.
+func (s *frontServer) closeConns(deadline time.Time) {
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	s.mu.Lock()
@@ -235,9 +247,13 @@
 	closeAt time.Time // when connections in use are closed
 }
 
+func newStopTimes(startedAt, closeAt time.Time) stopTimes {
+	return stopTimes{lateAt: startedAt.Add(lateNotice), closeAt: closeAt}
+}
+
 // stop begins a shutdown.
-func (p *proxy) stop(startedAt, closeAt time.Time) {
-	p.stopTimes.Store(&stopTimes{lateAt: startedAt.Add(lateNotice), closeAt: closeAt})
+func (p *proxy) stop(s stopTimes) {
+	p.stopTimes.Store(&s)
 	p.stopping.Store(true)
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -146,10 +146,11 @@
 			n.fleet.log.failure("msg", "caller reads nothing", "caller", c.RemoteAddr().String(),
 				"ms", callerStallTimeout.Milliseconds())
 		},
-		onStop: func(startedAt, closeAt time.Time) {
+		onStop: func(stop stopTimes) {
 			n.ready.SetNotReady()
-			n.front.stop(startedAt, closeAt)
-			n.obs.Event("node is stopping", "graceMs", n.settings.GraceMillis)
+			n.front.stop(stop)
+			n.obs.Event("node is stopping", "graceMs", n.settings.GraceMillis,
+				"lateMs", time.Until(stop.lateAt).Milliseconds(), "closeMs", time.Until(stop.closeAt).Milliseconds())
 		}}
 	return fs.Serve(ctx)
 }
--- a/node/proxy.go
+++ b/node/proxy.go
@@ -364,6 +364,9 @@
 	p.log.failure(append(keyvals, ref.logFields...)...)
 	defer q.incoming.Leave(w)()
 	header := w.Header()
+	if p.stopping.Load() {
+		header.Set("Connection", "close")
+	}
 	if q.id != "" {
 		header[p.dialect.Headers.RequestID] = []string{q.id}
 	}
--- a/node/shutdown_test.go
+++ b/node/shutdown_test.go
@@ -1,12 +1,18 @@
 package node
 
 import (
+	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -44,13 +50,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	go func() { _ = s.Serve(ctx) }()
-	eventually(t, "listener", func() bool {
-		c, err := net.Dial("tcp", s.addr)
-		if err == nil {
-			_ = c.Close()
-		}
-		return err == nil
-	})
+	awaitListener(t, s.addr)
 
 	type result struct {
 		status     int
@@ -133,3 +133,112 @@
 		}
 	}
 }
+
+// Guards against a stopping node that closes a connection on which a request has just been sent, without an answer: its
+// caller can't know whether a request that must not be repeated has run.
+func TestStoppingNodeAnswersWhatItsConnectionsBring(t *testing.T) {
+	t.Parallel()
+	const (
+		grace       = 6 * time.Second
+		busyCallers = 200
+		idleCallers = 100
+		maxThink    = 400 * time.Millisecond
+		lastSend    = grace - shutdownMargin - 200*time.Millisecond // after the start of the shutdown
+	)
+	p := newTestProxy(t, testPlan(1), newFakeEndpoint(t, respondOK))
+	s := &frontServer{addr: freeAddress(), handler: p.proxy, limits: func() planner.Limits { return planner.Limits{} },
+		grace: grace, onStop: p.stop, onAcceptError: func(error) {}}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	served := make(chan struct{})
+	go func() { _ = s.Serve(ctx); close(served) }()
+	awaitListener(t, s.addr)
+
+	var answered, refused, closedIdle, lost atomic.Int64
+	var mu sync.Mutex
+	var reports []string
+	start := time.Now()
+	// send reports whether the connection may be used again.
+	send := func(conn net.Conn, br *bufio.Reader) bool {
+		sentAt := time.Since(start)
+		_, err := io.WriteString(conn, "POST /once/ HTTP/1.1\r\nHost: h.example\r\nReq-Id: id-1\r\nApi-Key: key\r\n"+
+			"Left-Ms: 1000\r\nContent-Length: 1\r\n\r\nx")
+		var resp *http.Response
+		if err == nil {
+			resp, err = http.ReadResponse(br, nil)
+		}
+		if err == nil {
+			defer func() { _ = resp.Body.Close() }()
+			_, err = io.Copy(io.Discard, resp.Body)
+		}
+		if err != nil {
+			lost.Add(1)
+			mu.Lock()
+			reports = append(reports, fmt.Sprintf("sent at %s from %s: %v", sentAt, conn.LocalAddr(), err))
+			mu.Unlock()
+			return false
+		}
+		answered.Add(1)
+		if resp.StatusCode == http.StatusServiceUnavailable {
+			refused.Add(1)
+		}
+		return !resp.Close
+	}
+	var wg sync.WaitGroup
+	for range busyCallers {
+		wg.Go(func() {
+			for {
+				conn, err := net.Dial("tcp", s.addr)
+				if err != nil {
+					return // refused before anything was sent
+				}
+				br := bufio.NewReader(conn)
+				for send(conn, br) {
+					time.Sleep(rand.N(maxThink))
+				}
+				_ = conn.Close()
+				time.Sleep(rand.N(maxThink))
+			}
+		})
+	}
+	for range idleCallers {
+		wg.Go(func() {
+			conn, err := net.Dial("tcp", s.addr)
+			assert.NilError(t, err)
+			defer func() { _ = conn.Close() }()
+			br := bufio.NewReader(conn)
+			if !send(conn, br) {
+				return
+			}
+			time.Sleep(time.Second + rand.N(lastSend-100*time.Millisecond))
+			_ = conn.SetReadDeadline(time.Now().Add(time.Millisecond))
+			_, err = br.Peek(1)
+			if !errors.Is(err, os.ErrDeadlineExceeded) {
+				closedIdle.Add(1) // as clients notice before they send
+				return
+			}
+			_ = conn.SetReadDeadline(time.Time{})
+			send(conn, br)
+		})
+	}
+	time.Sleep(time.Second)
+	cancel()
+	stoppedAt := time.Now()
+	wg.Wait()
+	<-served
+	assert.Assert(t, time.Since(stoppedAt) < grace)
+	t.Logf("%d answered, %d of them refused", answered.Load(), refused.Load())
+	assert.Equal(t, lost.Load(), int64(0), "%s", strings.Join(reports, "\n"))
+	assert.Equal(t, closedIdle.Load(), int64(0))
+}
+
+func awaitListener(t *testing.T, addr string) {
+	t.Helper()
+	eventually(t, "listener", func() bool {
+		c, err := net.Dial("tcp", addr)
+		if err == nil {
+			_ = c.Close()
+		}
+		return err == nil
+	})
+}
--- a/node/slow_caller_test.go
+++ b/node/slow_caller_test.go
@@ -25,7 +25,7 @@
 	t.Helper()
 	ctx, cancel := context.WithCancel(t.Context())
 	address := freeAddress()
-	s := &frontServer{addr: address, handler: p.proxy, grace: shutdownMargin, onStop: func(_, _ time.Time) {},
+	s := &frontServer{addr: address, handler: p.proxy, grace: shutdownMargin, onStop: func(stopTimes) {},
 		limits: func() planner.Limits { return planner.Limits{} }, onStall: func(net.Conn) {}}
 	done := make(chan struct{})
 	go func() { defer close(done); _ = s.Serve(ctx) }()
