Keep a short grace period in a shutdown

What callers saw: with a grace period of 3 s or less, a stopping node accepted requests until it was killed, and cut all of them without an answer.

Cause: the times of a shutdown were constants for a grace period of 8 s: the node slept for 3.2 s before it looked at its connections, and refused requests that may last longer than their connection only after 2.8 s.

Evidence: TestShutdownWithinAShortGracePeriod got status 200 for a request of 10 s right after the stop with grace periods of 1 and 3 s, and the server ended after 3.2 s.

Change: requests have to end in time from 4.6 s before connections are closed, at the latest 2.8 s after the stop; that is the same for 8 s and from the start for 5 s and less. The listener closes 0.2 s before the connections at the latest, and the margin for closing them is at most a quarter of the grace period.

--- a/node/front_server.go
+++ b/node/front_server.go
@@ -29,8 +29,18 @@
 	// lateMargin is the time for the last response of a request at its deadline.
 	lateMargin = 100 * time.Millisecond
 
-	// shutdownMargin is the part of the grace period reserved for closing the remaining connections.
-	shutdownMargin = 600 * time.Millisecond
+	// minServeTime is the time before connections in use are closed within which requests are accepted only if they end
+	// in time.
+	minServeTime = 4600 * time.Millisecond
+
+	// shutdownMargin is the part of the grace period reserved for closing the remaining connections, at most the share
+	// maxShutdownMargin of it.
+	shutdownMargin    = 600 * time.Millisecond
+	maxShutdownMargin = 0.25
+
+	// closeNotice is the least time between the close of the listener and that of idle connections, in which new
+	// connections bring their requests.
+	closeNotice = 200 * time.Millisecond
 
 	// closeGrace is how long the responses to the last requests may take.
 	closeGrace = 100 * time.Millisecond
@@ -204,9 +214,14 @@
 // says so, or at the end: a request may be on its way at any time before.
 func (s *frontServer) shutdown(ln *server.DrainingListener) {
 	now := time.Now()
-	closeAt := now.Add(s.grace - shutdownMargin)
+	margin := min(shutdownMargin, time.Duration(maxShutdownMargin*float64(s.grace)))
+	closeAt := now.Add(s.grace - margin)
 	s.onStop(newStopTimes(now, closeAt))
-	time.Sleep(drainNotice)
+	lastAccept := now.Add(drainNotice)
+	if latest := closeAt.Add(-closeNotice); latest.Before(lastAccept) {
+		lastAccept = latest
+	}
+	time.Sleep(time.Until(lastAccept))
 	_ = ln.Drain()
 	ctx, cancel := context.WithDeadline(context.Background(), closeAt)
 	defer cancel()
@@ -247,8 +262,13 @@
 	closeAt time.Time // when connections in use are closed
 }
 
+// newStopTimes returns the times of a shutdown. With a short grace period, requests must end in time from its start.
 func newStopTimes(startedAt, closeAt time.Time) stopTimes {
-	return stopTimes{lateAt: startedAt.Add(lateNotice), closeAt: closeAt}
+	s := stopTimes{lateAt: startedAt.Add(lateNotice), closeAt: closeAt}
+	if latest := closeAt.Add(-minServeTime); latest.Before(s.lateAt) {
+		s.lateAt = latest
+	}
+	return s
 }
 
 // stop begins a shutdown.
--- a/node/shutdown_test.go
+++ b/node/shutdown_test.go
@@ -143,7 +143,7 @@
 		busyCallers = 200
 		idleCallers = 100
 		maxThink    = 400 * time.Millisecond
-		lastSend    = grace - shutdownMargin - 200*time.Millisecond // after the start of the shutdown
+		lastSend    = grace - shutdownMargin - closeNotice // after the start of the shutdown
 	)
 	p := newTestProxy(t, testPlan(1), newFakeEndpoint(t, respondOK))
 	s := &frontServer{addr: freeAddress(), handler: p.proxy, limits: func() planner.Limits { return planner.Limits{} },
@@ -242,3 +242,60 @@
 		return err == nil
 	})
 }
+
+// Guards against a node that is killed in the middle of its shutdown because a short grace period is over, and against
+// requests that it accepts in it and can't complete.
+func TestShutdownWithinAShortGracePeriod(t *testing.T) {
+	for _, grace := range []time.Duration{time.Second, 3 * time.Second} {
+		t.Run(grace.String(), func(t *testing.T) {
+			t.Parallel()
+			plan := testPlan(1)
+			plan.Routes[0].TimeoutMillis = 12_000
+			p := newTestProxy(t, plan, newFakeEndpoint(t, respondOK))
+			stopped := make(chan struct{})
+			s := &frontServer{addr: freeAddress(), handler: p.proxy, grace: grace, onAcceptError: func(error) {},
+				limits: func() planner.Limits { return planner.Limits{} },
+				onStop: func(s stopTimes) { p.stop(s); close(stopped) }}
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			served := make(chan struct{})
+			go func() { _ = s.Serve(ctx); close(served) }()
+			awaitListener(t, s.addr)
+			idle, err := net.Dial("tcp", s.addr) // stays open
+			assert.NilError(t, err)
+			defer func() { _ = idle.Close() }()
+			start := time.Now()
+			cancel()
+			<-stopped
+			for _, c := range []struct {
+				left   string
+				status int
+			}{{"100", http.StatusOK}, {"10000", http.StatusServiceUnavailable}} {
+				r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+s.addr+"/once/", strings.NewReader("x"))
+				assert.NilError(t, err)
+				r.Host = "h.example"
+				r.Header = http.Header{"Req-Id": {"id-1"}, "Api-Key": {"key"}, "Left-Ms": {c.left}}
+				resp, err := http.DefaultClient.Do(r)
+				assert.NilError(t, err)
+				assert.Equal(t, resp.StatusCode, c.status, c.left)
+				assert.Assert(t, resp.Close)
+				assert.NilError(t, resp.Body.Close())
+			}
+			<-served
+			assert.Assert(t, time.Since(start) < grace, "%s", time.Since(start))
+		})
+	}
+}
+
+// Guards against a shutdown that accepts requests for longer than its grace period allows.
+func TestStopTimes(t *testing.T) {
+	start := time.Now()
+	for _, c := range []struct{ grace, late time.Duration }{
+		{30 * time.Second, lateNotice}, {8 * time.Second, lateNotice}, {5 * time.Second, 5*time.Second - minServeTime},
+		{time.Second, time.Second - minServeTime},
+	} {
+		got := newStopTimes(start, start.Add(c.grace))
+		assert.Equal(t, got.closeAt, start.Add(c.grace))
+		assert.Equal(t, got.lateAt, start.Add(c.late), "%s", c.grace)
+	}
+}
