Count the grace period from the signal after a pause

Cause: the shutdown began with the moment at which the signal was noticed.

Change: if the process has just stood still, requests are refused as if the signal had come at the start of the pause. Connections are closed by the time at which it was noticed: closing them earlier would cut what may still complete.

--- a/node/clock.go
+++ b/node/clock.go
@@ -127,6 +127,7 @@
 type pauseDetector struct {
 	started  time.Time
 	lastTick atomic.Int64 // nanoseconds since started; 0 before the first tick
+	beganAt  atomic.Int64 // last check before the last pause
 	pausedAt atomic.Int64 // end of the last pause
 }
 
@@ -135,6 +136,7 @@
 	for ctx.Err() == nil {
 		now := max(1, int64(time.Since(d.started)))
 		if last := d.lastTick.Swap(now); last > 0 && now-last > int64(minPause) {
+			d.beganAt.Store(last)
 			d.pausedAt.Store(now)
 		}
 		sleeper.Pause(ctx, pauseTick)
@@ -148,3 +150,17 @@
 	last, pausedAt := d.lastTick.Load(), d.pausedAt.Load()
 	return last > 0 && n-last > int64(minPause) || pausedAt > 0 && n-pausedAt < int64(pauseTail)
 }
+
+// since returns the earliest time at which an event that is noticed now may have happened: the start of a pause that has
+// just ended, or now.
+func (d *pauseDetector) since(now time.Time) time.Time {
+	n := int64(now.Sub(d.started))
+	last, beganAt, pausedAt := d.lastTick.Load(), d.beganAt.Load(), d.pausedAt.Load()
+	switch {
+	case last > 0 && n-last > int64(minPause):
+		return d.started.Add(time.Duration(last))
+	case pausedAt > 0 && n-pausedAt < int64(pauseTail):
+		return d.started.Add(time.Duration(beganAt))
+	}
+	return now
+}
--- a/node/front_server.go
+++ b/node/front_server.go
@@ -61,6 +61,9 @@
 	grace   time.Duration
 	onStop  func(stop stopTimes)
 
+	// stoppedSince returns the earliest time at which a signal that is noticed now may have been sent; nil means now.
+	stoppedSince func(now time.Time) time.Time
+
 	// onAcceptError is called after a failed accept, for example for lack of file descriptors.
 	onAcceptError func(err error)
 
@@ -214,9 +217,13 @@
 // says so, or at the end: a request may be on its way at any time before.
 func (s *frontServer) shutdown(ln *server.DrainingListener) {
 	now := time.Now()
+	startedAt := now
+	if s.stoppedSince != nil {
+		startedAt = s.stoppedSince(now)
+	}
 	margin := min(shutdownMargin, time.Duration(maxShutdownMargin*float64(s.grace)))
 	closeAt := now.Add(s.grace - margin)
-	s.onStop(newStopTimes(now, closeAt))
+	s.onStop(newStopTimes(startedAt, startedAt.Add(s.grace-margin)))
 	lastAccept := now.Add(drainNotice)
 	if latest := closeAt.Add(-closeNotice); latest.Before(lastAccept) {
 		lastAccept = latest
--- a/node/node.go
+++ b/node/node.go
@@ -146,6 +146,7 @@
 			n.fleet.log.failure("msg", "caller reads nothing", "caller", c.RemoteAddr().String(),
 				"ms", callerStallTimeout.Milliseconds())
 		},
+		stoppedSince: n.fleet.pauses.since,
 		onStop: func(stop stopTimes) {
 			n.ready.SetNotReady()
 			n.front.stop(stop)
