Keep idle connections open in the shutdown of routers and control instances

What callers saw, in a fleet with agents: a router that stops closed its idle connections and its listener at the end of the drain notice, as a node did. Requests on their way ended without an answer. Its responses did not say that it stops.

Cause: server.Server called http.Server.Shutdown first, which closes both at once.

Evidence: without IdleGrace, TestStopAnswersWhatIdleConnectionsBring reads "unexpected EOF" on connections that were idle.

Change: the listener accepts what is established before it closes, responses during a shutdown say that the connection closes, and idle connections stay open for IdleGrace: 5 s for routers, 2 s for the administration API. A router says so from the start of the drain notice on. Agents serve hijacked connections, which have a drain of their own.

--- a/adapters/server/drain_test.go
+++ b/adapters/server/drain_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -57,3 +59,53 @@
 	assert.NilError(t, NewDrainingListener(plain).Drain())
 	assert.Assert(t, time.Since(start) < testTimeout)
 }
+
+// Guards against a server that closes idle connections at the start of its shutdown, when requests may be on their way,
+// and against one that never ends because idle connections stay.
+func TestStopAnswersWhatIdleConnectionsBring(t *testing.T) {
+	const callers, idleGrace = 20, 600 * time.Millisecond
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	s := &Server{Handler: http.NotFoundHandler(), GracePeriod: testTimeout, IdleGrace: idleGrace}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	ended := make(chan error, 1)
+	go func() { ended <- s.serve(ctx, l) }()
+	var wg sync.WaitGroup
+	stopped := make(chan struct{})
+	for i := range callers {
+		conn, err := net.Dial("tcp", l.Addr().String())
+		assert.NilError(t, err)
+		defer func() { _ = conn.Close() }()
+		br := bufio.NewReader(conn)
+		call := func() (isLast bool) {
+			_ = conn.SetDeadline(time.Now().Add(testTimeout))
+			_, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+			assert.Check(t, err)
+			resp, err := http.ReadResponse(br, nil)
+			if !assert.Check(t, err) {
+				return false
+			}
+			_, err = io.Copy(io.Discard, resp.Body)
+			assert.Check(t, err)
+			assert.Check(t, resp.Body.Close())
+			return resp.Close
+		}
+		assert.Assert(t, !call())
+		if i == 0 {
+			continue // stays idle
+		}
+		wg.Go(func() {
+			<-stopped
+			time.Sleep(time.Duration(i) * idleGrace / 2 / callers)
+			assert.Check(t, call())
+		})
+	}
+	start := time.Now()
+	cancel()
+	close(stopped)
+	wg.Wait()
+	err = <-ended
+	assert.Assert(t, errors.Is(err, context.Canceled), "%v", err)
+	assert.Assert(t, time.Since(start) >= idleGrace && time.Since(start) < testTimeout/2, "%s", time.Since(start))
+}
--- a/adapters/server/server.go
+++ b/adapters/server/server.go
@@ -43,8 +43,8 @@
 }
 
 // Server is an HTTP server that runs until its context ends. Its shutdown reports not ready, runs the PreStop hooks
-// during ShutdownDelay, closes the listener, waits up to GracePeriod for requests in flight and Drain hooks, and then
-// closes the remaining connections.
+// during ShutdownDelay, closes the listener, waits up to GracePeriod for requests in flight and Drain hooks, within it up
+// to IdleGrace for idle connections, and then closes the remaining connections.
 type Server struct {
 	Addr    string
 	Handler http.Handler
@@ -64,6 +64,12 @@
 	ListenWhileDraining bool
 	// GracePeriod limits the total duration of the Drain hooks and the requests in flight.
 	GracePeriod time.Duration
+	// IdleGrace is how long idle connections stay open within GracePeriod after the listener is closed. Until then they
+	// are answered, and closed after the answer: a request may be on its way when an idle connection is closed.
+	IdleGrace time.Duration
+
+	conns    ConnCount
+	stopping atomic.Bool
 }
 
 // String identifies the server in the log of a supervisor.
@@ -84,13 +90,17 @@
 }
 
 func (s *Server) serve(ctx context.Context, l net.Listener) error {
+	draining := NewDrainingListener(l)
+	l = draining
 	if s.WrapListener != nil {
 		l = s.WrapListener(l)
 	}
 	if s.TLS != nil {
 		l = tls.NewListener(l, s.TLS)
 	}
-	hs := &http.Server{Handler: s.Handler, ReadHeaderTimeout: readHeaderTimeout, ConnContext: WithConn}
+	s.stopping.Store(false)
+	hs := &http.Server{Handler: http.HandlerFunc(s.serveHTTP), ReadHeaderTimeout: readHeaderTimeout,
+		ConnContext: WithConn, ConnState: s.conns.Track}
 	done := make(chan error, 1)
 	go func() { done <- hs.Serve(l) }()
 	select {
@@ -98,13 +108,22 @@
 		return err
 	case <-ctx.Done():
 	}
-	if err := s.shutdown(context.WithoutCancel(ctx), hs); err != nil {
+	if err := s.shutdown(context.WithoutCancel(ctx), hs, draining); err != nil {
 		return errors.Join(err, hs.Close())
 	}
 	return ctx.Err()
 }
 
-func (s *Server) shutdown(ctx context.Context, hs *http.Server) error {
+// serveHTTP closes connections after their responses during a shutdown.
+func (s *Server) serveHTTP(w http.ResponseWriter, r *http.Request) {
+	if s.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	s.Handler.ServeHTTP(w, r)
+}
+
+func (s *Server) shutdown(ctx context.Context, hs *http.Server, l *DrainingListener) error {
+	s.stopping.Store(true)
 	if s.Readiness != nil {
 		s.Readiness.SetNotReady()
 	}
@@ -119,11 +138,20 @@
 	ctx, cancel := context.WithTimeout(ctx, s.GracePeriod)
 	defer cancel()
 	if s.ListenWhileDraining {
-		return errors.Join(s.drain(ctx), hs.Shutdown(ctx))
+		return errors.Join(s.drain(ctx), s.closeConns(ctx, hs, l))
 	}
-	shutdownErr := make(chan error, 1)
-	go func() { shutdownErr <- hs.Shutdown(ctx) }()
-	return errors.Join(s.drain(ctx), <-shutdownErr)
+	closeErr := make(chan error, 1)
+	go func() { closeErr <- s.closeConns(ctx, hs, l) }()
+	return errors.Join(s.drain(ctx), <-closeErr)
+}
+
+// closeConns closes the listener and idle connections, and waits for requests in flight.
+func (s *Server) closeConns(ctx context.Context, hs *http.Server, l *DrainingListener) error {
+	drainErr := l.Drain()
+	idleCtx, cancel := context.WithTimeout(ctx, s.IdleGrace)
+	defer cancel()
+	AwaitClosed(idleCtx, s.conns.Open)
+	return errors.Join(drainErr, hs.Shutdown(ctx))
 }
 
 func (s *Server) drain(ctx context.Context) error {
--- a/control/control.go
+++ b/control/control.go
@@ -32,6 +32,9 @@
 	proposeTimeout = 3 * time.Second
 	// shutdownGracePeriod is how long operators' requests may still run during a shutdown.
 	shutdownGracePeriod = 5 * time.Second
+	// idleGracePeriod is how long idle connections of operators stay open in it: their next requests are answered that
+	// the instance stops.
+	idleGracePeriod = 2 * time.Second
 )
 
 // Options are the dependencies of a control instance.
@@ -488,6 +491,7 @@
 	wg.Go(func() { cancel(c.Serve(ctx)) })
 	srv := &server.Server{
 		Addr: c.settings.Listen, Handler: c.Handler(), TLS: c.certifier.PublicConfig(), GracePeriod: shutdownGracePeriod,
+		IdleGrace:    idleGracePeriod,
 		WrapListener: c.WrapListener,
 	}
 	if err := srv.Serve(ctx); err != nil {
--- a/router/router.go
+++ b/router/router.go
@@ -130,6 +130,9 @@
 ) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set(headerRequestID, crand.Text())
+		if rt.draining.Load() {
+			w.Header().Set("Connection", "close")
+		}
 		body := server.NewBody(r)
 		r = r.WithContext(r.Context()) // net/http needs the body of the original request
 		r.Body = body
@@ -258,6 +261,9 @@
 // drainTimeout limits the time for requests in flight after the listener is closed.
 const drainTimeout = 60 * time.Second
 
+// idleDrainTimeout limits the time for callers to use or close their idle connections after the listener is closed.
+const idleDrainTimeout = 5 * time.Second
+
 // Run serves until ctx ends. It then reports not ready, closes the listener after DrainNoticeMillis and completes the
 // requests in flight.
 func Run(ctx context.Context, s Settings, obs *observer.Observer) error {
@@ -285,6 +291,7 @@
 	})()
 	srv := &server.Server{
 		Addr: rt.settings.Listen, Handler: rt.Handler(), TLS: rt.certifier.PublicConfig(), GracePeriod: drainTimeout,
+		IdleGrace: idleDrainTimeout,
 		WrapListener: func(l net.Listener) net.Listener {
 			return &server.CallerListener{Listener: l, StallTimeout: rt.callerStallTimeout, OnStall: func(c net.Conn) {
 				rt.obs.Event("caller reads nothing", "caller", c.RemoteAddr().String())
