Complete calls of operators and endpoints before the node stops

What operators and endpoints saw: calls that were in progress when a stopping node had closed its front connections were cut, although they were about to be acknowledged. They were sent again elsewhere.

Cause: the server of the control address stopped together with the services that it needs, and without any grace.

Evidence: TestStoppingNodeAnswersControlCalls read EOF for 20 of 20 calls.

Change: it stops before the other services, and completes calls for 0.25 s, within the margin of the grace period.

--- a/node/node.go
+++ b/node/node.go
@@ -39,6 +39,9 @@
 	fleet    *fleet
 	front    *proxy
 	ready    server.Readiness
+
+	controlStopping chan struct{} // closed by stopControl
+	controlStopped  chan struct{} // closed when the server of operators and endpoints has stopped
 }
 
 // New returns a node that serves once Run is called; the settings must have been checked.
@@ -62,7 +65,8 @@
 		}
 	}
 	pool := forwarder.NewPool(s.EndpointLimits.Limits)
-	n := &Node{settings: s, obs: obs, queue: queue, fleet: f}
+	n := &Node{settings: s, obs: obs, queue: queue, fleet: f, controlStopping: make(chan struct{}),
+		controlStopped: make(chan struct{})}
 	n.front = &proxy{dialect: d, fleet: f, pool: pool, log: log, metrics: newMetrics(obs, f, pool, queue)}
 	pool.OnEnd = n.front.recordIdleEnd
 	n.front.bodies.limit = s.BodyMemoryBytes
@@ -103,6 +107,7 @@
 	n.addServices(sup)
 	done := sup.ServeBackground(servicesCtx)
 	err := n.serveFront(ctx)
+	n.stopControl()
 	n.obs.Event("node stopped", "cause", context.Cause(ctx))
 	cancel()
 	if supErr := <-done; supErr != nil && !errors.Is(supErr, context.Canceled) {
@@ -184,7 +189,7 @@
 	}
 	sup.Add(&server.Server{Addr: l.Exchange, Handler: exchange})
 	if l.Control != "" {
-		sup.Add(&server.Server{Addr: l.Control, Handler: f.dialect.Control(f)})
+		sup.Add(service{"control", n.serveControl})
 	}
 	if l.Ready != "" {
 		sup.Add(&server.Server{Addr: l.Ready, Handler: &n.ready})
@@ -196,6 +201,45 @@
 	}
 }
 
+// controlGrace is how long calls of operators and endpoints may still take when the node stops. It fits into
+// shutdownMargin.
+const controlGrace = 250 * time.Millisecond
+
+// serveControl serves operators and endpoints until ctx ends or stopControl is called.
+func (n *Node) serveControl(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		select {
+		case <-n.controlStopping:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	srv := &server.Server{Addr: n.settings.Listen.Control, Handler: n.fleet.dialect.Control(n.fleet),
+		GracePeriod: controlGrace}
+	err := srv.Serve(ctx)
+	select {
+	case <-n.controlStopping:
+		close(n.controlStopped)
+		return suture.ErrDoNotRestart
+	default:
+		return err
+	}
+}
+
+// stopControl completes the calls of operators and endpoints, which need the other services.
+func (n *Node) stopControl() {
+	if n.settings.Listen.Control == "" {
+		return
+	}
+	close(n.controlStopping)
+	select {
+	case <-n.controlStopped:
+	case <-time.After(controlGrace + closeGrace):
+	}
+}
+
 // runMaintenance checks the clocks and expires stale state periodically until ctx ends.
 func (n *Node) runMaintenance(ctx context.Context) error {
 	for last := time.Now(); ctx.Err() == nil; {
--- a/node/shutdown_test.go
+++ b/node/shutdown_test.go
@@ -18,6 +18,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"cactusroute.dev/adapters/observer"
 	"cactusroute.dev/core/planner"
 )
 
@@ -324,3 +325,39 @@
 		assert.Equal(t, d.since(at(c.now)), at(c.want), c.name)
 	}
 }
+
+// Guards against calls of operators and endpoints that are cut when the node has stopped, although they are about to be
+// acknowledged: their senders don't know whether they were carried out.
+func TestStoppingNodeAnswersControlCalls(t *testing.T) {
+	const callers, duration = 20, 150 * time.Millisecond
+	s := testSettings("n")
+	s.Listen.Exchange, s.Listen.Control = freeAddress(), freeAddress()
+	s.Listen.Advertise = s.Listen.Exchange
+	d := testDialect()
+	d.Control = func(Control) http.Handler {
+		return http.HandlerFunc(func(http.ResponseWriter, *http.Request) { time.Sleep(duration) })
+	}
+	queue := observer.NewAsyncWriter(io.Discard)
+	n := New(s, d, observer.New(queue, "n"), queue)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	ended := make(chan struct{})
+	go func() { _ = n.Run(ctx); close(ended) }()
+	awaitListener(t, s.Listen.Control)
+	var wg sync.WaitGroup
+	for range callers {
+		wg.Go(func() {
+			resp, err := http.Get("http://" + s.Listen.Control + "/")
+			if assert.Check(t, err) {
+				assert.Check(t, resp.Body.Close())
+				assert.Check(t, resp.StatusCode == http.StatusOK)
+			}
+		})
+	}
+	time.Sleep(duration / 3)
+	start := time.Now()
+	cancel()
+	wg.Wait()
+	<-ended
+	assert.Assert(t, time.Since(start) < shutdownMargin, "%s", time.Since(start))
+}
