Test a stop with requests of all kinds at every moment

Requests and streams of all kinds of routes, with deadlines of 0.7 to 12 s, every 40 ms of the grace period, on connections that were idle before: each is completed, refused, or ends at its deadline.

--- a/node/shutdown_test.go
+++ b/node/shutdown_test.go
@@ -361,3 +361,92 @@
 	<-ended
 	assert.Assert(t, time.Since(start) < shutdownMargin, "%s", time.Since(start))
 }
+
+// Guards against streams and requests of any kind that a stopping node accepts at some moment of its grace period and then
+// cuts, except for those from before load balancers have moved their callers.
+func TestStoppingNodeCompletesWhatItAccepts(t *testing.T) {
+	t.Parallel()
+	const (
+		grace    = 8 * time.Second
+		interval = 40 * time.Millisecond // between two requests
+	)
+	e := newFakeEndpoint(t, func(req *receivedRequest) {
+		if !strings.HasPrefix(req.r.RequestURI, "/stream/") && !strings.HasPrefix(req.r.RequestURI, "/resume/") {
+			time.Sleep(rand.N(600 * time.Millisecond))
+			respondOK(req)
+			return
+		}
+		startStream(req)
+		length := 1 + rand.IntN(40)
+		for n := 1; n <= length; n++ {
+			if _, err := fmt.Fprintf(req.conn, "%x\r\n%s\r\n", len(testEvent(n)), testEvent(n)); err != nil {
+				return
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		endStream(req)
+	})
+	plan := testPlan(1)
+	for i := range plan.Routes {
+		plan.Routes[i].TimeoutMillis = 12_000
+	}
+	p := newTestProxy(t, plan, e)
+	s := &frontServer{addr: freeAddress(), handler: p.proxy, limits: func() planner.Limits { return planner.Limits{} },
+		grace: grace, onStop: p.stop, onAcceptError: func(error) {}}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	served := make(chan struct{})
+	go func() { _ = s.Serve(ctx); close(served) }()
+	awaitListener(t, s.addr)
+	const calls = int((grace - shutdownMargin - closeNotice) / interval)
+	paths := []string{"/once/", "/safe/", "/stream/", "/resume/"}
+	left := []string{"700", "1500", "12000"}
+	conns := make([]net.Conn, calls)
+	for i := range conns {
+		var err error
+		conns[i], err = net.Dial("tcp", s.addr)
+		assert.NilError(t, err)
+		defer func() { _ = conns[i].Close() }()
+	}
+	var complete, refused, tooLate, cut atomic.Int64
+	var wg sync.WaitGroup
+	cancel()
+	stoppedAt := time.Now()
+	for i, conn := range conns {
+		wg.Go(func() {
+			time.Sleep(time.Until(stoppedAt.Add(time.Duration(i) * interval)))
+			sentAt := time.Since(stoppedAt)
+			path, leftMillis := paths[i%len(paths)], left[i/len(paths)%len(left)]
+			_, err := fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h.example\r\nReq-Id: id-%d\r\nApi-Key: key\r\nLeft-Ms: %s\r\n"+
+				"Content-Length: 1\r\n\r\nx", path, i, leftMillis)
+			var resp *http.Response
+			if err == nil {
+				resp, err = http.ReadResponse(bufio.NewReader(conn), nil)
+			}
+			status := 0
+			if err == nil {
+				defer func() { _ = resp.Body.Close() }()
+				status = resp.StatusCode
+				_, err = io.Copy(io.Discard, resp.Body)
+			}
+			switch isPastDeadline := time.Since(stoppedAt)-sentAt >= 600*time.Millisecond && leftMillis != "12000"; {
+			case err == nil && status == http.StatusServiceUnavailable:
+				refused.Add(1)
+			case err == nil && status == http.StatusOK:
+				complete.Add(1)
+			case isPastDeadline:
+				tooLate.Add(1)
+			case sentAt < lateNotice:
+				cut.Add(1)
+			default:
+				t.Errorf("%s with %s ms, sent %s after the stop and ended after %s: status %d, %v", path, leftMillis, sentAt,
+					time.Since(stoppedAt), status, err)
+			}
+		})
+	}
+	wg.Wait()
+	<-served
+	t.Logf("%d complete, %d refused, %d past their deadlines, %d cut that came early", complete.Load(), refused.Load(),
+		tooLate.Load(), cut.Load())
+	assert.Assert(t, complete.Load() > 0 && refused.Load() > 0)
+}
