--- a/node/shutdown_test.go
+++ b/node/shutdown_test.go
@@ -272,7 +272,8 @@
 				left   string
 				status int
 			}{{"100", http.StatusOK}, {"10000", http.StatusServiceUnavailable}} {
-				r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+s.addr+"/once/", strings.NewReader("x"))
+				body := strings.NewReader("x")
+				r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+s.addr+"/once/", body)
 				assert.NilError(t, err)
 				r.Host = "h.example"
 				r.Header = http.Header{"Req-Id": {"id-1"}, "Api-Key": {"key"}, "Left-Ms": {c.left}}
--- a/router/router.go
+++ b/router/router.go
@@ -124,8 +124,8 @@
 	return mux
 }
 
-// instrument sets the request ID of every response, writes errors and counts outcomes. A stream that ended with an error
-// is aborted.
+// instrument sets the request ID of every response, writes errors and counts outcomes. A stream that ended with an
+// error is aborted.
 func (rt *Router) instrument(kind string, serve func(http.ResponseWriter, *http.Request) (string, *httpError),
 ) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
--- a/router/stream_end_test.go
+++ b/router/stream_end_test.go
@@ -13,8 +13,8 @@
 	"cactusroute.dev/adapters/relayer"
 )
 
-// Guards against bytes that are no part of an answer, such as the text of an error or the head of another response, in a
-// stream that another endpoint continues.
+// Guards against bytes that are no part of an answer, such as the text of an error or the head of another response, in
+// a stream that another endpoint continues.
 func TestOtherContentIsNotWrittenIntoAStream(t *testing.T) {
 	const tokens = 20
 	whole := streamBody(0, tokens)
