Try the next control instance as soon as one has failed

Cause: a router starts a further attempt to subscribe half a second after the last one, so that attempts overlap with instances that are slow to answer. It waited as long when an attempt had failed. Instances that lost their disks, or that come up a little later than the router, fail attempts at once.

Change: after a failed attempt the next one begins at once while the router has no subscription. Instances that have failed within a second are not tried, so that there is one attempt a second for each instance (TestRouterPausesAfter…).

The confirmation that an administration command waits for now has the time of the proposal, 3 s, not the second that reads have.

--- a/control/admin.go
+++ b/control/admin.go
@@ -207,16 +207,18 @@
 	return &APIError{Status: http.StatusInternalServerError, Code: "internal", Message: err.Error()}
 }
 
-// isConfirmed is awaitConfirmation without the index.
+// isConfirmed is awaitConfirmation with confirmationTimeout and without the index.
 func (c *Control) isConfirmed(ctx context.Context, since time.Time) bool {
-	_, ok := c.awaitConfirmation(ctx, since)
+	_, ok := c.awaitConfirmation(ctx, since, confirmationTimeout)
 	return ok
 }
 
 // awaitConfirmation returns once a quorum has confirmed that all entries committed before since are applied here, so
-// that reads are linearizable, and the index of the last of them. ok is false after confirmationTimeout.
-func (c *Control) awaitConfirmation(ctx context.Context, since time.Time) (index uint64, ok bool) {
-	ctx, cancel := context.WithTimeout(ctx, confirmationTimeout)
+// that reads are linearizable, and the index of the last of them. ok is false after a timeout.
+func (c *Control) awaitConfirmation(
+	ctx context.Context, since time.Time, timeout time.Duration,
+) (index uint64, ok bool) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	t := time.NewTicker(confirmationPollInterval)
 	defer t.Stop()
@@ -239,7 +241,7 @@
 	if err := c.closeQuery(); err != nil {
 		return applier.Result{}, err
 	}
-	index, ok := a.control.awaitConfirmation(c.r.Context(), time.Now())
+	index, ok := a.control.awaitConfirmation(c.r.Context(), time.Now(), proposeTimeout)
 	switch {
 	case c.r.Context().Err() != nil:
 		return applier.Result{}, errSenderLeft
--- a/node/subscription.go
+++ b/node/subscription.go
@@ -113,6 +113,9 @@
 		switch {
 		case a.hasEnded():
 			s.recordFailure(ctx, now, a)
+			if s.current == nil {
+				s.nextAttemptAt = time.Time{} // selectInstance leaves out those that have just failed
+			}
 		case hasAnswered && !isQuorate && s.current != nil:
 			a.refuse(errNoQuorum)
 		case now.Sub(a.startedAt) > subscribeTimeout:
--- a/node/subscription_test.go
+++ b/node/subscription_test.go
@@ -1,8 +1,11 @@
 package node
 
 import (
+	"fmt"
 	"io"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -180,3 +183,59 @@
 		assert.Assert(t, s.current == current)
 	}
 }
+
+// failingInstance returns the address of a control instance that ends each subscription at once, and counts them.
+func failingInstance(t *testing.T, subscriptions *atomic.Int64) string {
+	srv := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == exchanger.SubscriptionPath {
+			subscriptions.Add(1)
+		}
+		panic(http.ErrAbortHandler)
+	}))
+	t.Cleanup(srv.Close)
+	return srv.Listener.Addr().String()
+}
+
+// Guards against a router that waits for half a second before it tries the next control instance, although the last one
+// has failed: after a power loss of all nodes, callers wait for as long.
+func TestRouterTriesTheNextInstanceAfterAFailure(t *testing.T) {
+	const failing, maxDuration = 3, hedgeDelay / 2
+	f := newTestFleet(t, 1, 1)
+	instance, router := f.nodes[0], f.nodes[1]
+	f.start(instance, f.seeds, true)
+	f.putPlan(1, f.nodes[:1])
+	var subscriptions atomic.Int64
+	contacts := []exchanger.Contact{instance.fleet.self}
+	for i := range failing {
+		address := failingInstance(t, &subscriptions)
+		contacts = append(contacts, exchanger.Contact{Name: fmt.Sprint("failing-", i), Address: address, Control: address,
+			Domain: router.settings.Place.FailureDomain, Eligible: true})
+	}
+	f.start(router, nil, false)
+	start := time.Now()
+	router.fleet.mu.Lock()
+	for i, c := range contacts {
+		router.fleet.recordInstance(c, i > 0) // that the failing ones have a quorum makes them the first choice
+	}
+	router.fleet.mu.Unlock()
+	eventually(t, "subscription", func() bool { return f.subscribedInstance(router) == instance })
+	assert.Assert(t, time.Since(start) < maxDuration+failing*attemptCheckInterval, "%s", time.Since(start))
+	assert.Equal(t, subscriptions.Load(), int64(failing))
+}
+
+// Guards against attempts that follow each other without a pause while all instances fail.
+func TestRouterPausesAfterFailuresOfAllInstances(t *testing.T) {
+	const duration = 3 * time.Second
+	f := newTestFleet(t, 0, 1)
+	router := f.nodes[0]
+	var subscriptions atomic.Int64
+	address := failingInstance(t, &subscriptions)
+	f.start(router, nil, false)
+	router.fleet.mu.Lock()
+	router.fleet.recordInstance(exchanger.Contact{Name: "failing", Address: address, Control: address,
+		Domain: router.settings.Place.FailureDomain, Eligible: true}, true)
+	router.fleet.mu.Unlock()
+	time.Sleep(duration)
+	n := subscriptions.Load()
+	assert.Assert(t, n >= 1 && n <= int64(duration/hedgeDelay)+1, "%d attempts", n)
+}
