--- a/node/shutdown_test.go
+++ b/node/shutdown_test.go
@@ -419,8 +419,8 @@
 			time.Sleep(time.Until(stoppedAt.Add(time.Duration(i) * interval)))
 			sentAt := time.Since(stoppedAt)
 			path, leftMillis := paths[i%len(paths)], left[i/len(paths)%len(left)]
-			_, err := fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h.example\r\nReq-Id: id-%d\r\nApi-Key: key\r\nLeft-Ms: %s\r\n"+
-				"Content-Length: 1\r\n\r\nx", path, i, leftMillis)
+			_, err := fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h.example\r\nReq-Id: id-%d\r\nApi-Key: key\r\n"+
+				"Left-Ms: %s\r\nContent-Length: 1\r\n\r\nx", path, i, leftMillis)
 			var resp *http.Response
 			if err == nil {
 				resp, err = http.ReadResponse(bufio.NewReader(conn), nil)
--- a/node/stream_end_test.go
+++ b/node/stream_end_test.go
@@ -210,8 +210,8 @@
 		mu.Unlock()
 		switch attempt {
 		case 1:
-			_, _ = fmt.Fprintf(req.conn, "HTTP/1.1 200 OK\r\nReq-Id: id-1\r\n%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n",
-				streamType, len(begun), begun)
+			_, _ = fmt.Fprintf(req.conn, "HTTP/1.1 200 OK\r\nReq-Id: id-1\r\n"+streamType+
+				"Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(begun), begun)
 			_ = req.conn.Close()
 		case 2:
 			_, _ = fmt.Fprintf(req.conn, "HTTP/1.1 200 OK\r\nReq-Id: id-1\r\n%s", second)
--- a/node/subscription_test.go
+++ b/node/subscription_test.go
@@ -205,7 +205,8 @@
 	f.start(instance, f.seeds, true)
 	f.putPlan(1, f.nodes[:1])
 	var subscriptions atomic.Int64
-	contacts := []exchanger.Contact{instance.fleet.self}
+	contacts := make([]exchanger.Contact, 0, 1+failing)
+	contacts = append(contacts, instance.fleet.self)
 	for i := range failing {
 		address := failingInstance(t, &subscriptions)
 		contacts = append(contacts, exchanger.Contact{Name: fmt.Sprint("failing-", i), Address: address, Control: address,
