--- a/node/stream_end_test.go
+++ b/node/stream_end_test.go
@@ -228,7 +228,8 @@
 	return p.call(t, http.MethodPost, "/resume/", "x")
 }
 
-// Guards against a stream that a caller takes up and that an endpoint begins anew, so that the caller gets events twice.
+// Guards against a stream that a caller takes up and that an endpoint begins anew, so that the caller gets events
+// twice.
 func TestTakenUpStreamDoesNotBeginAnew(t *testing.T) {
 	const all = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
 	for _, c := range []struct {
