--- a/agent/unframed_response_test.go
+++ b/agent/unframed_response_test.go
@@ -14,6 +14,31 @@
 	"cactusroute.dev/core/bundler"
 )
 
+// forwardOnce returns the result of a forwarded operation to which an endpoint responds on a connection, which it closes.
+func forwardOnce(t *testing.T, respond func(conn net.Conn)) (responseStats, error) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = ln.Close() }()
+	go func() {
+		conn, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		r, err := http.ReadRequest(bufio.NewReader(conn))
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		respond(conn)
+	}()
+	url := "http://" + ln.Addr().String()
+	a := &Agent{settings: Settings{Endpoint: url}, endpoint: newEndpoint(url)}
+	req := &relayer.Request{Method: http.MethodPost, Path: "/", Operation: &relayer.Operation{ID: "op"}}
+	return a.forward(t.Context(), req, bundler.PoolService, relayer.NewRecorder())
+}
+
 // Guards against a response with neither a length nor chunks that broke off and is recorded as the outcome of an
 // operation, or sent to the router as complete: a failing endpoint closes its connection, too.
 func TestUnframedResponseIsNotTakenForComplete(t *testing.T) {
@@ -33,26 +58,9 @@
 		{"text in chunks", "Content-Type: text/plain\r\nTransfer-Encoding: chunked\r\n", "4\r\ndone\r\n0\r\n\r\n", true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			ln, err := net.Listen("tcp", "127.0.0.1:0")
-			assert.NilError(t, err)
-			defer func() { _ = ln.Close() }()
-			go func() {
-				conn, err := ln.Accept()
-				if err != nil {
-					return
-				}
-				defer func() { _ = conn.Close() }()
-				r, err := http.ReadRequest(bufio.NewReader(conn))
-				if err != nil {
-					return
-				}
-				_, _ = io.Copy(io.Discard, r.Body)
+			_, err := forwardOnce(t, func(conn net.Conn) {
 				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+c.header+"\r\n"+c.body)
-			}()
-			url := "http://" + ln.Addr().String()
-			a := &Agent{settings: Settings{Endpoint: url}, endpoint: newEndpoint(url)}
-			req := &relayer.Request{Method: http.MethodPost, Path: "/", Operation: &relayer.Operation{ID: "op"}}
-			_, err = a.forward(t.Context(), req, bundler.PoolService, relayer.NewRecorder())
+			})
 			assert.Equal(t, err == nil, c.complete, "%v", err)
 			if !c.complete {
 				assert.Assert(t, errors.Is(err, errUnframedResponse) || errors.Is(err, errMissingDone), "%v", err)
--- a/node/control.go
+++ b/node/control.go
@@ -265,7 +265,7 @@
 	if !ok {
 		return &NotConvictedError{Part: part}
 	}
-	// Without the conviction being in force, it was lifted; by whom is not known, so that the order is committed as well.
+	// A sender that got no answer repeats its order; it is committed again, because it may not be durable yet.
 	for {
 		l := attributor.Lift{Part: part, Revision: c.Revision, At: time.Now().UnixMilli()}
 		if c.Lifted {
--- a/node/shutdown_test.go
+++ b/node/shutdown_test.go
@@ -22,6 +22,29 @@
 	"cactusroute.dev/core/planner"
 )
 
+// testFront is a front server of a proxy.
+type testFront struct {
+	*frontServer
+	stop  func()
+	ended chan struct{} // closed when the server has ended
+}
+
+// startFront starts a front server that calls onStop at the start of its shutdown.
+func startFront(t *testing.T, p *testProxy, grace time.Duration, onStop func(stopTimes)) *testFront {
+	t.Helper()
+	f := &testFront{ended: make(chan struct{}), frontServer: &frontServer{addr: freeAddress(), handler: p.proxy, grace: grace,
+		limits: func() planner.Limits { return planner.Limits{} }, onStop: onStop, onAcceptError: func(error) {}}}
+	ctx, cancel := context.WithCancel(context.Background())
+	f.stop = cancel
+	t.Cleanup(cancel)
+	go func() {
+		_ = f.Serve(ctx)
+		close(f.ended)
+	}()
+	awaitListener(t, f.addr)
+	return f
+}
+
 // Guards against a stopping node that accepts requests which it can't complete before it closes their connections, on
 // kept connections and on those that bring their first request late, and against one that refuses or cuts others.
 func TestStoppingNodeRefusesWhatItCanNotComplete(t *testing.T) {
@@ -46,12 +69,7 @@
 		plan.Routes[i].TimeoutMillis = 12_000
 	}
 	p := newTestProxy(t, plan, e)
-	s := &frontServer{addr: freeAddress(), handler: p.proxy, limits: func() planner.Limits { return planner.Limits{} },
-		grace: 8 * time.Second, onStop: p.stop, onAcceptError: func(error) {}}
-	ctx, cancel := context.WithCancel(t.Context())
-	defer cancel()
-	go func() { _ = s.Serve(ctx) }()
-	awaitListener(t, s.addr)
+	s := startFront(t, p, 8*time.Second, p.stop)
 
 	type result struct {
 		status     int
@@ -123,7 +141,7 @@
 	}
 	time.Sleep(50 * time.Millisecond) // the early heads arrive
 	stoppedAt = time.Now()
-	cancel()
+	s.stop()
 	close(stopped)
 	for _, c := range calls {
 		got := <-c.response
@@ -147,13 +165,7 @@
 		lastSend    = grace - shutdownMargin - closeNotice // after the start of the shutdown
 	)
 	p := newTestProxy(t, testPlan(1), newFakeEndpoint(t, respondOK))
-	s := &frontServer{addr: freeAddress(), handler: p.proxy, limits: func() planner.Limits { return planner.Limits{} },
-		grace: grace, onStop: p.stop, onAcceptError: func(error) {}}
-	ctx, cancel := context.WithCancel(t.Context())
-	defer cancel()
-	served := make(chan struct{})
-	go func() { _ = s.Serve(ctx); close(served) }()
-	awaitListener(t, s.addr)
+	s := startFront(t, p, grace, p.stop)
 
 	var answered, refused, closedIdle, lost atomic.Int64
 	var mu sync.Mutex
@@ -223,10 +235,10 @@
 		})
 	}
 	time.Sleep(time.Second)
-	cancel()
+	s.stop()
 	stoppedAt := time.Now()
 	wg.Wait()
-	<-served
+	<-s.ended
 	assert.Assert(t, time.Since(stoppedAt) < grace)
 	t.Logf("%d answered, %d of them refused", answered.Load(), refused.Load())
 	assert.Equal(t, lost.Load(), int64(0), "%s", strings.Join(reports, "\n"))
@@ -254,19 +266,12 @@
 			plan.Routes[0].TimeoutMillis = 12_000
 			p := newTestProxy(t, plan, newFakeEndpoint(t, respondOK))
 			stopped := make(chan struct{})
-			s := &frontServer{addr: freeAddress(), handler: p.proxy, grace: grace, onAcceptError: func(error) {},
-				limits: func() planner.Limits { return planner.Limits{} },
-				onStop: func(s stopTimes) { p.stop(s); close(stopped) }}
-			ctx, cancel := context.WithCancel(t.Context())
-			defer cancel()
-			served := make(chan struct{})
-			go func() { _ = s.Serve(ctx); close(served) }()
-			awaitListener(t, s.addr)
+			s := startFront(t, p, grace, func(times stopTimes) { p.stop(times); close(stopped) })
 			idle, err := net.Dial("tcp", s.addr) // stays open
 			assert.NilError(t, err)
 			defer func() { _ = idle.Close() }()
 			start := time.Now()
-			cancel()
+			s.stop()
 			<-stopped
 			for _, c := range []struct {
 				left   string
@@ -283,7 +288,7 @@
 				assert.Assert(t, resp.Close)
 				assert.NilError(t, resp.Body.Close())
 			}
-			<-served
+			<-s.ended
 			assert.Assert(t, time.Since(start) < grace, "%s", time.Since(start))
 		})
 	}
@@ -393,13 +398,7 @@
 		plan.Routes[i].TimeoutMillis = 12_000
 	}
 	p := newTestProxy(t, plan, e)
-	s := &frontServer{addr: freeAddress(), handler: p.proxy, limits: func() planner.Limits { return planner.Limits{} },
-		grace: grace, onStop: p.stop, onAcceptError: func(error) {}}
-	ctx, cancel := context.WithCancel(t.Context())
-	defer cancel()
-	served := make(chan struct{})
-	go func() { _ = s.Serve(ctx); close(served) }()
-	awaitListener(t, s.addr)
+	s := startFront(t, p, grace, p.stop)
 	const calls = int((grace - shutdownMargin - closeNotice) / interval)
 	paths := []string{"/once/", "/safe/", "/stream/", "/resume/"}
 	left := []string{"700", "1500", "12000"}
@@ -412,7 +411,7 @@
 	}
 	var complete, refused, tooLate, cut atomic.Int64
 	var wg sync.WaitGroup
-	cancel()
+	s.stop()
 	stoppedAt := time.Now()
 	for i, conn := range conns {
 		wg.Go(func() {
@@ -447,7 +446,7 @@
 		})
 	}
 	wg.Wait()
-	<-served
+	<-s.ended
 	t.Logf("%d complete, %d refused, %d past their deadlines, %d cut that came early", complete.Load(), refused.Load(),
 		tooLate.Load(), cut.Load())
 	assert.Assert(t, complete.Load() > 0 && refused.Load() > 0)
