--- a/agent/unframed_response_test.go
+++ b/agent/unframed_response_test.go
@@ -14,7 +14,7 @@
 	"cactusroute.dev/core/bundler"
 )
 
-// forwardOnce returns the result of a forwarded operation to which an endpoint responds on a connection, which it closes.
+// forwardOnce returns the result of a forwarded operation to which an endpoint responds on a connection that it closes.
 func forwardOnce(t *testing.T, respond func(conn net.Conn)) (responseStats, error) {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
--- a/node/shutdown_test.go
+++ b/node/shutdown_test.go
@@ -32,8 +32,9 @@
 // startFront starts a front server that calls onStop at the start of its shutdown.
 func startFront(t *testing.T, p *testProxy, grace time.Duration, onStop func(stopTimes)) *testFront {
 	t.Helper()
-	f := &testFront{ended: make(chan struct{}), frontServer: &frontServer{addr: freeAddress(), handler: p.proxy, grace: grace,
-		limits: func() planner.Limits { return planner.Limits{} }, onStop: onStop, onAcceptError: func(error) {}}}
+	s := &frontServer{addr: freeAddress(), handler: p.proxy, grace: grace, onStop: onStop, onAcceptError: func(error) {},
+		limits: func() planner.Limits { return planner.Limits{} }}
+	f := &testFront{frontServer: s, ended: make(chan struct{})}
 	ctx, cancel := context.WithCancel(context.Background())
 	f.stop = cancel
 	t.Cleanup(cancel)
