--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 GOLANGCI_VERSION := v2.15.0
 GOLANGCI := $(BIN)/golangci-lint-$(GOLANGCI_VERSION)
 
-.PHONY: all build run test lint fmt bench model measure soak vet fuzz review
+.PHONY: all build run test lint fmt bench model measure soak vet fuzz review tree
 
 all: build
 
@@ -44,10 +44,14 @@
 	GOWORK=off GOBIN=$(abspath $(BIN)) go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_VERSION)
 	mv $(BIN)/golangci-lint $(GOLANGCI)
 
-lint: $(GOLANGCI)
+lint: $(GOLANGCI) tree
 	$(GOLANGCI) fmt --diff $(MODULES)
 	$(GOLANGCI) run $(MODULES:%=./%/...)
 
+# Refuses data folders of processes in the index: logs, settings and data of a soak were committed once.
+tree:
+	@! git ls-files | grep -E '(^|/)node[0-9]+/'
+
 fmt: $(GOLANGCI)
 	$(GOLANGCI) fmt $(MODULES)
 
--- a/soaker/cmd/soaker/main.go
+++ b/soaker/cmd/soaker/main.go
@@ -37,11 +37,9 @@
 }
 
 func run(ctx context.Context, cmd *cli.Command) (err error) {
-	folder := cmd.String("folder")
-	if folder == "" {
-		if folder, err = os.MkdirTemp("", "soaker"); err != nil {
-			return err
-		}
+	folder, err := runFolder(cmd)
+	if err != nil {
+		return err
 	}
 	binary, err := filepath.Abs(cmd.String("node"))
 	if err != nil {
@@ -72,6 +70,14 @@
 	return err
 }
 
+// runFolder returns the folder for logs and data; without one in the flags, a temporary one.
+func runFolder(cmd *cli.Command) (string, error) {
+	if folder := cmd.String("folder"); folder != "" {
+		return folder, nil
+	}
+	return os.MkdirTemp("", "soaker")
+}
+
 func report(r soaker.Result, err error) {
 	fmt.Printf("seed %d: %d served, %d refused, %d failed, %d faults, %d findings\n", r.Seed, r.Served, r.Refused,
 		r.Failed, len(r.Injected), len(r.Findings))
@@ -109,8 +115,12 @@
 			if err != nil {
 				return err
 			}
+			folder, err := runFolder(cmd)
+			if err != nil {
+				return err
+			}
 			r, err := soaker.RunPlans(ctx, soaker.PlansConfig{
-				Config: soaker.Config{Binary: binary, Folder: cmd.String("folder"), Seed: cmd.Uint64("seed"),
+				Config: soaker.Config{Binary: binary, Folder: folder, Seed: cmd.Uint64("seed"),
 					FaultDuration: cmd.Duration("for")},
 				Instances: cmd.Int("instances"), Routers: cmd.Int("routers"), InstanceShare: cmd.Float("instance-share"),
 				RouterShare: cmd.Float("router-share"), Interval: cmd.Duration("interval"), Routes: cmd.Int("routes"),
--- a/soaker/fleet.go
+++ b/soaker/fleet.go
@@ -60,8 +60,13 @@
 	env       []string // added to the environment of the processes
 }
 
+var errNoFolder = errors.New("no folder for the logs and data of nodes")
+
 // NewFleet prepares nodes in a folder, on a separate loopback address, so that concurrent runs do not interfere.
 func NewFleet(ctx context.Context, binary, folder, ip string, disks, routers int, c *Checker) (*Fleet, error) {
+	if folder == "" {
+		return nil, errNoFolder // the nodes would write into the working folder
+	}
 	f := &Fleet{binary: binary, folder: folder, ip: ip, DiskNodes: disks, checker: c, client: &http.Client{
 		Timeout: controlCallTimeout, Transport: &http.Transport{DisableKeepAlives: true}}}
 	var seeds []string
