Add the ground for demand scheduling: a policy of the plan, named sums over all routers, requests with their demand

Cause: no decision of a node knows the workspace, the prompt tokens, the objective or the deadline of a request, the pace that endpoints report, or anything of the other routers but requests in flight by endpoint.

Named sums (core/summer) travel in messages of their own, 200 ms apart, none while there are no sums. Query carries workspace, weight, tokens, objective and deadline; RecordLoad takes the pace. No decision uses any of it yet.

--- a/adapters/exchanger/client.go
+++ b/adapters/exchanger/client.go
@@ -31,6 +31,9 @@
 	StreamOriginReceived(number uint64, o resumer.Origin, ok bool)
 	// Loads returns the requests in flight of this process, or nil if they are not reported to the instance.
 	Loads() Loads
+	// SumsReceived and Sums are LoadsReceived and Loads for named sums; nil sums are not sent.
+	SumsReceived(Sums)
+	Sums() Sums
 }
 
 // Subscription is one connection to a control instance.
@@ -146,25 +149,30 @@
 	}
 }
 
-// reportLoads sends the instance the requests in flight of this process when they have changed.
+// reportLoads sends the instance the requests in flight and the named sums of this process when they have changed.
 func (s *Subscription) reportLoads(ctx context.Context, r Receiver) {
 	t := time.NewTicker(loadInterval)
 	defer t.Stop()
 	var sender loadSender
+	var sums sumSender
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-t.C:
 		}
-		if !sender.isDue() {
-			continue
+		var err error
+		if sender.isDue() {
+			if loads := r.Loads(); loads != nil && sender.hasChanged(loads) {
+				err = s.conn.Send(ctx, kindLoads, 0, sender.newMessage(loads))
+			}
 		}
-		loads := r.Loads()
-		if loads == nil || !sender.hasChanged(loads) {
-			continue
+		if now := time.Now(); err == nil && sums.isDue(now) {
+			if m, ok := sums.next(now, r.Sums()); ok {
+				err = s.conn.Send(ctx, kindSums, 0, m)
+			}
 		}
-		if s.conn.Send(ctx, kindLoads, 0, sender.newMessage(loads)) != nil {
+		if err != nil {
 			s.Close()
 			return
 		}
@@ -175,6 +183,7 @@
 type decoders struct {
 	loads      loadDecoder
 	heartbeats heartbeatDecoder
+	sums       sumDecoder
 }
 
 func dispatch(e *messenger.Envelope, r Receiver, dec *decoders) error {
@@ -225,6 +234,12 @@
 			return err
 		}
 		r.LoadsReceived(loads)
+	case kindSums:
+		sums, err := dec.sums.decodeEnvelope(e)
+		if err != nil {
+			return err
+		}
+		r.SumsReceived(sums)
 	case kindStreams:
 		var m streamsMessage
 		if err := e.Decode(&m); err != nil {
--- a/adapters/exchanger/exchanger_test.go
+++ b/adapters/exchanger/exchanger_test.go
@@ -78,6 +78,10 @@
 	s.record(fmt.Sprint("suspect ", list[0].Fingerprint))
 }
 
+func (s *fakeSource) SumsReceived(Contact, Sums) {}
+
+func (s *fakeSource) Sums(Contact) Sums { return nil }
+
 func (s *fakeSource) LoadsReceived(from Contact, loads Loads) {
 	s.record(fmt.Sprintf("%s e: %d requests", from.Name, loads["e"].Requests))
 }
@@ -154,6 +158,10 @@
 	r.record(fmt.Sprint("answer ", number, " ", o.Version, " ", ok))
 }
 
+func (r *fakeReceiver) SumsReceived(Sums) {}
+
+func (r *fakeReceiver) Sums() Sums { return nil }
+
 func (r *fakeReceiver) LoadsReceived(loads Loads) {
 	r.record(fmt.Sprintf("e: %d requests", loads["e"].Requests))
 }
--- a/adapters/exchanger/server.go
+++ b/adapters/exchanger/server.go
@@ -36,6 +36,9 @@
 	// Loads returns the requests in flight that a subscriber is sent: those of this instance and its subscribers to
 	// another control instance, those of all routers to a router.
 	Loads(to Contact) Loads
+	// SumsReceived and Sums are LoadsReceived and Loads for named sums; nil sums are not sent.
+	SumsReceived(from Contact, sums Sums)
+	Sums(to Contact) Sums
 	// AcceptsRouters reports whether routers may subscribe. An instance without a quorum and without a state has nothing
 	// to send them, while other instances may.
 	AcceptsRouters() bool
@@ -162,6 +165,7 @@
 // lostTimeout.
 func (s *Server) receive(ctx context.Context, sub *subscriber) {
 	var dec loadDecoder
+	var sumDec sumDecoder
 	queries := make(chan struct{}, maxStreamQueries)
 	for {
 		e, err := sub.conn.ReceiveWithTimeout(ctx, lostTimeout)
@@ -193,15 +197,9 @@
 			}
 			s.source.EvidenceReceived(sub.contact, evidence)
 		case kindEndpoints:
-			var m receivedEndpointsMessage
-			if e.Decode(&m) != nil {
+			if s.receiveEndpoints(sub, &e) != nil {
 				return
 			}
-			list, rejected, err := decodeEndpoints(time.Now(), m.Records)
-			if rejected > 0 {
-				s.source.EndpointsRejected(sub.contact, rejected, err)
-			}
-			s.source.EndpointsReceived(list)
 		case kindLoads:
 			var m loadsMessage
 			if e.Decode(&m) != nil {
@@ -212,6 +210,12 @@
 				return
 			}
 			s.source.LoadsReceived(sub.contact, loads)
+		case kindSums:
+			sums, err := sumDec.decodeEnvelope(&e)
+			if err != nil {
+				return
+			}
+			s.source.SumsReceived(sub.contact, sums)
 		case kindStreams:
 			var m streamsMessage
 			if e.Decode(&m) != nil {
@@ -239,6 +243,19 @@
 	}
 }
 
+func (s *Server) receiveEndpoints(sub *subscriber, e *messenger.Envelope) error {
+	var m receivedEndpointsMessage
+	if err := e.Decode(&m); err != nil {
+		return err
+	}
+	list, rejected, err := decodeEndpoints(time.Now(), m.Records)
+	if rejected > 0 {
+		s.source.EndpointsRejected(sub.contact, rejected, err)
+	}
+	s.source.EndpointsReceived(list)
+	return nil
+}
+
 // answerStreamQuery sends the answer after all endpoints that this instance knows by then: the subscriber chooses the
 // endpoint for the stream by their versions. Without an answer the subscriber takes the origin for not known.
 func (s *Server) answerStreamQuery(ctx context.Context, sub *subscriber, number uint64, key resumer.Key) {
@@ -285,6 +302,7 @@
 	loadTicker := time.NewTicker(loadInterval)
 	defer loadTicker.Stop()
 	var sender loadSender
+	var sums sumSender
 	if err := s.sendPending(ctx, sub); err != nil {
 		return err
 	}
@@ -298,14 +316,9 @@
 		case <-heartbeatTicker.C:
 			err = sub.conn.Send(ctx, kindHeartbeat, 0, sub.encodeHeartbeat(&heartbeats, s.source.Heartbeat()))
 		case <-loadTicker.C:
-			if !sender.isDue() {
-				continue
-			}
-			loads := s.source.Loads(sub.contact)
-			if !sender.hasChanged(loads) && !sender.needsRefresh() {
-				continue
+			if err = s.sendLoads(ctx, sub, &sender); err == nil {
+				err = s.sendSums(ctx, sub, &sums)
 			}
-			err = sub.conn.Send(ctx, kindLoads, 0, sender.newMessage(loads))
 		}
 		if err != nil {
 			return err
@@ -313,6 +326,31 @@
 	}
 }
 
+// sendLoads sends the loads if they are due.
+func (s *Server) sendLoads(ctx context.Context, sub *subscriber, sender *loadSender) error {
+	if !sender.isDue() {
+		return nil
+	}
+	loads := s.source.Loads(sub.contact)
+	if !sender.hasChanged(loads) && !sender.needsRefresh() {
+		return nil
+	}
+	return sub.conn.Send(ctx, kindLoads, 0, sender.newMessage(loads))
+}
+
+// sendSums sends the named sums if they are due.
+func (s *Server) sendSums(ctx context.Context, sub *subscriber, sender *sumSender) error {
+	now := time.Now()
+	if !sender.isDue(now) {
+		return nil
+	}
+	m, ok := sender.next(now, s.source.Sums(sub.contact))
+	if !ok {
+		return nil
+	}
+	return sub.conn.Send(ctx, kindSums, 0, m)
+}
+
 func (s *Server) sendPending(ctx context.Context, sub *subscriber) error {
 	sub.mu.Lock()
 	changed := slices.Collect(maps.Values(sub.pending))
--- /dev/null
+++ b/adapters/exchanger/sums.go
@@ -0,0 +1,115 @@
+package exchanger
+
+import (
+	"encoding/binary"
+	"errors"
+	"maps"
+	"slices"
+	"time"
+
+	"cactusroute.dev/adapters/messenger"
+	"cactusroute.dev/core/summer"
+)
+
+// Sums holds the named sums of one router, or of all.
+type Sums = summer.Sums
+
+const (
+	// sumInterval is the minimum time between two messages with sums, and sumKeysPerInterval the number of keys that
+	// lengthens it by as much, so that the bytes per second stay bounded.
+	sumInterval        = 200 * time.Millisecond
+	sumKeysPerInterval = 128
+
+	// sumRefreshInterval is how often unchanged sums are sent again, because receivers know their age only so.
+	sumRefreshInterval = time.Second
+)
+
+// sumsMessage carries sums. A key is sent once on a connection and gets the next number, which identifies it later.
+type sumsMessage struct {
+	Reset   bool     `cbor:"1,keyasint,omitempty"` // all earlier numbers are dropped
+	NewKeys []string `cbor:"2,keyasint,omitempty"` // get the next numbers
+	Values  []byte   `cbor:"3,keyasint,omitempty"` // varint pairs, as loadsMessage.Counts
+}
+
+// sumSender decides when sums are sent in one direction of a connection, and encodes them.
+type sumSender struct {
+	numbers map[string]uint64
+	last    Sums
+	sentAt  time.Time
+}
+
+// isDue reports whether the minimum interval since the last message has passed.
+func (s *sumSender) isDue(now time.Time) bool {
+	return now.Sub(s.sentAt) >= sumInterval*time.Duration(1+len(s.last)/sumKeysPerInterval)
+}
+
+// next returns the message with the sums if they are to be sent; nil sums are not sent.
+func (s *sumSender) next(now time.Time, sums Sums) (m sumsMessage, ok bool) {
+	if sums == nil || maps.Equal(sums, s.last) && now.Sub(s.sentAt) < sumRefreshInterval {
+		return m, false
+	}
+	if s.numbers == nil || len(s.numbers) > 2*len(sums)+maxUnusedNumbers {
+		s.numbers, m.Reset = map[string]uint64{}, true
+	}
+	values := make(map[uint64]int, len(sums))
+	for _, key := range slices.Sorted(maps.Keys(sums)) {
+		n, known := s.numbers[key]
+		if !known {
+			n = uint64(len(s.numbers))
+			s.numbers[key] = n
+			m.NewKeys = append(m.NewKeys, key)
+		}
+		values[n] = int(min(sums[key], summer.MaxCount))
+	}
+	m.Values = encodeCounts(values)
+	s.last, s.sentAt = maps.Clone(sums), now
+	return m, true
+}
+
+// sumDecoder decodes the sums of one direction of a connection.
+type sumDecoder struct{ keys []string }
+
+var errInvalidSums = errors.New("invalid encoding of sums")
+
+// maxSumNumbers bounds the numbers of keys on a connection; the sender drops unused ones earlier.
+const maxSumNumbers = 3*summer.MaxKeys + maxUnusedNumbers
+
+// decodeEnvelope decodes a received message.
+func (d *sumDecoder) decodeEnvelope(e *messenger.Envelope) (Sums, error) {
+	var m sumsMessage
+	if err := e.Decode(&m); err != nil {
+		return nil, err
+	}
+	return d.decode(&m)
+}
+
+func (d *sumDecoder) decode(m *sumsMessage) (Sums, error) {
+	if m.Reset {
+		d.keys = nil
+	}
+	if len(d.keys)+len(m.NewKeys) > maxSumNumbers {
+		return nil, errInvalidSums
+	}
+	for _, key := range m.NewKeys {
+		if len(key) > summer.MaxKeyBytes {
+			return nil, errInvalidSums
+		}
+	}
+	d.keys = append(d.keys, m.NewKeys...)
+	sums := make(Sums, len(m.Values)/2)
+	number := uint64(0)
+	for rest := m.Values; len(rest) > 0; number++ {
+		delta, n := binary.Uvarint(rest)
+		if n <= 0 || delta >= uint64(len(d.keys)) {
+			return nil, errInvalidSums
+		}
+		value, k := binary.Uvarint(rest[n:])
+		number += delta
+		if k <= 0 || number >= uint64(len(d.keys)) || value > summer.MaxCount {
+			return nil, errInvalidSums
+		}
+		sums[d.keys[number]] = value
+		rest = rest[n+k:]
+	}
+	return sums, nil
+}
--- a/adapters/exchanger/wire.go
+++ b/adapters/exchanger/wire.go
@@ -64,6 +64,7 @@
 	kindStreamQuery
 	kindStreamAnswer
 	kindStateAck // of a subscriber, with the index of the state as its number
+	kindSums
 )
 
 // KindNames are the names of the kinds of messages, by kind, for metrics.
@@ -71,7 +72,7 @@
 	return map[uint8]string{kindHello: "hello", kindPing: "ping", kindState: "state", kindEndpoints: "endpoints",
 		kindHeartbeat: "heartbeat", kindSuspects: "suspects", kindLoads: "loads", kindEvidence: "evidence",
 		kindStreams: "streams", kindStreamQuery: "streamQuery", kindStreamAnswer: "streamAnswer",
-		kindStateAck: "stateAck"}
+		kindStateAck: "stateAck", kindSums: "sums"}
 }
 
 // Contact is the identity of a process and its addresses.
--- a/core/chooser/chooser.go
+++ b/core/chooser/chooser.go
@@ -9,6 +9,7 @@
 	"cactusroute.dev/core/placer"
 	"cactusroute.dev/core/planner"
 	"cactusroute.dev/core/registrar"
+	"cactusroute.dev/core/summer"
 )
 
 const (
@@ -96,6 +97,15 @@
 	Tried    []string // IDs of endpoints to exclude
 	Random   float64  // uniform in [0, 1)
 	Priority float64  // from 0 for the highest to 1 for the lowest
+	// Workspace is empty for requests without one; Weight is its share weight.
+	Workspace string
+	Weight    float64
+	// PromptTokens and OutputTokens are stated by the caller; 0 means unknown.
+	PromptTokens, OutputTokens int
+	Kind                       planner.Kind
+	ReceivedAt                 time.Time
+	TargetAt                   time.Time // until which the response, or the first event of a stream, is on time
+	Deadline                   time.Time
 	// Version restricts the choice of a resumed stream to endpoints of the software version that began it.
 	Version   string
 	IsResumed bool
@@ -181,6 +191,9 @@
 	pools    map[string]*pool
 	iterator placer.MemberIterator
 
+	policy planner.LoadPolicy
+	ledger summer.Ledger // named sums over all routers
+
 	statements map[string]*statement // by endpoint ID
 	ended      []EndedStatement      // since the last call of EndedStatements
 
@@ -198,6 +211,15 @@
 		pools: map[string]*pool{}, statements: map[string]*statement{}}
 }
 
+// SetPolicy sets the decisions under load that are in force.
+func (c *Chooser) SetPolicy(p planner.LoadPolicy) { c.policy = p }
+
+// OwnSums returns the named sums of this router, to be published to the other routers; nil if there are none.
+func (c *Chooser) OwnSums() summer.Sums { return c.ledger.Publish() }
+
+// SetTotalSums sets the named sums over all routers; they include the last result of OwnSums.
+func (c *Chooser) SetTotalSums(now time.Time, total summer.Sums) { c.ledger.SetTotal(now, total) }
+
 // RecordRestart records that an earlier process of this router may have sent requests that this one does not know.
 func (c *Chooser) RecordRestart(now time.Time) { c.restartedAt = now }
 
@@ -539,9 +561,7 @@
 		}
 		isAvoided := e.isAvoided(now) || e.State == registrar.Silent && e.consecutiveFailures > 0
 		cost := n
-		if e.Domain != c.domain {
-			cost += remoteDomainCost
-		}
+		cost += c.domainCost(e)
 		if !isAvoided && !f.isExact {
 			c.candidates = append(c.candidates, candidate{endpoint: e, load: cost, limit: limit,
 				maxRate: e.preferredRate(priority)})
@@ -571,6 +591,14 @@
 	return c.assign(now, best, 0, nil), ""
 }
 
+// domainCost returns the number of requests to which it is equivalent that an endpoint is in another failure domain.
+func (c *Chooser) domainCost(e *endpoint) float64 {
+	if e.Domain != c.domain {
+		return remoteDomainCost
+	}
+	return 0
+}
+
 // preferReason returns the reason that is more likely to pass while the caller waits.
 func preferReason(a, b Reason) Reason {
 	if reasonPrecedence(b) > reasonPrecedence(a) {
@@ -732,10 +760,17 @@
 	}
 }
 
+// LoadReport is what an endpoint says of its load in a response.
+type LoadReport struct {
+	Running, Waiting int // requests
+	// Pace is how long work takes at the endpoint now, relative to its usual time; 0 if the endpoint does not tell.
+	Pace float64
+}
+
 // RecordLoad records the load that an endpoint reported in a response.
-func (c *Chooser) RecordLoad(now time.Time, target registrar.Endpoint, running, waiting int) {
+func (c *Chooser) RecordLoad(now time.Time, target registrar.Endpoint, r LoadReport) {
 	if e := c.lookup(target); e != nil {
-		e.reported, e.reportedAt, e.sentSinceReport = running+waiting, now, 0
+		e.reported, e.reportedAt, e.sentSinceReport = r.Running+r.Waiting, now, 0
 	}
 }
 
--- a/core/planner/plan.go
+++ b/core/planner/plan.go
@@ -19,6 +19,7 @@
 
 	maxHeaderBytes   = 1 << 30
 	maxColdPerSecond = 1e9
+	maxWeight        = 1e6
 )
 
 // Kind states whether the fleet may retry a request on its own.
@@ -56,6 +57,7 @@
 	Services   []Service   `json:"services"`
 	Workspaces []Workspace `json:"workspaces,omitempty"`
 	Limits     Limits      `json:"limits,omitzero"`
+	Scheduling Scheduling  `json:"scheduling,omitempty"`
 
 	priorities      priorityLevels
 	routesByHost    map[string][]*Route
@@ -117,6 +119,10 @@
 	Engine         bool    `json:"engine,omitempty"`      // the endpoints are model engines, which cache prompt parts
 	Slots          int     `json:"slots,omitempty"`       // concurrent requests per engine
 	CacheTokens    int     `json:"cacheTokens,omitempty"` // capacity per engine for cached and running tokens
+	// CacheTokenBytes is the size of one cached token, and LinkBitsPerSecond the rate at which one engine fetches cached
+	// tokens from another; 0 means unknown.
+	CacheTokenBytes   int     `json:"cacheTokenBytes,omitempty"`
+	LinkBitsPerSecond float64 `json:"linkBitsPerSecond,omitempty"`
 }
 
 // Workspace is a tenant with its API keys.
@@ -126,6 +132,16 @@
 	Priority int      `json:"priority,omitempty"` // compared before that of the route if HasPriority
 	// HasPriority distinguishes priority 0 from no priority.
 	HasPriority bool `json:"hasPriority,omitempty"`
+	// Weight is the share of the workspace under overload, relative to the others; 0 means 1.
+	Weight float64 `json:"weight,omitempty"`
+}
+
+// ShareWeight returns the weight of the workspace; a request without one has the usual weight.
+func (w *Workspace) ShareWeight() float64 {
+	if w == nil || w.Weight == 0 {
+		return 1
+	}
+	return w.Weight
 }
 
 // Limits bound the requests of callers; 0 means unlimited.
@@ -165,6 +181,9 @@
 
 // Index validates the plan and builds its lookup tables; it returns an *InvalidError if the plan is invalid.
 func (p *Plan) Index() error {
+	if !slices.Contains([]Scheduling{SchedulingDerived, SchedulingCount, SchedulingDemand}, p.Scheduling) {
+		return invalidf("unknown scheduling %q; must be %s or %s", p.Scheduling, SchedulingCount, SchedulingDemand)
+	}
 	p.servicesByName = make(map[string]*Service, len(p.Services))
 	for i := range p.Services {
 		s := &p.Services[i]
@@ -200,6 +219,9 @@
 	p.workspacesByKey = map[string]*Workspace{}
 	for i := range p.Workspaces {
 		w := &p.Workspaces[i]
+		if !(w.Weight >= 0) || w.Weight > maxWeight {
+			return invalidf("workspace %q has weight %v; must be from 0 to %v", w.Name, w.Weight, float64(maxWeight))
+		}
 		for _, k := range w.Keys {
 			if other := p.workspacesByKey[k]; other != nil && other != w {
 				return invalidf("workspaces %q and %q have the same key", other.Name, w.Name)
--- a/node/dialect.go
+++ b/node/dialect.go
@@ -23,9 +23,10 @@
 	Workspace        string // name of the workspace, set for endpoints
 	ExpectedEndpoint string // ID of the endpoint that the request is sent to
 	NotRun           string // set by endpoints that rejected a request without executing it
-	Load             string // running requests, waiting requests and slots of the endpoint, separated by commas
+	Load             string // running and waiting requests, slots and pace in percent of the endpoint, separated by commas
 	RateLimit        string // requests per second that the endpoint takes from all nodes together
 	Leaving          string // 1 in the responses of an endpoint that takes no more requests
+	TokenCounts      string // tokens of the prompt and the maximum of the output, separated by a comma
 	PromptParts      string // ID:tokens of each part of the prompt, separated by commas
 	CacheSource      string // address of the endpoint from which to fetch cached parts of the prompt
 	LastEventID      string // of the last event received, to resume a stream
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -88,7 +88,7 @@
 	f.mu.Lock()
 	if sub := f.subscribers[c.Name]; sub != nil && sub.Address == c.Address {
 		sub.subscriptions--
-		sub.loads = nil
+		sub.loads, sub.sums = nil, nil
 		sub.changedAt = time.Now()
 	}
 	f.mu.Unlock()
@@ -256,8 +256,11 @@
 // aggregateLoads periodically applies the total loads, as routers receive them, to a control instance's own routing,
 // until ctx ends.
 func (f *fleet) aggregateLoads(ctx context.Context) error {
-	for ctx.Err() == nil {
+	for i := 0; ctx.Err() == nil; i++ {
 		f.routing.setTotalLoads(f.Loads(exchanger.Contact{}))
+		if sums := f.Sums(exchanger.Contact{}); sums != nil && i%sumAggregations == 0 {
+			f.routing.setTotalSums(sums)
+		}
 		sleeper.Pause(ctx, loadAggregationInterval)
 	}
 	return ctx.Err()
@@ -379,7 +382,7 @@
 		f.mu.Lock()
 		expired := f.instances[c.Name] != inst || time.Since(inst.seenAt) > instanceRetention
 		inst.subscribed = !expired
-		inst.loads, inst.routers = nil, 0
+		inst.loads, inst.sums, inst.routers = nil, nil, 0
 		f.mu.Unlock()
 		if expired {
 			return
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -77,6 +77,7 @@
 	heardAt    time.Time       // when a heartbeat last reported it to be quorate
 	routers    int             // routers subscribed to it
 	loads      exchanger.Loads // requests in flight of it and of its routers
+	sums       exchanger.Sums  // named sums, likewise
 	failedAt   time.Time       // when a subscription to it last failed
 	subscribed bool            // a control instance's subscription to this peer is running
 }
@@ -154,6 +155,7 @@
 type subscriber struct {
 	exchanger.Contact
 	loads         exchanger.Loads // requests in flight
+	sums          exchanger.Sums
 	subscriptions int
 	changedAt     time.Time // of the number of subscriptions
 }
@@ -360,7 +362,7 @@
 			outOfService = append(outOfService, e)
 		}
 	}
-	f.routing.update(inService, outOfService, routers)
+	f.routing.update(inService, outOfService, routers, f.settings.loadPolicy(v.plan))
 }
 
 // addServices passes the services of a plan to the endpoints; the caller holds mu.
--- a/node/native_dialect.go
+++ b/node/native_dialect.go
@@ -15,7 +15,7 @@
 		Headers: Headers{RequestID: "Cactus-Request-Id", RemainingMillis: "Cactus-Left-Ms", Key: "Cactus-Key",
 			Workspace: "Cactus-Workspace", ExpectedEndpoint: "Cactus-Endpoint",
 			NotRun: "Cactus-Not-Run", Load: "Cactus-Load", RateLimit: "Cactus-Rate-Limit", Leaving: "Cactus-Leaving",
-			PromptParts: "Cactus-Prompt-Parts",
+			PromptParts: "Cactus-Prompt-Parts", TokenCounts: "Cactus-Token-Counts",
 			CacheSource: "Cactus-Fetch-From", LastEventID: "Last-Event-Id", Resumes: "Cactus-Resumes",
 			Priority: "Cactus-Priority"},
 		DecodePlan: planner.Parse,
--- a/node/proxy.go
+++ b/node/proxy.go
@@ -78,14 +78,16 @@
 	reserved    int64 // bytes of proxy.bodies
 	promptParts []chooser.PromptPart
 	sharedParts []attributor.Part // that other requests may have, too
-	priority    float64           // from 0 for the highest to 1 for the lowest
-	planVersion uint64
-	inbound     *http.Request
-	incoming    *server.Body // of inbound
-	fingerprint uint64       // of method, host, target, workspace and body
-	lastEventID string       // set if the caller resumes a stream
-	resumes     string       // ID of the request that brought the first event of that stream
-	plan        *planner.Plan
+
+	promptTokens, outputTokens int     // as the caller states them; 0 if unknown
+	priority                   float64 // from 0 for the highest to 1 for the lowest
+	planVersion                uint64
+	inbound                    *http.Request
+	incoming                   *server.Body // of inbound
+	fingerprint                uint64       // of method, host, target, workspace and body
+	lastEventID                string       // set if the caller resumes a stream
+	resumes                    string       // ID of the request that brought the first event of that stream
+	plan                       *planner.Plan
 	// resumableUntil is when the caller no longer resumes the stream that this request begins.
 	resumableUntil time.Time
 	version        string // software version at which a resumed stream goes on
@@ -187,6 +189,7 @@
 	q.resumableUntil = q.receivedAt.Add(min(retention+resumeGrace, maxStreamRetention))
 	q.priority = v.plan.NormalizedPriority(q.route, q.workspace)
 	q.lastEventID, q.resumes = r.Header.Get(h.LastEventID), r.Header.Get(h.Resumes)
+	q.promptTokens, q.outputTokens = parseTokenCounts(r.Header.Get(h.TokenCounts))
 	q.header = p.forwardedHeader(r.Header, q.workspace)
 	return q, nil
 }
@@ -251,6 +254,14 @@
 	return parts
 }
 
+// parseTokenCounts parses the tokens of a prompt and of its output; they only affect where the request goes.
+func parseTokenCounts(value string) (prompt, output int) {
+	promptText, outputText, _ := strings.Cut(value, ",")
+	prompt, _ = strconv.Atoi(strings.TrimSpace(promptText))
+	output, _ = strconv.Atoi(strings.TrimSpace(outputText))
+	return max(0, prompt), max(0, output)
+}
+
 func partIDs(parts []chooser.PromptPart) []string {
 	ids := make([]string, 0, len(parts))
 	for _, part := range parts {
--- a/node/settings.go
+++ b/node/settings.go
@@ -3,11 +3,13 @@
 import (
 	"cmp"
 	"errors"
+	"strings"
 	"time"
 
 	"cactusroute.dev/adapters/configurer"
 	"cactusroute.dev/adapters/forwarder"
 	"cactusroute.dev/core/chooser"
+	"cactusroute.dev/core/planner"
 )
 
 // Default values of the settings.
@@ -50,6 +52,8 @@
 	BodyMemoryBytes int64 `json:"bodyMemoryBytes,omitempty"`
 	// EndpointLimits bound what an endpoint may send in one exchange.
 	EndpointLimits EndpointLimits `json:"endpointLimits,omitzero"`
+	// SchedulingOff names decisions of planner.LoadPolicy that this node does not take, whatever the plan calls for.
+	SchedulingOff []string `json:"schedulingOff,omitempty"`
 }
 
 // Listen holds the host:port of each interface; an empty one disables the interface. The exchange is required.
@@ -121,9 +125,26 @@
 	if s.RetryBudget.Ratio < 0 || s.RetryBudget.Slack < 0 || s.Load.ColdSlack < 0 || s.Load.LoadSlack < 0 {
 		errs = append(errs, &configurer.SettingError{Field: "retryBudget", Problem: "negative", Allowed: "0 or more"})
 	}
+	for _, name := range s.SchedulingOff {
+		if _, ok := (planner.LoadPolicy{}).Without(name); !ok {
+			errs = append(errs, &configurer.SettingError{Field: "schedulingOff", Problem: "unknown name " + name,
+				Allowed: strings.Join(planner.LoadPolicyNames(), ", ")})
+		}
+	}
 	return errors.Join(errs...)
 }
 
+// loadPolicy returns the decisions under load that the plan calls for and the settings leave on.
+func (s *Settings) loadPolicy(plan *planner.Plan) (policy planner.LoadPolicy) {
+	if plan != nil {
+		policy = plan.LoadPolicy()
+	}
+	for _, name := range s.SchedulingOff {
+		policy, _ = policy.Without(name)
+	}
+	return policy
+}
+
 func (s *Settings) setDefaults() {
 	s.Listen.Advertise = cmp.Or(s.Listen.Advertise, s.Listen.Exchange)
 	s.MinVoters = cmp.Or(s.MinVoters, defaultMinVoters)
--- /dev/null
+++ b/node/sums.go
@@ -0,0 +1,83 @@
+package node
+
+import (
+	"maps"
+	"time"
+
+	"cactusroute.dev/adapters/exchanger"
+)
+
+// sumAggregations is the number of aggregations of loads for one aggregation of named sums, which change less often.
+const sumAggregations = 4
+
+func (r *routingState) ownSums() exchanger.Sums {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return maps.Clone(r.chooser.OwnSums())
+}
+
+func (r *routingState) setTotalSums(sums exchanger.Sums) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.chooser.SetTotalSums(time.Now(), sums)
+}
+
+// SumsReceived implements exchanger.Source.
+func (f *fleet) SumsReceived(from exchanger.Contact, sums exchanger.Sums) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if sub := f.subscribers[from.Name]; sub != nil {
+		sub.sums = sums
+	}
+}
+
+// Sums implements exchanger.Source.
+func (f *fleet) Sums(to exchanger.Contact) (total exchanger.Sums) {
+	add := func(sums exchanger.Sums) {
+		if sums != nil && total == nil {
+			total = exchanger.Sums{}
+		}
+		total.Add(sums)
+	}
+	add(f.routing.ownSums())
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for name, sub := range f.subscribers {
+		if f.instances[name] == nil && sub.subscriptions > 0 {
+			add(sub.sums)
+		}
+	}
+	if to.Eligible {
+		return total
+	}
+	for name, inst := range f.instances {
+		if name != f.self.Name {
+			add(inst.sums)
+		}
+	}
+	return total
+}
+
+// SumsReceived implements exchanger.Receiver.
+func (r *receiver) SumsReceived(sums exchanger.Sums) {
+	f := r.fleet
+	if !r.isPeer {
+		if r.isActive() {
+			f.routing.setTotalSums(sums)
+		}
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if inst := f.instances[r.instance.Name]; inst != nil {
+		inst.sums = sums
+	}
+}
+
+// Sums implements exchanger.Receiver.
+func (r *receiver) Sums() exchanger.Sums {
+	if r.isPeer || !r.isActive() {
+		return nil
+	}
+	return r.fleet.routing.ownSums()
+}
--- a/node/transfer.go
+++ b/node/transfer.go
@@ -189,8 +189,14 @@
 
 func (t *transfer) query() chooser.Query {
 	q := t.request
-	return chooser.Query{Service: q.service, Parts: q.promptParts, Tried: t.tried, Random: rand.Float64(),
-		Priority: q.priority, Version: t.version, IsResumed: t.hasBegun}
+	query := chooser.Query{Service: q.service, Parts: q.promptParts, Tried: t.tried, Random: rand.Float64(),
+		Priority: q.priority, Version: t.version, IsResumed: t.hasBegun, Weight: q.workspace.ShareWeight(),
+		PromptTokens: q.promptTokens, OutputTokens: q.outputTokens, Kind: q.route.Kind, ReceivedAt: q.receivedAt,
+		TargetAt: q.receivedAt.Add(time.Duration(q.route.TargetMillis) * time.Millisecond), Deadline: q.deadline}
+	if q.workspace != nil {
+		query.Workspace = q.workspace.Name
+	}
+	return query
 }
 
 // choose selects an endpoint, and waits up to chooseTimeout if none is available.
@@ -393,7 +399,7 @@
 // recordResponse records the result and the reported load of the endpoint.
 func (t *transfer) recordResponse(c chooser.Choice, resp *forwarder.Response) {
 	h := &t.proxy.dialect.Headers
-	running, waiting, known := parseLoad(resp.Header.Get(h.Load))
+	report, known := parseLoad(resp.Header.Get(h.Load))
 	limit, isLimited, valid := parseRateLimit(resp.Header[h.RateLimit])
 	var limitChanged bool
 	notRun := t.isRejection(resp)
@@ -402,7 +408,7 @@
 			ch.RecordResponse(c.Endpoint, resp.Status >= http.StatusInternalServerError)
 		}
 		if known {
-			ch.RecordLoad(time.Now(), c.Endpoint, running, waiting)
+			ch.RecordLoad(time.Now(), c.Endpoint, report)
 		}
 		if resp.Status == http.StatusMisdirectedRequest {
 			ch.RecordMisdirected(time.Now(), c.Endpoint)
@@ -436,21 +442,32 @@
 	return perSecond, isLimited, true
 }
 
-// parseLoad parses the numbers of running and waiting requests from a load header.
-func parseLoad(value string) (running, waiting int, ok bool) {
-	runningText, rest, ok := strings.Cut(value, ",")
-	if !ok {
-		return 0, 0, false
+// parseLoad parses a load header. The pace is optional, and ignored if it is no positive number.
+func parseLoad(value string) (r chooser.LoadReport, ok bool) {
+	fields := strings.SplitN(value, ",", maxLoadFields+1)
+	if len(fields) < 2 {
+		return r, false
 	}
-	waitingText, _, _ := strings.Cut(rest, ",")
-	running, err := strconv.Atoi(strings.TrimSpace(runningText))
-	if err != nil {
-		return 0, 0, false
+	var errs [2]error
+	r.Running, errs[0] = strconv.Atoi(strings.TrimSpace(fields[0]))
+	r.Waiting, errs[1] = strconv.Atoi(strings.TrimSpace(fields[1]))
+	if len(fields) >= maxLoadFields {
+		pace, err := strconv.ParseFloat(strings.TrimSpace(fields[3]), 64)
+		if err == nil && pace > 0 && pace <= maxPacePercent {
+			r.Pace = pace / 100
+		}
 	}
-	waiting, err = strconv.Atoi(strings.TrimSpace(waitingText))
-	return running, waiting, err == nil
+	return r, errors.Join(errs[:]...) == nil
 }
 
+const (
+	// maxLoadFields is the number of figures in a load header that are read.
+	maxLoadFields = 4
+
+	// maxPacePercent is far above the pace of any endpoint that still works.
+	maxPacePercent = 100_000
+)
+
 // isRejection reports whether a response states that the endpoint did not execute this request.
 func (t *transfer) isRejection(resp *forwarder.Response) bool {
 	isStated := resp.Header.Get(t.proxy.dialect.Headers.NotRun) != "" || resp.Status == http.StatusMisdirectedRequest
--- a/node/view.go
+++ b/node/view.go
@@ -44,9 +44,10 @@
 }
 
 // update replaces the endpoints in and out of service and the router count.
-func (r *routingState) update(inService, outOfService []registrar.Endpoint, routers int) {
+func (r *routingState) update(inService, outOfService []registrar.Endpoint, routers int, policy planner.LoadPolicy) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.chooser.SetPolicy(policy)
 	r.routers = max(1, routers)
 	r.chooser.Update(time.Now(), inService, outOfService, routers)
 }
