--- a/core/chooser/chooser.go
+++ b/core/chooser/chooser.go
@@ -194,6 +194,9 @@
 	policy planner.LoadPolicy
 	ledger summer.Ledger // named sums over all routers
 
+	events        []Event // not yet taken
+	droppedEvents int
+
 	statements map[string]*statement // by endpoint ID
 	ended      []EndedStatement      // since the last call of EndedStatements
 
@@ -212,7 +215,13 @@
 }
 
 // SetPolicy sets the decisions under load that are in force.
-func (c *Chooser) SetPolicy(p planner.LoadPolicy) { c.policy = p }
+func (c *Chooser) SetPolicy(p planner.LoadPolicy) {
+	if p != c.policy {
+		c.addEvent("decisions under load changed", "shares", p.Shares, "pace", p.Pace, "queues", p.Queues,
+			"domains", p.Domains, "copies", p.Copies, "reachable", p.Reachable)
+	}
+	c.policy = p
+}
 
 // OwnSums returns the named sums of this router, to be published to the other routers; nil if there are none.
 func (c *Chooser) OwnSums() summer.Sums { return c.ledger.Publish() }
@@ -561,7 +570,7 @@
 		}
 		isAvoided := e.isAvoided(now) || e.State == registrar.Silent && e.consecutiveFailures > 0
 		cost := n
-		cost += c.domainCost(e)
+		cost += c.domainCost(now, &q, p, e)
 		if !isAvoided && !f.isExact {
 			c.candidates = append(c.candidates, candidate{endpoint: e, load: cost, limit: limit,
 				maxRate: e.preferredRate(priority)})
@@ -592,7 +601,7 @@
 }
 
 // domainCost returns the number of requests to which it is equivalent that an endpoint is in another failure domain.
-func (c *Chooser) domainCost(e *endpoint) float64 {
+func (c *Chooser) domainCost(_ time.Time, _ *Query, _ *pool, e *endpoint) float64 {
 	if e.Domain != c.domain {
 		return remoteDomainCost
 	}
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -8,6 +8,7 @@
 	"cactusroute.dev/adapters/exchanger"
 	"cactusroute.dev/adapters/forwarder"
 	"cactusroute.dev/adapters/observer"
+	"cactusroute.dev/core/chooser"
 )
 
 type metrics struct {
@@ -160,7 +161,7 @@
 type routingCollector struct {
 	routing *routingState
 
-	load, reportedLoad, reportAge, coldSent, rateLimit, sent, quiet, leaving, retryBudget *prometheus.Desc
+	load, reportedLoad, reportAge, coldSent, rateLimit, sent, quiet, leaving, retryBudget, scheduling *prometheus.Desc
 }
 
 func newRoutingCollector(r *routingState) *routingCollector {
@@ -184,6 +185,8 @@
 			"Time for which the endpoint wants no requests of this node; absent if it does not.", "service", "endpoint"),
 		leaving: desc("cactusroute_endpoint_leaving",
 			"1 for an endpoint that has told this node that it leaves; absent for others.", "service", "endpoint"),
+		scheduling: desc("cactusroute_scheduling", "Figures of the decisions under load that are in force.",
+			"decision", "figure", "subject"),
 		retryBudget: desc("cactusroute_repeat_budget_left", "Retries that remain to this node in the current window.",
 			"service"),
 	}
@@ -192,7 +195,7 @@
 // Describe implements prometheus.Collector.
 func (c *routingCollector) Describe(ch chan<- *prometheus.Desc) {
 	for _, d := range []*prometheus.Desc{c.load, c.reportedLoad, c.reportAge, c.coldSent, c.rateLimit, c.sent,
-		c.quiet, c.leaving, c.retryBudget} {
+		c.quiet, c.leaving, c.retryBudget, c.scheduling} {
 		ch <- d
 	}
 }
@@ -226,6 +229,11 @@
 			ch <- prometheus.MustNewConstMetric(c.leaving, prometheus.GaugeValue, 1, s.Service, s.ID)
 		}
 	}
+	var gauges []chooser.Gauge
+	c.routing.withChooser(func(ch *chooser.Chooser) { gauges = ch.Gauges(now) })
+	for _, g := range gauges {
+		ch <- prometheus.MustNewConstMetric(c.scheduling, prometheus.GaugeValue, g.Value, g.Decision, g.Name, g.Subject)
+	}
 	for service, left := range budgets {
 		ch <- prometheus.MustNewConstMetric(c.retryBudget, prometheus.GaugeValue, left, service)
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -254,6 +254,7 @@
 			n.fleet.log.event("clock stepped", "ms", stepped.Milliseconds())
 		}
 		n.fleet.expire(now)
+		n.fleet.logDecisions()
 		n.front.pool.CloseExpired(time.Now(), func(string) bool { return true })
 		sleeper.Pause(ctx, expiryInterval)
 	}
--- a/node/sums.go
+++ b/node/sums.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cactusroute.dev/adapters/exchanger"
+	"cactusroute.dev/core/chooser"
 )
 
 // sumAggregations is the number of aggregations of loads for one aggregation of named sums, which change less often.
@@ -22,6 +23,19 @@
 	r.chooser.SetTotalSums(time.Now(), sums)
 }
 
+// logDecisions logs the changes of decisions under load since the last call.
+func (f *fleet) logDecisions() {
+	var events []chooser.Event
+	var dropped int
+	f.routing.withChooser(func(c *chooser.Chooser) { events, dropped = c.TakeEvents() })
+	for _, e := range events {
+		f.log.event(e.Message, e.Fields...)
+	}
+	if dropped > 0 {
+		f.log.event("decisions not logged", "count", dropped)
+	}
+}
+
 // SumsReceived implements exchanger.Source.
 func (f *fleet) SumsReceived(from exchanger.Contact, sums exchanger.Sums) {
 	f.mu.Lock()
