Move the detection of suspensions, pauses and clock steps out of node

Cause: node decides and transports too much by itself; clocks are an adapter of their own.

Change: adapters/clockwatcher has what node/clock.go had; RecordPause replaces writes of tests into its fields.

--- a/node/clock.go
+++ b/adapters/clockwatcher/clockwatcher.go
@@ -1,4 +1,4 @@
-package node
+package clockwatcher
 
 import (
 	"context"
@@ -12,17 +12,17 @@
 	"cactusroute.dev/adapters/sleeper"
 )
 
-// clockTolerance is the timer delay and the clock difference between two checks up to which nothing is logged; longer
+// Tolerance is the timer delay and the clock difference between two checks up to which nothing is logged; longer
 // ones make requests miss their latency objectives.
-const clockTolerance = 300 * time.Millisecond
+const Tolerance = 300 * time.Millisecond
 
-// minSuspension is the shortest suspension that a suspensionDetector reports; shorter ones don't outlast a
+// minSuspension is the shortest suspension that a SuspensionDetector reports; shorter ones don't outlast a
 // confirmation.
 const minSuspension = 100 * time.Millisecond
 
-// suspensionDetector finds out when the machine was suspended: the monotonic clock, by which confirmations age, stands
+// SuspensionDetector finds out when the machine was suspended: the monotonic clock, by which confirmations age, stands
 // still meanwhile.
-type suspensionDetector struct {
+type SuspensionDetector struct {
 	suspended func() (time.Duration, error) // total time that the machine was suspended
 
 	mu        sync.Mutex
@@ -30,15 +30,16 @@
 	resumedAt time.Time
 }
 
-func newSuspensionDetector() *suspensionDetector {
-	d := &suspensionDetector{suspended: suspendedTime}
+// NewSuspensionDetector returns a detector that reads the total time that the machine was suspended.
+func NewSuspensionDetector(suspended func() (time.Duration, error)) *SuspensionDetector {
+	d := &SuspensionDetector{suspended: suspended}
 	d.last, _ = d.suspended()
 	return d
 }
 
-// lastResume returns when the end of the last suspension was noticed, zero if there was none. An error means that a
+// LastResume returns when the end of the last suspension was noticed, zero if there was none. An error means that a
 // suspension can't be ruled out.
-func (d *suspensionDetector) lastResume(now time.Time) (time.Time, error) {
+func (d *SuspensionDetector) LastResume(now time.Time) (time.Time, error) {
 	total, err := d.suspended()
 	if err != nil {
 		return time.Time{}, err
@@ -64,8 +65,8 @@
 // errClockReads means that the process was interrupted in each attempt to read two clocks at the same time.
 var errClockReads = errors.New("clocks cannot be read without an interruption")
 
-// suspendedTime returns how long the machine was suspended since it was booted.
-func suspendedTime() (time.Duration, error) { return suspendedTimeBy(readClock) }
+// SuspendedTime returns how long the machine was suspended since it was booted.
+func SuspendedTime() (time.Duration, error) { return suspendedTimeBy(readClock) }
 
 func suspendedTimeBy(read func(clock int32) (time.Duration, error)) (time.Duration, error) {
 	for range maxClockReads {
@@ -97,19 +98,19 @@
 	return time.Duration(ts.Nano()), nil
 }
 
-// elapsed returns the time between two readings by the monotonic clock and by the wall clock.
-func elapsed(since, now time.Time) (monotonic, wall time.Duration) {
+// Elapsed returns the time between two readings by the monotonic clock and by the wall clock.
+func Elapsed(since, now time.Time) (monotonic, wall time.Duration) {
 	return now.Sub(since), now.Round(0).Sub(since.Round(0))
 }
 
-// clockAnomalies compares the elapsed times with the interval after which the check was due. suspended is the time the
+// Anomalies compares the elapsed times with the interval after which the check was due. suspended is the time the
 // process did not run; stepped is how far the wall clock moved relative to the monotonic clock, which stops while the
 // machine is suspended.
-func clockAnomalies(monotonic, wall, due time.Duration) (suspended, stepped time.Duration) {
-	if late := monotonic - due; late > clockTolerance {
+func Anomalies(monotonic, wall, due time.Duration) (suspended, stepped time.Duration) {
+	if late := monotonic - due; late > Tolerance {
 		suspended = late
 	}
-	if diff := wall - monotonic; diff.Abs() > clockTolerance {
+	if diff := wall - monotonic; diff.Abs() > Tolerance {
 		stepped = diff
 	}
 	return suspended, stepped
@@ -123,16 +124,25 @@
 	pauseTail = time.Second
 )
 
-// pauseDetector notices that the process stood still, for example because it was stopped or had no processor.
-type pauseDetector struct {
+// PauseDetector notices that the process stood still, for example because it was stopped or had no processor.
+type PauseDetector struct {
 	started  time.Time
 	lastTick atomic.Int64 // nanoseconds since started; 0 before the first tick
 	beganAt  atomic.Int64 // last check before the last pause
 	pausedAt atomic.Int64 // end of the last pause
 }
 
-// watch checks until ctx ends.
-func (d *pauseDetector) watch(ctx context.Context) error {
+// NewPauseDetector returns a detector for a process that started at a given time.
+func NewPauseDetector(started time.Time) *PauseDetector { return &PauseDetector{started: started} }
+
+// RecordPause records that the process stood still.
+func (d *PauseDetector) RecordPause(began, ended time.Time) {
+	d.beganAt.Store(int64(began.Sub(d.started)))
+	d.pausedAt.Store(int64(ended.Sub(d.started)))
+}
+
+// Watch checks until ctx ends.
+func (d *PauseDetector) Watch(ctx context.Context) error {
 	for ctx.Err() == nil {
 		now := max(1, int64(time.Since(d.started)))
 		if last := d.lastTick.Swap(now); last > 0 && now-last > int64(minPause) {
@@ -144,16 +154,16 @@
 	return ctx.Err()
 }
 
-// mayHavePaused reports whether events that are noticed now may have happened during a pause.
-func (d *pauseDetector) mayHavePaused(now time.Time) bool {
+// MayHavePaused reports whether events that are noticed now may have happened during a pause.
+func (d *PauseDetector) MayHavePaused(now time.Time) bool {
 	n := int64(now.Sub(d.started))
 	last, pausedAt := d.lastTick.Load(), d.pausedAt.Load()
 	return last > 0 && n-last > int64(minPause) || pausedAt > 0 && n-pausedAt < int64(pauseTail)
 }
 
-// since returns the earliest time at which an event that is noticed now may have happened: the start of a pause that
+// Since returns the earliest time at which an event that is noticed now may have happened: the start of a pause that
 // has just ended, or now.
-func (d *pauseDetector) since(now time.Time) time.Time {
+func (d *PauseDetector) Since(now time.Time) time.Time {
 	n := int64(now.Sub(d.started))
 	last, beganAt, pausedAt := d.lastTick.Load(), d.beganAt.Load(), d.pausedAt.Load()
 	switch {
--- a/node/control.go
+++ b/node/control.go
@@ -219,7 +219,7 @@
 	if err := registrar.CheckID(id); err != nil {
 		return &BadRequestError{Reason: err.Error()}
 	}
-	if f.pauses.mayHavePaused(time.Now()) {
+	if f.pauses.MayHavePaused(time.Now()) {
 		// The sender may have left long ago, and the endpoint may have started again.
 		readCtx, cancel := context.WithTimeout(ctx, departureTimeout)
 		defer cancel()
--- a/node/control_instance.go
+++ b/node/control_instance.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"cactusroute.dev/adapters/clockwatcher"
 	"cactusroute.dev/adapters/committer"
 	"cactusroute.dev/adapters/exchanger"
 	"cactusroute.dev/adapters/messenger"
@@ -45,7 +46,7 @@
 	replica           atomic.Pointer[committer.Committer]
 	eligibleInstances func() []exchanger.Contact // the known eligible instances
 	fs                storer.FS                  // nil means the disk
-	suspensions       *suspensionDetector
+	suspensions       *clockwatcher.SuspensionDetector
 	clockErrOnce      sync.Once
 	first             *firstReplica // nil once serveOnce has taken it
 }
@@ -196,7 +197,7 @@
 
 // isCurrent reports whether a confirmation still holds.
 func (ci *controlInstance) isCurrent(confirmedAt, now time.Time) bool {
-	resumedAt, err := ci.suspensions.lastResume(now)
+	resumedAt, err := ci.suspensions.LastResume(now)
 	if err != nil {
 		ci.clockErrOnce.Do(func() { ci.obs.Event("suspensions cannot be detected", "err", err) })
 		return false
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"cactusroute.dev/adapters/clockwatcher"
 	"cactusroute.dev/adapters/committer"
 	"cactusroute.dev/adapters/exchanger"
 	"cactusroute.dev/adapters/messenger"
@@ -106,7 +107,7 @@
 	departures     departures
 	evidence       *evidence
 	streams        *streams
-	pauses         *pauseDetector
+	pauses         *clockwatcher.PauseDetector
 	streamLog      *streamLog // of a control instance, while it runs
 
 	exchangeOptions messenger.Options // of connections to other nodes
@@ -179,7 +180,7 @@
 	f.confirmer = confirmer.New(f.started)
 	f.departures.commit = f.proposeDepartures
 	f.streams = newStreams(s.DataFolder != "", f.started)
-	f.pauses = &pauseDetector{started: f.started}
+	f.pauses = clockwatcher.NewPauseDetector(f.started)
 	f.streams.self, f.streams.voters = f.self.Name, f.voters
 	f.view.Store(&view{})
 	choosesBootstrapper := s.FirstStart && len(s.Seeds) > 0 && slices.Min(s.Seeds) == s.Listen.Advertise
--- a/node/node.go
+++ b/node/node.go
@@ -12,6 +12,7 @@
 
 	"github.com/thejerf/suture/v4"
 
+	"cactusroute.dev/adapters/clockwatcher"
 	"cactusroute.dev/adapters/exchanger"
 	"cactusroute.dev/adapters/forwarder"
 	"cactusroute.dev/adapters/messenger"
@@ -51,7 +52,7 @@
 	f.exchangeOptions = messenger.Options{OnMessage: newExchangeMetrics(obs).count}
 	if s.DataFolder != "" {
 		f.control = &controlInstance{settings: s, obs: obs, eligibleInstances: f.eligibleInstances,
-			suspensions: newSuspensionDetector()}
+			suspensions: clockwatcher.NewSuspensionDetector(clockwatcher.SuspendedTime)}
 		f.control.stateMachine = fleetapplier.New(func(st fleetapplier.State) {
 			f.receiveState(st.Index, &st.Plan, st.TakenOut, stateFromLog)
 		})
@@ -151,7 +152,7 @@
 			n.fleet.log.failure("msg", "caller reads nothing", "caller", c.RemoteAddr().String(),
 				"ms", callerStallTimeout.Milliseconds())
 		},
-		stoppedSince: n.fleet.pauses.since,
+		stoppedSince: n.fleet.pauses.Since,
 		onStop: func(stop stopTimes) {
 			n.ready.SetNotReady()
 			n.front.stop(stop)
@@ -169,7 +170,7 @@
 	sup.Add(service{"heldStates", f.releaseHeldStates})
 	sup.Add(service{"seek", f.discover})
 	sup.Add(service{"tick", n.runMaintenance})
-	sup.Add(service{"pauses", f.pauses.watch})
+	sup.Add(service{"pauses", f.pauses.Watch})
 	exchange := http.NewServeMux()
 	exchange.Handle(exchanger.DiscoveryPath, f.discovery)
 	exchange.Handle(recorder.Path, n.obs.TimelineHandler())
@@ -244,9 +245,9 @@
 func (n *Node) runMaintenance(ctx context.Context) error {
 	for last := time.Now(); ctx.Err() == nil; {
 		now := time.Now()
-		monotonic, wall := elapsed(last, now)
+		monotonic, wall := clockwatcher.Elapsed(last, now)
 		last = now
-		suspended, stepped := clockAnomalies(monotonic, wall, expiryInterval)
+		suspended, stepped := clockwatcher.Anomalies(monotonic, wall, expiryInterval)
 		if suspended > 0 {
 			n.fleet.log.event("process was suspended", "ms", suspended.Milliseconds())
 		}
--- a/node/process_end.go
+++ b/node/process_end.go
@@ -69,9 +69,9 @@
 		aliveAt = now.Add(-maxConnAge)
 	case outcome == forwarder.NotSent:
 		aliveAt = sentAt.Add(-minRestartTime) // no connection since then is one to the former process
-	case p.fleet.pauses.mayHavePaused(now) && readAt.After(sentAt):
+	case p.fleet.pauses.MayHavePaused(now) && readAt.After(sentAt):
 		aliveAt = readAt
-	case p.fleet.pauses.mayHavePaused(now):
+	case p.fleet.pauses.MayHavePaused(now):
 		aliveAt = sentAt
 	}
 	var isNew bool
