Share updates of routing among records that arrive together

Cause: each message with changed records rebuilt the routing state over all endpoints, 1.5 ms of a core at 1,000 endpoints (and 15 ms at a tenth of a core, where routers run).

Change: between two updates lies a pause of eight times the time that one took, 250 ms at most. Departures of endpoints, plans and failure domains are in force at once, as before.

Result: TestReturningEndpointsShareUpdatesOfRouting counts 333 updates for 333 records without the change, below 100 with it.

--- a/node/fleet.go
+++ b/node/fleet.go
@@ -60,6 +60,12 @@
 	// domain is available.
 	failbackDelay = 5 * time.Second
 
+	// routingPauseFactor is the pause between two updates of routing relative to the time that one takes, and
+	// maxRoutingPause its bound. When a third of 1,000 endpoints registers again after a power loss, an update for each
+	// record would take all the time of a small processor.
+	routingPauseFactor = 8
+	maxRoutingPause    = 250 * time.Millisecond
+
 	// convictionThreshold is the number of endpoint starts that failed during the same request before it is refused.
 	convictionThreshold = 3
 
@@ -118,6 +124,8 @@
 	routingRequests atomic.Uint64 // calls of updateRouting
 	routingUpdateMu sync.Mutex    // locked before mu
 	routingUpdated  uint64        // calls whose changes routing has; guarded by routingUpdateMu
+	routingPause    atomic.Int64  // end of the pause after the last update, in nanoseconds since started
+	routingPending  atomic.Bool   // an update follows that pause
 
 	mu    sync.Mutex
 	seeds []string
@@ -349,6 +357,12 @@
 		return
 	}
 	f.routingUpdated = f.routingRequests.Load()
+	start := time.Now()
+	defer func() {
+		now := time.Now()
+		pause := min(maxRoutingPause, routingPauseFactor*now.Sub(start))
+		f.routingPause.Store(int64(now.Add(pause).Sub(f.started)))
+	}()
 	v := f.view.Load()
 	f.mu.Lock()
 	f.addServices(v.plan)
@@ -366,6 +380,24 @@
 	f.routing.update(inService, outOfService, routers, f.settings.loadPolicy(v.plan))
 }
 
+// updateRoutingFor updates routing for changed records: at once for departures, and for others not before a pause in
+// proportion to the time that the last update took.
+func (f *fleet) updateRoutingFor(changed []registrar.Endpoint) {
+	isDeparture := slices.ContainsFunc(changed, func(e registrar.Endpoint) bool {
+		return e.State == registrar.Draining || e.State == registrar.Gone
+	})
+	wait := time.Until(f.started.Add(time.Duration(f.routingPause.Load())))
+	switch {
+	case isDeparture || wait <= 0:
+		f.updateRouting()
+	case f.routingPending.CompareAndSwap(false, true):
+		time.AfterFunc(wait, func() {
+			f.routingPending.Store(false)
+			f.updateRouting()
+		})
+	}
+}
+
 // addServices passes the services of a plan to the endpoints; the caller holds mu.
 func (f *fleet) addServices(p *planner.Plan) {
 	if p == nil || p == f.servicesOf {
@@ -408,7 +440,7 @@
 
 // publishEndpoints publishes changed records to this node's routing and to all subscribers.
 func (f *fleet) publishEndpoints(changed []registrar.Endpoint, source string) {
-	f.updateRouting()
+	f.updateRoutingFor(changed)
 	f.markCacheDirty()
 	if f.control != nil {
 		f.control.server.PublishEndpoints(changed)
--- /dev/null
+++ b/node/routing_pause_test.go
@@ -0,0 +1,41 @@
+package node
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"cactusroute.dev/core/chooser"
+	"cactusroute.dev/core/registrar"
+)
+
+// Guards against a router that spends its processor on updates of routing while many endpoints register again: after a
+// failure domain lost power, each of 333 records caused an update over all 1,000 endpoints.
+func TestReturningEndpointsShareUpdatesOfRouting(t *testing.T) {
+	const endpoints = 1000
+	f := newTestProxy(t, nil).fleet
+	list := make([]registrar.Endpoint, endpoints)
+	for i := range list {
+		list[i] = testEndpoint(fmt.Sprint("e", i), fmt.Sprintf("10.0.%d.%d:1", i/250, i%250+1))
+	}
+	f.endpoints.AddServices([]string{list[0].Service})
+	f.mergeEndpoints(list, "test")
+	before := f.routingUpdated
+	for i := range list[:333] {
+		list[i].Born++
+		f.mergeEndpoints(list[i:i+1], "test")
+	}
+	updates := f.routingUpdated - before
+	eventually(t, "all records in force", func() bool {
+		in := 0
+		f.routing.withChooser(func(c *chooser.Chooser) { in = len(c.Loads(time.Now())) })
+		return in == endpoints && !f.routingPending.Load()
+	})
+	assert.Assert(t, updates < 100, "%d updates", updates)
+
+	list[0].State, list[0].Sequence = registrar.Draining, list[0].Sequence+1
+	f.mergeEndpoints(list[:1], "test")
+	f.routing.withChooser(func(c *chooser.Chooser) { assert.Equal(t, len(c.Loads(time.Now())), endpoints-1) })
+}
