Choose endpoints of other failure domains by the share that should leave

The cost of half a request vanished: known loads fade until the next reports arrive, and the cost faded with them, so that two thirds of the requests left their domain in calm. Requests now draw a destination from the shares that core/spiller computes from sums over all routers, and its endpoints are filled up to their slots first. The cost is part of the level that the forecast aims at. A service near its capacity is shared as before.

--- a/core/chooser/chooser.go
+++ b/core/chooser/chooser.go
@@ -38,9 +38,6 @@
 	// ranks first. Most parts are requested within about ten seconds.
 	cacheFillTime = 15 * time.Second
 
-	// remoteDomainCost is the number of requests to which another failure domain is equivalent.
-	remoteDomainCost = 0.5
-
 	// plainSlotFactor is the number of requests per slot of an endpoint that is not an engine: responses that take tens
 	// of milliseconds are still on time after waiting for two others.
 	plainSlotFactor = 3
@@ -82,6 +79,8 @@
 	LoadSlack  float64 // requests allowed in addition
 
 	HeartbeatInterval time.Duration // of the endpoints
+
+	Domains DomainPrices
 }
 
 // PromptPart is one segment of a prompt; only the last one is specific to the request or its session.
@@ -194,6 +193,9 @@
 	policy planner.LoadPolicy
 	ledger summer.Ledger // named sums over all routers
 
+	domains     map[string]*serviceDomains // by service
+	destination destination                // of the request for which Choose selects
+
 	events        []Event // not yet taken
 	droppedEvents int
 
@@ -308,6 +310,7 @@
 	}
 	if reason == "" {
 		p.accepted.add(now, demandWindow)
+		c.recordArrival(now, &q, &choice)
 	}
 	return choice, reason
 }
@@ -468,6 +471,7 @@
 	f := c.newForecast(now, p, load.total)
 	reason := NoEndpoint
 	source := c.cacheSource(now, q, p)
+	c.setDestination(&q, load, &f)
 	priority := q.Priority
 	q.Priority *= load.busy
 	random := newSequence(q.Random)
@@ -520,8 +524,8 @@
 			continue
 		}
 		if n+1 <= limit {
-			c.candidates = append(c.candidates, candidate{endpoint: e, rank: rank - 1, load: n, limit: math.Inf(1),
-				maxRate: math.Inf(1)})
+			c.candidates = append(c.candidates, candidate{endpoint: e, rank: rank - 1, limit: math.Inf(1), maxRate: math.Inf(1),
+				load: n + c.affinityDomainCost(now, &q, p, e, source)})
 		}
 		reason = preferReason(reason, AllAtCapacity)
 	}
@@ -547,6 +551,7 @@
 func (c *Chooser) chooseByLoad(now time.Time, q Query, p *pool) (Choice, Reason) {
 	load := c.poolLoad(now, p)
 	f := c.newForecast(now, p, load.total)
+	f.rate *= c.setDestination(&q, load, &f)
 	priority := q.Priority
 	q.Priority *= load.busy
 	random := newSequence(q.Random)
@@ -569,10 +574,10 @@
 			continue
 		}
 		isAvoided := e.isAvoided(now) || e.State == registrar.Silent && e.consecutiveFailures > 0
-		cost := n
-		cost += c.domainCost(now, &q, p, e)
+		cost := n + c.domainCost(now, &q, p, e)
 		if !isAvoided && !f.isExact {
-			c.candidates = append(c.candidates, candidate{endpoint: e, load: cost, limit: limit,
+			load, limit := c.withDomainCost(&f, n, limit, cost-n)
+			c.candidates = append(c.candidates, candidate{endpoint: e, load: load, limit: limit,
 				maxRate: e.preferredRate(priority)})
 		}
 		if isAvoided {
@@ -600,14 +605,6 @@
 	return c.assign(now, best, 0, nil), ""
 }
 
-// domainCost returns the number of requests to which it is equivalent that an endpoint is in another failure domain.
-func (c *Chooser) domainCost(_ time.Time, _ *Query, _ *pool, e *endpoint) float64 {
-	if e.Domain != c.domain {
-		return remoteDomainCost
-	}
-	return 0
-}
-
 // preferReason returns the reason that is more likely to pass while the caller waits.
 func preferReason(a, b Reason) Reason {
 	if reasonPrecedence(b) > reasonPrecedence(a) {
@@ -726,6 +723,7 @@
 
 // OwnLoads returns the load of each endpoint by this router, to be published to the other routers.
 func (c *Chooser) OwnLoads(now time.Time) Loads {
+	c.decideDomains(now)
 	c.published = Loads{}
 	for id, e := range c.byID {
 		e.firstAttempts = recent(e.firstAttempts, now, wantedWindow)
@@ -756,6 +754,7 @@
 
 // Done ends a request that Choose has counted.
 func (c *Chooser) Done(now time.Time, choice Choice) {
+	c.recordDomainTime(now, &choice)
 	if p := c.pools[choice.Endpoint.Service]; p != nil {
 		d := now.Sub(choice.At).Seconds()
 		if p.holdTime == 0 {
