--- a/node/settings.go
+++ b/node/settings.go
@@ -25,6 +25,8 @@
 	defaultLoadSlack          = 3
 	defaultMinVoters          = 1
 	defaultEventBytes         = 256 << 10
+	defaultRoundTripMillis    = 3
+	defaultMegabyteMillis     = 100
 	defaultBodyMemoryBytes    = 64 << 20
 )
 
@@ -48,6 +50,8 @@
 	RetryBudget RetryBudget `json:"retryBudget,omitzero"`
 	// Load bounds the requests in flight at one endpoint, summed over all nodes.
 	Load LoadLimits `json:"load,omitzero"`
+	// Domains states what a request costs that leaves its failure domain; 0 means the default.
+	Domains chooser.DomainPrices `json:"domains,omitzero"`
 	// BodyMemoryBytes bounds the bodies of all requests in progress together.
 	BodyMemoryBytes int64 `json:"bodyMemoryBytes,omitempty"`
 	// EndpointLimits bound what an endpoint may send in one exchange.
@@ -107,6 +111,7 @@
 		{"minVoters", float64(s.MinVoters)}, {"heartbeatMillis", float64(s.HeartbeatMillis)},
 		{"graceMillis", float64(s.GraceMillis)}, {"retryBudget/windowMillis", float64(s.RetryBudget.WindowMillis)},
 		{"load/coldOver", s.Load.ColdOver}, {"load/loadOver", s.Load.LoadOver},
+		{"domains/roundTripMillis", s.Domains.RoundTripMillis}, {"domains/megabyteMillis", s.Domains.MegabyteMillis},
 		{"bodyMemoryBytes", float64(s.BodyMemoryBytes)},
 		{"endpointLimits/headBytes", float64(s.EndpointLimits.HeadBytes)},
 		{"endpointLimits/headerFields", float64(s.EndpointLimits.HeaderFields)},
@@ -155,6 +160,8 @@
 	s.Load = cmp.Or(s.Load, LoadLimits{
 		ColdOver: defaultColdOver, ColdSlack: defaultColdSlack, LoadOver: defaultLoadOver, LoadSlack: defaultLoadSlack,
 	})
+	s.Domains.RoundTripMillis = cmp.Or(s.Domains.RoundTripMillis, defaultRoundTripMillis)
+	s.Domains.MegabyteMillis = cmp.Or(s.Domains.MegabyteMillis, defaultMegabyteMillis)
 	s.BodyMemoryBytes = cmp.Or(s.BodyMemoryBytes, defaultBodyMemoryBytes)
 	s.EndpointLimits.Limits = s.EndpointLimits.WithDefaults()
 	s.EndpointLimits.EventBytes = cmp.Or(s.EndpointLimits.EventBytes, defaultEventBytes)
@@ -163,5 +170,5 @@
 func (s *Settings) chooserLimits() chooser.Limits {
 	l := &s.Load
 	return chooser.Limits{ColdFactor: l.ColdOver, ColdSlack: l.ColdSlack, LoadFactor: l.LoadOver, LoadSlack: l.LoadSlack,
-		HeartbeatInterval: time.Duration(s.HeartbeatMillis) * time.Millisecond}
+		HeartbeatInterval: time.Duration(s.HeartbeatMillis) * time.Millisecond, Domains: s.Domains}
 }
