Refuse requests above the share of their workspace under overload

Cause: under overload, routers refuse the requests of all workspaces and kinds alike, and forecasts count them all.

Change: with policy Shares, a router divides the capacity of a service by named sums over all routers, and refuses what is above the share of its workspace (OverShare), or is sure to miss its deadline (TooLate), before it looks for an endpoint. The capacity is the slots, corrected by queues and by admitted work that finds no endpoint. Endpoints are avoided for failures only above the failure rate of their service. Retry-After of refused callers comes from a line of their workspace and class. Ledger.EachOther walks the sums of the other routers.

--- a/core/chooser/chooser.go
+++ b/core/chooser/chooser.go
@@ -109,6 +109,8 @@
 	// Version restricts the choice of a resumed stream to endpoints of the software version that began it.
 	Version   string
 	IsResumed bool
+	// IsRepeat is set if an earlier call of Choose for the same request was not refused for its share.
+	IsRepeat bool
 }
 
 // Reason states why no endpoint was selected; it is empty if one was.
@@ -137,6 +139,8 @@
 	// are expected at the endpoint itself or the source is unknown.
 	CacheSource string
 	At          time.Time // when it was selected
+
+	class int // of priority
 }
 
 // endpoint is the state of one endpoint as known to this router.
@@ -153,6 +157,7 @@
 	consecutiveFailures int
 	avoidUntil          time.Time
 	failureRate         float64
+	usualFailureRate    float64   // mean of the service; 0 without shares
 	nextProbe           time.Time // earliest time of the next probe above greyFailureRate
 	coldSent            []time.Time
 	limit               rateLimit
@@ -193,6 +198,7 @@
 
 	policy planner.LoadPolicy
 	ledger summer.Ledger // named sums over all routers
+	shares map[string]*serviceShares
 
 	events        []Event // not yet taken
 	droppedEvents int
@@ -227,7 +233,10 @@
 func (c *Chooser) OwnSums() summer.Sums { return c.ledger.Publish() }
 
 // SetTotalSums sets the named sums over all routers; they include the last result of OwnSums.
-func (c *Chooser) SetTotalSums(now time.Time, total summer.Sums) { c.ledger.SetTotal(now, total) }
+func (c *Chooser) SetTotalSums(now time.Time, total summer.Sums) {
+	c.ledger.SetTotal(now, total)
+	c.readShares(now)
+}
 
 // RecordRestart records that an earlier process of this router may have sent requests that this one does not know.
 func (c *Chooser) RecordRestart(now time.Time) { c.restartedAt = now }
@@ -285,7 +294,7 @@
 
 // isAvoided reports whether other endpoints are preferred because this one failed.
 func (e *endpoint) isAvoided(now time.Time) bool {
-	return now.Before(e.avoidUntil) || e.failureRate > greyFailureRate && now.Before(e.nextProbe)
+	return now.Before(e.avoidUntil) || e.failureRate > e.greyRate() && now.Before(e.nextProbe)
 }
 
 // Choose selects an endpoint and counts the request as in flight there.
@@ -297,6 +306,11 @@
 	if p.firstAt.IsZero() {
 		p.firstAt = now
 	}
+	if c.policy.Shares {
+		if reason := c.admitShare(now, &q, p); reason != "" {
+			return Choice{}, reason
+		}
+	}
 	p.attempts.add(now, demandWindow)
 	p.recent.add(now, growthWindow)
 	var choice Choice
@@ -309,6 +323,9 @@
 	if reason == "" {
 		p.accepted.add(now, demandWindow)
 	}
+	if c.policy.Shares {
+		choice.class = c.recordAdmitted(now, &q, reason)
+	}
 	return choice, reason
 }
 
@@ -727,6 +744,7 @@
 // OwnLoads returns the load of each endpoint by this router, to be published to the other routers.
 func (c *Chooser) OwnLoads(now time.Time) Loads {
 	c.published = Loads{}
+	c.refreshShares(now)
 	for id, e := range c.byID {
 		e.firstAttempts = recent(e.firstAttempts, now, wantedWindow)
 		l := Load{Requests: e.inFlight, Wanted: float64(len(e.firstAttempts)), Rate: e.rateLoad(now)}
@@ -762,6 +780,7 @@
 			p.holdTime = d
 		}
 		p.holdTime += holdTimeWeight * (d - p.holdTime)
+		c.recordHold(&choice, d)
 	}
 	if e := c.lookup(choice.Endpoint); e != nil {
 		e.inFlight = max(0, e.inFlight-1)
--- /dev/null
+++ b/core/chooser/share.go
@@ -0,0 +1,598 @@
+package chooser
+
+import (
+	"math"
+	"net/url"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"cactusroute.dev/core/planner"
+	"cactusroute.dev/core/sharer"
+)
+
+const (
+	// needWindow is the time constant of what workspaces ask for.
+	needWindow = 500 * time.Millisecond
+
+	// foundWindow is the time constant of the work that finds an endpoint or none.
+	foundWindow = 300 * time.Millisecond
+
+	// shareInterval is the time between two divisions of the capacity.
+	shareInterval = 50 * time.Millisecond
+
+	// shareKeyPrefix begins the keys of the named sums; it is followed by service, class, weight and workspace, or by
+	// service and one of okKey and fullKey.
+	shareKeyPrefix = "share/"
+	okKey          = "ok"
+	fullKey        = "full"
+
+	// sumUnits is the number of units in which the work of one request in progress is published.
+	sumUnits = 1000
+
+	// freshSums is the age up to which sums count in full, and maxSumAge the one from which they do not count.
+	freshSums = 500 * time.Millisecond
+	maxSumAge = 2 * time.Second
+
+	// aloneFactor is the multiple of its equal part that a router uses while it knows nothing of the others.
+	aloneFactor = 2
+
+	// shareFraction is the fraction of the slots that is divided, before any correction. Needs include waits for a slot that
+	// the routers don't know of; refusals below the capacity are worse than short queues.
+	shareFraction = 1.1
+
+	// busyShare is the fraction of the capacity in use from which needs are published, for publishTime.
+	busyShare   = 0.5
+	publishTime = 3 * time.Second
+
+	// minFullWork is the work without an endpoint from which needs are published also by a service that is not busy.
+	minFullWork = 0.01
+
+	// The capacity is corrected by what is seen: it falls while more than fullFraction of the admitted work finds no
+	// endpoint, or more requests are in progress than congestedLoad of the slots of engines, or congestedQueue of those of
+	// other endpoints, which may queue some. While shares bind below roomyLoad, there is room: it rises.
+	fullFraction   = 0.05
+	congestedLoad  = 0.97
+	congestedQueue = 1.5
+	roomyLoad      = 0.9
+
+	// correctionFall and correctionGrowth are the relative rates per second of the correction, from minCorrection to
+	// maxCorrection.
+	correctionFall   = 0.25
+	correctionGrowth = 0.6
+	minCorrection    = 0.75
+	maxCorrection    = 4
+
+	// soundSumsTime is the time after which the sums of all routers are there; before, they seem to have no work.
+	soundSumsTime = time.Second
+
+	// idleWorkspaceTTL is how long a workspace without requests is remembered.
+	idleWorkspaceTTL = 30 * time.Second
+
+	// classHoldWeight is the weight of the last request in the mean hold time of its class; one counts for at most
+	// maxHoldStep times the mean, because queues that the routers don't know of yet would raise it.
+	classHoldWeight = 0.02
+	maxHoldStep     = 2
+
+	// minSizeFactor and maxSizeFactor bound the work of one request in multiples of the mean of its class.
+	minSizeFactor = 0.25
+	maxSizeFactor = 4
+
+	// outputTokenFactor is the work of a token of the output in tokens of the prompt.
+	outputTokenFactor = 10
+
+	// shortHoldStep is the step of the estimate of the shortest hold time, up by it and down by shortHoldFall; the estimate
+	// settles at about the twentieth part of all requests. A request is sure to be late if it has less than
+	// certainFraction of that left.
+	shortHoldStep   = 0.01
+	shortHoldFall   = 0.19
+	certainFraction = 0.5
+
+	// greyMargin is the failure rate above the mean of the service from which an endpoint is avoided: two standard
+	// deviations of the rate of an endpoint that fails half of its requests.
+	greyMargin = 0.3
+
+	// logOver is the part of its need below which a share is logged, and the part of the capacity that all needs together
+	// have to reach for the overload to last.
+	logOver = 0.95
+
+	// minReturn, returnStep and maxReturn bound the time after which refused callers return: the first one of the most
+	// urgent class, what each further class adds, and the latest. Callers give up after about ten seconds.
+	minReturn  = 400 * time.Millisecond
+	returnStep = 250 * time.Millisecond
+	maxReturn  = 8 * time.Second
+
+	// returnFraction is the part of the accepted requests of a flow that may be returning ones.
+	returnFraction = 0.5
+)
+
+// The reasons for which requests are refused before an endpoint is looked for.
+const (
+	OverShare Reason = "the workspace asks for more than its share of the service"
+	TooLate   Reason = "the response can't be complete before the deadline"
+)
+
+// decayingSum is a decayingCount of work.
+type decayingSum struct {
+	value float64
+	at    time.Time
+}
+
+func (d *decayingSum) get(now time.Time, window time.Duration) float64 {
+	if d.value == 0 {
+		return 0
+	}
+	return d.value * math.Exp(-now.Sub(d.at).Seconds()/window.Seconds())
+}
+
+func (d *decayingSum) add(now time.Time, window time.Duration, work float64) {
+	d.value, d.at = d.get(now, window)+work, now
+}
+
+// inProgress returns the requests in progress that the work causes.
+func (d *decayingSum) inProgress(now time.Time, window time.Duration) float64 {
+	return d.get(now, window) / window.Seconds()
+}
+
+// classWork is the work of the requests of one priority class of a service.
+type classWork struct {
+	holdTime  float64 // mean in seconds, 0 until a request has ended
+	shortHold float64 // about the shortest one
+	size      float64 // mean size in tokens
+}
+
+// workspaceShare is what one workspace asks for and gets of a service.
+type workspaceShare struct {
+	sharer.Workspace
+
+	need   [sharer.Classes]decayingSum // of this router
+	others [sharer.Classes]float64     // of the other routers, when last heard of
+	keys   [sharer.Classes]string      // of the named sums
+	credit [sharer.Classes]float64     // fractions of requests that add up to accepted ones
+	line   [sharer.Classes]time.Time   // when the last refused caller returns
+	usedAt time.Time
+	isOver bool // logged as above its share
+}
+
+// serviceShares is the division of one service.
+type serviceShares struct {
+	service    string
+	plan       *planner.Service // of the last request
+	prefix     string           // of the keys
+	workspaces map[string]*workspaceShare
+	list       []*sharer.Workspace // buffer
+	byClass    [sharer.Classes]classWork
+
+	ok, full             decayingSum // admitted work of this router that found an endpoint, or none
+	okOthers, fullOthers float64
+
+	admissible     float64 // by the endpoints' limits, infinite without any
+	correction     float64 // factor of it that follows from what is seen
+	capacity       float64 // divided last; of this router alone if it knows of no other
+	needed         float64
+	refreshedAt    time.Time
+	publishedUntil time.Time
+	publishedSince time.Time // zero while nothing is published
+}
+
+// sharesOf returns the division of a service, a new one if there is none.
+func (c *Chooser) sharesOf(service string) *serviceShares {
+	s := c.shares[service]
+	if s == nil {
+		s = &serviceShares{service: service, prefix: shareKeyPrefix + url.PathEscape(service) + "/",
+			workspaces: map[string]*workspaceShare{}, correction: 1, capacity: math.Inf(1)}
+		if c.shares == nil {
+			c.shares = map[string]*serviceShares{}
+		}
+		c.shares[service] = s
+	}
+	return s
+}
+
+// workspaceShare returns the share of a workspace, a new one if there is none.
+func (c *Chooser) workspaceShare(now time.Time, s *serviceShares, name string, weight float64) *workspaceShare {
+	w := s.workspaces[name]
+	if w == nil {
+		w = &workspaceShare{Workspace: sharer.Workspace{Name: name}}
+		for class := range sharer.Classes {
+			w.Accepted[class], w.credit[class] = 1, 1
+		}
+		s.workspaces[name] = w
+	}
+	w.usedAt = now
+	if w.Weight != weight || w.keys[0] == "" {
+		c.unpublishWorkspace(w)
+		w.Weight = weight
+		for class := range w.keys {
+			w.keys[class] = s.prefix + strconv.Itoa(class) + "/" + strconv.FormatFloat(weight, 'g', -1, 64) + "/" + name
+		}
+	}
+	return w
+}
+
+// size returns the size of a request in tokens of the prompt, 0 if it is unknown.
+func (q *Query) size() float64 { return float64(q.PromptTokens + outputTokenFactor*q.OutputTokens) }
+
+// work returns the time in seconds for which a request is expected to occupy a place.
+func (s *serviceShares) work(q *Query, class int) float64 {
+	k := &s.byClass[class]
+	hold := k.holdTime
+	if hold == 0 {
+		hold = initialHoldTime.Seconds()
+	}
+	size := q.size()
+	if size <= 0 {
+		return hold
+	}
+	if k.size == 0 {
+		k.size = size
+	}
+	k.size += holdTimeWeight * (size - k.size)
+	return hold * min(maxSizeFactor, max(minSizeFactor, size/k.size))
+}
+
+// admitShare counts a request as asked for, and returns the reason for which it is refused before an endpoint is looked
+// for, or "".
+func (c *Chooser) admitShare(now time.Time, q *Query, p *pool) Reason {
+	s := c.sharesOf(q.Service.Name)
+	s.plan = q.Service
+	class := sharer.ClassOf(q.Priority)
+	if hold := s.byClass[class].shortHold; !q.Deadline.IsZero() && q.Deadline.Sub(now).Seconds() < certainFraction*hold {
+		return TooLate
+	}
+	if q.IsRepeat || len(q.Tried) > 0 {
+		return ""
+	}
+	w := c.workspaceShare(now, s, q.Workspace, q.Weight)
+	w.need[class].add(now, needWindow, s.work(q, class))
+	if now.Sub(s.refreshedAt) >= shareInterval {
+		c.divide(now, s, p)
+	}
+	if q.IsResumed {
+		return ""
+	}
+	w.credit[class] = min(2, w.credit[class]+w.Accepted[class])
+	if w.credit[class] < 1 {
+		return OverShare
+	}
+	w.credit[class]--
+	return ""
+}
+
+// recordAdmitted records whether an admitted request has found an endpoint, and returns its class.
+func (c *Chooser) recordAdmitted(now time.Time, q *Query, reason Reason) (class int) {
+	s := c.sharesOf(q.Service.Name)
+	class = sharer.ClassOf(q.Priority)
+	if len(q.Tried) > 0 {
+		return class
+	}
+	work := s.work(q, class)
+	switch reason {
+	case "":
+		s.ok.add(now, foundWindow, work)
+		if q.IsRepeat {
+			s.full.add(now, foundWindow, -min(work, s.full.get(now, foundWindow)))
+		}
+	case AllAtCapacity, ColdRateExhausted, RateLimited:
+		if !q.IsRepeat {
+			s.full.add(now, foundWindow, work)
+		}
+	}
+	return class
+}
+
+// recordHold records how long a request has occupied a place. The mean is that of requests that found a free slot: it
+// must not grow with the queues of an overload.
+func (c *Chooser) recordHold(choice *Choice, seconds float64) {
+	s := c.shares[choice.Endpoint.Service]
+	if s == nil {
+		return
+	}
+	k := &s.byClass[choice.class]
+	if k.holdTime == 0 {
+		k.holdTime, k.shortHold = seconds, seconds
+	}
+	if slots := choice.Endpoint.Slots; slots <= 0 || choice.Load < slots {
+		k.holdTime += classHoldWeight * (min(seconds, maxHoldStep*k.holdTime) - k.holdTime)
+	}
+	if seconds < k.shortHold {
+		k.shortHold *= 1 - shortHoldFall
+	} else {
+		k.shortHold *= 1 + shortHoldStep
+	}
+}
+
+// refreshShares divides the capacities of services that receive no requests at the moment, or ends the division.
+func (c *Chooser) refreshShares(now time.Time) {
+	for name, s := range c.shares {
+		p := c.pools[name]
+		if c.policy.Shares && p != nil {
+			if s.plan != nil && now.Sub(s.refreshedAt) >= shareInterval {
+				c.divide(now, s, p)
+			}
+			continue
+		}
+		for _, w := range s.workspaces {
+			c.unpublishWorkspace(w)
+		}
+		c.ledger.Set(s.prefix+okKey, 0)
+		c.ledger.Set(s.prefix+fullKey, 0)
+		delete(c.shares, name)
+		if p == nil {
+			continue
+		}
+		for _, e := range p.endpoints {
+			e.usualFailureRate = 0
+		}
+	}
+}
+
+// greyRate returns the failure rate above which the endpoint is avoided: where all endpoints of a service fail part of
+// their requests, the rest would only gather at the few that have been lucky lately.
+func (e *endpoint) greyRate() float64 {
+	if e.usualFailureRate == 0 {
+		return greyFailureRate
+	}
+	return max(greyFailureRate, e.usualFailureRate+greyMargin)
+}
+
+// divide computes the shares of a service from what is known now.
+func (c *Chooser) divide(now time.Time, s *serviceShares, p *pool) {
+	elapsed := min(needWindow, now.Sub(s.refreshedAt)).Seconds()
+	s.refreshedAt = now
+	load := c.updateCapacity(now, s, p)
+	age, ok := c.ledger.Age(now)
+	isAlone := c.routers > 1 && (!ok || age > maxSumAge)
+	s.list, s.needed = s.list[:0], 0
+	for name, w := range s.workspaces {
+		if now.Sub(w.usedAt) > idleWorkspaceTTL {
+			delete(s.workspaces, name)
+			c.unpublishWorkspace(w)
+			continue
+		}
+		for class := range w.Need {
+			w.Need[class] = w.need[class].inProgress(now, needWindow)
+			if !isAlone {
+				w.Need[class] += w.others[class]
+			}
+			s.needed += w.Need[class]
+		}
+		s.list = append(s.list, &w.Workspace)
+	}
+	s.correct(now, elapsed, load, isAlone)
+	if isAlone {
+		s.capacity *= aloneFactor / float64(max(aloneFactor, c.routers))
+	}
+	sharer.Divide(s.capacity, s.list)
+	if relax := staleness(age); ok && !isAlone && relax > 0 {
+		for _, w := range s.list {
+			for class := range w.Accepted {
+				w.Accepted[class] += relax * (1 - w.Accepted[class])
+			}
+		}
+	}
+	if load > busyShare*s.admissible || s.needed > busyShare*s.capacity {
+		s.publishedUntil = now.Add(publishTime)
+	}
+	c.publishShares(now, s)
+	c.logShares(s)
+}
+
+// staleness returns from 0 for fresh sums to 1 for those that do not count any more.
+func staleness(age time.Duration) float64 {
+	return min(1, max(0, float64(age-freshSums)/float64(maxSumAge-freshSums)))
+}
+
+// updateCapacity sets what the endpoints admit, and from which failure rate they are avoided; it returns the requests in
+// progress.
+func (c *Chooser) updateCapacity(now time.Time, s *serviceShares, p *pool) (load float64) {
+	service := s.plan
+	hold := p.holdTime
+	if hold <= 0 {
+		hold = initialHoldTime.Seconds()
+	}
+	failures, n := 0.0, 0
+	s.admissible = 0
+	for _, e := range p.endpoints {
+		if !e.accepts(now) {
+			continue
+		}
+		failures += e.failureRate
+		n++
+		load += float64(e.load(now, c.remoteAt))
+		if e.isAvoided(now) {
+			continue
+		}
+		limit := math.Inf(1)
+		if e.Slots > 0 {
+			limit = float64(e.Slots)
+		}
+		if service.MaxConnections > 0 {
+			limit = min(limit, float64(service.MaxConnections))
+		}
+		if e.limit.isNamed {
+			limit = min(limit, e.maxRate()*hold)
+		}
+		if service.ColdPerSecond > 0 && now.Before(e.ColdUntil) {
+			limit = min(limit, coldRateFraction*(service.ColdPerSecond*c.limits.ColdFactor+c.limits.ColdSlack)*hold)
+		}
+		s.admissible += shareFraction * limit
+	}
+	for _, e := range p.endpoints {
+		e.usualFailureRate = failures / float64(max(1, n))
+	}
+	return load
+}
+
+// correct updates the correction of the capacity; load is the number of requests in progress.
+func (s *serviceShares) correct(now time.Time, elapsed, load float64, isAlone bool) {
+	ok, full := s.ok.inProgress(now, foundWindow)+s.okOthers, s.full.inProgress(now, foundWindow)+s.fullOthers
+	slots := s.admissible / shareFraction
+	congested := slots * congestedQueue
+	if s.plan.Engine {
+		congested = slots * congestedLoad
+	}
+	switch {
+	case isAlone || s.publishedSince.IsZero() || now.Sub(s.publishedSince) < soundSumsTime:
+		s.correction = 1
+	case full > fullFraction*(ok+full) || load > congested:
+		s.correction = max(minCorrection, s.correction*(1-correctionFall*elapsed))
+	case s.needed <= s.capacity:
+		s.correction += (1 - s.correction) * elapsed
+	case load < roomyLoad*slots || math.IsInf(slots, 1):
+		s.correction = min(maxCorrection, s.correction*(1+correctionGrowth*elapsed))
+	}
+	s.capacity = s.admissible * s.correction
+	if math.IsInf(s.admissible, 1) && s.correction < 1 {
+		s.capacity = s.needed * s.correction
+	}
+}
+
+// publishShares sets the named sums of a service, or removes them once it is not busy any more.
+func (c *Chooser) publishShares(now time.Time, s *serviceShares) {
+	full := s.full.inProgress(now, foundWindow)
+	if full > minFullWork {
+		s.publishedUntil = now.Add(publishTime)
+	}
+	isOn := now.Before(s.publishedUntil)
+	scale := float64(sumUnits)
+	switch {
+	case isOn && s.publishedSince.IsZero():
+		s.publishedSince = now
+	case !isOn && s.publishedSince.IsZero():
+		return
+	case !isOn:
+		s.publishedSince, scale = time.Time{}, 0
+	}
+	for _, w := range s.workspaces {
+		for class, key := range w.keys {
+			c.setSum(key, scale*w.need[class].inProgress(now, needWindow))
+		}
+	}
+	c.setSum(s.prefix+okKey, scale*s.ok.inProgress(now, foundWindow))
+	c.setSum(s.prefix+fullKey, scale*full)
+}
+
+// setSum sets a named sum, or removes one that is too small to be seen.
+func (c *Chooser) setSum(key string, value float64) {
+	if value < 1 {
+		value = 0
+	}
+	c.ledger.Set(key, value)
+}
+
+func (c *Chooser) unpublishWorkspace(w *workspaceShare) {
+	for _, key := range w.keys {
+		c.ledger.Set(key, 0)
+	}
+}
+
+// readShares takes what the other routers ask for from the named sums.
+func (c *Chooser) readShares(now time.Time) {
+	if !c.policy.Shares {
+		return
+	}
+	for _, s := range c.shares {
+		s.okOthers, s.fullOthers = 0, 0
+		for _, w := range s.workspaces {
+			w.others = [sharer.Classes]float64{}
+		}
+	}
+	c.ledger.EachOther(shareKeyPrefix, func(key string, value float64) {
+		value /= sumUnits
+		escaped, rest, _ := strings.Cut(strings.TrimPrefix(key, shareKeyPrefix), "/")
+		service, err := url.PathUnescape(escaped)
+		if err != nil || c.pools[service] == nil {
+			return
+		}
+		s := c.sharesOf(service)
+		switch rest {
+		case okKey:
+			s.okOthers = value
+			return
+		case fullKey:
+			s.fullOthers = value
+			return
+		}
+		parts := strings.SplitN(rest, "/", 3)
+		if len(parts) != 3 {
+			return
+		}
+		class, classErr := strconv.Atoi(parts[0])
+		weight, weightErr := strconv.ParseFloat(parts[1], 64)
+		if classErr != nil || weightErr != nil || class < 0 || class >= sharer.Classes {
+			return
+		}
+		w := s.workspaces[parts[2]]
+		if w == nil {
+			w = c.workspaceShare(now, s, parts[2], weight)
+		}
+		w.usedAt = now
+		w.others[class] += value
+	})
+}
+
+// logShares records which workspaces have gone above their shares or come back.
+func (c *Chooser) logShares(s *serviceShares) {
+	for _, w := range s.workspaces {
+		need := w.Total()
+		isOver := w.Share < logOver*need
+		if isOver == w.isOver || !isOver && s.needed > logOver*s.capacity {
+			continue
+		}
+		w.isOver = isOver
+		message := "workspace within its share again"
+		if isOver {
+			message = "workspace above its share"
+		}
+		c.addEvent(message, "service", s.service, "workspace", w.Name, "need", round3(need), "share", round3(w.Share),
+			"capacity", round3(s.capacity), "needOfAll", round3(s.needed))
+	}
+}
+
+func round3(x float64) float64 { return math.Round(x*1000) / 1000 }
+
+// shareGauges returns the figures of the services that are busy.
+func (c *Chooser) shareGauges(list []Gauge) []Gauge {
+	for name, s := range c.shares {
+		if s.publishedSince.IsZero() || math.IsInf(s.capacity, 0) {
+			continue
+		}
+		list = append(list, Gauge{Decision: "shares", Name: "capacity", Subject: name, Value: s.capacity},
+			Gauge{Decision: "shares", Name: "need", Subject: name, Value: s.needed})
+		for _, w := range s.workspaces {
+			if need := w.Total(); need > 0 {
+				list = append(list, Gauge{Decision: "shares", Name: "accepted", Subject: name + "/" + w.Name,
+					Value: w.Share / need})
+			}
+		}
+	}
+	return list
+}
+
+// ReturnAt returns when the caller of a refused request may come back; ok is false if shares do not decide that.
+func (c *Chooser) ReturnAt(now time.Time, q Query, reason Reason) (at time.Time, ok bool) {
+	s := c.shares[q.Service.Name]
+	if !c.policy.Shares || s == nil || !slices.Contains([]Reason{OverShare, AllAtCapacity}, reason) {
+		return time.Time{}, false
+	}
+	class := sharer.ClassOf(q.Priority)
+	w := c.workspaceShare(now, s, q.Workspace, q.Weight)
+	earliest := now.Add(minReturn + time.Duration(class)*returnStep)
+	spread := time.Duration(q.Random * float64(minReturn))
+	perSecond := w.need[class].inProgress(now, needWindow) / max(s.work(&Query{}, class), minCountSpan.Seconds()/2) * w.Accepted[class]
+	gap := time.Duration(float64(time.Second) / max(returnFraction*perSecond, 1/maxReturn.Seconds()))
+	if reason == AllAtCapacity {
+		return earliest.Add(spread), true
+	}
+	latest := now.Add(maxReturn)
+	if next := w.line[class].Add(gap); next.After(earliest) {
+		earliest = next
+	}
+	if earliest.After(latest) {
+		return latest.Add(-time.Duration(q.Random * float64(maxReturn/4))), true
+	}
+	w.line[class] = earliest
+	return earliest.Add(spread), true
+}
--- a/core/summer/summer.go
+++ b/core/summer/summer.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"strings"
 	"time"
 )
 
@@ -84,6 +85,18 @@
 	return float64(n-own) * quantum
 }
 
+// EachOther calls visit with the other routers' values of the keys with a prefix.
+func (l *Ledger) EachOther(prefix string, visit func(key string, value float64)) {
+	for key := range l.total {
+		if !strings.HasPrefix(key, prefix) {
+			continue
+		}
+		if value := l.Others(key); value > 0 {
+			visit(key, value)
+		}
+	}
+}
+
 // Total returns the sum of this router's present value and the last known values of the others.
 func (l *Ledger) Total(key string) float64 { return l.own[key] + l.Others(key) }
 
