Tell callers above their share when to come back

Cause: callers refused for a lack of room came back at random within 0.5 to 1.5 s, whatever their workspace and priority.

Change: noEndpointRefusal takes the time from Chooser.ReturnAt; later attempts of a request are marked, so that it is counted and admitted once.

--- a/node/transfer.go
+++ b/node/transfer.go
@@ -60,6 +60,7 @@
 
 	tried        []string   // IDs of endpoints
 	sends        int        // attempts, including rejected ones
+	hasAsked     bool       // an endpoint was asked for
 	runs         int        // attempts that an endpoint may have executed
 	headerSent   bool       // the response header was sent to the caller
 	sentStatus   int        // its status
@@ -192,7 +193,8 @@
 	query := chooser.Query{Service: q.service, Parts: q.promptParts, Tried: t.tried, Random: rand.Float64(),
 		Priority: q.priority, Version: t.version, IsResumed: t.hasBegun, Weight: q.workspace.ShareWeight(),
 		PromptTokens: q.promptTokens, OutputTokens: q.outputTokens, Kind: q.route.Kind, ReceivedAt: q.receivedAt,
-		TargetAt: q.receivedAt.Add(time.Duration(q.route.TargetMillis) * time.Millisecond), Deadline: q.deadline}
+		TargetAt: q.receivedAt.Add(time.Duration(q.route.TargetMillis) * time.Millisecond), Deadline: q.deadline,
+		IsRepeat: t.hasAsked}
 	if q.workspace != nil {
 		query.Workspace = q.workspace.Name
 	}
@@ -206,9 +208,11 @@
 	for {
 		now := time.Now()
 		c, reason := t.proxy.fleet.routing.choose(now, t.query())
+		t.hasAsked = true
 		isFinal := reason == "" || reason == chooser.AllTried || reason == chooser.RateLimited ||
 			reason == chooser.NoVersion || reason == chooser.VersionUnknown ||
-			reason == chooser.AllQuiet || reason == chooser.AllLeaving
+			reason == chooser.AllQuiet || reason == chooser.AllLeaving ||
+			reason == chooser.OverShare || reason == chooser.TooLate
 		if isFinal || now.After(until) || isDisconnected(ctx) {
 			t.proxy.metrics.waitTime.Observe(now.Sub(start).Seconds())
 			return c, reason
@@ -228,7 +232,11 @@
 	reason, after := "noEndpoint", retryAfter()
 	switch cause {
 	case chooser.AllAtCapacity:
-		reason, after = "overload", overloadRetryAfter()
+		reason, after = "overload", t.returnAfter(cause)
+	case chooser.OverShare:
+		reason, after = "overShare", t.returnAfter(cause)
+	case chooser.TooLate:
+		reason = "deadline"
 	case chooser.AllLeaving:
 		reason, after = "leaving", overloadRetryAfter()
 	case chooser.AllQuiet:
@@ -242,6 +250,18 @@
 		logFields: []any{"why", string(cause), "service", t.request.service.Name}}
 }
 
+// returnAfter returns after which time the caller of a request refused for a lack of room may come back.
+func (t *transfer) returnAfter(cause chooser.Reason) (after time.Duration) {
+	after = overloadRetryAfter()
+	t.proxy.fleet.routing.withChooser(func(ch *chooser.Chooser) {
+		now := time.Now()
+		if at, ok := ch.ReturnAt(now, t.query(), cause); ok {
+			after = at.Sub(now)
+		}
+	})
+	return after
+}
+
 // versionRefusal returns the refusal of a stream that can't go on at any endpoint because of their versions.
 func (t *transfer) versionRefusal(cause chooser.Reason) refusal {
 	reason := "noVersion"
