--- a/core/chooser/share_test.go
+++ b/core/chooser/share_test.go
@@ -280,7 +280,8 @@
 			b.ResetTimer()
 			for i := range b.N {
 				now = now.Add(time.Millisecond)
-				choice, reason := c.Choose(now, Query{Service: service, Workspace: names[i%24], Weight: 1, Priority: float64(i%3) / 2})
+				q := Query{Service: service, Workspace: names[i%24], Weight: 1, Priority: float64(i%3) / 2}
+				choice, reason := c.Choose(now, q)
 				if reason == "" {
 					c.Done(now, choice)
 				}
