--- a/core/chooser/telemetry.go
+++ b/core/chooser/telemetry.go
@@ -40,5 +40,6 @@
 	if age, ok := c.ledger.Age(now); ok {
 		list = append(list, Gauge{Decision: "sums", Name: "ageSeconds", Value: age.Seconds()})
 	}
-	return append(list, c.domainGauges()...)
+	list = append(list, c.domainGauges()...)
+	return c.shareGauges(list)
 }
