Test that a domain with free slots but too much load for the bound sends requests away

The case guards the load bound. It passes with the policy on; off, it fails because the requests of the other domains leave too (0.648 against at most 0.25).

--- a/core/chooser/domains_test.go
+++ b/core/chooser/domains_test.go
@@ -1,6 +1,7 @@
 package chooser
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -15,12 +16,14 @@
 )
 
 // domainLoad is a load on a plain service with two endpoints in each of three failure domains, behind six routers each
-// whose loads and sums arrive late. An endpoint has six slots; a request takes 60 ms in one, or waits.
+// whose loads and sums arrive late. An endpoint has six slots, in which a request takes 60 ms, unless stated otherwise.
 type domainLoad struct {
 	perSecond  func(domain, ms int) float64
 	extra      func(from, to int, random float64) time.Duration // of a request between domains, beyond domainTrip
 	takenOut   func(domain, ms int) bool
 	withoutFor func(ms int) bool // sums are lost
+	slots      int
+	duration   time.Duration
 
 	seconds [30][3]domainSecond // by second and domain of the callers
 	refused int
@@ -33,11 +36,7 @@
 	latency time.Duration
 }
 
-const (
-	domainTrip     = 3 * time.Millisecond
-	domainDuration = 60 * time.Millisecond
-	domainSlots    = 6
-)
+const domainTrip = 3 * time.Millisecond
 
 func domainName(i int) string { return string(rune('a' + i)) }
 
@@ -51,13 +50,14 @@
 }
 
 func (l *domainLoad) run(seconds int) {
+	l.slots, l.duration = cmp.Or(l.slots, 6), cmp.Or(l.duration, 60*time.Millisecond)
 	type completion struct {
 		at     time.Time
 		router *Chooser
 		choice Choice
 	}
 	rng := rand.New(rand.NewPCG(3, 4))
-	ends := domainEndpoints("plain", 6, 3, domainSlots)
+	ends := domainEndpoints("plain", 6, 3, l.slots)
 	withPrices := limits
 	withPrices.Domains = DomainPrices{RoundTripMillis: 3, MegabyteMillis: 100}
 	routers := make([]*Chooser, 0, 18)
@@ -133,10 +133,10 @@
 					l.beyond++
 				}
 				begin := now
-				if n := len(queues[id]); n >= domainSlots {
-					begin = queues[id][n-domainSlots]
+				if n := len(queues[id]); n >= l.slots {
+					begin = queues[id][n-l.slots]
 				}
-				end := begin.Add(domainDuration)
+				end := begin.Add(l.duration)
 				queues[id] = append(queues[id], end)
 				if from != to {
 					end = end.Add(domainTrip)
@@ -169,7 +169,7 @@
 // left returns the share of the requests of a domain that left it, and their mean latency in durations.
 func (l *domainLoad) left(domain, from, until int) (share, latency float64) {
 	s := l.sum(domain, from, until)
-	return 1 - float64(s.sentTo[domain])/float64(s.sent), float64(s.latency) / float64(s.sent) / float64(domainDuration)
+	return 1 - float64(s.sentTo[domain])/float64(s.sent), float64(s.latency) / float64(s.sent) / float64(l.duration)
 }
 
 // Guards the decision which requests leave their failure domain, under each load that makes it hard. In calm requests
@@ -263,6 +263,18 @@
 				}
 				atMost(t, "range of the share", most-least, 0.2)
 			}},
+		// A domain's demand fits into its slots, but not into the load bound.
+		{name: "uneven demand on endpoints with many slots", load: domainLoad{slots: 64, duration: 300 * time.Millisecond,
+			perSecond: func(domain, _ int) float64 { return []float64{150, 8, 8}[domain] }},
+			check: func(t *testing.T, l *domainLoad) {
+				left, latency := l.left(0, 4, 20)
+				atMost(t, "surplus that stayed", 1-left, 0.7)
+				atMost(t, "latency", latency, 1.05)
+				for d := 1; d < 3; d++ {
+					left, _ = l.left(d, 4, 20)
+					atMost(t, "left domains with room", left, 0.25)
+				}
+			}},
 		{name: "no sums for 6 s", load: domainLoad{perSecond: usual, withoutFor: func(ms int) bool {
 			return ms >= 6000 && ms < 12_000
 		}}, check: func(t *testing.T, l *domainLoad) {
