--- a/core/chooser/chooser.go
+++ b/core/chooser/chooser.go
@@ -471,7 +471,7 @@
 	f := c.newForecast(now, p, load.total)
 	reason := NoEndpoint
 	source := c.cacheSource(now, q, p)
-	c.setDestination(&q, load, &f)
+	c.setDestination(now, &q, load, &f)
 	priority := q.Priority
 	q.Priority *= load.busy
 	random := newSequence(q.Random)
@@ -551,7 +551,7 @@
 func (c *Chooser) chooseByLoad(now time.Time, q Query, p *pool) (Choice, Reason) {
 	load := c.poolLoad(now, p)
 	f := c.newForecast(now, p, load.total)
-	f.rate *= c.setDestination(&q, load, &f)
+	f.rate *= c.setDestination(now, &q, load, &f)
 	priority := q.Priority
 	q.Priority *= load.busy
 	random := newSequence(q.Random)
--- a/core/chooser/domains.go
+++ b/core/chooser/domains.go
@@ -45,8 +45,10 @@
 	// The scales of published sums, whose smallest difference is an eighth.
 	workScale, rateScale, priceScale, shareScale = 1000, 100, 10, 1000
 
-	// minLoggedChange is the change of the share of requests that leave a domain from which it is logged.
+	// minLoggedChange is the change of the share of requests that leave a domain from which it is logged, and
+	// minLogInterval the time between two such lines for a service.
 	minLoggedChange = 0.1
+	minLogInterval  = time.Second
 
 	// sharedUse is the use of all slots by the expected requests from which those of all domains compete for the same
 	// room, completely so sharedUseRange above it.
@@ -97,6 +99,7 @@
 	decider   spiller.Decider
 
 	loggedShare float64
+	loggedAt    time.Time
 	keys        []string // set in the ledger
 }
 
@@ -141,7 +144,8 @@
 	return p.RoundTripMillis + p.MegabyteMillis*q.transferBytes()/1e6
 }
 
-// recordArrival counts a request that was sent.
+// recordArrival counts a request that was sent. Refused ones are not counted: they are tried again every few
+// milliseconds, and a domain whose endpoints refuse has a backlog and full slots already.
 func (c *Chooser) recordArrival(now time.Time, q *Query, choice *Choice) {
 	if !c.policy.Domains {
 		return
@@ -258,7 +262,7 @@
 	}
 	s.decider.Step(now, s.domains, s.service, c.sharesOfOthers(prefix, s))
 	c.publishShares(prefix, s)
-	c.logShare(name, s)
+	c.logShare(now, name, s)
 }
 
 // domainTime returns the mean seconds of requests from the routers of one domain to endpoints of another, and their
@@ -351,12 +355,14 @@
 	return total, to
 }
 
-func (c *Chooser) logShare(service string, s *serviceDomains) {
+// logShare records a change of the share of requests that leaves the domain of this router.
+func (c *Chooser) logShare(now time.Time, service string, s *serviceDomains) {
 	share, to := c.leavingShare(s)
-	if math.Abs(share-s.loggedShare) < minLoggedChange && (share > 0) == (s.loggedShare > 0) {
+	isSame := math.Abs(share-s.loggedShare) < minLoggedChange && (share > 0) == (s.loggedShare > 0)
+	if isSame || now.Sub(s.loggedAt) < minLogInterval {
 		return
 	}
-	s.loggedShare = share
+	s.loggedShare, s.loggedAt = share, now
 	for i := range s.domains {
 		if d := &s.domains[i]; d.Name == c.domain {
 			c.addEvent("requests leave the failure domain", "service", service, "failureDomain", c.domain, "share",
@@ -367,15 +373,15 @@
 }
 
 // setDestination draws the failure domain to which the request should go by the shares of this router's domain, and
-// returns the part of the expected requests of all routers that has the same destination. Near the
-// capacity of the service, all requests compete for the same room.
-func (c *Chooser) setDestination(q *Query, load poolLoad, f *forecast) (part float64) {
+// returns the part of the expected requests of all routers that has the same destination. Near the capacity of the
+// service, all requests compete for the same room.
+func (c *Chooser) setDestination(now time.Time, q *Query, load poolLoad, f *forecast) (part float64) {
 	c.destination = destination{}
 	if !c.policy.Domains {
 		return 1
 	}
 	s := c.domains[q.Service.Name]
-	if s == nil || !s.isKnown || len(s.domains) < 2 || s.service.HoldSeconds <= 0 {
+	if s == nil || !s.isKnown || now.Sub(s.decidedAt) > domainSumsTTL || len(s.domains) < 2 || s.service.HoldSeconds <= 0 {
 		return 1
 	}
 	d := &c.destination
@@ -422,16 +428,17 @@
 		return 0
 	case !d.isKnown:
 		return remoteDomainCost
-	case d.level > 0:
-		level := d.level
-		for i, delay := range d.delays {
-			if delay > 0 && d.domains[i].Name == e.Domain {
-				level += delay * d.perSecond
-			}
+	}
+	delay := 0.0
+	for i := range d.delays {
+		if d.domains[i].Name == e.Domain {
+			delay = d.delays[i] * d.perSecond
 		}
-		return max(0, min(level, d.maxLevel)-d.remaining*float64(e.load(now, c.remoteAt)))
 	}
-	return d.price
+	if d.level <= 0 {
+		return d.price + delay
+	}
+	return max(0, min(d.level+delay, d.maxLevel)-d.remaining*float64(e.load(now, c.remoteAt)))
 }
 
 // withDomainCost returns the load and the limit of an endpoint with which the level of all loads at the time of the
@@ -454,7 +461,7 @@
 // moveCost returns the number of requests to which it is equivalent that an endpoint has to fetch the cached parts of
 // the prompt from their source.
 func (c *Chooser) moveCost(q *Query, e, source *endpoint) float64 {
-	if source == nil || e == source || q.Service.LinkBitsPerSecond <= 0 || e.Slots <= 0 {
+	if source == nil || e == source || q.Service.LinkBitsPerSecond <= 0 {
 		return 0
 	}
 	tokens := 0
@@ -462,7 +469,7 @@
 		tokens += part.Tokens
 	}
 	seconds := float64(tokens) * float64(q.Service.CacheTokenBytes) * 8 / q.Service.LinkBitsPerSecond
-	return seconds * float64(e.Slots) / c.domains[q.Service.Name].service.HoldSeconds
+	return seconds * c.destination.perSecond
 }
 
 // domainGauges returns the shares that leave the domain of this router and the bytes that it has sent to others.
--- a/core/chooser/domains_test.go
+++ b/core/chooser/domains_test.go
@@ -27,7 +27,8 @@
 
 	seconds [30][3]domainSecond // by second and domain of the callers
 	refused int
-	beyond  int // requests to an endpoint above the load bound
+	events  []Event // of one router of the first domain
+	beyond  int     // requests to an endpoint above the load bound
 }
 
 type domainSecond struct {
@@ -152,6 +153,7 @@
 			}
 		}
 	}
+	l.events, _ = routers[0].TakeEvents()
 }
 
 // sum returns the requests of a domain's callers in some seconds.
@@ -210,6 +212,7 @@
 			}
 			left, _ = l.left(0, 16, 20)
 			atMost(t, "left after the burst", left, 0.05)
+			assert.Assert(t, len(l.events) >= 3 && len(l.events) <= 14, "%d log lines", len(l.events))
 		}},
 		{name: "two domains with a surplus and the same third", load: domainLoad{perSecond: func(domain, ms int) float64 {
 			if domain < 2 && ms >= 5000 {
@@ -307,7 +310,7 @@
 	c.SetPolicy(planner.LoadPolicy{Domains: true})
 	c.Update(start, domainEndpoints(service.Name, 4, 2, slots), nil, 1)
 	s := c.serviceDomains(service.Name)
-	s.isKnown, s.service = true, spiller.Service{HoldSeconds: 0.3, PriceSeconds: 0.01}
+	s.isKnown, s.decidedAt, s.service = true, start, spiller.Service{HoldSeconds: 0.3, PriceSeconds: 0.01}
 	for i := range 2 {
 		s.domains = append(s.domains, spiller.Domain{Name: domainName(i), Work: 1, Slots: float64(2 * slots), Endpoints: 2})
 	}
@@ -346,7 +349,7 @@
 		holder := p.endpoints[1]
 		assert.Equal(t, holder.Domain, "b")
 		f := c.newForecast(start, p, 0)
-		c.setDestination(&q, c.poolLoad(start, p), &f)
+		c.setDestination(start, &q, c.poolLoad(start, p), &f)
 		abroad := c.affinityDomainCost(start, &q, p, holder, holder)
 		atHome := c.affinityDomainCost(start, &q, p, p.endpoints[0], holder)
 		assert.Assert(t, abroad < atHome, "cost %.2f at the holder, %.2f at home", abroad, atHome)
