Refuse nothing for shares while half of the slots are free, and spread the return by overload

Cause: in calm no sums are published, so a router took itself for alone and kept to its part of the capacity; loads at avoided endpoints counted as queues; a class whose requests have become short was never tried again once it was refused as too late.

Change: shares bind from half of the slots in use on, or while admitted work finds no endpoint; a router is alone only if it has heard neither loads nor sums for 2 s; one request in twenty is sent although it is expected to be late. Callers within their share return over 1 s times the overload.

--- a/core/chooser/share.go
+++ b/core/chooser/share.go
@@ -88,6 +88,7 @@
 	shortHoldStep   = 0.01
 	shortHoldFall   = 0.19
 	certainFraction = 0.5
+	probeFraction   = 0.05
 
 	// greyMargin is the failure rate above the mean of the service from which an endpoint is avoided: two standard
 	// deviations of the rate of an endpoint that fails half of its requests.
@@ -103,6 +104,11 @@
 	returnStep = 250 * time.Millisecond
 	maxReturn  = 8 * time.Second
 
+	// returnSpread is the time over which callers return that were refused although within their share, times what the
+	// service is asked for in relation to its capacity, at most maxReturnFactor.
+	returnSpread    = time.Second
+	maxReturnFactor = 4
+
 	// returnFraction is the part of the accepted requests of a flow that may be returning ones.
 	returnFraction = 0.5
 )
@@ -241,7 +247,7 @@
 	s := c.sharesOf(q.Service.Name)
 	s.plan = q.Service
 	class := sharer.ClassOf(q.Priority)
-	if hold := s.byClass[class].shortHold; !q.Deadline.IsZero() && q.Deadline.Sub(now).Seconds() < certainFraction*hold {
+	if !q.Deadline.IsZero() && q.Deadline.Sub(now).Seconds() < certainFraction*s.byClass[class].shortHold && !q.isProbe() {
 		return TooLate
 	}
 	if q.IsRepeat || len(q.Tried) > 0 {
@@ -269,6 +275,13 @@
 	return ""
 }
 
+// isProbe reports whether a request is sent although it is expected to be late: otherwise a class whose requests have
+// become short would not be noticed. It uses the lower digits of the random number, as isExemptFromReserve.
+func (q *Query) isProbe() bool {
+	_, digits := math.Modf(q.Random * 100)
+	return digits < probeFraction
+}
+
 // recordAdmitted records whether an admitted request has found an endpoint, and returns its class.
 func (c *Chooser) recordAdmitted(now time.Time, q *Query, reason Reason) (class int) {
 	s := c.sharesOf(q.Service.Name)
@@ -352,7 +365,10 @@
 	s.refreshedAt = now
 	load := c.updateCapacity(now, s, p)
 	age, ok := c.ledger.Age(now)
-	isAlone := c.routers > 1 && (!ok || age > maxSumAge)
+	if !ok {
+		age = maxSumAge
+	}
+	isAlone := c.routers > 1 && age >= maxSumAge && now.Sub(c.remoteAt) >= maxSumAge
 	s.list, s.needed = s.list[:0], 0
 	for name, w := range s.workspaces {
 		if now.Sub(w.usedAt) > idleWorkspaceTTL {
@@ -362,7 +378,7 @@
 		}
 		for class := range w.Need {
 			w.Need[class] = w.need[class].inProgress(now, needWindow)
-			if !isAlone {
+			if age < maxSumAge {
 				w.Need[class] += w.others[class]
 			}
 			s.needed += w.Need[class]
@@ -370,11 +386,14 @@
 		s.list = append(s.list, &w.Workspace)
 	}
 	s.correct(now, elapsed, load, isAlone)
-	if isAlone {
+	switch hasRoom := load < busyShare*s.admissible; {
+	case hasRoom && s.correction >= 1:
+		s.capacity = math.Inf(1)
+	case isAlone:
 		s.capacity *= aloneFactor / float64(max(aloneFactor, c.routers))
 	}
 	sharer.Divide(s.capacity, s.list)
-	if relax := staleness(age); ok && !isAlone && relax > 0 {
+	if relax := staleness(age); c.routers > 1 && !isAlone && relax > 0 {
 		for _, w := range s.list {
 			for class := range w.Accepted {
 				w.Accepted[class] += relax * (1 - w.Accepted[class])
@@ -394,7 +413,7 @@
 }
 
 // updateCapacity sets what the endpoints admit, and the mean of their failure rates; it returns the requests in
-// progress.
+// progress at them.
 func (c *Chooser) updateCapacity(now time.Time, s *serviceShares, p *pool) (load float64) {
 	service := s.plan
 	hold := p.holdTime
@@ -409,10 +428,10 @@
 		}
 		failures += e.failureRate
 		n++
-		load += float64(e.load(now, c.remoteAt))
 		if e.isAvoided(now) {
 			continue
 		}
+		load += float64(e.load(now, c.remoteAt))
 		limit := math.Inf(1)
 		if e.Slots > 0 {
 			limit = float64(e.Slots)
@@ -593,7 +612,11 @@
 	perSecond := w.need[class].inProgress(now, needWindow) * w.Accepted[class] / s.hold(class)
 	gap := time.Duration(float64(time.Second) / max(returnFraction*perSecond, 1/maxReturn.Seconds()))
 	if reason == AllAtCapacity {
-		return earliest.Add(spread), true
+		overload := 1.0
+		if s.needed > s.capacity && s.capacity > 0 {
+			overload = min(maxReturnFactor, s.needed/s.capacity)
+		}
+		return earliest.Add(time.Duration(q.Random * overload * float64(returnSpread))), true
 	}
 	latest := now.Add(maxReturn)
 	if next := w.line[class].Add(gap); next.After(earliest) {
