--- /dev/null
+++ b/core/rollouter/rollouter_test.go
@@ -0,0 +1,86 @@
+package rollouter
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func order(t *testing.T, at time.Time, target string, d time.Duration) Change {
+	r, err := New(at, "s", target, d)
+	assert.NilError(t, err)
+	return Change{Rollout: r}
+}
+
+// Guards against a rollout that begins anew or ends twice because its order or its end is committed again, and against
+// two rollouts of a service at once.
+func TestApply(t *testing.T) {
+	start := time.UnixMilli(1_000_000)
+	first := order(t, start, "v2", 10*time.Second)
+	phase := func(c Change, p Phase) Change {
+		c.Rollout.Phase = p
+		return c
+	}
+	running := []Change{first}
+	completed := []Change{first, phase(first, Moving), phase(first, Completed)}
+	rolledBack := []Change{first, phase(first, RolledBack)}
+	late := order(t, start.Add(time.Minute), "v2", 10*time.Second)
+	for _, c := range []struct {
+		name       string
+		before     []Change
+		change     Change
+		phase      Phase
+		orderedAt  int64
+		conflicted bool
+	}{
+		{"first order", nil, first, Trying, start.UnixMilli(), false},
+		{"order resent", running, order(t, start.Add(time.Second), "v2", 10*time.Second), Trying, start.UnixMilli(), false},
+		{"another target", running, order(t, start.Add(time.Second), "v3", 10*time.Second), Trying, start.UnixMilli(), true},
+		{"another deadline", running, order(t, start.Add(time.Second), "v2", 9*time.Second), Trying, start.UnixMilli(), true},
+		{"resent after the end", rolledBack, order(t, start.Add(4*time.Second), "v2", 10*time.Second), RolledBack,
+			start.UnixMilli(), false},
+		{"ordered again later", rolledBack, late, Trying, late.Rollout.OrderedAt, false},
+		{"target is reached", completed, late, Completed, start.UnixMilli(), false},
+		{"next target", completed, order(t, start.Add(5*time.Second), "v3", time.Second), Trying,
+			start.Add(5 * time.Second).UnixMilli(), false},
+		{"rolled back after completion", completed, phase(first, RolledBack), Completed, start.UnixMilli(), false},
+		{"completed after rollback", rolledBack, phase(first, Completed), RolledBack, start.UnixMilli(), false},
+		{"phase of an earlier rollout", append(rolledBack, late), phase(first, Completed), Trying, late.Rollout.OrderedAt,
+			false},
+		{"phase falls back", completed[:2], phase(first, Trying), Moving, start.UnixMilli(), false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var list []Rollout
+			for i, change := range c.before {
+				var err error
+				list, err = Apply(list, change, uint64(i+1))
+				assert.NilError(t, err)
+			}
+			list, err := Apply(list, c.change, 9)
+			var conflict *ConflictError
+			assert.Equal(t, errors.As(err, &conflict), c.conflicted)
+			r, ok := Find(list, "s")
+			assert.Assert(t, ok && len(list) == 1)
+			assert.Equal(t, r.Phase, c.phase)
+			assert.Equal(t, r.OrderedAt, c.orderedAt)
+		})
+	}
+}
+
+// Guards against orders that can't be carried out.
+func TestInvalidOrders(t *testing.T) {
+	for _, c := range []struct {
+		service, target string
+		duration        time.Duration
+	}{
+		{"", "v2", time.Second}, {"s", "", time.Second}, {"s", "v2", 0}, {"s", "v2", -time.Second},
+		{"s", "v2", MaxDuration + 1}, {"s", "v2", Seconds(-1)}, {"s", "v2", Seconds(1e300)},
+		{string(make([]byte, maxNameBytes+1)), "v2", time.Second},
+	} {
+		_, err := New(time.Now(), c.service, c.target, c.duration)
+		var invalid *InvalidError
+		assert.Assert(t, errors.As(err, &invalid), "%v", c)
+	}
+}
