Let the chooser admit endpoints by the phase of a rollout

Nothing keeps a router from sending a new software version as many requests as the others get. The chooser now asks the gate of the service before any other choice, counts what it sends, and lets a version that appears beside others wait for an order if the limits bound its exposure. Without a rollout and these limits it chooses as before.

--- a/core/chooser/chooser.go
+++ b/core/chooser/chooser.go
@@ -9,6 +9,7 @@
 	"cactusroute.dev/core/placer"
 	"cactusroute.dev/core/planner"
 	"cactusroute.dev/core/registrar"
+	"cactusroute.dev/core/rollouter"
 )
 
 const (
@@ -81,6 +82,8 @@
 	LoadSlack  float64 // requests allowed in addition
 
 	HeartbeatInterval time.Duration // of the endpoints
+
+	Rollouts rollouter.Limits
 }
 
 // PromptPart is one segment of a prompt; only the last one is specific to the request or its session.
@@ -99,6 +102,7 @@
 	// Version restricts the choice of a resumed stream to endpoints of the software version that began it.
 	Version   string
 	IsResumed bool
+	IsStale   bool // the node may not know the latest state
 }
 
 // Reason states why no endpoint was selected; it is empty if one was.
@@ -153,6 +157,7 @@
 	otherAttempts       decayingCount // those that endpoints of a higher rank did not accept
 	processEnd          processEnd
 	said                *statement // nil unless it leaves or has asked for quiet
+	newUntil            time.Time  // its version counts as new before; zero if it was known
 }
 
 // history is what a router remembers of its requests for a service.
@@ -190,6 +195,10 @@
 	reportInterval time.Duration // average time between two receipts
 	published      Loads         // last result of OwnLoads
 	restartedAt    time.Time     // when this router lost its counts; zero if it had none
+
+	gates    map[string]*gate           // by service, of the last rollout of each
+	gate     *gate                      // of the request in question, nil without a rollout
+	versions map[knownVersion]time.Time // when they appeared; zero if they were there before
 }
 
 // New returns a chooser without endpoints for the named router in a failure domain.
@@ -268,6 +277,7 @@
 	}
 	p.attempts.add(now, demandWindow)
 	p.recent.add(now, growthWindow)
+	c.prepareGate(&q)
 	var choice Choice
 	var reason Reason
 	if q.Service.Engine && len(q.Parts) > 0 {
@@ -276,6 +286,7 @@
 		choice, reason = c.chooseByLoad(now, q, p)
 	}
 	if reason == "" {
+		c.countVersion(&q, &choice.Endpoint)
 		p.accepted.add(now, demandWindow)
 	}
 	return choice, reason
@@ -293,6 +304,9 @@
 	if q.isOtherVersion(e) {
 		return NoVersion
 	}
+	if c.isHeld(now, &q, e) {
+		return VersionHeld
+	}
 	if said != "" {
 		return said
 	}
@@ -344,12 +358,12 @@
 	loadBound float64 // the load that an endpoint should not exceed
 }
 
-func (c *Chooser) poolLoad(now time.Time, p *pool) (l poolLoad) {
+func (c *Chooser) poolLoad(now time.Time, q *Query, p *pool) (l poolLoad) {
 	inService, slots := 0, 0
 	for _, e := range p.endpoints {
 		n := e.load(now, c.remoteAt)
 		l.total += n
-		if e.accepts(now) {
+		if e.accepts(now) && !c.isHeld(now, q, e) {
 			inService += n
 			slots += e.Slots
 		}
@@ -433,7 +447,7 @@
 // at all routers, so that requests with the same part go to the endpoint that caches it. Each router uses only its part
 // of the room that the last reports showed.
 func (c *Chooser) chooseByAffinity(now time.Time, q Query, p *pool) (Choice, Reason) {
-	load := c.poolLoad(now, p)
+	load := c.poolLoad(now, &q, p)
 	f := c.newForecast(now, p, load.total)
 	reason := NoEndpoint
 	source := c.cacheSource(now, q, p)
@@ -450,7 +464,7 @@
 			break
 		}
 		e := p.endpoints[i]
-		if e.accepts(now) && !q.isOtherVersion(e) {
+		if e.accepts(now) && !q.isOtherVersion(e) && !c.isHeld(now, &q, e) {
 			rank++
 		}
 		if r := c.checkAdmission(now, q, e); r != "" {
@@ -514,7 +528,7 @@
 // chooseByLoad selects an endpoint with a low load, preferably in the router's own failure domain. The routers spread
 // the requests that they expect from all of them, so that the loads are equal when the next reports arrive.
 func (c *Chooser) chooseByLoad(now time.Time, q Query, p *pool) (Choice, Reason) {
-	load := c.poolLoad(now, p)
+	load := c.poolLoad(now, &q, p)
 	f := c.newForecast(now, p, load.total)
 	priority := q.Priority
 	q.Priority *= load.busy
@@ -542,6 +556,7 @@
 		if e.Domain != c.domain {
 			cost += remoteDomainCost
 		}
+		cost -= c.trialBonus(e)
 		if !isAvoided && !f.isExact {
 			c.candidates = append(c.candidates, candidate{endpoint: e, load: cost, limit: limit,
 				maxRate: e.preferredRate(priority)})
@@ -580,9 +595,8 @@
 }
 
 func reasonPrecedence(r Reason) int {
-	return slices.Index([]Reason{NoEndpoint, AllLeaving, NoVersion, VersionUnknown, AllQuiet, AllTried, RateLimited,
-		AllAtCapacity,
-		ColdRateExhausted}, r)
+	return slices.Index([]Reason{NoEndpoint, AllLeaving, NoVersion, VersionUnknown, VersionHeld, AllQuiet,
+		AllTried, RateLimited, AllAtCapacity, ColdRateExhausted}, r)
 }
 
 // cacheSource returns the endpoint that is expected to cache the shared parts of the prompt: the highest-ranked one
@@ -594,7 +608,7 @@
 		if !ok {
 			return nil
 		}
-		if e := p.endpoints[i]; now.Sub(e.knownSince) >= cacheFillTime && e.consecutiveFailures == 0 {
+		if e := p.endpoints[i]; now.Sub(e.knownSince) >= cacheFillTime && e.consecutiveFailures == 0 && c.isCacheSource(e) {
 			return e
 		}
 	}
--- /dev/null
+++ b/core/chooser/rollouts_test.go
@@ -0,0 +1,188 @@
+package chooser
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"cactusroute.dev/core/planner"
+	"cactusroute.dev/core/registrar"
+	"cactusroute.dev/core/rollouter"
+)
+
+// versions returns endpoints of which the first ones have version v1 and the others v2.
+func versions(former, target int) []registrar.Endpoint {
+	list := testEndpoints(former + target)
+	for i := range list {
+		list[i].Version, list[i].Slots = "v2", 64
+		if i < former {
+			list[i].Version = "v1"
+		}
+	}
+	return list
+}
+
+func newRollout(t *testing.T, now time.Time, phase rollouter.Phase) []rollouter.Rollout {
+	r, err := rollouter.New(now, "llm", "v2", time.Minute)
+	assert.NilError(t, err)
+	r.Phase, r.Former = phase, []string{"v1"}
+	return []rollouter.Rollout{r}
+}
+
+// Guards against a version that gets more requests over all routers than its share, whatever the routers know of each
+// other: retries, prompts that rank it first, few former endpoints and restarts of routers count, too.
+func TestRoutersTogetherKeepTheShareOfTheTarget(t *testing.T) {
+	const (
+		share, slack = 0.1, 50
+		requests     = 20_000
+	)
+	for _, c := range []struct {
+		name    string
+		former  int
+		engine  bool
+		routers int // as each router believes
+		retries float64
+		restart bool
+	}{
+		{"plain", 6, false, 10, 0, false},
+		{"engine", 12, true, 10, 0, false},
+		{"retries", 6, false, 10, 0.3, false},
+		{"few former endpoints", 1, false, 10, 0, false},
+		{"routers that know nothing of each other", 6, true, 1, 0, true},
+		{"restarts", 6, false, 10, 0, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			rng := rand.New(rand.NewPCG(1, 2))
+			service := &planner.Service{Name: "llm", Engine: c.engine}
+			now := time.UnixMilli(1_700_000_000_000)
+			rollout := newRollout(t, now, rollouter.Trying)
+			newRouter := func(i int, isRestart bool) *Chooser {
+				ch := New(Limits{LoadFactor: 2, LoadSlack: 3, Rollouts: rollouter.Limits{ExposeShare: share, ExposeSlack: slack}},
+					fmt.Sprint("router", i), "d")
+				if isRestart || c.routers == 1 {
+					ch.RecordRestart(now)
+				}
+				ch.Update(now, versions(c.former, 6), nil, c.routers)
+				ch.SetRollouts(now, rollout)
+				return ch
+			}
+			routers := make([]*Chooser, 0, 10)
+			for i := range 10 {
+				routers = append(routers, newRouter(i, false))
+			}
+			sent, target := 0, 0
+			for i := range requests {
+				now = now.Add(time.Millisecond)
+				if c.restart && i%997 == 0 {
+					n := rng.IntN(len(routers))
+					routers[n] = newRouter(n, true)
+				}
+				r := routers[rng.IntN(len(routers))]
+				q := Query{Service: service, Random: rng.Float64(), Parts: []PromptPart{{ID: fmt.Sprint(i % 50)}, {ID: "x"}}}
+				for {
+					choice, reason := r.Choose(now, q)
+					if reason != "" {
+						break
+					}
+					if len(q.Tried) == 0 {
+						sent++
+					}
+					if choice.Endpoint.Version == "v2" {
+						target++
+					}
+					r.Done(now, choice)
+					r.RecordAttempt(now, rollouter.Attempt{Endpoint: choice.Endpoint, Result: rollouter.Answered, SentAt: now,
+						EndedAt: now.Add(time.Millisecond)})
+					q.Tried = append(q.Tried, choice.Endpoint.ID)
+					if rng.Float64() >= c.retries {
+						break
+					}
+				}
+			}
+			t.Logf("%d of %d", target, sent)
+			assert.Assert(t, float64(target) <= share*float64(sent)+slack, "%d of %d", target, sent)
+			assert.Assert(t, target > sent/50, "%d of %d", target, sent)
+		})
+	}
+}
+
+// Guards against requests to a version that may not get them in a phase, and against streams that change their version.
+func TestVersionsInEachPhase(t *testing.T) {
+	now := time.UnixMilli(1_700_000_000_000)
+	former, target := map[string]bool{"v1": true}, map[string]bool{"v2": true}
+	for _, c := range []struct {
+		name      string
+		phase     rollouter.Phase
+		endpoints []registrar.Endpoint
+		query     Query
+		want      map[string]bool // versions; none means that the request is refused
+	}{
+		{"trying, nothing known of the state", rollouter.Trying, versions(2, 2), Query{IsStale: true}, former},
+		{"trying, former versions gone", rollouter.Trying, versions(0, 4), Query{IsStale: true}, nil},
+		{"moving", rollouter.Moving, versions(2, 2), Query{}, target},
+		{"moving, stream of the former version", rollouter.Moving, versions(2, 2), Query{IsResumed: true, Version: "v1"},
+			former},
+		{"moving, target gone", rollouter.Moving, versions(2, 0), Query{}, former},
+		{"completed", rollouter.Completed, versions(2, 2), Query{}, target},
+		{"completed, target gone", rollouter.Completed, versions(2, 0), Query{}, former},
+		{"rolled back", rollouter.RolledBack, versions(2, 2), Query{}, former},
+		{"rolled back, stream of the target", rollouter.RolledBack, versions(2, 2), Query{IsResumed: true, Version: "v2"},
+			nil},
+		{"rolled back, former versions gone", rollouter.RolledBack, versions(0, 2), Query{}, nil},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			ch := New(Limits{LoadFactor: 2, LoadSlack: 3}, "router", "d")
+			ch.Update(now, c.endpoints, nil, 1)
+			ch.SetRollouts(now, newRollout(t, now, c.phase))
+			got := map[string]bool{}
+			for range 200 {
+				q := c.query
+				q.Service = &planner.Service{Name: "llm"}
+				if choice, reason := ch.Choose(now, q); reason == "" {
+					got[choice.Endpoint.Version] = true
+					ch.Done(now, choice)
+				}
+			}
+			if c.want == nil {
+				c.want = map[string]bool{}
+			}
+			assert.DeepEqual(t, got, c.want)
+		})
+	}
+}
+
+// Guards against requests to endpoints of a new version that appear before the order about them, and against versions
+// that serve side by side with no order and get none.
+func TestNewVersionWaitsForItsOrder(t *testing.T) {
+	start := time.UnixMilli(1_700_000_000_000)
+	for _, c := range []struct {
+		name  string
+		share float64
+		first []registrar.Endpoint // known at the start
+		after time.Duration        // since the second version appeared
+		want  bool
+	}{
+		{"just appeared", 0.1, versions(2, 0), time.Second, false},
+		{"later", 0.1, versions(2, 0), newVersionDelay, true},
+		{"there from the start", 0.1, versions(2, 2), time.Second, true},
+		{"deployment without rollouts", 0, versions(2, 0), 0, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			ch := New(Limits{LoadFactor: 2, LoadSlack: 3, Rollouts: rollouter.Limits{ExposeShare: c.share}}, "router", "d")
+			ch.Update(start, c.first, nil, 1)
+			ch.SetRollouts(start, nil)
+			ch.Update(start, versions(2, 2), nil, 1)
+			ch.SetRollouts(start, nil)
+			got := false
+			for range 50 {
+				choice, reason := ch.Choose(start.Add(c.after), Query{Service: &planner.Service{Name: "llm"}})
+				assert.Equal(t, reason, Reason(""))
+				got = got || choice.Endpoint.Version == "v2"
+			}
+			assert.Equal(t, got, c.want)
+		})
+	}
+}
