--- a/core/fleetapplier/statemachine.go
+++ b/core/fleetapplier/statemachine.go
@@ -11,6 +11,7 @@
 
 	"cactusroute.dev/core/attributor"
 	"cactusroute.dev/core/registrar"
+	"cactusroute.dev/core/rollouter"
 )
 
 // Command is the content of a log entry; exactly one of the fields but After is set.
@@ -26,6 +27,8 @@
 	Departures []registrar.Departure `cbor:"10,keyasint,omitempty"`
 	// Lift ends the conviction of a prompt part.
 	Lift *attributor.Lift `cbor:"11,keyasint,omitempty"`
+	// Rollout begins a rollout or changes its phase.
+	Rollout *rollouter.Change `cbor:"12,keyasint,omitempty"`
 }
 
 // maxLifts bounds the orders to lift convictions that are kept, the newest ones.
@@ -56,6 +59,8 @@
 	Departures []registrar.Departure `cbor:"10,keyasint,omitempty"`
 	// Lifts has the last order to lift the conviction of each prompt part, the oldest ones first, at most maxLifts.
 	Lifts []attributor.Lift `cbor:"11,keyasint,omitempty"`
+	// Rollouts has the last rollout of each service.
+	Rollouts []rollouter.Rollout `cbor:"12,keyasint,omitempty"`
 }
 
 // After returns what a command about a failure domain refers to if its sender has seen this state.
@@ -91,8 +96,9 @@
 // EncodeCommand returns the content of the log entry for a command.
 func EncodeCommand(c Command) ([]byte, error) { return cbor.Marshal(c) }
 
-// Apply applies one log entry and returns an error for one that can't be decoded or was overtaken, which leaves the
-// state unchanged. The plan with the highest version is in force, regardless of the commit order.
+// Apply applies one log entry and returns an error for one that can't be decoded, was overtaken or conflicts with a
+// running rollout, which leaves the state unchanged. The plan with the highest version is in force, regardless of the
+// commit order.
 func (m *StateMachine) Apply(index uint64, entry []byte) any {
 	var c Command
 	if err := cbor.Unmarshal(entry, &c); err != nil {
@@ -112,6 +118,12 @@
 		m.set(s)
 		m.reportLifts([]attributor.Lift{*c.Lift})
 		return nil
+	case c.Rollout != nil:
+		rollouts, err := rollouter.Apply(s.Rollouts, *c.Rollout, index)
+		if err != nil {
+			return err
+		}
+		s.Rollouts = rollouts
 	case c.Plan != nil:
 		if c.Plan.Version <= s.Plan.Version {
 			return nil
--- a/core/fleetapplier/statemachine_test.go
+++ b/core/fleetapplier/statemachine_test.go
@@ -3,12 +3,14 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"gotest.tools/v3/assert"
 
 	"cactusroute.dev/core/attributor"
 	"cactusroute.dev/core/registrar"
+	"cactusroute.dev/core/rollouter"
 )
 
 func apply(t *testing.T, m *StateMachine, index uint64, c Command) {
@@ -211,3 +213,36 @@
 	assert.DeepEqual(t, reported, before)
 	assert.DeepEqual(t, restored.State().Lifts, before)
 }
+
+// Guards against rollouts that a snapshot forgets, and against entries and snapshots of earlier releases, which have
+// none, that can't be read.
+func TestRolloutsSurviveASnapshot(t *testing.T) {
+	m := New(func(State) {})
+	r, err := rollouter.New(time.UnixMilli(1), "s", "v2", time.Second)
+	assert.NilError(t, err)
+	apply(t, m, 1, Command{TakeOutDomain: "d"})
+	apply(t, m, 2, Command{Rollout: &rollouter.Change{Rollout: r}})
+	r.Phase, r.Reason = rollouter.RolledBack, "bad"
+	apply(t, m, 3, Command{Rollout: &rollouter.Change{Rollout: r}})
+	r.Index = 3
+	restored := New(func(State) {})
+	assert.NilError(t, restored.Restore(m.Snapshot()))
+	assert.DeepEqual(t, restored.State().Rollouts, []rollouter.Rollout{r})
+
+	before := m.State()
+	other := r
+	other.Target, other.Phase = "v3", rollouter.Trying
+	apply(t, m, 4, Command{Rollout: &rollouter.Change{Rollout: other}})
+	other.Target = "v4"
+	entry, err := EncodeCommand(Command{Rollout: &rollouter.Change{Rollout: other}})
+	assert.NilError(t, err)
+	_, isConflict := m.Apply(5, entry).(*rollouter.ConflictError)
+	assert.Assert(t, isConflict)
+	assert.DeepEqual(t, before.Rollouts, []rollouter.Rollout{r}) // a published state is not changed
+
+	before.Rollouts = nil
+	chunk, err := cbor.Marshal(before)
+	assert.NilError(t, err)
+	assert.NilError(t, restored.Restore(func(yield func([]byte, error) bool) { yield(chunk, nil) }))
+	assert.Assert(t, restored.State().Rollouts == nil && restored.State().TakenOut["d"])
+}
