Serve rollouts: orders, counts of answers between nodes, and their end

The control interface answered 404 to rollouts. Routers report what they count of running rollouts to their control instance, which passes the sums to the others (adapters/exchanger); the leader commits what a rollouter.Driver decides from them (adapters/advancer). The state message, the state cache and the view carry the rollouts.

--- a/adapters/exchanger/client.go
+++ b/adapters/exchanger/client.go
@@ -8,6 +8,7 @@
 	"cactusroute.dev/core/fleetapplier"
 	"cactusroute.dev/core/registrar"
 	"cactusroute.dev/core/resumer"
+	"cactusroute.dev/core/rollouter"
 )
 
 // Receiver handles the messages of a control instance. One goroutine of the subscription calls the methods for received
@@ -16,7 +17,7 @@
 	// LastReceived returns the index of the newest state and the version of the newest plan received so far.
 	LastReceived() (index, version uint64)
 	// StateReceived handles a newer state; plan is nil if its version is the one last received.
-	StateReceived(index uint64, plan *fleetapplier.EncodedPlan, takenOut []string)
+	StateReceived(index uint64, plan *fleetapplier.EncodedPlan, takenOut []string, rollouts []rollouter.Rollout)
 	// EndpointsReceived handles endpoint records; full is set if the list has all endpoints.
 	EndpointsReceived(list []registrar.Endpoint, full bool)
 	// EndpointsRejected reports that n invalid records were dropped; err is the reason for the first one.
@@ -31,6 +32,9 @@
 	StreamOriginReceived(number uint64, o resumer.Origin, ok bool)
 	// Loads returns the requests in flight of this process, or nil if they are not reported to the instance.
 	Loads() Loads
+	// Outcomes returns the table of what this process has counted of rollouts. It is reported to the instance if
+	// isReported is set; what other control instances send is added to the table under a name.
+	Outcomes() (table *OutcomeTable, name string, isReported bool)
 }
 
 // Subscription is one connection to a control instance.
@@ -151,6 +155,7 @@
 	t := time.NewTicker(loadInterval)
 	defer t.Stop()
 	var sender loadSender
+	var outcomes outcomeSender
 	for {
 		select {
 		case <-ctx.Done():
@@ -160,6 +165,10 @@
 		if !sender.isDue() {
 			continue
 		}
+		if err := s.reportOutcomes(ctx, r, &outcomes); err != nil {
+			s.Close()
+			return
+		}
 		loads := r.Loads()
 		if loads == nil || !sender.hasChanged(loads) {
 			continue
@@ -188,7 +197,7 @@
 		if err != nil {
 			return err
 		}
-		r.StateReceived(m.Index, plan, m.TakenOut)
+		r.StateReceived(m.Index, plan, m.TakenOut, m.Rollouts)
 	case kindEndpoints:
 		var m receivedEndpointsMessage
 		if err := e.Decode(&m); err != nil {
@@ -225,6 +234,9 @@
 			return err
 		}
 		r.LoadsReceived(loads)
+	case kindOutcomes:
+		table, name, _ := r.Outcomes()
+		return table.receive(e, name, true)
 	case kindStreams:
 		var m streamsMessage
 		if err := e.Decode(&m); err != nil {
--- a/adapters/exchanger/exchanger_test.go
+++ b/adapters/exchanger/exchanger_test.go
@@ -17,6 +17,7 @@
 	"cactusroute.dev/core/fleetapplier"
 	"cactusroute.dev/core/registrar"
 	"cactusroute.dev/core/resumer"
+	"cactusroute.dev/core/rollouter"
 )
 
 const testTimeout = 20 * time.Second
@@ -28,6 +29,7 @@
 	endpoints []registrar.Endpoint
 	quorate   bool
 	loads     Loads
+	outcomes  OutcomeTable
 
 	refusesRouters bool
 	onStreamQuery  func()
@@ -84,6 +86,8 @@
 
 func (s *fakeSource) Loads(Contact) Loads { return s.loads }
 
+func (s *fakeSource) Outcomes() *OutcomeTable { return &s.outcomes }
+
 func (s *fakeSource) AcceptsRouters() bool { return !s.refusesRouters }
 
 func (s *fakeSource) EvidenceReceived(from Contact, e Evidence) {
@@ -128,8 +132,12 @@
 
 func (r *fakeReceiver) LastReceived() (index, version uint64) { return r.index, r.index }
 
-func (r *fakeReceiver) StateReceived(index uint64, plan *fleetapplier.EncodedPlan, takenOut []string) {
+func (r *fakeReceiver) StateReceived(index uint64, plan *fleetapplier.EncodedPlan, takenOut []string,
+	rollouts []rollouter.Rollout) {
 	r.record(fmt.Sprint("state ", index, " plan ", plan != nil, " out ", takenOut))
+	for _, rollout := range rollouts {
+		r.record("rollout " + rollout.Service + " " + rollout.Phase.String())
+	}
 }
 
 func (r *fakeReceiver) EndpointsReceived(list []registrar.Endpoint, full bool) {
@@ -158,6 +166,10 @@
 	r.record(fmt.Sprintf("e: %d requests", loads["e"].Requests))
 }
 
+func (r *fakeReceiver) Outcomes() (table *OutcomeTable, name string, isReported bool) {
+	return &r.outcomes, "instance", r.outcomes.Own != nil
+}
+
 func (r *fakeReceiver) Loads() Loads { return Loads{"e": {Requests: 2}} }
 
 func waitFor(t *testing.T, what string, cond func() bool) {
--- a/adapters/exchanger/server.go
+++ b/adapters/exchanger/server.go
@@ -39,6 +39,8 @@
 	// AcceptsRouters reports whether routers may subscribe. An instance without a quorum and without a state has nothing
 	// to send them, while other instances may.
 	AcceptsRouters() bool
+	// Outcomes returns the table of what this instance and its routers have counted of rollouts.
+	Outcomes() *OutcomeTable
 	// AllSuspects returns the suspects to send to a new subscriber.
 	AllSuspects() []Suspect
 	// AllEvidence returns the evidence to send to a new subscriber.
@@ -212,6 +214,10 @@
 				return
 			}
 			s.source.LoadsReceived(sub.contact, loads)
+		case kindOutcomes:
+			if s.source.Outcomes().receive(&e, sub.contact.Name, false) != nil {
+				return
+			}
 		case kindStreams:
 			var m streamsMessage
 			if e.Decode(&m) != nil {
@@ -285,6 +291,7 @@
 	loadTicker := time.NewTicker(loadInterval)
 	defer loadTicker.Stop()
 	var sender loadSender
+	var outcomes outcomeSender
 	if err := s.sendPending(ctx, sub); err != nil {
 		return err
 	}
@@ -298,6 +305,9 @@
 		case <-heartbeatTicker.C:
 			err = sub.conn.Send(ctx, kindHeartbeat, 0, sub.encodeHeartbeat(&heartbeats, s.source.Heartbeat()))
 		case <-loadTicker.C:
+			if err := s.sendOutcomes(ctx, sub, &outcomes); err != nil {
+				return err
+			}
 			if !sender.isDue() {
 				continue
 			}
@@ -363,7 +373,8 @@
 	if st.Index <= sub.index || !sub.mayGetState() {
 		return nil
 	}
-	m := stateMessage{Index: st.Index, Version: st.Plan.Version, TakenOut: slices.Sorted(maps.Keys(st.TakenOut))}
+	m := stateMessage{Index: st.Index, Version: st.Plan.Version, TakenOut: slices.Sorted(maps.Keys(st.TakenOut)),
+		Rollouts: st.Rollouts}
 	if st.Plan.Version != sub.version {
 		compressed, err := s.compressor.compress(&st.Plan)
 		if err != nil {
--- a/adapters/exchanger/slow_link_test.go
+++ b/adapters/exchanger/slow_link_test.go
@@ -14,6 +14,7 @@
 	"cactusroute.dev/adapters/messenger"
 	"cactusroute.dev/adapters/slowlinker"
 	"cactusroute.dev/core/fleetapplier"
+	"cactusroute.dev/core/rollouter"
 )
 
 // slowLinkBytesPerSecond is the rate that remains for one of many connections that share a link.
@@ -60,7 +61,8 @@
 	count  atomic.Uint64
 }
 
-func (r *stateTimes) StateReceived(index uint64, _ *fleetapplier.EncodedPlan, _ []string) {
+func (r *stateTimes) StateReceived(index uint64, _ *fleetapplier.EncodedPlan, _ []string,
+	_ []rollouter.Rollout) {
 	r.count.Add(1)
 	if lag := r.newest.Load() - index; lag > r.maxLag.Load() {
 		r.maxLag.Store(lag)
--- a/adapters/exchanger/wire.go
+++ b/adapters/exchanger/wire.go
@@ -10,6 +10,7 @@
 
 	"cactusroute.dev/adapters/messenger"
 	"cactusroute.dev/core/registrar"
+	"cactusroute.dev/core/rollouter"
 )
 
 const (
@@ -64,6 +65,7 @@
 	kindStreamQuery
 	kindStreamAnswer
 	kindStateAck // of a subscriber, with the index of the state as its number
+	kindOutcomes
 )
 
 // KindNames are the names of the kinds of messages, by kind, for metrics.
@@ -71,7 +73,7 @@
 	return map[uint8]string{kindHello: "hello", kindPing: "ping", kindState: "state", kindEndpoints: "endpoints",
 		kindHeartbeat: "heartbeat", kindSuspects: "suspects", kindLoads: "loads", kindEvidence: "evidence",
 		kindStreams: "streams", kindStreamQuery: "streamQuery", kindStreamAnswer: "streamAnswer",
-		kindStateAck: "stateAck"}
+		kindStateAck: "stateAck", kindOutcomes: "outcomes"}
 }
 
 // Contact is the identity of a process and its addresses.
@@ -182,6 +184,8 @@
 	Plan     []byte   `cbor:"2,keyasint,omitempty"` // compressed content
 	TakenOut []string `cbor:"3,keyasint,omitempty"`
 	Version  uint64   `cbor:"4,keyasint"`
+	// Rollouts has the last rollout of each service.
+	Rollouts []rollouter.Rollout `cbor:"5,keyasint,omitempty"`
 }
 
 type endpointsMessage struct {
--- /dev/null
+++ b/adapters/orderer/orderer.go
@@ -0,0 +1,94 @@
+package orderer
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"cactusroute.dev/core/rollouter"
+)
+
+// maxOrderBytes is about a hundred times the usual size of an order.
+const maxOrderBytes = 64 << 10
+
+// Control takes orders of rollouts and tells their progress.
+type Control interface {
+	// StartRollout begins a rollout, or acknowledges again one that has been ordered before. It returns a
+	// *rollouter.ConflictError while another one of the service is running.
+	StartRollout(ctx context.Context, r rollouter.Rollout) error
+	// Rollout returns the last rollout of a service, or a *rollouter.UnknownError.
+	Rollout(ctx context.Context, service string) (rollouter.Rollout, error)
+}
+
+// Orderer handles the requests of operators.
+type Orderer struct {
+	Control Control
+	// WriteResult responds with the status that corresponds to an error, 200 for nil.
+	WriteResult func(w http.ResponseWriter, r *http.Request, err error)
+}
+
+// Start returns the handler of orders, which decode parses.
+func (o *Orderer) Start(
+	decode func(data []byte) (service, target string, d time.Duration, err error),
+) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxOrderBytes))
+		if err != nil {
+			o.WriteResult(w, r, err)
+			return
+		}
+		service, target, d, err := decode(data)
+		if err != nil {
+			o.WriteResult(w, r, &rollouter.InvalidError{Reason: err.Error()})
+			return
+		}
+		rollout, err := rollouter.New(time.Now(), service, target, d)
+		if err == nil {
+			err = o.Control.StartRollout(r.Context(), rollout)
+		}
+		o.WriteResult(w, r, err)
+	}
+}
+
+// Get returns the handler that responds with the result of encode for the last rollout of the service in the path.
+func (o *Orderer) Get(encode func(r rollouter.Rollout) any) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		rollout, err := o.Control.Rollout(r.Context(), r.PathValue("service"))
+		if err != nil {
+			o.WriteResult(w, r, err)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(encode(rollout))
+	}
+}
+
+// orderBody is the body of POST /v1/rollouts.
+type orderBody struct {
+	Service         string  `json:"service"`
+	Target          string  `json:"target"` // software version
+	DurationSeconds float64 `json:"durationSeconds"`
+}
+
+// progressBody is the body of the response to GET /v1/rollouts/SERVICE.
+type progressBody struct {
+	Service string `json:"service"`
+	Target  string `json:"target"`
+	Phase   string `json:"phase"`
+	Reason  string `json:"reason,omitempty"`
+}
+
+// Register adds the handlers of the project's own protocol.
+func (o *Orderer) Register(mux *http.ServeMux) {
+	mux.HandleFunc("POST /v1/rollouts", o.Start(
+		func(data []byte) (service, target string, d time.Duration, err error) {
+			var b orderBody
+			err = json.Unmarshal(data, &b)
+			return b.Service, b.Target, rollouter.Seconds(b.DurationSeconds), err
+		}))
+	mux.HandleFunc("GET /v1/rollouts/{service}", o.Get(func(r rollouter.Rollout) any {
+		return progressBody{Service: r.Service, Target: r.Target, Phase: r.Phase.String(), Reason: r.Reason}
+	}))
+}
--- a/node/control.go
+++ b/node/control.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"cactusroute.dev/adapters/exchanger"
+	"cactusroute.dev/adapters/orderer"
 	"cactusroute.dev/core/attributor"
 	"cactusroute.dev/core/fleetapplier"
 	"cactusroute.dev/core/registrar"
@@ -21,6 +22,8 @@
 // Control is the interface of any node for operators and endpoints. Its methods return a *RedirectError if another node
 // must handle the call and an *UnavailableError if no known node can.
 type Control interface {
+	orderer.Control
+
 	// PutPlan commits a plan unless the same or a newer version is committed; it returns a *planner.InvalidError for an
 	// invalid plan.
 	PutPlan(ctx context.Context, content []byte) error
@@ -103,13 +106,7 @@
 
 // Plan implements Control.
 func (f *fleet) Plan(ctx context.Context) (fleetapplier.EncodedPlan, error) {
-	ci, err := f.localControl()
-	if err != nil {
-		return fleetapplier.EncodedPlan{}, err
-	}
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
-	s, err := ci.read(ctx)
+	s, err := f.readState(ctx)
 	if err != nil {
 		return fleetapplier.EncodedPlan{}, err
 	}
@@ -119,6 +116,17 @@
 	return s.Plan, nil
 }
 
+// readState returns a state that includes every command acknowledged before the call.
+func (f *fleet) readState(ctx context.Context) (s fleetapplier.State, err error) {
+	ci, err := f.localControl()
+	if err != nil {
+		return s, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	return ci.read(ctx)
+}
+
 // TakeOut implements Control.
 func (f *fleet) TakeOut(ctx context.Context, domain string) error {
 	return f.proposeDomainCommand(ctx, "takeOut", domain, fleetapplier.Command{TakeOutDomain: domain})
--- a/node/control_handlers.go
+++ b/node/control_handlers.go
@@ -10,6 +10,7 @@
 	"cactusroute.dev/core/attributor"
 	"cactusroute.dev/core/planner"
 	"cactusroute.dev/core/registrar"
+	"cactusroute.dev/core/rollouter"
 )
 
 const (
@@ -33,14 +34,14 @@
 	if err == nil {
 		err = c.control.PutPlan(r.Context(), content)
 	}
-	writeResult(w, r, err)
+	WriteResult(w, r, err)
 }
 
 // GetPlan responds with the newest plan, byte for byte as it was put.
 func (c *ControlHandlers) GetPlan(w http.ResponseWriter, r *http.Request) {
 	plan, err := c.control.Plan(r.Context())
 	if err != nil {
-		writeResult(w, r, err)
+		WriteResult(w, r, err)
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
@@ -49,17 +50,17 @@
 
 // TakeOut takes a failure domain out of service.
 func (c *ControlHandlers) TakeOut(w http.ResponseWriter, r *http.Request) {
-	writeResult(w, r, c.control.TakeOut(r.Context(), r.PathValue("name")))
+	WriteResult(w, r, c.control.TakeOut(r.Context(), r.PathValue("name")))
 }
 
 // Restore returns a failure domain to service.
 func (c *ControlHandlers) Restore(w http.ResponseWriter, r *http.Request) {
-	writeResult(w, r, c.control.Restore(r.Context(), r.PathValue("name")))
+	WriteResult(w, r, c.control.Restore(r.Context(), r.PathValue("name")))
 }
 
 // Deregister removes an endpoint.
 func (c *ControlHandlers) Deregister(w http.ResponseWriter, r *http.Request) {
-	writeResult(w, r, c.control.Deregister(r.Context(), r.PathValue("id")))
+	WriteResult(w, r, c.control.Deregister(r.Context(), r.PathValue("id")))
 }
 
 // convictionBody is one element of the response to GetConvictions.
@@ -92,10 +93,10 @@
 func (c *ControlHandlers) LiftConviction(w http.ResponseWriter, r *http.Request) {
 	part, err := attributor.ParsePart(r.PathValue("part"))
 	if err != nil {
-		writeResult(w, r, &BadRequestError{Reason: err.Error()})
+		WriteResult(w, r, &BadRequestError{Reason: err.Error()})
 		return
 	}
-	writeResult(w, r, c.control.LiftConviction(r.Context(), part))
+	WriteResult(w, r, c.control.LiftConviction(r.Context(), part))
 }
 
 // Register returns the handler of heartbeats, which decode parses. It responds with the result of encode for next, the
@@ -106,17 +107,17 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxHeartbeatBytes))
 		if err != nil {
-			writeResult(w, r, err)
+			WriteResult(w, r, err)
 			return
 		}
 		e, err := decode(r.PathValue("id"), data, time.Now())
 		if err != nil {
-			writeResult(w, r, err)
+			WriteResult(w, r, err)
 			return
 		}
 		next, err := c.control.Register(r.Context(), e)
 		if err != nil {
-			writeResult(w, r, err)
+			WriteResult(w, r, err)
 			return
 		}
 		w.Header().Set("Content-Type", "application/json")
@@ -130,8 +131,8 @@
 // Error implements error.
 func (e *BadRequestError) Error() string { return "invalid request: " + e.Reason }
 
-// writeResult responds with the status that corresponds to the result of a Control operation, 200 for nil.
-func writeResult(w http.ResponseWriter, r *http.Request, err error) {
+// WriteResult responds with the status that corresponds to the result of a Control operation, 200 for nil.
+func WriteResult(w http.ResponseWriter, r *http.Request, err error) {
 	var (
 		redirect    *RedirectError
 		unavailable *UnavailableError
@@ -139,6 +140,9 @@
 		badRequest  *BadRequestError
 		tooLarge    *http.MaxBytesError
 		unknown     *NotConvictedError
+		conflict    *rollouter.ConflictError
+		noRollout   *rollouter.UnknownError
+		badRollout  *rollouter.InvalidError
 	)
 	switch {
 	case err == nil:
@@ -146,9 +150,11 @@
 	case errors.As(err, &redirect):
 		w.Header().Set("Location", "http://"+redirect.Address+r.URL.EscapedPath())
 		w.WriteHeader(http.StatusTemporaryRedirect)
-	case errors.As(err, &invalid), errors.As(err, &badRequest):
+	case errors.As(err, &conflict):
+		http.Error(w, err.Error(), http.StatusConflict)
+	case errors.As(err, &invalid), errors.As(err, &badRequest), errors.As(err, &badRollout):
 		http.Error(w, err.Error(), http.StatusBadRequest)
-	case errors.As(err, &unknown):
+	case errors.As(err, &unknown), errors.As(err, &noRollout):
 		http.Error(w, err.Error(), http.StatusNotFound)
 	case errors.As(err, &tooLarge):
 		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -13,13 +13,15 @@
 	"cactusroute.dev/core/fleetapplier"
 	"cactusroute.dev/core/registrar"
 	"cactusroute.dev/core/resumer"
+	"cactusroute.dev/core/rollouter"
 )
 
 // State implements exchanger.Source.
 func (f *fleet) State() fleetapplier.State {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return fleetapplier.State{Index: f.released.index, Plan: f.released.plan, TakenOut: f.released.takenOut}
+	return fleetapplier.State{Index: f.released.index, Plan: f.released.plan, TakenOut: f.released.takenOut,
+		Rollouts: f.released.rollouts}
 }
 
 // AcceptsRouters implements exchanger.Source.
@@ -178,6 +180,9 @@
 	return o, err == nil, nil
 }
 
+// Outcomes implements exchanger.Source.
+func (f *fleet) Outcomes() *exchanger.OutcomeTable { return &f.outcomes }
+
 // EndpointsReceived implements exchanger.Source.
 func (f *fleet) EndpointsReceived(list []registrar.Endpoint) { f.mergeEndpoints(list, "subscriber") }
 
@@ -197,12 +202,13 @@
 }
 
 // StateReceived implements exchanger.Receiver.
-func (r *receiver) StateReceived(index uint64, plan *fleetapplier.EncodedPlan, takenOut []string) {
+func (r *receiver) StateReceived(index uint64, plan *fleetapplier.EncodedPlan, takenOut []string,
+	rollouts []rollouter.Rollout) {
 	set := map[string]bool{}
 	for _, d := range takenOut {
 		set[d] = true
 	}
-	r.fleet.receiveState(index, plan, set, r.instance.Name)
+	r.fleet.receiveState(index, plan, set, rollouts, r.instance.Name)
 }
 
 // EndpointsReceived implements exchanger.Receiver.
@@ -237,6 +243,11 @@
 	return r.fleet.routing.ownLoads()
 }
 
+// Outcomes implements exchanger.Receiver.
+func (r *receiver) Outcomes() (table *exchanger.OutcomeTable, name string, isReported bool) {
+	return &r.fleet.outcomes, r.instance.Name, !r.isPeer && r.isActive()
+}
+
 // LoadsReceived implements exchanger.Receiver.
 func (r *receiver) LoadsReceived(loads exchanger.Loads) {
 	f := r.fleet
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -17,6 +17,7 @@
 	"cactusroute.dev/core/fleetapplier"
 	"cactusroute.dev/core/planner"
 	"cactusroute.dev/core/registrar"
+	"cactusroute.dev/core/rollouter"
 )
 
 const (
@@ -103,6 +104,7 @@
 	suspectReports chan exchanger.Suspect
 	leavingReports chan registrar.Endpoint // for the control instance
 	departures     departures
+	outcomes       exchanger.OutcomeTable
 	evidence       *evidence
 	streams        *streams
 	pauses         *pauseDetector
@@ -141,6 +143,7 @@
 	index    uint64
 	plan     fleetapplier.EncodedPlan
 	takenOut map[string]bool
+	rollouts []rollouter.Rollout
 	source   string // the instance that sent it, or one of the sources below
 	at       time.Time
 }
@@ -175,7 +178,7 @@
 		seedsInformedAt: map[string]time.Time{}, exchanging: map[string]bool{}, suspects: map[uint64]*suspect{},
 		evidence: newEvidence(s.Place.Name, s.DataFolder != "", log), started: time.Now()}
 	f.confirmer = confirmer.New(f.started)
-	f.departures.commit = f.proposeDepartures
+	f.departures.commit, f.outcomes.Own = f.proposeDepartures, f.routing.outcomes
 	f.streams = newStreams(s.DataFolder != "", f.started)
 	f.pauses = &pauseDetector{started: f.started}
 	f.streams.self, f.streams.voters = f.self.Name, f.voters
@@ -360,7 +363,7 @@
 			outOfService = append(outOfService, e)
 		}
 	}
-	f.routing.update(inService, outOfService, routers)
+	f.routing.update(inService, outOfService, routers, v)
 }
 
 // addServices passes the services of a plan to the endpoints; the caller holds mu.
@@ -446,13 +449,14 @@
 }
 
 // receiveState stores a newer replicated state, and releases it unless it has to wait for a confirmation.
-func (f *fleet) receiveState(index uint64, plan *fleetapplier.EncodedPlan, takenOut map[string]bool, source string) {
+func (f *fleet) receiveState(index uint64, plan *fleetapplier.EncodedPlan, takenOut map[string]bool,
+	rollouts []rollouter.Rollout, source string) {
 	f.mu.Lock()
 	if index <= f.received.index {
 		f.mu.Unlock()
 		return
 	}
-	f.received.index, f.received.takenOut = index, takenOut
+	f.received.index, f.received.takenOut, f.received.rollouts = index, takenOut, rollouts
 	f.received.source, f.received.at = source, time.Now()
 	if plan != nil && plan.Version > f.received.plan.Version {
 		f.received.plan = *plan
@@ -555,7 +559,7 @@
 		released := f.released
 		f.mu.Unlock()
 		old := f.view.Load()
-		v := &view{plan: old.plan, index: released.index, takenOut: released.takenOut}
+		v := &view{plan: old.plan, index: released.index, takenOut: released.takenOut, rollouts: released.rollouts}
 		if released.plan.Version > 0 && (old.plan == nil || released.plan.Version > old.plan.Version) {
 			plan, err := f.dialect.DecodePlan(released.plan.Content)
 			if err != nil {
--- a/node/front_server_test.go
+++ b/node/front_server_test.go
@@ -77,7 +77,7 @@
 	go func() { _ = f.publishViews(ctx) }()
 	broken := encodedTestPlan(t, 2)
 	broken.Content = []byte("{")
-	f.receiveState(5, &broken, map[string]bool{"d": true}, stateFromLog)
+	f.receiveState(5, &broken, map[string]bool{"d": true}, nil, stateFromLog)
 	eventually(t, "the failure domain is out of service", func() bool { return f.view.Load().takenOut["d"] })
 	assert.Equal(t, f.view.Load().plan.Version, uint64(1))
 	assert.Equal(t, p.call(t, http.MethodGet, "/safe/", "").status, http.StatusServiceUnavailable)
--- a/node/native_dialect.go
+++ b/node/native_dialect.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"cactusroute.dev/adapters/orderer"
 	"cactusroute.dev/core/planner"
 	"cactusroute.dev/core/registrar"
 )
@@ -47,6 +48,7 @@
 	mux.HandleFunc("GET /v1/plan", handlers.GetPlan)
 	mux.HandleFunc("POST /v1/failureDomains/{name}/takeOut", handlers.TakeOut)
 	mux.HandleFunc("POST /v1/failureDomains/{name}/restore", handlers.Restore)
+	(&orderer.Orderer{Control: c, WriteResult: WriteResult}).Register(mux)
 	mux.HandleFunc("PUT /v1/endpoints/{id}", handlers.Register(decodeHeartbeat, func(next string) any {
 		return heartbeatResponse{Next: next}
 	}))
--- a/node/node.go
+++ b/node/node.go
@@ -12,6 +12,7 @@
 
 	"github.com/thejerf/suture/v4"
 
+	"cactusroute.dev/adapters/advancer"
 	"cactusroute.dev/adapters/exchanger"
 	"cactusroute.dev/adapters/forwarder"
 	"cactusroute.dev/adapters/messenger"
@@ -53,7 +54,7 @@
 		f.control = &controlInstance{settings: s, obs: obs, eligibleInstances: f.eligibleInstances,
 			suspensions: newSuspensionDetector()}
 		f.control.stateMachine = fleetapplier.New(func(st fleetapplier.State) {
-			f.receiveState(st.Index, &st.Plan, st.TakenOut, stateFromLog)
+			f.receiveState(st.Index, &st.Plan, st.TakenOut, st.Rollouts, stateFromLog)
 		})
 		f.control.stateMachine.OnDepartures = f.recordDepartures
 		f.control.stateMachine.OnLifts = f.evidence.applyLifts
@@ -179,6 +180,7 @@
 		sup.Add(service{"peers", f.subscribeToPeers})
 		sup.Add(service{"loads", f.aggregateLoads})
 		sup.Add(service{"memory", f.persistStateCache})
+		sup.Add(service{"rollouts", func(ctx context.Context) error { return advancer.Serve(ctx, f) }})
 		sup.Add(service{"crashes", f.evidence.evaluate})
 		sup.Add(service{"streams", f.streams.publishPending})
 		sup.Add(service{"streamLog", f.persistStreams})
--- a/node/outdated_plan_test.go
+++ b/node/outdated_plan_test.go
@@ -118,7 +118,7 @@
 	f.confirmer = confirmer.New(time.Now()) // without the confirmation that a test proxy has
 	instance := exchanger.Contact{Name: "instance", Address: "10.0.0.1:80"}
 	r := newReceiver(f, instance, nil)
-	r.StateReceived(5, &fleetapplier.EncodedPlan{Version: 1, Content: encodePlan(t, testPlan(1))}, nil)
+	r.StateReceived(5, &fleetapplier.EncodedPlan{Version: 1, Content: encodePlan(t, testPlan(1))}, nil, nil)
 	isReleased := false
 	for end := time.Now().Add(time.Second); !isReleased && time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
 		r.HeartbeatReceived(exchanger.Heartbeat{Quorate: true, QuorateInstances: []exchanger.Contact{instance}})
@@ -136,7 +136,7 @@
 	f.confirmer = confirmer.New(time.Now()) // without the confirmation that a test proxy has
 	go func() { _ = f.publishViews(ctx) }()
 	f.confirm(5, time.Now().Add(time.Hour))
-	f.receiveState(5, &fleetapplier.EncodedPlan{Version: 2, Content: []byte("{")}, nil, "instance")
+	f.receiveState(5, &fleetapplier.EncodedPlan{Version: 2, Content: []byte("{")}, nil, nil, "instance")
 	eventually(t, "the rest of the state is in force", func() bool { return f.view.Load().index == 5 })
 	time.Sleep(50 * time.Millisecond)
 	assert.Assert(t, !f.mayDeny(time.Now()))
--- a/node/proxy_test.go
+++ b/node/proxy_test.go
@@ -77,7 +77,7 @@
 	go func() {
 		time.Sleep(firstPlanTimeout / 4)
 		plan := encodedTestPlan(t, 3)
-		p.fleet.receiveState(1, &plan, nil, stateFromLog)
+		p.fleet.receiveState(1, &plan, nil, nil, stateFromLog)
 	}()
 	assert.Equal(t, p.call(t, http.MethodPost, "/once/", "x").status, http.StatusOK)
 }
--- /dev/null
+++ b/node/rollouts.go
@@ -0,0 +1,97 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"cactusroute.dev/adapters/exchanger"
+	"cactusroute.dev/core/chooser"
+	"cactusroute.dev/core/fleetapplier"
+	"cactusroute.dev/core/rollouter"
+)
+
+// StartRollout implements Control.
+func (f *fleet) StartRollout(ctx context.Context, r rollouter.Rollout) error {
+	ci, err := f.localControl()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
+	defer cancel()
+	// An order that was delayed in this process must not begin after its sender has left.
+	s, err := readForSender(ctx, ci)
+	if err != nil {
+		return err
+	}
+	plan, err := f.dialect.DecodePlan(s.Plan.Content)
+	switch {
+	case err != nil:
+		return &UnavailableError{Reason: "no plan names the service yet: " + err.Error()}
+	case plan.Service(r.Service) == nil:
+		return &BadRequestError{Reason: "the plan has no service " + r.Service}
+	}
+	err = ci.propose(ctx, fleetapplier.Command{Rollout: &rollouter.Change{Rollout: r}})
+	return f.logOrder("rollout", r.Service+" to "+r.Target, err)
+}
+
+// Rollout implements Control.
+func (f *fleet) Rollout(ctx context.Context, service string) (r rollouter.Rollout, err error) {
+	s, err := f.readState(ctx)
+	if err != nil {
+		return r, err
+	}
+	return rollouter.Last(s.Rollouts, service)
+}
+
+// Rollouts implements advancer.Instance.
+func (f *fleet) Rollouts() []rollouter.Rollout { return f.control.stateMachine.State().Rollouts }
+
+// AllOutcomes implements advancer.Instance.
+func (f *fleet) AllOutcomes() (o exchanger.Outcomes, routers int) {
+	return f.outcomes.Sum(true), f.routing.routerCount()
+}
+
+// CommitStep implements advancer.Instance.
+func (f *fleet) CommitStep(ctx context.Context, s rollouter.Step) {
+	if !f.control.isLeader() {
+		return
+	}
+	err := f.control.propose(ctx, fleetapplier.Command{Rollout: &s.Change})
+	f.log.event("next phase of rollout", append(s.Keyvals, "err", err)...)
+}
+
+// hasStaleRollouts reports whether rollouts are running whose latest phases this node may not know.
+func (f *fleet) hasStaleRollouts() bool {
+	return len(f.view.Load().rollouts) > 0 && !f.mayDeny(time.Now())
+}
+
+// outcomes returns what this node has counted of running rollouts.
+func (r *routingState) outcomes() (o exchanger.Outcomes) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if counts, ok := r.chooser.Outcomes(); ok {
+		o = exchanger.Outcomes{Index: r.index, Routers: 1, Counts: counts}
+	}
+	return o
+}
+
+// recordOutcome counts the result of an attempt for the rollout of its service, if there is one.
+func (t *transfer) recordOutcome(c chooser.Choice, d decision, ref refusal) {
+	now := time.Now()
+	a := rollouter.Attempt{Endpoint: c.Endpoint, Route: t.request.route.Name, SentAt: t.sentAt,
+		EndedAt: now}
+	switch {
+	case d == abandonRequest || ref.reason == "endpointRejected":
+		return
+	case ref.reason == "unreachable":
+		a.Result = rollouter.Unreachable
+	case ref.reason == "endpointError" || ref.reason == "endpointStatus" || d == finishRequest && ref.status >= 500:
+		a.Result = rollouter.Failed
+	case d != finishRequest:
+		a.Result = rollouter.Broken
+	default:
+		a.Result = rollouter.Answered
+		a.First, a.Pace = rollouter.Durations(t.sentAt, t.firstByteAt, now, t.splitter.events-t.eventsBefore)
+	}
+	t.proxy.fleet.routing.withChooser(func(ch *chooser.Chooser) { ch.RecordAttempt(now, a) })
+}
--- a/node/settings.go
+++ b/node/settings.go
@@ -8,6 +8,7 @@
 	"cactusroute.dev/adapters/configurer"
 	"cactusroute.dev/adapters/forwarder"
 	"cactusroute.dev/core/chooser"
+	"cactusroute.dev/core/rollouter"
 )
 
 // Default values of the settings.
@@ -46,6 +47,8 @@
 	RetryBudget RetryBudget `json:"retryBudget,omitzero"`
 	// Load bounds the requests in flight at one endpoint, summed over all nodes.
 	Load LoadLimits `json:"load,omitzero"`
+	// Rollouts bound what endpoints of a new software version get before it is judged.
+	Rollouts rollouter.Limits `json:"rollouts,omitzero"`
 	// BodyMemoryBytes bounds the bodies of all requests in progress together.
 	BodyMemoryBytes int64 `json:"bodyMemoryBytes,omitempty"`
 	// EndpointLimits bound what an endpoint may send in one exchange.
@@ -118,6 +121,9 @@
 			errs = append(errs, &configurer.SettingError{Field: f.field, Problem: "out of range", Allowed: "above 0"})
 		}
 	}
+	if !s.Rollouts.IsValid() {
+		errs = append(errs, &configurer.SettingError{Field: "rollouts", Problem: "out of range", Allowed: "share up to 1"})
+	}
 	if s.RetryBudget.Ratio < 0 || s.RetryBudget.Slack < 0 || s.Load.ColdSlack < 0 || s.Load.LoadSlack < 0 {
 		errs = append(errs, &configurer.SettingError{Field: "retryBudget", Problem: "negative", Allowed: "0 or more"})
 	}
@@ -142,5 +148,6 @@
 func (s *Settings) chooserLimits() chooser.Limits {
 	l := &s.Load
 	return chooser.Limits{ColdFactor: l.ColdOver, ColdSlack: l.ColdSlack, LoadFactor: l.LoadOver, LoadSlack: l.LoadSlack,
+		Rollouts:          s.Rollouts,
 		HeartbeatInterval: time.Duration(s.HeartbeatMillis) * time.Millisecond}
 }
--- a/node/state_cache.go
+++ b/node/state_cache.go
@@ -125,8 +125,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	cache := stateCache{State: fleetapplier.State{Index: f.received.index, Plan: f.received.plan,
-		TakenOut: f.received.takenOut}, Convictions: f.evidence.all().Convictions, ColdMillis: map[string]int64{},
-		Routers: f.maxRecentRouters()}
+		TakenOut: f.received.takenOut, Rollouts: f.received.rollouts}, Convictions: f.evidence.all().Convictions,
+		ColdMillis: map[string]int64{}, Routers: f.maxRecentRouters()}
 	for _, e := range f.endpoints.All() {
 		if left := time.Until(e.ColdUntil); !e.ColdUntil.IsZero() && left > 0 {
 			cache.ColdMillis[e.ID] = left.Milliseconds()
@@ -169,7 +169,7 @@
 		c.At, c.RefusedAt, c.TrialAt = now, now, now
 	}
 	f.evidence.merge(exchanger.Evidence{Convictions: cache.Convictions}, "memory")
-	f.receiveState(cache.State.Index, &cache.State.Plan, cache.State.TakenOut, stateFromCache)
+	f.receiveState(cache.State.Index, &cache.State.Plan, cache.State.TakenOut, cache.State.Rollouts, stateFromCache)
 }
 
 // mergeCachedEndpoints merges endpoints from the state cache once the replica is open, because its log may hold
--- a/node/transfer.go
+++ b/node/transfer.go
@@ -126,6 +126,7 @@
 			return
 		}
 		d, r := t.attempt(ctx, choice)
+		t.recordOutcome(choice, d, r)
 		if r.reason != "" || r.status != 0 {
 			ref = r
 		}
@@ -190,7 +191,7 @@
 func (t *transfer) query() chooser.Query {
 	q := t.request
 	return chooser.Query{Service: q.service, Parts: q.promptParts, Tried: t.tried, Random: rand.Float64(),
-		Priority: q.priority, Version: t.version, IsResumed: t.hasBegun}
+		Priority: q.priority, Version: t.version, IsResumed: t.hasBegun, IsStale: t.proxy.fleet.hasStaleRollouts()}
 }
 
 // choose selects an endpoint, and waits up to chooseTimeout if none is available.
--- a/node/view.go
+++ b/node/view.go
@@ -10,6 +10,7 @@
 	"cactusroute.dev/core/planner"
 	"cactusroute.dev/core/registrar"
 	"cactusroute.dev/core/retrier"
+	"cactusroute.dev/core/rollouter"
 )
 
 // view is the state in force at this node; it is immutable once published.
@@ -17,6 +18,7 @@
 	plan     *planner.Plan // nil until the first plan is received
 	index    uint64        // of the replicated state
 	takenOut map[string]bool
+	rollouts []rollouter.Rollout // the last one of each service
 }
 
 // routingState is the state shared by the requests of this node: the endpoints and the retry budgets.
@@ -29,6 +31,7 @@
 	mu      sync.Mutex
 	chooser *chooser.Chooser
 	routers int
+	index   uint64                           // of the replicated state that the chooser has
 	budgets map[string]*retrier.WindowBudget // by service
 }
 
@@ -44,11 +47,13 @@
 }
 
 // update replaces the endpoints in and out of service and the router count.
-func (r *routingState) update(inService, outOfService []registrar.Endpoint, routers int) {
+func (r *routingState) update(inService, outOfService []registrar.Endpoint, routers int, v *view) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.routers = max(1, routers)
 	r.chooser.Update(time.Now(), inService, outOfService, routers)
+	r.chooser.SetRollouts(time.Now(), v.rollouts)
+	r.index = v.index
 }
 
 func (r *routingState) serviceBudget(service string) *retrier.WindowBudget {
