Move the handlers and the metrics of rollouts out of node, and add metrics of the versions

The orderer answers for errors of rollouts itself, the advancer asks the interfaces that the exchange has anyway, and a collector of its own shows the requests and the answers of each version.

--- a/adapters/exchanger/outcomes.go
+++ b/adapters/exchanger/outcomes.go
@@ -29,29 +29,7 @@
 )
 
 // Outcomes is what routers have counted of the answers of services in a rollout.
-type Outcomes struct {
-	// Index is the oldest state in force at these routers, and Routers their number.
-	Index   uint64
-	Routers int
-	Counts  rollouter.Outcomes
-}
-
-// IsEmpty reports whether there is nothing to tell.
-func (o *Outcomes) IsEmpty() bool { return o.Routers == 0 }
-
-func (o *Outcomes) add(other *Outcomes) {
-	if other.IsEmpty() {
-		return
-	}
-	if o.IsEmpty() || other.Index < o.Index {
-		o.Index = other.Index
-	}
-	o.Routers += other.Routers
-	if o.Counts == nil {
-		o.Counts = rollouter.Outcomes{}
-	}
-	o.Counts.Add(other.Counts)
-}
+type Outcomes = rollouter.Report
 
 // outcomesMessage is an encoded Outcomes.
 type outcomesMessage struct {
@@ -228,14 +206,14 @@
 	own := t.Own()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	sum.add(&own)
+	sum.Add(&own)
 	now := time.Now()
 	for source, o := range t.senders {
 		switch {
 		case now.Sub(o.at) > outcomeTTL:
 			delete(t.senders, source)
 		case includesPeers || !source.isPeer:
-			sum.add(&o.Outcomes)
+			sum.Add(&o.Outcomes)
 		}
 	}
 	return sum
--- a/adapters/orderer/orderer.go
+++ b/adapters/orderer/orderer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"time"
@@ -25,7 +26,7 @@
 // Orderer handles the requests of operators.
 type Orderer struct {
 	Control Control
-	// WriteResult responds with the status that corresponds to an error, 200 for nil.
+	// WriteResult responds with the status that corresponds to an error that no rollout has caused, 200 for nil.
 	WriteResult func(w http.ResponseWriter, r *http.Request, err error)
 }
 
@@ -36,19 +37,19 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxOrderBytes))
 		if err != nil {
-			o.WriteResult(w, r, err)
+			o.writeResult(w, r, err)
 			return
 		}
 		service, target, d, err := decode(data)
 		if err != nil {
-			o.WriteResult(w, r, &rollouter.InvalidError{Reason: err.Error()})
+			o.writeResult(w, r, &rollouter.InvalidError{Reason: err.Error()})
 			return
 		}
 		rollout, err := rollouter.New(time.Now(), service, target, d)
 		if err == nil {
 			err = o.Control.StartRollout(r.Context(), rollout)
 		}
-		o.WriteResult(w, r, err)
+		o.writeResult(w, r, err)
 	}
 }
 
@@ -57,7 +58,7 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		rollout, err := o.Control.Rollout(r.Context(), r.PathValue("service"))
 		if err != nil {
-			o.WriteResult(w, r, err)
+			o.writeResult(w, r, err)
 			return
 		}
 		w.Header().Set("Content-Type", "application/json")
@@ -65,6 +66,25 @@
 	}
 }
 
+// writeResult responds with the status that corresponds to the result of an order or a read.
+func (o *Orderer) writeResult(w http.ResponseWriter, r *http.Request, err error) {
+	var (
+		conflict *rollouter.ConflictError
+		unknown  *rollouter.UnknownError
+		invalid  *rollouter.InvalidError
+	)
+	switch {
+	case errors.As(err, &conflict):
+		http.Error(w, err.Error(), http.StatusConflict)
+	case errors.As(err, &unknown):
+		http.Error(w, err.Error(), http.StatusNotFound)
+	case errors.As(err, &invalid):
+		http.Error(w, err.Error(), http.StatusBadRequest)
+	default:
+		o.WriteResult(w, r, err)
+	}
+}
+
 // orderBody is the body of POST /v1/rollouts.
 type orderBody struct {
 	Service         string  `json:"service"`
--- a/core/chooser/chooser.go
+++ b/core/chooser/chooser.go
@@ -196,9 +196,10 @@
 	published      Loads         // last result of OwnLoads
 	restartedAt    time.Time     // when this router lost its counts; zero if it had none
 
-	gates    map[string]*gate           // by service, of the last rollout of each
-	gate     *gate                      // of the request in question, nil without a rollout
-	versions map[knownVersion]time.Time // when they appeared; zero if they were there before
+	gates         map[string]*gate           // by service, of the last rollout of each
+	gate          *gate                      // of the request in question, nil without a rollout
+	rolloutsIndex uint64                     // of the state with the rollouts
+	versions      map[knownVersion]time.Time // when they appeared; zero if they were there before
 }
 
 // New returns a chooser without endpoints for the named router in a failure domain.
--- a/core/chooser/rollouts.go
+++ b/core/chooser/rollouts.go
@@ -35,8 +35,9 @@
 // knownVersion is a software version of a service.
 type knownVersion struct{ service, version string }
 
-// SetRollouts sets the rollouts in force. It must be called after Update.
-func (c *Chooser) SetRollouts(now time.Time, list []rollouter.Rollout) {
+// SetRollouts sets the rollouts in force by the replicated state of an index. It must be called after Update.
+func (c *Chooser) SetRollouts(now time.Time, list []rollouter.Rollout, index uint64) {
+	c.rolloutsIndex = index
 	old := c.gates
 	c.gates = map[string]*gate{}
 	share := c.limits.Rollouts.ExposeShare
@@ -177,18 +178,18 @@
 	}
 }
 
-// Outcomes returns what this router has counted of running rollouts; ok is false without one.
-func (c *Chooser) Outcomes() (o rollouter.Outcomes, ok bool) {
+// Outcomes returns what this router has counted of running rollouts, the zero Report without one.
+func (c *Chooser) Outcomes() (o rollouter.Report) {
 	for _, g := range c.gates {
 		if g.Rollout.Phase.HasEnded() {
 			continue
 		}
-		if o == nil {
-			o = rollouter.Outcomes{}
+		if o.IsEmpty() {
+			o = rollouter.Report{Index: c.rolloutsIndex, Routers: 1, Counts: rollouter.Outcomes{}}
 		}
-		o.Add(g.Outcomes())
+		o.Counts.Add(g.Outcomes())
 	}
-	return o, o != nil
+	return o
 }
 
 // VersionSent is what this router has sent to a service since it knows of its rollout.
--- a/core/chooser/rollouts_test.go
+++ b/core/chooser/rollouts_test.go
@@ -66,7 +66,7 @@
 					ch.RecordRestart(now)
 				}
 				ch.Update(now, versions(c.former, 6), nil, c.routers)
-				ch.SetRollouts(now, rollout)
+				ch.SetRollouts(now, rollout, 1)
 				return ch
 			}
 			routers := make([]*Chooser, 0, 10)
@@ -136,7 +136,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			ch := New(Limits{LoadFactor: 2, LoadSlack: 3}, "router", "d")
 			ch.Update(now, c.endpoints, nil, 1)
-			ch.SetRollouts(now, newRollout(t, now, c.phase))
+			ch.SetRollouts(now, newRollout(t, now, c.phase), 1)
 			got := map[string]bool{}
 			for range 200 {
 				q := c.query
@@ -173,9 +173,9 @@
 		t.Run(c.name, func(t *testing.T) {
 			ch := New(Limits{LoadFactor: 2, LoadSlack: 3, Rollouts: rollouter.Limits{ExposeShare: c.share}}, "router", "d")
 			ch.Update(start, c.first, nil, 1)
-			ch.SetRollouts(start, nil)
+			ch.SetRollouts(start, nil, 1)
 			ch.Update(start, versions(2, 2), nil, 1)
-			ch.SetRollouts(start, nil)
+			ch.SetRollouts(start, nil, 1)
 			got := false
 			for range 50 {
 				choice, reason := ch.Choose(start.Add(c.after), Query{Service: &planner.Service{Name: "llm"}})
--- a/core/rollouter/counts.go
+++ b/core/rollouter/counts.go
@@ -80,6 +80,32 @@
 	}
 }
 
+// Report is what routers have counted of running rollouts.
+type Report struct {
+	// Index is the oldest state in force at these routers, and Routers their number.
+	Index   uint64
+	Routers int
+	Counts  Outcomes
+}
+
+// IsEmpty reports whether there is nothing to tell.
+func (r *Report) IsEmpty() bool { return r.Routers == 0 }
+
+// Add adds what other routers have counted.
+func (r *Report) Add(other *Report) {
+	if other.IsEmpty() {
+		return
+	}
+	if r.IsEmpty() || other.Index < r.Index {
+		r.Index = other.Index
+	}
+	r.Routers += other.Routers
+	if r.Counts == nil {
+		r.Counts = Outcomes{}
+	}
+	r.Counts.Add(other.Counts)
+}
+
 // since returns the counts that were added after earlier ones. A router that is no longer heard of takes its counts
 // away, so that less may remain than there was.
 func (o Outcomes) since(earlier Outcomes) Outcomes {
--- a/node/control_handlers.go
+++ b/node/control_handlers.go
@@ -10,7 +10,6 @@
 	"cactusroute.dev/core/attributor"
 	"cactusroute.dev/core/planner"
 	"cactusroute.dev/core/registrar"
-	"cactusroute.dev/core/rollouter"
 )
 
 const (
@@ -140,9 +139,6 @@
 		badRequest  *BadRequestError
 		tooLarge    *http.MaxBytesError
 		unknown     *NotConvictedError
-		conflict    *rollouter.ConflictError
-		noRollout   *rollouter.UnknownError
-		badRollout  *rollouter.InvalidError
 	)
 	switch {
 	case err == nil:
@@ -150,11 +146,9 @@
 	case errors.As(err, &redirect):
 		w.Header().Set("Location", "http://"+redirect.Address+r.URL.EscapedPath())
 		w.WriteHeader(http.StatusTemporaryRedirect)
-	case errors.As(err, &conflict):
-		http.Error(w, err.Error(), http.StatusConflict)
-	case errors.As(err, &invalid), errors.As(err, &badRequest), errors.As(err, &badRollout):
+	case errors.As(err, &invalid), errors.As(err, &badRequest):
 		http.Error(w, err.Error(), http.StatusBadRequest)
-	case errors.As(err, &unknown), errors.As(err, &noRollout):
+	case errors.As(err, &unknown):
 		http.Error(w, err.Error(), http.StatusNotFound)
 	case errors.As(err, &tooLarge):
 		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -5,6 +5,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"cactusroute.dev/adapters/advancer"
 	"cactusroute.dev/adapters/exchanger"
 	"cactusroute.dev/adapters/forwarder"
 	"cactusroute.dev/adapters/observer"
@@ -119,7 +120,8 @@
 	m.eventGap = prometheus.NewHistogram(prometheus.HistogramOpts{Name: "cactusroute_event_gap_seconds",
 		Help: "Time between consecutive writes of a stream to its caller.", Buckets: latencyBuckets()})
 	obs.Registry.MustRegister(m.requests, m.firstByte, m.duration, m.waitTime, m.eventGap, m.retries, m.refusals, m.limits,
-		m.suspects, m.unframed, m.resumedStreams, newRoutingCollector(f.routing))
+		m.suspects, m.unframed, m.resumedStreams, newRoutingCollector(f.routing),
+		&advancer.Collector{With: f.routing.withChooser})
 	for _, g := range []struct {
 		name, help string
 		value      func() float64
--- a/node/node.go
+++ b/node/node.go
@@ -180,7 +180,7 @@
 		sup.Add(service{"peers", f.subscribeToPeers})
 		sup.Add(service{"loads", f.aggregateLoads})
 		sup.Add(service{"memory", f.persistStateCache})
-		sup.Add(service{"rollouts", func(ctx context.Context) error { return advancer.Serve(ctx, f) }})
+		sup.Add(service{"rollouts", func(ctx context.Context) error { return advancer.Serve(ctx, f, f.routing.routerCount) }})
 		sup.Add(service{"crashes", f.evidence.evaluate})
 		sup.Add(service{"streams", f.streams.publishPending})
 		sup.Add(service{"streamLog", f.persistStreams})
--- a/node/rollouts.go
+++ b/node/rollouts.go
@@ -43,14 +43,6 @@
 	return rollouter.Last(s.Rollouts, service)
 }
 
-// Rollouts implements advancer.Instance.
-func (f *fleet) Rollouts() []rollouter.Rollout { return f.control.stateMachine.State().Rollouts }
-
-// AllOutcomes implements advancer.Instance.
-func (f *fleet) AllOutcomes() (o exchanger.Outcomes, routers int) {
-	return f.outcomes.Sum(true), f.routing.routerCount()
-}
-
 // CommitStep implements advancer.Instance.
 func (f *fleet) CommitStep(ctx context.Context, s rollouter.Step) {
 	if !f.control.isLeader() {
@@ -60,26 +52,16 @@
 	f.log.event("next phase of rollout", append(s.Keyvals, "err", err)...)
 }
 
-// hasStaleRollouts reports whether rollouts are running whose latest phases this node may not know.
-func (f *fleet) hasStaleRollouts() bool {
-	return len(f.view.Load().rollouts) > 0 && !f.mayDeny(time.Now())
-}
-
 // outcomes returns what this node has counted of running rollouts.
 func (r *routingState) outcomes() (o exchanger.Outcomes) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if counts, ok := r.chooser.Outcomes(); ok {
-		o = exchanger.Outcomes{Index: r.index, Routers: 1, Counts: counts}
-	}
+	r.withChooser(func(ch *chooser.Chooser) { o = ch.Outcomes() })
 	return o
 }
 
 // recordOutcome counts the result of an attempt for the rollout of its service, if there is one.
 func (t *transfer) recordOutcome(c chooser.Choice, d decision, ref refusal) {
 	now := time.Now()
-	a := rollouter.Attempt{Endpoint: c.Endpoint, Route: t.request.route.Name, SentAt: t.sentAt,
-		EndedAt: now}
+	a := rollouter.Attempt{Endpoint: c.Endpoint, Route: t.request.route.Name, SentAt: t.sentAt, EndedAt: now}
 	switch {
 	case d == abandonRequest || ref.reason == "endpointRejected":
 		return
--- a/node/rollouts_test.go
+++ b/node/rollouts_test.go
@@ -194,7 +194,7 @@
 	assert.Assert(t, float64(reached) <= bound)
 	f.start(leader, f.seeds, false)
 	eventually(t, "rolled back at the former leader", func() bool {
-		r, ok := rollouter.Find(leader.fleet.Rollouts(), "s")
+		r, ok := rollouter.Find(leader.fleet.State().Rollouts, "s")
 		return ok && r.Phase == rollouter.RolledBack
 	})
 }
--- a/node/transfer.go
+++ b/node/transfer.go
@@ -189,9 +189,10 @@
 }
 
 func (t *transfer) query() chooser.Query {
-	q := t.request
+	q, f := t.request, t.proxy.fleet
 	return chooser.Query{Service: q.service, Parts: q.promptParts, Tried: t.tried, Random: rand.Float64(),
-		Priority: q.priority, Version: t.version, IsResumed: t.hasBegun, IsStale: t.proxy.fleet.hasStaleRollouts()}
+		Priority: q.priority, Version: t.version, IsResumed: t.hasBegun,
+		IsStale: len(f.view.Load().rollouts) > 0 && !f.mayDeny(time.Now())}
 }
 
 // choose selects an endpoint, and waits up to chooseTimeout if none is available.
--- a/node/view.go
+++ b/node/view.go
@@ -52,8 +52,7 @@
 	defer r.mu.Unlock()
 	r.routers = max(1, routers)
 	r.chooser.Update(time.Now(), inService, outOfService, routers)
-	r.chooser.SetRollouts(time.Now(), v.rollouts)
-	r.index = v.index
+	r.chooser.SetRollouts(time.Now(), v.rollouts, v.index)
 }
 
 func (r *routingState) serviceBudget(service string) *retrier.WindowBudget {
