Serve a rollout whose target replaces nothing

An order for a version that all endpoints of a service have already left nine in ten requests without an endpoint until the deadline. Where no endpoint of another version is known, in or out of service, the target gets all requests and the move begins after a second. The versions that a router remembers are bounded.

--- a/core/chooser/rollouts.go
+++ b/core/chooser/rollouts.go
@@ -20,6 +20,9 @@
 	newVersionDelay = 2500 * time.Millisecond
 )
 
+// maxVersions bounds the versions that are remembered while no endpoint has them.
+const maxVersions = 1000
+
 // VersionHeld means that the endpoints in service have a software version that may not get the request.
 const VersionHeld Reason = "the endpoints in service have a software version that gets no more requests at present"
 
@@ -29,6 +32,7 @@
 
 	trial       map[string]bool // endpoints of the target that may get requests, by ID; nil means all
 	hasTarget   bool            // endpoints of the target are in service
+	onlyTarget  bool            // no endpoint of another version is known
 	admitsTrial bool            // for the request in question
 }
 
@@ -67,7 +71,9 @@
 	}
 	var target []registrar.Endpoint
 	former := 0
+	g.onlyTarget = true
 	for _, e := range p.endpoints {
+		g.onlyTarget = g.onlyTarget && e.Version == g.Rollout.Target
 		switch {
 		case !e.inService:
 		case e.Version == g.Rollout.Target:
@@ -106,7 +112,7 @@
 		c.versions[knownVersion{service, ""}] = now
 	}
 	for v, since := range known {
-		if _, ok := c.versions[v]; !ok && v.version != "" {
+		if _, ok := c.versions[v]; !ok && v.version != "" && len(c.versions) < maxVersions {
 			c.versions[v] = since // its endpoints may come back
 		}
 	}
@@ -117,7 +123,7 @@
 	c.gate = c.gates[q.Service.Name]
 	if g := c.gate; g != nil {
 		g.admitsTrial = g.Admits(rollouter.Admission{Version: g.Rollout.Target, IsResumed: q.IsResumed, IsStale: q.IsStale,
-			HasTarget: g.hasTarget})
+			HasTarget: g.hasTarget, OnlyTarget: g.onlyTarget})
 	}
 }
 
@@ -128,7 +134,7 @@
 	case g == nil:
 		return c.isNewVersion(now, q, e)
 	case e.Version == g.Rollout.Target:
-		return !g.admitsTrial || g.Rollout.Phase == rollouter.Trying && !g.trial[e.ID]
+		return !g.admitsTrial || g.Rollout.Phase == rollouter.Trying && !g.onlyTarget && !g.trial[e.ID]
 	default:
 		return !g.Admits(rollouter.Admission{Version: e.Version, IsResumed: q.IsResumed, HasTarget: g.hasTarget}) ||
 			c.isNewVersion(now, q, e)
--- a/core/rollouter/driver.go
+++ b/core/rollouter/driver.go
@@ -190,8 +190,8 @@
 	moveTime := r.moveTime()
 	answers := r.answers()
 	switch {
-	case f.TargetReady > 0 && len(f.Former) == 0 && answers >= fewSoundAnswers:
-		return Moving, "only the target is in service"
+	case f.TargetReady > 0 && len(f.Former) == 0 && now.Sub(r.phaseSince) >= minMoved:
+		return Moving, "no other version is known"
 	case left <= -overtime || left <= commitMargin && f.TargetReady > 0 && answers < fewSoundAnswers &&
 		now.Sub(r.phaseSince) > overtime/2:
 		return RolledBack, fmt.Sprintf("only %d answers by the deadline", answers)
--- a/core/rollouter/gate.go
+++ b/core/rollouter/gate.go
@@ -96,6 +96,8 @@
 	IsStale   bool   // the router may not know the latest state
 	// HasTarget is set while endpoints of the target are in service.
 	HasTarget bool
+	// OnlyTarget is set if no endpoint of another version is known, in or out of service: the target replaces nothing.
+	OnlyTarget bool
 }
 
 // Admits reports whether a request may be sent to an endpoint.
@@ -104,7 +106,7 @@
 	isTarget := a.Version == r.Target
 	switch r.Phase {
 	case Trying:
-		return !isTarget || !a.IsStale && g.hasRoom()
+		return !isTarget || a.OnlyTarget || !a.IsStale && g.hasRoom()
 	case Moving:
 		return isTarget || a.IsResumed || !a.HasTarget
 	case Completed:
