Test rollouts whose leader is lost in any step

A rollout may be forgotten or end the wrong way when the leader is gone for 1.5 s and the next one has seen nothing of it.

--- a/core/rollouter/fleet_test.go
+++ b/core/rollouter/fleet_test.go
@@ -307,3 +307,43 @@
 		}
 	}
 }
+
+// Guards against a rollout that is forgotten, ends the wrong way or exceeds its bound because the leader is gone for
+// some time, in any step, and the next one has seen nothing of it.
+func TestRolloutEndsAfterALeaderIsLost(t *testing.T) {
+	const (
+		absence = 1500 * time.Millisecond
+		overrun = 3 * time.Second // of the deadline
+	)
+	for at := time.Second; at <= testDuration; at += time.Second {
+		for _, c := range []struct {
+			name    string
+			answers behaviour
+			want    Phase
+		}{
+			{"sound", sound, Completed},
+			{"bad", bad(0.3, 1, always), RolledBack},
+			{"bad late", bad(0.3, 1, func(f *simulatedFleet, _ string) bool { return f.age() > testDuration/3 }), RolledBack},
+		} {
+			t.Run(fmt.Sprintf("%s, lost after %s", c.name, at), func(t *testing.T) {
+				f := newSimulatedFleet(uint64(at), 10, 300, c.answers)
+				f.run(at)
+				before := f.state().Phase
+				f.leaders = false
+				f.run(at + absence)
+				assert.Equal(t, f.state().Phase, before)
+				f.leaders, f.driver = true, NewDriver()
+				for i := range f.routers[:3] { // some routers have restarted
+					f.routers[i] = NewGate(f.state(), testShare)
+				}
+				f.run(testDuration)
+				requests, toTarget := f.requests, f.toTarget
+				f.run(testDuration + overrun)
+				assert.Equal(t, f.state().Phase, c.want, "%v", f.reasons)
+				if c.want == RolledBack {
+					assert.Assert(t, float64(toTarget) <= testShare*float64(requests)+testSlack, "%d of %d", toTarget, requests)
+				}
+			})
+		}
+	}
+}
