--- a/node/rollouts_test.go
+++ b/node/rollouts_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -83,6 +84,10 @@
 			req.respond("500 Internal Server Error", "", "failed")
 			return
 		}
+		if strings.HasPrefix(req.r.URL.Path, "/stream/") {
+			writeSlowStream(req)
+			return
+		}
 		req.respond("200 OK", "", version)
 	})
 	f.byID[id] = fake
@@ -94,15 +99,32 @@
 	})
 }
 
-// callers send requests to all nodes until the test ends; stop waits for them.
-func (f *rolloutFleet) callers(perNode int) (stop func()) {
+const (
+	slowStreamEvents = 10
+	slowStreamPause  = 150 * time.Millisecond
+)
+
+// writeSlowStream answers with a stream that lasts longer than the move takes without one.
+func writeSlowStream(req *receivedRequest) {
+	_, _ = fmt.Fprintf(req.conn, "HTTP/1.1 200 OK\r\nReq-Id: %s\r\nContent-Type: text/event-stream\r\n"+
+		"Transfer-Encoding: chunked\r\n\r\n", req.r.Header.Get("Req-Id"))
+	for i := range slowStreamEvents {
+		event := fmt.Sprintf("id: %d\ndata: x\n\n", i+1)
+		_, _ = fmt.Fprintf(req.conn, "%x\r\n%s\r\n", len(event), event)
+		time.Sleep(slowStreamPause)
+	}
+	_, _ = io.WriteString(req.conn, "0\r\n\r\n")
+}
+
+// callers send requests for a path to all nodes until the test ends; stop waits for them.
+func (f *rolloutFleet) callers(path string, perNode int) (stop func()) {
 	ctx, cancel := context.WithCancel(f.t.(*testing.T).Context())
 	var wg sync.WaitGroup
 	for _, srv := range f.servers {
 		for range perNode {
 			wg.Go(func() {
 				for i := 0; ctx.Err() == nil; i++ {
-					r, err := http.NewRequestWithContext(context.Background(), http.MethodPost, srv.URL+"/once/x",
+					r, err := http.NewRequestWithContext(context.Background(), http.MethodPost, srv.URL+path,
 						strings.NewReader("b"))
 					if err != nil {
 						return
@@ -116,6 +138,9 @@
 						f.failed.Add(1)
 					}
 					if err == nil {
+						if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+							f.failed.Add(1)
+						}
 						_ = resp.Body.Close()
 					}
 					time.Sleep(20 * time.Millisecond)
@@ -167,7 +192,7 @@
 func TestBadVersionIsRolledBackAfterTheLeaderEnds(t *testing.T) {
 	f := newRolloutFleet(t)
 	f.isBad.Store(true)
-	stop := f.callers(4)
+	stop := f.callers("/once/x", 4)
 	f.order("v2")
 	before := f.requests.Load()
 	for i := range 6 {
@@ -200,10 +225,10 @@
 }
 
 // Guards against a good version that is not completed by its deadline, and against an end that is told while requests
-// still go to the former version or run there.
+// still go to the former version or run there, such as streams that began before the move.
 func TestGoodVersionIsCompletedWithFormerEndpointsIdle(t *testing.T) {
 	f := newRolloutFleet(t)
-	stop := f.callers(4)
+	stop, stopStreams := f.callers("/once/x", 4), f.callers("/stream/x", 2)
 	f.order("v2")
 	start := time.Now()
 	for i := range 6 {
@@ -226,6 +251,7 @@
 	time.Sleep(500 * time.Millisecond)
 	assert.Equal(t, f.atV1.Load(), reached, "requests to the former version")
 	stop()
+	stopStreams()
 	t.Logf("completed after %v, %d of %d requests failed", time.Since(start), f.failed.Load(), f.requests.Load())
 	assert.Equal(t, f.failed.Load(), int64(0))
 }
