Hold versions that appear during a rollout, and count unanswered requests that callers left

A third version that appears while a rollout runs got requests after 2.5 s beside the target. It now waits for the end. A version that hangs was not judged while callers left before its answers were due: a request without a byte for a second counts as broken, for all versions alike.

--- a/core/chooser/rollouts.go
+++ b/core/chooser/rollouts.go
@@ -30,12 +30,18 @@
 type gate struct {
 	*rollouter.Gate
 
+	since       time.Time       // when this router learned of the rollout
 	trial       map[string]bool // endpoints of the target that may get requests, by ID; nil means all
 	hasTarget   bool            // endpoints of the target are in service
 	onlyTarget  bool            // no endpoint of another version is known
 	admitsTrial bool            // for the request in question
 }
 
+// isUnordered reports whether a version that appeared during a running rollout is not its target.
+func (g *gate) isUnordered(version string, since time.Time) bool {
+	return !g.Rollout.Phase.HasEnded() && version != g.Rollout.Target && since.After(g.since)
+}
+
 // knownVersion is a software version of a service.
 type knownVersion struct{ service, version string }
 
@@ -49,11 +55,9 @@
 		share = defaultExposeShare
 	}
 	for _, r := range list {
-		g := &gate{}
-		if known := old[r.Service]; known != nil {
-			g.Gate = known.Update(r)
-		} else {
-			g.Gate = rollouter.NewGate(r, share)
+		g := &gate{Gate: rollouter.NewGate(r, share), since: now}
+		if known := old[r.Service]; known != nil && known.Update(r) {
+			g.Gate, g.since = known.Gate, known.since
 		}
 		if c.restartedAt.IsZero() { // otherwise the process before may have used it
 			g.Slack = slackPart * c.limits.Rollouts.ExposeSlack / float64(c.routers)
@@ -108,6 +112,9 @@
 			if !since.IsZero() {
 				e.newUntil = since.Add(newVersionDelay)
 			}
+			if g := c.gates[service]; g != nil && g.isUnordered(e.Version, since) {
+				e.newUntil = now.Add(rollouter.MaxDuration) // SetRollouts is called again at the end
+			}
 		}
 		c.versions[knownVersion{service, ""}] = now
 	}
--- a/core/chooser/rollouts_test.go
+++ b/core/chooser/rollouts_test.go
@@ -160,6 +160,35 @@
 	}
 }
 
+// Guards against requests to a version that appears during the rollout of another one, before that has ended.
+func TestThirdVersionWaitsForTheEndOfARollout(t *testing.T) {
+	now := time.UnixMilli(1_700_000_000_000)
+	ch := New(Limits{LoadFactor: 2, LoadSlack: 3, Rollouts: rollouter.Limits{ExposeShare: 0.1}}, "router", "d")
+	update := func(list []registrar.Endpoint, phase rollouter.Phase) {
+		ch.Update(now, list, nil, 1)
+		ch.SetRollouts(now, newRollout(t, time.UnixMilli(0), phase), 1)
+	}
+	update(versions(2, 2), rollouter.Trying)
+	list := versions(2, 4)
+	list[4].Version, list[5].Version = "v3", "v3"
+	now = now.Add(time.Second)
+	update(list, rollouter.Trying)
+	for _, c := range []struct {
+		phase rollouter.Phase
+		want  bool
+	}{{rollouter.Trying, false}, {rollouter.Moving, false}, {rollouter.RolledBack, true}} {
+		now = now.Add(2 * newVersionDelay)
+		update(list, c.phase)
+		got := false
+		for range 100 {
+			choice, reason := ch.Choose(now, Query{Service: &planner.Service{Name: "llm"}})
+			assert.Equal(t, reason, Reason(""))
+			got = got || choice.Endpoint.Version == "v3"
+		}
+		assert.Equal(t, got, c.want, "%v", c.phase)
+	}
+}
+
 // Guards against requests to endpoints of a new version that appear before the order about them, and against versions
 // that serve side by side with no order and get none.
 func TestNewVersionWaitsForItsOrder(t *testing.T) {
--- a/core/rollouter/fleet_test.go
+++ b/core/rollouter/fleet_test.go
@@ -96,7 +96,7 @@
 	for i := range f.routers {
 		for j := len(f.history) - 1; j >= 0; j-- {
 			if f.now.Sub(f.changed[j]) >= f.lag[i] {
-				f.routers[i] = f.routers[i].Update(f.history[j])
+				f.routers[i].Update(f.history[j])
 				break
 			}
 		}
--- a/core/rollouter/gate.go
+++ b/core/rollouter/gate.go
@@ -80,13 +80,13 @@
 	return &Gate{Rollout: r, share: share, outcomes: Outcomes{}, broken: map[string][]brokenAttempt{}}
 }
 
-// Update sets the progress of the rollout, and returns a new gate for another rollout.
-func (g *Gate) Update(r Rollout) *Gate {
+// Update sets the progress of the rollout; it returns false for another one, which needs a gate of its own.
+func (g *Gate) Update(r Rollout) bool {
 	if !g.Rollout.isSame(&r) {
-		return NewGate(r, g.share)
+		return false
 	}
 	g.Rollout = r
-	return g
+	return true
 }
 
 // Admission is what a gate needs to know about a request.
--- a/node/rollouts.go
+++ b/node/rollouts.go
@@ -62,8 +62,9 @@
 func (t *transfer) recordOutcome(c chooser.Choice, d decision, ref refusal) {
 	now := time.Now()
 	a := rollouter.Attempt{Endpoint: c.Endpoint, Route: t.request.route.Name, SentAt: t.sentAt, EndedAt: now}
+	isUnresponsive := t.firstByteAt.IsZero() && now.Sub(t.sentAt) >= unresponsiveTimeout
 	switch {
-	case d == abandonRequest || ref.reason == "endpointRejected":
+	case d == abandonRequest && !isUnresponsive || ref.reason == "endpointRejected":
 		return
 	case ref.reason == "unreachable":
 		a.Result = rollouter.Unreachable
