Compare the slots of a target with those of the former versions, and measure the judgement

In an overload a rollout waited for more slots than the former versions have and was rolled back for want of answers, which was not the reason. The target now needs room for the requests or four fifths of the former slots, and the reason tells both.

--- a/core/rollouter/driver.go
+++ b/core/rollouter/driver.go
@@ -37,8 +37,10 @@
 	soundAnswers    = 40
 	fewSoundAnswers = 5
 
-	// capacityFactor is the multiple of a service's requests in flight that the slots of the target must hold.
+	// capacityFactor is the multiple of a service's requests in flight that the slots of the target must hold, unless it
+	// has slotsFactor times the slots of the former versions: in an overload, these do not hold them either.
 	capacityFactor = 1.25
+	slotsFactor    = 0.8
 
 	// emptyTime is how long the former versions must have had no request in flight before a rollout is completed. It spans
 	// several messages with the requests of other routers.
@@ -59,6 +61,7 @@
 // Facts is what a control instance knows of a service in a rollout.
 type Facts struct {
 	TargetReady, TargetSlots int      // endpoints of the target that accept requests, and their slots
+	FormerSlots              int      // of endpoints of other versions that accept requests
 	Former                   []string // other versions of endpoints that have not gone
 	FormerInFlight, InFlight int      // requests of all routers
 	// AckedIndex is the oldest state in force at a router that is heard of. IsComplete is set if all known routers are.
@@ -78,6 +81,9 @@
 		switch {
 		case e.Version != r.Target:
 			f.FormerInFlight += n
+			if e.AcceptsRequests() {
+				f.FormerSlots += e.Slots
+			}
 			if !slices.Contains(f.Former, e.Version) {
 				f.Former = append(f.Former, e.Version)
 			}
@@ -90,6 +96,12 @@
 	return f
 }
 
+// lacksCapacity reports whether the target can't hold the requests of the service.
+func (f *Facts) lacksCapacity() bool {
+	needed := min(capacityFactor*float64(f.InFlight), slotsFactor*float64(f.FormerSlots))
+	return f.TargetReady == 0 || f.TargetSlots > 0 && float64(f.TargetSlots) < needed
+}
+
 // Driver decides the next phase of rollouts from what a control instance has observed. Each instance keeps its own, so
 // that a new leader knows when it learned of a rollout. It is not safe for concurrent use.
 type Driver struct{ runs map[string]*run } // by service
@@ -192,12 +204,13 @@
 	switch {
 	case f.TargetReady > 0 && len(f.Former) == 0 && now.Sub(r.phaseSince) >= minMoved:
 		return Moving, "no other version is known"
+	case left <= -overtime && f.lacksCapacity():
+		return RolledBack, fmt.Sprintf("%d slots of the target, %d of the former versions, for %d requests", f.TargetSlots,
+			f.FormerSlots, f.InFlight)
 	case left <= -overtime || left <= commitMargin && f.TargetReady > 0 && answers < fewSoundAnswers &&
 		now.Sub(r.phaseSince) > overtime/2:
 		return RolledBack, fmt.Sprintf("only %d answers by the deadline", answers)
-	case left > moveTime || f.TargetReady == 0 || answers < fewSoundAnswers:
-		return 0, ""
-	case float64(f.TargetSlots) < capacityFactor*float64(f.InFlight) && f.TargetSlots > 0:
+	case left > moveTime || f.TargetReady == 0 || answers < fewSoundAnswers || f.lacksCapacity():
 		return 0, ""
 	case answers < soundAnswers && left > moveTime/2:
 		return 0, ""
--- a/core/rollouter/rollouter_test.go
+++ b/core/rollouter/rollouter_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"cactusroute.dev/core/registrar"
 )
 
 func order(t *testing.T, at time.Time, target string, d time.Duration) Change {
@@ -84,3 +86,31 @@
 		assert.Assert(t, errors.As(err, &invalid), "%v", c)
 	}
 }
+
+// Guards against a move to endpoints that can't hold the requests, and against a rollout that waits for more room than
+// the former endpoints have in an overload.
+func TestCapacityOfTheTarget(t *testing.T) {
+	endpoint := func(version string, state registrar.State) registrar.Endpoint {
+		return registrar.Endpoint{ID: version + state.String(), Service: "s", Version: version, Slots: 10, State: state}
+	}
+	former := []registrar.Endpoint{endpoint("v1", registrar.Ready), endpoint("v0", registrar.Silent),
+		endpoint("v1", registrar.Draining), endpoint("v1", registrar.Gone)}
+	for _, c := range []struct {
+		name     string
+		target   []registrar.Endpoint
+		inFlight int // at each endpoint
+		lacks    bool
+	}{
+		{"no endpoint", nil, 1, true},
+		{"draining", []registrar.Endpoint{endpoint("v2", registrar.Draining)}, 1, true},
+		{"half of the slots, low load", []registrar.Endpoint{endpoint("v2", registrar.Ready)}, 2, false},
+		{"half of the slots, high load", []registrar.Endpoint{endpoint("v2", registrar.Ready)}, 5, true},
+		{"as many slots, overload",
+			[]registrar.Endpoint{endpoint("v2", registrar.Ready), endpoint("v2", registrar.Silent)}, 15, false},
+	} {
+		f := NewFacts(&Rollout{Service: "s", Target: "v2"}, append(c.target, former...), func(string) int { return c.inFlight })
+		assert.Equal(t, f.lacksCapacity(), c.lacks, "%s: %+v", c.name, f)
+		assert.DeepEqual(t, f.Former, []string{"v0", "v1"})
+		assert.Equal(t, f.FormerInFlight, 3*c.inFlight)
+	}
+}
