--- a/adapters/exchanger/client.go
+++ b/adapters/exchanger/client.go
@@ -8,6 +8,7 @@
 	"cactusroute.dev/core/fleetapplier"
 	"cactusroute.dev/core/registrar"
 	"cactusroute.dev/core/resumer"
+	"cactusroute.dev/core/rollouter"
 )
 
 // Receiver handles the messages of a control instance. One goroutine of the subscription calls the methods for received
@@ -16,7 +17,7 @@
 	// LastReceived returns the index of the newest state and the version of the newest plan received so far.
 	LastReceived() (index, version uint64)
 	// StateReceived handles a newer state; plan is nil if its version is the one last received.
-	StateReceived(index uint64, plan *fleetapplier.EncodedPlan, takenOut []string)
+	StateReceived(index uint64, plan *fleetapplier.EncodedPlan, takenOut []string, rollouts []rollouter.Rollout)
 	// EndpointsReceived handles endpoint records; full is set if the list has all endpoints.
 	EndpointsReceived(list []registrar.Endpoint, full bool)
 	// EndpointsRejected reports that n invalid records were dropped; err is the reason for the first one.
@@ -34,6 +35,9 @@
 	// SumsReceived and Sums are LoadsReceived and Loads for named sums; nil sums are not sent.
 	SumsReceived(Sums)
 	Sums() Sums
+	// Outcomes returns the table of what this process has counted of rollouts. It is reported to the instance if
+	// isReported is set; what other control instances send is added to the table under a name.
+	Outcomes() (table *OutcomeTable, name string, isReported bool)
 }
 
 // Subscription is one connection to a control instance.
@@ -155,6 +159,7 @@
 	defer t.Stop()
 	var sender loadSender
 	var sums sumSender
+	var outcomes outcomeSender
 	for {
 		select {
 		case <-ctx.Done():
@@ -172,6 +177,9 @@
 				err = s.conn.Send(ctx, kindSums, 0, m)
 			}
 		}
+		if err == nil {
+			err = s.reportOutcomes(ctx, r, &outcomes)
+		}
 		if err != nil {
 			s.Close()
 			return
@@ -197,7 +205,7 @@
 		if err != nil {
 			return err
 		}
-		r.StateReceived(m.Index, plan, m.TakenOut)
+		r.StateReceived(m.Index, plan, m.TakenOut, m.Rollouts)
 	case kindEndpoints:
 		var m receivedEndpointsMessage
 		if err := e.Decode(&m); err != nil {
@@ -240,6 +248,9 @@
 			return err
 		}
 		r.SumsReceived(sums)
+	case kindOutcomes:
+		table, name, _ := r.Outcomes()
+		return table.receive(e, name, true)
 	case kindStreams:
 		var m streamsMessage
 		if err := e.Decode(&m); err != nil {
--- a/core/chooser/domains_test.go
+++ b/core/chooser/domains_test.go
@@ -349,7 +349,7 @@
 		holder := p.endpoints[1]
 		assert.Equal(t, holder.Domain, "b")
 		f := c.newForecast(start, p, 0)
-		c.setDestination(start, &q, c.poolLoad(start, p), &f)
+		c.setDestination(start, &q, c.poolLoad(start, &q, p), &f)
 		abroad := c.affinityDomainCost(start, &q, p, holder, holder)
 		atHome := c.affinityDomainCost(start, &q, p, p.endpoints[0], holder)
 		assert.Assert(t, abroad < atHome, "cost %.2f at the holder, %.2f at home", abroad, atHome)
--- a/node/node.go
+++ b/node/node.go
@@ -12,6 +12,7 @@
 
 	"github.com/thejerf/suture/v4"
 
+	"cactusroute.dev/adapters/advancer"
 	"cactusroute.dev/adapters/clockwatcher"
 	"cactusroute.dev/adapters/exchanger"
 	"cactusroute.dev/adapters/forwarder"
@@ -54,7 +55,7 @@
 		f.control = &controlInstance{settings: s, obs: obs, eligibleInstances: f.eligibleInstances,
 			suspensions: clockwatcher.NewSuspensionDetector(clockwatcher.SuspendedTime)}
 		f.control.stateMachine = fleetapplier.New(func(st fleetapplier.State) {
-			f.receiveState(st.Index, &st.Plan, st.TakenOut, stateFromLog)
+			f.receiveState(st.Index, &st.Plan, st.TakenOut, st.Rollouts, stateFromLog)
 		})
 		f.control.stateMachine.OnDepartures = f.recordDepartures
 		f.control.stateMachine.OnLifts = f.evidence.applyLifts
@@ -180,6 +181,7 @@
 		sup.Add(service{"peers", f.subscribeToPeers})
 		sup.Add(service{"loads", f.aggregateLoads})
 		sup.Add(service{"memory", f.persistStateCache})
+		sup.Add(service{"rollouts", func(ctx context.Context) error { return advancer.Serve(ctx, f, f.routing.routerCount) }})
 		sup.Add(service{"crashes", f.evidence.evaluate})
 		sup.Add(service{"streams", f.streams.publishPending})
 		sup.Add(service{"streamLog", f.persistStreams})
--- a/node/settings.go
+++ b/node/settings.go
@@ -10,6 +10,7 @@
 	"cactusroute.dev/adapters/forwarder"
 	"cactusroute.dev/core/chooser"
 	"cactusroute.dev/core/planner"
+	"cactusroute.dev/core/rollouter"
 )
 
 // Default values of the settings.
@@ -52,6 +53,8 @@
 	Load LoadLimits `json:"load,omitzero"`
 	// Domains states what a request costs that leaves its failure domain; 0 means the default.
 	Domains chooser.DomainPrices `json:"domains,omitzero"`
+	// Rollouts bound what endpoints of a new software version get before it is judged.
+	Rollouts rollouter.Limits `json:"rollouts,omitzero"`
 	// BodyMemoryBytes bounds the bodies of all requests in progress together.
 	BodyMemoryBytes int64 `json:"bodyMemoryBytes,omitempty"`
 	// EndpointLimits bound what an endpoint may send in one exchange.
@@ -127,6 +130,9 @@
 			errs = append(errs, &configurer.SettingError{Field: f.field, Problem: "out of range", Allowed: "above 0"})
 		}
 	}
+	if !s.Rollouts.IsValid() {
+		errs = append(errs, &configurer.SettingError{Field: "rollouts", Problem: "out of range", Allowed: "share up to 1"})
+	}
 	if s.RetryBudget.Ratio < 0 || s.RetryBudget.Slack < 0 || s.Load.ColdSlack < 0 || s.Load.LoadSlack < 0 {
 		errs = append(errs, &configurer.SettingError{Field: "retryBudget", Problem: "negative", Allowed: "0 or more"})
 	}
@@ -170,5 +176,5 @@
 func (s *Settings) chooserLimits() chooser.Limits {
 	l := &s.Load
 	return chooser.Limits{ColdFactor: l.ColdOver, ColdSlack: l.ColdSlack, LoadFactor: l.LoadOver, LoadSlack: l.LoadSlack,
-		HeartbeatInterval: time.Duration(s.HeartbeatMillis) * time.Millisecond, Domains: s.Domains}
+		HeartbeatInterval: time.Duration(s.HeartbeatMillis) * time.Millisecond, Domains: s.Domains, Rollouts: s.Rollouts}
 }
--- a/node/transfer.go
+++ b/node/transfer.go
@@ -127,6 +127,7 @@
 			return
 		}
 		d, r := t.attempt(ctx, choice)
+		t.recordOutcome(choice, d, r)
 		if r.reason != "" || r.status != 0 {
 			ref = r
 		}
@@ -189,12 +190,12 @@
 }
 
 func (t *transfer) query() chooser.Query {
-	q := t.request
+	q, f := t.request, t.proxy.fleet
 	query := chooser.Query{Service: q.service, Parts: q.promptParts, Tried: t.tried, Random: rand.Float64(),
 		Priority: q.priority, Version: t.version, IsResumed: t.hasBegun, Weight: q.workspace.ShareWeight(),
 		PromptTokens: q.promptTokens, OutputTokens: q.outputTokens, Kind: q.route.Kind, ReceivedAt: q.receivedAt,
 		TargetAt: q.receivedAt.Add(time.Duration(q.route.TargetMillis) * time.Millisecond), Deadline: q.deadline,
-		IsRepeat: t.hasAsked}
+		IsRepeat: t.hasAsked, IsStale: len(f.view.Load().rollouts) > 0 && !f.mayDeny(time.Now())}
 	if q.workspace != nil {
 		query.Workspace = q.workspace.Name
 	}
