Test the programs against crowds of callers inside the limits

Cause: requests of legal size made of many short header lines ended a process for its memory, and nothing showed it.

Change: make crowd starts node, router, agent and control one at a time with a machine of 64 MB and 512 descriptors in their settings, lets 300 callers (700 idle ones) act at each address, and checks that the process lives, that its peak memory and its descriptors stay below the machine's, and that an ordinary request is answered beside the crowd and after it. The settings take "machine"; nothing uses it yet.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 GOLANGCI_VERSION := v2.15.0
 GOLANGCI := $(BIN)/golangci-lint-$(GOLANGCI_VERSION)
 
-.PHONY: all build run test lint fmt bench model measure soak vet fuzz review
+.PHONY: all build run test crowd lint fmt bench model measure soak vet fuzz review
 
 all: build
 
@@ -23,6 +23,10 @@
 test:
 	go test -race -count=1 -skip '$(KNOWN_RED)' $(MODULES:%=./%/...)
 
+# Crowds of callers at real processes, one at a time and apart from other load.
+crowd:
+	go test -tags crowd -count=1 -p 1 -timeout 30m ./loader/crowd
+
 # Each target of the form MODULE/PACKAGE:FUNCTION is fuzzed for FUZZTIME.
 FUZZ := adapters/forwarder:FuzzResponse adapters/exchanger:FuzzMessages node/.:FuzzEventSplitter \
 	node/.:FuzzStreamLog node/.:FuzzHeartbeat platform/.:FuzzHeartbeat platform/.:FuzzPlan
@@ -37,7 +41,7 @@
 		-fuzzminimizetime $(FUZZMINIMIZETIME); done
 
 vet:
-	go vet $(MODULES:%=./%/...)
+	go vet -tags crowd $(MODULES:%=./%/...)
 
 $(GOLANGCI):
 	@mkdir -p $(BIN)
@@ -46,7 +50,7 @@
 
 lint: $(GOLANGCI)
 	$(GOLANGCI) fmt --diff $(MODULES)
-	$(GOLANGCI) run $(MODULES:%=./%/...)
+	$(GOLANGCI) run --build-tags crowd $(MODULES:%=./%/...)
 
 fmt: $(GOLANGCI)
 	$(GOLANGCI) fmt $(MODULES)
--- a/adapters/configurer/configurer.go
+++ b/adapters/configurer/configurer.go
@@ -93,6 +93,33 @@
 	return errors.Join(errs...)
 }
 
+// Machine holds what a process may use of its machine.
+type Machine struct {
+	// MemoryBytes is the memory above which the process may be killed; 0 means 256 MiB.
+	MemoryBytes int64 `json:"memoryBytes,omitempty"`
+	// Descriptors is the number of file descriptors; 0 means the limit of the process.
+	Descriptors int `json:"descriptors,omitempty"`
+}
+
+// The least values of Machine with which a program serves.
+const (
+	minMemoryBytes = 32 << 20
+	minDescriptors = 128
+)
+
+// Check returns an error for each value that is too small.
+func (m *Machine) Check() error {
+	var errs []error
+	if m.MemoryBytes != 0 && m.MemoryBytes < minMemoryBytes {
+		errs = append(errs, &SettingError{Field: "machine/memoryBytes", Problem: "out of range",
+			Allowed: "0, or 33554432 and more"})
+	}
+	if m.Descriptors != 0 && m.Descriptors < minDescriptors {
+		errs = append(errs, &SettingError{Field: "machine/descriptors", Problem: "out of range", Allowed: "0, or 128 and more"})
+	}
+	return errors.Join(errs...)
+}
+
 // SettingError is a violated constraint on the value of a setting.
 type SettingError struct {
 	// Field is the path of the field in the file, separated by slashes.
--- a/agent/settings.go
+++ b/agent/settings.go
@@ -19,6 +19,8 @@
 	Pool     string         `json:"pool"`
 	Controls []string       `json:"controls"`
 	TLS      configurer.TLS `json:"tls"`
+	// Machine bounds what the process holds for its callers.
+	Machine configurer.Machine `json:"machine,omitzero"`
 }
 
 // ProcessName returns the process name used in log lines.
@@ -26,7 +28,7 @@
 
 // Check returns an error for missing or invalid values.
 func (s *Settings) Check() error {
-	errs := []error{s.Place.Check()}
+	errs := []error{s.Place.Check(), s.Machine.Check()}
 	for _, f := range []struct {
 		field string
 		ok    bool
--- a/control/settings.go
+++ b/control/settings.go
@@ -24,6 +24,8 @@
 	// DataDir is the folder of all durable state. It may be empty without peers; the state is then kept in memory only.
 	DataDir string         `json:"dataDir"`
 	TLS     configurer.TLS `json:"tls"`
+	// Machine bounds what the process holds for its callers.
+	Machine configurer.Machine `json:"machine,omitzero"`
 	// Peers are the other control instances.
 	Peers []Peer `json:"peers"`
 	// BootstrapKeys are stored by the first instance that commits them, unless the fleet already has a key.
@@ -54,7 +56,7 @@
 
 // Check returns an error for each missing or invalid value.
 func (s *Settings) Check() error {
-	errs := []error{s.Place.Check(), checkAddress("listen", s.Listen)}
+	errs := []error{s.Place.Check(), s.Machine.Check(), checkAddress("listen", s.Listen)}
 	names := map[string]bool{s.Place.Name: true}
 	for i, p := range s.Peers {
 		field := fmt.Sprintf("peers/%d", i)
--- /dev/null
+++ b/loader/crowd/crowd_test.go
@@ -0,0 +1,414 @@
+//go:build crowd
+
+package crowd
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"cactusroute.dev/loader/spawner"
+)
+
+// The limits of the machine that the settings of a program under test state, and the crowd that it meets.
+const (
+	machineMemoryBytes = 64 << 20
+	machineDescriptors = 512
+	callers            = 300
+
+	headBytes      = 16 << 10 // the limit of the plan
+	bodyBytes      = 4 << 20  // the limit of the plan
+	idleConns      = 700
+	waitTimeout    = 20 * time.Second // ends a test that hangs; nothing is measured against it
+	trickleSteps   = 8
+	trickleWait    = 50 * time.Millisecond
+	pipelinedHeads = 6
+	stackMaxBytes  = 1 << 20 // of one caller's bodies in chunks
+)
+
+// lines returns header lines with up to n bytes together.
+func lines(n int, line func(i int) string) string {
+	var b strings.Builder
+	for i := 0; ; i++ {
+		l := line(i)
+		if b.Len()+len(l) > n {
+			return b.String()
+		}
+		b.WriteString(l)
+	}
+}
+
+func shortLine(i int) string { return strconv.FormatInt(int64(i+36), 36) + ":\r\n" }
+
+// head returns the head of a request of n bytes without the empty line at its end.
+func head(request string, n int, line func(i int) string) string {
+	start := request + " HTTP/1.1\r\nHost: h.example\r\n"
+	return start + lines(n-len(start)-2, line)
+}
+
+// crowdConn is what one caller does with its connection; it returns when it has sent all.
+type crowdConn func(c net.Conn)
+
+func send(parts ...string) crowdConn {
+	return func(c net.Conn) {
+		for _, p := range parts {
+			if _, err := io.WriteString(c, p); err != nil {
+				return
+			}
+		}
+	}
+}
+
+// sendSlowly sends text in several parts with pauses.
+func sendSlowly(text string) crowdConn {
+	return func(c net.Conn) {
+		for n := range trickleSteps {
+			if _, err := io.WriteString(c, text[len(text)*n/trickleSteps:len(text)*(n+1)/trickleSteps]); err != nil {
+				return
+			}
+			time.Sleep(trickleWait)
+		}
+	}
+}
+
+// sendAndReceive waits for the first byte after a request and leaves the connection idle.
+func sendAndReceive(text string) crowdConn {
+	return func(c net.Conn) {
+		send(text)(c)
+		_ = c.SetReadDeadline(time.Now().Add(waitTimeout))
+		_, _ = c.Read(make([]byte, 1))
+	}
+}
+
+// program is a process under test.
+type program struct {
+	process *spawner.Process
+	log     string
+	// ordinary sends an ordinary request and returns its status, 0 without an answer.
+	ordinary func() int
+	want     int
+}
+
+func (p *program) isAlive() bool { return p.process != nil && syscall.Kill(p.process.Pid(), 0) == nil }
+
+// peakMemory returns the largest resident set of the process so far.
+func (p *program) peakMemory(t *testing.T) int {
+	t.Helper()
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.process.Pid()))
+	assert.NilError(t, err, "the process has ended")
+	for line := range strings.Lines(string(status)) {
+		if kb, ok := strings.CutPrefix(line, "VmHWM:"); ok {
+			n, err := strconv.Atoi(strings.TrimSuffix(strings.TrimSpace(kb), " kB"))
+			assert.NilError(t, err)
+			return n << 10
+		}
+	}
+	t.Fatal("the process has ended")
+	return 0
+}
+
+func (p *program) descriptors() int {
+	entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.process.Pid()))
+	if err != nil {
+		return 0
+	}
+	return len(entries)
+}
+
+// awaitOrdinary sends ordinary requests until one is answered as expected.
+func (p *program) awaitOrdinary(t *testing.T, when string) {
+	t.Helper()
+	status := 0
+	for deadline := time.Now().Add(waitTimeout); time.Now().Before(deadline); time.Sleep(trickleWait) {
+		assert.Assert(t, p.isAlive(), "the process has ended %s", when)
+		if status = p.ordinary(); status == p.want {
+			return
+		}
+	}
+	t.Fatalf("an ordinary request %s got status %d", when, status)
+}
+
+// meet lets a crowd act on an address and checks the process meanwhile and afterwards.
+func (p *program) meet(t *testing.T, address string, n int, act crowdConn) {
+	p.awaitOrdinary(t, "before the crowd")
+	before := p.peakMemory(t)
+	var peakDescriptors atomic.Int64
+	sampled := make(chan struct{})
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		defer close(sampled)
+		for ctx.Err() == nil {
+			peakDescriptors.Store(max(peakDescriptors.Load(), int64(p.descriptors())))
+			time.Sleep(10 * time.Millisecond)
+		}
+	}()
+	conns := make([]net.Conn, n)
+	var wg sync.WaitGroup
+	for i := range conns {
+		wg.Go(func() {
+			c, err := (&net.Dialer{Timeout: waitTimeout / 4}).Dial("tcp", address)
+			if err != nil {
+				return
+			}
+			conns[i] = c
+			_ = c.SetDeadline(time.Now().Add(waitTimeout / 4))
+			act(c)
+		})
+	}
+	wg.Wait()
+	p.awaitOrdinary(t, "beside the crowd")
+	for _, c := range conns {
+		if c != nil {
+			_ = c.Close()
+		}
+	}
+	p.awaitOrdinary(t, "after the crowd")
+	cancel()
+	<-sampled
+	peak := p.peakMemory(t)
+	t.Logf("peak %d MB (%d MB before), %d descriptors", peak>>20, before>>20, peakDescriptors.Load())
+	assert.Check(t, peak <= machineMemoryBytes, "%d MB of %d MB", peak>>20, machineMemoryBytes>>20)
+	assert.Check(t, peakDescriptors.Load() <= machineDescriptors, "%d descriptors of %d", peakDescriptors.Load(),
+		machineDescriptors)
+}
+
+func machine() map[string]any {
+	return map[string]any{"memoryBytes": machineMemoryBytes, "descriptors": machineDescriptors}
+}
+
+// build builds the programs into a folder and returns it.
+func build(t *testing.T) string {
+	t.Helper()
+	folder := t.TempDir()
+	out, err := exec.CommandContext(t.Context(), "go", "build", "-o", folder+"/", "cactusroute.dev/node/cmd/node",
+		"cactusroute.dev/router/cmd/router", "cactusroute.dev/agent/cmd/agent",
+		"cactusroute.dev/control/cmd/control").CombinedOutput()
+	assert.NilError(t, err, string(out))
+	return folder
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = ln.Close() }()
+	return ln.Addr().String()
+}
+
+// call sends a request on a connection of its own and returns the status, 0 without a complete answer.
+func call(method, address, path string, body any) int {
+	content, err := json.Marshal(body)
+	if err != nil {
+		return 0
+	}
+	r, err := http.NewRequest(method, "http://"+address+path, bytes.NewReader(content))
+	if err != nil {
+		return 0
+	}
+	r.Host = "h.example"
+	client := &http.Client{Timeout: waitTimeout / 8, Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Do(r)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return 0
+	}
+	return resp.StatusCode
+}
+
+// start starts a program, which is stopped at the end of the test.
+func start(t *testing.T, binaries, name string, settings map[string]any) *program {
+	t.Helper()
+	s := &spawner.Spawner{BinDir: binaries, WorkDir: t.TempDir()}
+	process, err := s.Start(name, name, settings)
+	assert.NilError(t, err)
+	log := filepath.Join(s.WorkDir, name+".log")
+	t.Cleanup(func() {
+		_ = process.Kill()
+		if content, err := os.ReadFile(log); t.Failed() && err == nil {
+			t.Logf("%s", content[max(0, len(content)-2000):])
+		}
+	})
+	return &program{process: process, log: log}
+}
+
+// nodeUnderTest is a node with one endpoint, which holds the requests of the crowd until the test has ended.
+type nodeUnderTest struct {
+	*program
+	front, ready, control, metrics, exchange string
+}
+
+func startNode(t *testing.T, binaries string) *nodeUnderTest {
+	t.Helper()
+	held := make(chan struct{})
+	endpoint := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Cactus-Request-Id", r.Header.Get("Cactus-Request-Id"))
+		switch r.URL.Path {
+		case "/hold/":
+			select {
+			case <-held:
+			case <-r.Context().Done():
+			}
+		case "/large/":
+			_, _ = io.CopyN(w, zeros{}, bodyBytes)
+		}
+	}))
+	t.Cleanup(func() { close(held); endpoint.Close() })
+	n := &nodeUnderTest{front: freeAddress(t), ready: freeAddress(t), control: freeAddress(t), metrics: freeAddress(t),
+		exchange: freeAddress(t)}
+	n.program = start(t, binaries, "node", map[string]any{
+		"place": map[string]any{"name": "n", "region": "r", "failureDomain": "d"}, "firstStart": true,
+		"listen": map[string]any{"front": n.front, "ready": n.ready, "control": n.control, "metrics": n.metrics,
+			"exchange": n.exchange},
+		"dataFolder": t.TempDir(), "seeds": []string{n.exchange}, "machine": machine(),
+	})
+	plan := map[string]any{"version": 1, "services": []any{map[string]any{"name": "s"}}, "routes": []any{
+		map[string]any{"name": "all", "host": "h.example", "prefix": "/", "kind": "repeatable", "timeoutMillis": 60000,
+			"maxAttempts": 1, "shares": []any{map[string]any{"service": "s", "weight": 1}}}},
+		"limits": map[string]any{"headerBytes": headBytes, "bodyBytes": bodyBytes, "headerTimeoutMillis": 3000,
+			"idleTimeoutMillis": 15000}}
+	heartbeat := func(sequence int) int {
+		return call(http.MethodPut, n.control, "/v1/endpoints/e", map[string]any{"service": "s", "sequence": sequence,
+			"address": strings.TrimPrefix(endpoint.URL, "http://"), "failureDomain": "d", "slots": 10 * callers, "bornMillis": 1})
+	}
+	isPlanned := false
+	n.ordinary, n.want = func() int {
+		isPlanned = isPlanned || call(http.MethodPut, n.control, "/v1/plan", plan) == http.StatusOK
+		return call(http.MethodPost, n.front, "/ordinary/", "text")
+	}, http.StatusOK
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(cancel)
+	go func() {
+		for sequence := 1; ctx.Err() == nil; sequence++ {
+			heartbeat(sequence)
+			time.Sleep(300 * time.Millisecond)
+		}
+	}()
+	return n
+}
+
+type zeros struct{}
+
+// Read implements io.Reader.
+func (zeros) Read(p []byte) (int, error) { clear(p); return len(p), nil }
+
+// Guards against crowds of callers that stay within the limits of the plan and exhaust the memory or the descriptors of
+// a node.
+func TestCrowdAtNode(t *testing.T) {
+	binaries := build(t)
+	const post = "POST /hold/"
+	whole := head("GET /hold/", headBytes, shortLine) + "\r\n"
+	chunked := head(post, 1<<10, shortLine) + "Transfer-Encoding: chunked\r\n\r\n"
+	front := func(n *nodeUnderTest) string { return n.front }
+	for _, c := range []struct {
+		name    string
+		address func(n *nodeUnderTest) string
+		callers int
+		act     crowdConn
+	}{
+		{"short names", front, callers, send(whole)},
+		{"one name repeated", front, callers,
+			send(head("GET /hold/", headBytes, func(int) string { return "a1:\r\n" }) + "\r\n")},
+		{"odd lines", front, callers,
+			send(head("GET /hold/", headBytes, func(i int) string { return shortLine(i) + " \r\n" }) + "\r\n")},
+		{"end held back", front, callers, send(head("GET /hold/", headBytes, shortLine))},
+		{"trickled", front, callers, sendSlowly(whole)},
+		{"trickled and held back", front, callers, sendSlowly(head("GET /hold/", headBytes, shortLine))},
+		{"pipelined", front, callers,
+			send(strings.Repeat(head("GET /ordinary/", headBytes/4, shortLine)+"\r\n", pipelinedHeads) + whole)},
+		{"pipelined, end held back", front, callers,
+			send(head("GET /ordinary/", 1<<10, shortLine) + "\r\n" + head("GET /hold/", headBytes, shortLine))},
+		{"after a body", front, callers, send(head("POST /ordinary/", 1<<10, shortLine)+"Content-Length: 1\r\n\r\nx", whole)},
+		{"chunk extensions", front, callers, send(chunked,
+			strings.Repeat("1;"+strings.Repeat("x", 4000)+"\r\nx\r\n", 200))},
+		{"trailers", front, callers, send(chunked, "1\r\nx\r\n0\r\n"+lines(4000, shortLine)+"\r\n")},
+		{"trailers, end held back", front, callers, send(chunked, "1\r\nx\r\n0\r\n"+lines(4000, shortLine))},
+		{"idle after short names", front, callers,
+			sendAndReceive(head("GET /ordinary/", headBytes, shortLine) + "\r\n")},
+		{"largest bodies, unfinished", front, callers,
+			send("POST /hold/ HTTP/1.1\r\nHost: h.example\r\nContent-Length: "+strconv.Itoa(bodyBytes)+"\r\n\r\n",
+				strings.Repeat("x", bodyBytes/4))},
+		{"largest bodies, not begun", front, callers,
+			send("POST /hold/ HTTP/1.1\r\nHost: h.example\r\nContent-Length: " + strconv.Itoa(bodyBytes) + "\r\n\r\n")},
+		{"bodies in small chunks", front, callers, send(chunked, strings.Repeat("1\r\nx\r\n", stackMaxBytes/6))},
+		{"read nothing", front, callers, send("GET /large/ HTTP/1.1\r\nHost: h.example\r\n\r\n")},
+		{"idle connections", front, idleConns, send()},
+		{"idle connections, ready", func(n *nodeUnderTest) string { return n.ready }, idleConns, send()},
+		{"idle connections, control", func(n *nodeUnderTest) string { return n.control }, idleConns, send()},
+		{"short names, ready", func(n *nodeUnderTest) string { return n.ready }, callers, send(whole)},
+		{"end held back, control", func(n *nodeUnderTest) string { return n.control }, callers,
+			send(head("GET /hold/", headBytes, shortLine))},
+		{"larger heads, control", func(n *nodeUnderTest) string { return n.control }, callers,
+			send(head("GET /hold/", 8*headBytes, shortLine))},
+		{"largest bodies, control", func(n *nodeUnderTest) string { return n.control }, callers,
+			send("PUT /v1/plan HTTP/1.1\r\nHost: h.example\r\nContent-Length: "+strconv.Itoa(bodyBytes)+"\r\n\r\n",
+				strings.Repeat("x", bodyBytes/4))},
+		{"larger heads, metrics", func(n *nodeUnderTest) string { return n.metrics }, callers,
+			send(head("GET /hold/", 8*headBytes, shortLine))},
+		{"larger heads, exchange", func(n *nodeUnderTest) string { return n.exchange }, callers,
+			send(head("GET /hold/", 8*headBytes, shortLine))},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			n := startNode(t, binaries)
+			n.meet(t, c.address(n), c.callers, c.act)
+		})
+	}
+}
+
+// Guards against the same at the programs of a fleet with agents.
+func TestCrowdAtOtherPrograms(t *testing.T) {
+	binaries := build(t)
+	const largeHead = 32 << 10 // what a router takes
+	for _, p := range []struct {
+		name     string
+		settings map[string]any
+	}{
+		{"router", map[string]any{"controls": []string{"127.0.0.1:1"}}},
+		{"agent", map[string]any{"controls": []string{"127.0.0.1:1"}, "endpoint": "http://127.0.0.1:1", "pool": "p"}},
+		{"control", map[string]any{"dataDir": ""}},
+	} {
+		for _, c := range []struct {
+			name    string
+			callers int
+			act     crowdConn
+		}{
+			{"short names", callers, send(head("GET /none", largeHead, shortLine) + "\r\n")},
+			{"end held back", callers, send(head("GET /none", largeHead, shortLine))},
+			{"larger heads", callers, send(head("GET /none", 8*largeHead, shortLine))},
+			{"largest bodies", callers, send("POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\nContent-Length: 1048576\r\n\r\n",
+				strings.Repeat("x", 1<<19))},
+			{"idle connections", idleConns, send()},
+		} {
+			t.Run(p.name+"/"+c.name, func(t *testing.T) {
+				address := freeAddress(t)
+				settings := map[string]any{"place": map[string]any{"name": "n", "region": "r", "failureDomain": "d"},
+					"listen": address, "machine": machine()}
+				for key, value := range p.settings {
+					settings[key] = value
+				}
+				process := start(t, binaries, p.name, settings)
+				process.ordinary, process.want = func() int { return call(http.MethodGet, address, "/livez", nil) }, http.StatusOK
+				process.meet(t, address, c.callers, c.act)
+			})
+		}
+	}
+}
--- a/node/settings.go
+++ b/node/settings.go
@@ -30,6 +30,8 @@
 type Settings struct {
 	Place  configurer.Place `json:"place"`
 	Listen Listen           `json:"listen"`
+	// Machine bounds what the process holds for its callers.
+	Machine configurer.Machine `json:"machine,omitzero"`
 	// Seeds are the host:port of the exchange of some other nodes; they may be outdated.
 	Seeds []string `json:"seeds"`
 	// FirstStart is true while the whole fleet starts for the first time, with empty disks.
@@ -92,7 +94,7 @@
 // Check sets the defaults and returns an error for missing and invalid values.
 func (s *Settings) Check() error {
 	s.setDefaults()
-	errs := []error{s.Place.Check()}
+	errs := []error{s.Place.Check(), s.Machine.Check()}
 	if s.Listen.Exchange == "" {
 		errs = append(errs, &configurer.SettingError{Field: "listen/exchange", Problem: "missing", Allowed: "host:port"})
 	}
--- a/router/settings.go
+++ b/router/settings.go
@@ -24,6 +24,8 @@
 	Listen   string         `json:"listen"`
 	Controls []string       `json:"controls"`
 	TLS      configurer.TLS `json:"tls"`
+	// Machine bounds what the process holds for its callers.
+	Machine configurer.Machine `json:"machine,omitzero"`
 	// MaxConcurrent limits the requests in flight at this router; 0 means 4000.
 	MaxConcurrent int `json:"maxConcurrent,omitempty"`
 	// DrainNoticeMillis is the time at shutdown between reporting not ready and closing the listener; 0 means 2000.
@@ -35,7 +37,7 @@
 
 // Check returns an error that lists the missing and invalid settings.
 func (s *Settings) Check() error {
-	errs := []error{s.Place.Check()}
+	errs := []error{s.Place.Check(), s.Machine.Check()}
 	if s.Listen == "" {
 		errs = append(errs, &configurer.SettingError{Field: "listen", Problem: "missing", Allowed: "host:port"})
 	}
