Bound what callers' requests hold before and after they are parsed

Cause: net/http holds 16 times the size of a head of short lines, also while its end is held back, and the proxy a copy of it; heads of 1 MB were taken at all addresses but the front; a body was allocated as announced; connections took all descriptors.

Change: a guard of each address (adapters/server, used by node, router, agent and control) holds a head as bytes until it is whole, and passes it to net/http once its cost as parsed is reserved in a budget of the process. The costliest requests are refused first, with a 503 or 431 before anything has run; ordinary ones keep a quarter. Bodies are reserved as they arrive. Connections are bounded by memory and descriptors; the guard closes the one that has waited longest. Idle connections to endpoints are bounded.

--- a/adapters/configurer/configurer.go
+++ b/adapters/configurer/configurer.go
@@ -115,7 +115,8 @@
 			Allowed: "0, or 33554432 and more"})
 	}
 	if m.Descriptors != 0 && m.Descriptors < minDescriptors {
-		errs = append(errs, &SettingError{Field: "machine/descriptors", Problem: "out of range", Allowed: "0, or 128 and more"})
+		errs = append(errs, &SettingError{Field: "machine/descriptors", Problem: "out of range",
+			Allowed: "0, or 128 and more"})
 	}
 	return errors.Join(errs...)
 }
--- a/adapters/forwarder/pool.go
+++ b/adapters/forwarder/pool.go
@@ -88,10 +88,15 @@
 	// may have done so because the connection was idle. It may be nil and must be set before the first request.
 	OnEnd func(address string, openAt time.Time)
 
+	// MaxConns bounds idle connections: one is closed for each new connection above it. 0 means none. It must be set
+	// before the first request.
+	MaxConns int
+
 	mu        sync.Mutex
 	idle      map[string][]*conn
 	open      map[string]map[*conn]bool // idle connections and those in use
 	openCount map[string]int            // of open
+	total     int                       // of openCount
 	dialCount uint64
 	// keptFor is the longest time that an endpoint has kept an idle connection, by address, since it last ended one for
 	// another reason.
@@ -146,6 +151,9 @@
 
 // dial opens a connection, which counts as in use.
 func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
+	if c := p.popExcess(); c != nil {
+		p.close(c)
+	}
 	nc, err := p.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
@@ -154,6 +162,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.openCount[address]++
+	p.total++
 	p.dialCount++
 	if p.open[address] == nil {
 		p.open[address] = map[*conn]bool{}
@@ -162,6 +171,23 @@
 	return c, nil
 }
 
+// popExcess removes and returns the least recently used connection to one of the endpoints, if there are too many.
+func (p *Pool) popExcess() *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.MaxConns == 0 || p.total < p.MaxConns {
+		return nil
+	}
+	for address, list := range p.idle {
+		if len(list) > 0 {
+			c := list[0]
+			p.idle[address] = slices.Delete(list, 0, 1)
+			return c
+		}
+	}
+	return nil
+}
+
 // ErrProcessMayHaveEnded means that a request with SameProcess was not sent because the endpoint has ended a kept
 // connection.
 var ErrProcessMayHaveEnded = errors.New("the endpoint has ended a kept connection")
@@ -259,6 +285,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	delete(p.open[c.address], c)
+	p.total--
 	if p.openCount[c.address]--; p.openCount[c.address] <= 0 {
 		delete(p.openCount, c.address)
 		delete(p.open, c.address)
--- a/adapters/server/body.go
+++ b/adapters/server/body.go
@@ -25,17 +25,55 @@
 	request    *http.Request
 	isComplete bool
 	hasFailed  bool
+	conn       *guardedConn // nil without a guard
+	isBounded  bool         // memory is reserved for what is read
+	isAwaited  bool
 }
 
 // NewBody returns the body of a request.
-func NewBody(r *http.Request) *Body { return &Body{request: r, isComplete: r.ContentLength == 0} }
+func NewBody(r *http.Request) *Body {
+	return &Body{request: r, isComplete: r.ContentLength == 0, conn: guardedConnOf(r.Context())}
+}
+
+// NewBoundedBody returns a body that reserves memory for what is read of it, until the request has been answered.
+func NewBoundedBody(r *http.Request) *Body {
+	b := NewBody(r)
+	b.isBounded = b.conn != nil
+	return b
+}
+
+// BoundBodies makes a handler read bodies with NewBoundedBody.
+func BoundBodies(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ContentLength != 0 {
+			body := NewBoundedBody(r)
+			r = r.WithContext(r.Context()) // net/http needs the body of the original request
+			r.Body = body
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// bodyCopies is how often what is read of a body is held while a buffer for it grows.
+const bodyCopies = 2
 
 // Read implements io.Reader.
 func (b *Body) Read(p []byte) (int, error) {
+	if b.conn != nil && !b.isComplete && !b.isAwaited {
+		b.isAwaited = true
+		b.conn.awaitBody(true)
+	}
 	n, err := b.request.Body.Read(p)
+	if b.isBounded && n > 0 && !b.conn.reserveBody(int64(bodyCopies*n)) {
+		n, err = 0, ErrBodyMemory
+	}
 	switch {
 	case errors.Is(err, io.EOF):
 		b.isComplete = true
+		if b.isAwaited {
+			b.isAwaited = false
+			b.conn.awaitBody(false)
+		}
 	case err != nil:
 		b.hasFailed = true
 	}
--- /dev/null
+++ b/adapters/server/budget.go
@@ -0,0 +1,37 @@
+package server
+
+import "sync/atomic"
+
+const (
+	// ordinaryBytes is what one holder may have of the part of a budget that is kept for ordinary callers.
+	ordinaryBytes = 16 << 10
+
+	// reserveDivisor is the part of a budget that is kept for ordinary callers.
+	reserveDivisor = 4
+)
+
+// Budget bounds bytes that are held at the same time. The zero value has no limit.
+type Budget struct {
+	Limit int64 // 0 means none
+	used  atomic.Int64
+}
+
+// Take reserves n bytes for a holder that has total bytes with them, and reports whether they fit. A holder above
+// ordinaryBytes must leave free what it has and the reserve, so that the largest holders are refused first.
+func (b *Budget) Take(n, total int64) bool {
+	limit := b.Limit
+	if total > ordinaryBytes {
+		limit -= limit/reserveDivisor + total
+	}
+	if used := b.used.Add(n); b.Limit > 0 && used > limit {
+		b.used.Add(-n)
+		return false
+	}
+	return true
+}
+
+// Release returns n bytes.
+func (b *Budget) Release(n int64) { b.used.Add(-n) }
+
+// Used returns the bytes that are held.
+func (b *Budget) Used() int64 { return b.used.Load() }
--- a/adapters/server/caller_conn.go
+++ b/adapters/server/caller_conn.go
@@ -72,6 +72,9 @@
 // that looks at the connection in another goroutine, which may run only when the handler waits.
 func HasCallerLeft(ctx context.Context) bool {
 	c, _ := ctx.Value(connKey{}).(net.Conn)
+	if gc := guarded(c); gc != nil {
+		c = gc.Conn
+	}
 	if tc, ok := c.(*tls.Conn); ok {
 		c = tc.NetConn()
 	}
--- /dev/null
+++ b/adapters/server/resources.go
@@ -0,0 +1,139 @@
+package server
+
+import (
+	"cmp"
+	"runtime/debug"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"cactusroute.dev/adapters/configurer"
+	"cactusroute.dev/adapters/observer"
+)
+
+// The bounds on callers, as they appear in the log and the metrics.
+const (
+	BoundConnections = "connections"
+	BoundHeadBytes   = "headBytes"
+	BoundHeadMemory  = "headMemory"
+	BoundBodyMemory  = "bodyMemory"
+)
+
+const (
+	defaultMemoryBytes = 256 << 20
+	defaultDescriptors = 1 << 10
+
+	// The parts of the memory for heads, bodies and connections of callers, and that above which the garbage collector
+	// works without pause.
+	headMemoryDivisor = 8
+	bodyMemoryDivisor = 4
+	connMemoryDivisor = 4
+	memoryLimitShare  = 0.75
+
+	// connBytes is what net/http holds for a connection: two buffers, its state and the stack of a goroutine.
+	connBytes = 16 << 10
+
+	// descriptorShares is the number of parts of the descriptors.
+	descriptorShares = 32
+
+	// reportInterval is the least time between two log lines of one bound.
+	reportInterval = time.Second
+)
+
+// Share is a number of parts of the descriptors, of which there are descriptorShares.
+type Share int
+
+// The shares of connections. Each caller has at most one request at an endpoint. What is left is for files and for
+// connections between processes, which leave the share of their address once they are established.
+const (
+	ShareCallers   Share = 11
+	ShareEndpoints Share = 11
+	ShareControl   Share = 5
+	ShareChecks    Share = 1 // readiness checks, metrics, or new connections of other processes
+)
+
+// Resources is what the callers of all addresses of a process may hold.
+type Resources struct {
+	Heads  Budget
+	Bodies Budget
+
+	descriptors int
+	maxConns    int // by memory
+	obs         *observer.Observer
+	refused     *prometheus.CounterVec // bound
+
+	mu      sync.Mutex
+	reports map[string]*boundReport
+}
+
+// boundReport is what is to be logged of a bound.
+type boundReport struct {
+	refused int
+	next    time.Time
+}
+
+// NewResources divides what a process may use of its machine. If the settings state the memory, the garbage collector
+// keeps to it.
+func NewResources(m configurer.Machine, obs *observer.Observer) *Resources {
+	memory := cmp.Or(m.MemoryBytes, defaultMemoryBytes)
+	if m.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(memoryLimitShare * float64(memory)))
+	}
+	r := &Resources{descriptors: cmp.Or(m.Descriptors, processDescriptors()),
+		maxConns: int(memory / connMemoryDivisor / connBytes), obs: obs, reports: map[string]*boundReport{},
+		refused: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cactusroute_caller_limits_total",
+			Help: "Requests refused and connections closed because callers hold too much, by bound."}, []string{"bound"})}
+	r.Heads.Limit, r.Bodies.Limit = memory/headMemoryDivisor, memory/bodyMemoryDivisor
+	for _, bound := range []string{BoundConnections, BoundHeadBytes, BoundHeadMemory, BoundBodyMemory} {
+		r.refused.WithLabelValues(bound)
+		r.reports[bound] = &boundReport{}
+	}
+	obs.Registry.MustRegister(r.refused,
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "cactusroute_caller_head_bytes",
+			Help: "Memory reserved for the heads of callers' requests."}, func() float64 { return float64(r.Heads.Used()) }),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "cactusroute_caller_body_bytes",
+			Help: "Memory reserved for the bodies of callers' requests."}, func() float64 { return float64(r.Bodies.Used()) }))
+	return r
+}
+
+func processDescriptors() int {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil || limit.Cur > 1<<30 {
+		return defaultDescriptors
+	}
+	return int(limit.Cur)
+}
+
+// Guard returns the guard of one address; nil for a nil r.
+func (r *Resources) Guard(share Share) *Guard {
+	if r == nil {
+		return nil
+	}
+	return &Guard{resources: r, conns: map[*guardedConn]struct{}{},
+		maxConns: max(1, min(r.maxConns, r.Descriptors(share)))}
+}
+
+// Descriptors returns the number of descriptors in a share.
+func (r *Resources) Descriptors(share Share) int {
+	return r.descriptors * int(share) / descriptorShares
+}
+
+// Report counts a refusal and logs it together with others of the same bound.
+func (r *Resources) Report(bound string) {
+	r.refused.WithLabelValues(bound).Inc()
+	now := time.Now()
+	r.mu.Lock()
+	report := r.reports[bound]
+	report.refused++
+	n := report.refused
+	if now.Before(report.next) {
+		r.mu.Unlock()
+		return
+	}
+	report.refused, report.next = 0, now.Add(reportInterval)
+	r.mu.Unlock()
+	_ = r.obs.Logger.Log("msg", "callers exceed a bound", "bound", bound, "refused", n,
+		"headBytes", r.Heads.Used(), "bodyBytes", r.Bodies.Used())
+}
--- a/adapters/server/server.go
+++ b/adapters/server/server.go
@@ -14,6 +14,7 @@
 
 const (
 	readHeaderTimeout = 10 * time.Second
+	maxHeaderBytes    = 32 << 10
 	// preStopTimeout is the freshness lease: after it, routers send no new requests even if PreStop hooks have failed.
 	preStopTimeout = 2 * time.Second
 )
@@ -68,6 +69,9 @@
 	// are answered, and closed after the answer: a request may be on its way when an idle connection is closed.
 	IdleGrace time.Duration
 
+	// Guard bounds what connections hold; it may be nil.
+	Guard *Guard
+
 	conns    ConnCount
 	stopping atomic.Bool
 }
@@ -95,12 +99,16 @@
 	if s.WrapListener != nil {
 		l = s.WrapListener(l)
 	}
-	if s.TLS != nil {
-		l = tls.NewListener(l, s.TLS)
-	}
 	s.stopping.Store(false)
 	hs := &http.Server{Handler: http.HandlerFunc(s.serveHTTP), ReadHeaderTimeout: readHeaderTimeout,
-		ConnContext: WithConn, ConnState: s.conns.Track}
+		MaxHeaderBytes: maxHeaderBytes, ConnContext: WithConn}
+	s.Guard.Install(hs, &s.conns)
+	switch {
+	case s.Guard != nil:
+		l = &guardedListener{Listener: l, guard: s.Guard, tls: s.TLS}
+	case s.TLS != nil:
+		l = tls.NewListener(l, s.TLS)
+	}
 	done := make(chan error, 1)
 	go func() { done <- hs.Serve(l) }()
 	select {
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -34,6 +34,7 @@
 	monitor       *monitor
 	metrics       *metrics
 	obs           *observer.Observer
+	callers       *server.Resources
 	certifier     *certifier.Certifier // nil without TLS
 	readiness     server.Readiness
 	peerClient    peerClient
@@ -74,7 +75,8 @@
 	a := &Agent{
 		settings: s, control: control, endpoint: newEndpoint(s.Endpoint), quarantine: newQuarantine(),
 		directory: newDirectory(directoryCapacity), operations: newOperationTable(), metrics: newMetrics(obs.Registry),
-		obs: obs, certifier: c, peerClient: newPeerClient(c), ctx: ctx, activeIDs: map[string]struct{}{},
+		obs: obs, callers: server.NewResources(s.Machine, obs), certifier: c, peerClient: newPeerClient(c), ctx: ctx,
+		activeIDs: map[string]struct{}{},
 	}
 	a.readiness.Check = func() error {
 		if reason := a.notServingReason(time.Now()); reason != "" {
--- a/agent/leave.go
+++ b/agent/leave.go
@@ -196,7 +196,8 @@
 func (a *Agent) runServer(ctx, workCtx context.Context) error {
 	go func() { _ = a.Serve(workCtx) }()
 	srv := &server.Server{
-		Addr: a.settings.Listen, Handler: a.Handler(), TLS: a.certifier.PublicConfig(), Readiness: &a.readiness,
+		Addr: a.settings.Listen, Handler: server.BoundBodies(a.Handler()), Guard: a.callers.Guard(server.ShareCallers),
+		TLS: a.certifier.PublicConfig(), Readiness: &a.readiness,
 		PreStop: []func(context.Context){a.Leave}, ShutdownDelay: shutdownDelay,
 		Drain: []func(context.Context) error{server.DrainHook(a.awaitDrained)}, ListenWhileDraining: true,
 		GracePeriod: gracePeriod,
--- a/control/control.go
+++ b/control/control.go
@@ -51,6 +51,7 @@
 type Control struct {
 	settings     Settings
 	obs          *observer.Observer
+	callers      *server.Resources
 	state        *state
 	committer    Committer
 	softState    *softState
@@ -72,7 +73,8 @@
 	if opts.Store == nil {
 		opts.Store = applier.NewMemoryStore()
 	}
-	c = &Control{settings: s, obs: obs, state: newState(opts.Store), close: func() error { return nil },
+	c = &Control{settings: s, obs: obs, callers: server.NewResources(s.Machine, obs), state: newState(opts.Store),
+		close:     func() error { return nil },
 		certifier: opts.Certifier}
 	c.softState = newSoftState(s.Place.Name, c.state.View, s.LoadPermits)
 	if opts.NewCommitter == nil {
@@ -490,8 +492,10 @@
 	defer cancel(nil)
 	wg.Go(func() { cancel(c.Serve(ctx)) })
 	srv := &server.Server{
-		Addr: c.settings.Listen, Handler: c.Handler(), TLS: c.certifier.PublicConfig(), GracePeriod: shutdownGracePeriod,
+		Addr: c.settings.Listen, Handler: server.BoundBodies(c.Handler()), TLS: c.certifier.PublicConfig(),
+		GracePeriod:  shutdownGracePeriod,
 		IdleGrace:    idleGracePeriod,
+		Guard:        c.callers.Guard(server.ShareCallers),
 		WrapListener: c.WrapListener,
 	}
 	if err := srv.Serve(ctx); err != nil {
--- a/node/control_handlers.go
+++ b/node/control_handlers.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"cactusroute.dev/adapters/server"
 	"cactusroute.dev/core/attributor"
 	"cactusroute.dev/core/planner"
 	"cactusroute.dev/core/registrar"
@@ -152,7 +153,7 @@
 		http.Error(w, err.Error(), http.StatusNotFound)
 	case errors.As(err, &tooLarge):
 		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
-	case errors.As(err, &unavailable):
+	case errors.As(err, &unavailable), errors.Is(err, server.ErrBodyMemory):
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 	default:
 		http.Error(w, err.Error(), http.StatusInternalServerError)
--- a/node/front_server.go
+++ b/node/front_server.go
@@ -70,6 +70,9 @@
 	// onStall is called when a response ends because its caller reads nothing.
 	onStall func(c net.Conn)
 
+	// guard bounds what connections hold; it may be nil.
+	guard *server.Guard
+
 	mu            sync.Mutex
 	servers       []*limitedServer
 	listener      *connListener
@@ -152,7 +155,6 @@
 	s.listener = &connListener{conns: make(chan net.Conn), addr: addr, done: make(chan struct{})}
 	hs := &limitedServer{Server: &http.Server{Handler: s.handler, ConnContext: withCallerConn,
 		ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout}}
-	hs.ConnState = hs.conns.Track
 	if limits.HeaderTimeoutMillis > 0 {
 		hs.ReadHeaderTimeout = time.Duration(limits.HeaderTimeoutMillis) * time.Millisecond
 	}
@@ -162,6 +164,7 @@
 	if limits.HeaderBytes > 0 {
 		hs.MaxHeaderBytes = limits.HeaderBytes
 	}
+	s.guard.Install(hs.Server, &hs.conns)
 	s.servers = append(s.servers, hs)
 	go func(l net.Listener) { _ = hs.Serve(l) }(s.listener)
 }
@@ -186,7 +189,9 @@
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
-		s.dispatch(server.NewCallerConn(c, callerStallTimeout, s.onStall))
+		if c = s.guard.Wrap(server.NewCallerConn(c, callerStallTimeout, s.onStall)); c != nil {
+			s.dispatch(c)
+		}
 	}
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -39,6 +40,7 @@
 	fleet    *fleet
 	front    *proxy
 	ready    server.Readiness
+	callers  *server.Resources
 
 	controlStopping chan struct{} // closed by stopControl
 	controlStopped  chan struct{} // closed when the server of operators and endpoints has stopped
@@ -69,7 +71,10 @@
 		controlStopped: make(chan struct{})}
 	n.front = &proxy{dialect: d, fleet: f, pool: pool, log: log, metrics: newMetrics(obs, f, pool, queue)}
 	pool.OnEnd = n.front.recordIdleEnd
-	n.front.bodies.limit = s.BodyMemoryBytes
+	n.callers = server.NewResources(s.Machine, obs)
+	pool.MaxConns = n.callers.Descriptors(server.ShareEndpoints)
+	n.front.bodies, n.front.onBodyLimit = &n.callers.Bodies, n.callers.Report
+	n.front.bodies.Limit = cmp.Or(s.BodyMemoryBytes, n.front.bodies.Limit)
 	n.ready.Check = func() error {
 		if !f.isReady() {
 			return errors.New("no plan received yet")
@@ -138,7 +143,7 @@
 		<-ctx.Done()
 		return ctx.Err()
 	}
-	fs := &frontServer{addr: n.settings.Listen.Front, handler: n.front,
+	fs := &frontServer{addr: n.settings.Listen.Front, handler: n.front, guard: n.callers.Guard(server.ShareCallers),
 		grace: time.Duration(n.settings.GraceMillis) * time.Millisecond,
 		limits: func() planner.Limits {
 			if p := n.fleet.view.Load().plan; p != nil {
@@ -187,17 +192,17 @@
 	} else {
 		sup.Add(service{"subscription", f.subscribe})
 	}
-	sup.Add(&server.Server{Addr: l.Exchange, Handler: exchange})
+	sup.Add(&server.Server{Addr: l.Exchange, Handler: exchange, Guard: n.callers.Guard(server.ShareChecks)})
 	if l.Control != "" {
 		sup.Add(service{"control", n.serveControl})
 	}
 	if l.Ready != "" {
-		sup.Add(&server.Server{Addr: l.Ready, Handler: &n.ready})
+		sup.Add(&server.Server{Addr: l.Ready, Handler: &n.ready, Guard: n.callers.Guard(server.ShareChecks)})
 	}
 	if l.Metrics != "" {
 		mux := http.NewServeMux()
 		mux.Handle(MetricsPath, n.obs.MetricsHandler())
-		sup.Add(&server.Server{Addr: l.Metrics, Handler: mux})
+		sup.Add(&server.Server{Addr: l.Metrics, Handler: mux, Guard: n.callers.Guard(server.ShareChecks)})
 	}
 }
 
@@ -216,8 +221,8 @@
 		case <-ctx.Done():
 		}
 	}()
-	srv := &server.Server{Addr: n.settings.Listen.Control, Handler: n.fleet.dialect.Control(n.fleet),
-		GracePeriod: controlGrace}
+	srv := &server.Server{Addr: n.settings.Listen.Control, GracePeriod: controlGrace,
+		Handler: server.BoundBodies(n.fleet.dialect.Control(n.fleet)), Guard: n.callers.Guard(server.ShareControl)}
 	err := srv.Serve(ctx)
 	select {
 	case <-n.controlStopping:
--- a/node/proxy.go
+++ b/node/proxy.go
@@ -28,6 +28,9 @@
 	// initialBodyBufferBytes is the initial buffer size for a body of unknown length.
 	initialBodyBufferBytes = 16 << 10
 
+	// maxInitialBodyBytes bounds the initial buffer: a caller may announce a body and not send it.
+	maxInitialBodyBytes = 64 << 10
+
 	// minRetryAfter and maxRetryAfter bound the Retry-After of a refusal: long enough to process a queue of about ten
 	// prompts, short enough to fit into a third of the usual deadline.
 	minRetryAfter = 200 * time.Millisecond
@@ -62,7 +65,9 @@
 	metrics   *metrics
 	stopping  atomic.Bool
 	stopTimes atomic.Pointer[stopTimes] // nil until stopping
-	bodies    byteBudget
+	bodies    *server.Budget
+	// onBodyLimit is called when a body is refused for lack of memory.
+	onBodyLimit func(bound string)
 }
 
 // request is one request of a caller.
@@ -125,7 +130,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	q, ref := p.admit(r)
-	defer func() { p.bodies.release(q.reserved) }()
+	defer func() { p.bodies.Release(q.reserved) }()
 	if ref == nil {
 		ref = p.readBody(w, q)
 	}
@@ -277,12 +282,13 @@
 		if size < 0 {
 			size = initialBodyBufferBytes
 		}
+		size = min(size, maxInitialBodyBytes)
 		if !p.reserve(q, size) {
 			return bodyRefusal(errBodyBudget)
 		}
 		buf := make([]byte, 0, size+1)
 		var err error
-		if q.body, err = readAll(r, buf, func(n int64) bool { return p.reserve(q, n) }); err != nil {
+		if q.body, err = readAll(r, buf, q.inbound.ContentLength, func(n int64) bool { return p.reserve(q, n) }); err != nil {
 			return bodyRefusal(err)
 		}
 	}
@@ -299,7 +305,8 @@
 
 // reserve takes memory for the body of a request.
 func (p *proxy) reserve(q *request, n int64) bool {
-	if !p.bodies.take(n) {
+	if !p.bodies.Take(n, q.reserved+n) {
+		p.onBodyLimit(server.BoundBodyMemory)
 		return false
 	}
 	q.reserved += n
@@ -317,8 +324,8 @@
 	return &refusal{status: http.StatusRequestTimeout, reason: "bodyIncomplete", logFields: []any{"err", err}}
 }
 
-// readAll reads r into buf, which grows as grow permits.
-func readAll(r io.Reader, buf []byte, grow func(n int64) bool) ([]byte, error) {
+// readAll reads r into buf, which grows as grow permits. length is that of all of r, or -1.
+func readAll(r io.Reader, buf []byte, length int64, grow func(n int64) bool) ([]byte, error) {
 	for {
 		n, err := r.Read(buf[len(buf):cap(buf)])
 		buf = buf[:len(buf)+n]
@@ -329,10 +336,14 @@
 			return nil, err
 		}
 		if len(buf) == cap(buf) {
-			if !grow(int64(len(buf))) {
+			n := int64(len(buf))
+			if length >= n {
+				n = min(n, length+1-n)
+			}
+			if !grow(n) {
 				return nil, errBodyBudget
 			}
-			buf = slices.Grow(buf, len(buf))
+			buf = slices.Grow(buf, int(n))
 		}
 	}
 }
--- a/node/settings.go
+++ b/node/settings.go
@@ -23,7 +23,6 @@
 	defaultLoadSlack          = 3
 	defaultMinVoters          = 1
 	defaultEventBytes         = 256 << 10
-	defaultBodyMemoryBytes    = 64 << 20
 )
 
 // Settings are the settings of a node.
@@ -105,7 +104,6 @@
 		{"minVoters", float64(s.MinVoters)}, {"heartbeatMillis", float64(s.HeartbeatMillis)},
 		{"graceMillis", float64(s.GraceMillis)}, {"retryBudget/windowMillis", float64(s.RetryBudget.WindowMillis)},
 		{"load/coldOver", s.Load.ColdOver}, {"load/loadOver", s.Load.LoadOver},
-		{"bodyMemoryBytes", float64(s.BodyMemoryBytes)},
 		{"endpointLimits/headBytes", float64(s.EndpointLimits.HeadBytes)},
 		{"endpointLimits/headerFields", float64(s.EndpointLimits.HeaderFields)},
 		{"endpointLimits/informationalResponses", float64(s.EndpointLimits.InformationalResponses)},
@@ -120,7 +118,8 @@
 			errs = append(errs, &configurer.SettingError{Field: f.field, Problem: "out of range", Allowed: "above 0"})
 		}
 	}
-	if s.RetryBudget.Ratio < 0 || s.RetryBudget.Slack < 0 || s.Load.ColdSlack < 0 || s.Load.LoadSlack < 0 {
+	if s.RetryBudget.Ratio < 0 || s.RetryBudget.Slack < 0 || s.Load.ColdSlack < 0 || s.Load.LoadSlack < 0 ||
+		s.BodyMemoryBytes < 0 {
 		errs = append(errs, &configurer.SettingError{Field: "retryBudget", Problem: "negative", Allowed: "0 or more"})
 	}
 	return errors.Join(errs...)
@@ -136,7 +135,6 @@
 	s.Load = cmp.Or(s.Load, LoadLimits{
 		ColdOver: defaultColdOver, ColdSlack: defaultColdSlack, LoadOver: defaultLoadOver, LoadSlack: defaultLoadSlack,
 	})
-	s.BodyMemoryBytes = cmp.Or(s.BodyMemoryBytes, defaultBodyMemoryBytes)
 	s.EndpointLimits.Limits = s.EndpointLimits.WithDefaults()
 	s.EndpointLimits.EventBytes = cmp.Or(s.EndpointLimits.EventBytes, defaultEventBytes)
 }
--- a/node/transfer.go
+++ b/node/transfer.go
@@ -488,7 +488,7 @@
 
 // readBounded reads a body of up to maxBufferedBytes; it returns a *forwarder.LimitError for a longer one.
 func readBounded(r io.Reader) ([]byte, error) {
-	body, err := readAll(io.LimitReader(r, maxBufferedBytes+1), make([]byte, 0, 512), alwaysGrow)
+	body, err := readAll(io.LimitReader(r, maxBufferedBytes+1), make([]byte, 0, 512), -1, alwaysGrow)
 	if err == nil && len(body) > maxBufferedBytes {
 		err = &forwarder.LimitError{Bound: boundBufferedBytes, Limit: maxBufferedBytes, Seen: int64(len(body))}
 	}
@@ -571,7 +571,7 @@
 // copyResponse forwards a response that is not a stream. Up to maxBufferedBytes are buffered first.
 func (t *transfer) copyResponse(ctx context.Context, c chooser.Choice, resp *forwarder.Response) (decision, refusal) {
 	buf, err := readAll(io.LimitReader(resp.Body, maxBufferedBytes+1),
-		make([]byte, 0, max(512, min(resp.Length+1, maxBufferedBytes))), alwaysGrow)
+		make([]byte, 0, max(512, min(resp.Length+1, maxBufferedBytes))), -1, alwaysGrow)
 	if err != nil {
 		return t.handleReadError(ctx, c, err)
 	}
--- a/router/request.go
+++ b/router/request.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"cactusroute.dev/adapters/relayer"
+	"cactusroute.dev/adapters/server"
 	"cactusroute.dev/core/bundler"
 	"cactusroute.dev/core/placer"
 	"cactusroute.dev/core/planner"
@@ -32,6 +33,9 @@
 // bodyTimeout limits the time to read a body, so that slow callers do not use up the router's limit of requests.
 const bodyTimeout = 30 * time.Second
 
+// bodyMemoryRetryAfter is the Retry-After of requests for whose bodies there is no memory.
+const bodyMemoryRetryAfter = time.Second
+
 // Request headers.
 const (
 	headerConversationID = "X-Conversation-Id"
@@ -113,6 +117,11 @@
 			Status: http.StatusRequestEntityTooLarge, Type: errorTypeInvalidRequest, Code: "body_too_large",
 			Message: "the body exceeds 1 MiB", NotRun: true,
 		}
+	case errors.Is(err, server.ErrBodyMemory):
+		return nil, &httpError{
+			Status: http.StatusServiceUnavailable, Type: errorTypeServer, Code: "memory",
+			Message: "the router has no memory for the body now", NotRun: true, RetryAfter: bodyMemoryRetryAfter,
+		}
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return nil, &httpError{
 			Status: http.StatusRequestTimeout, Type: errorTypeInvalidRequest, Code: "body_timeout",
--- a/router/router.go
+++ b/router/router.go
@@ -35,6 +35,7 @@
 	control          Control
 	relay            Relay
 	obs              *observer.Observer
+	callers          *server.Resources
 	certifier        *certifier.Certifier // nil without TLS
 	metrics          *metrics
 	admission        *admissionController
@@ -70,6 +71,7 @@
 	relay := relayClient{client: relayer.NewClient(ctx, options)}
 	rt := newRouter(s, control, relay, obs, binary.LittleEndian.Uint64(seed[:]))
 	rt.certifier = cert
+	rt.callers = server.NewResources(s.Machine, obs)
 	return rt, nil
 }
 
@@ -133,7 +135,7 @@
 		if rt.draining.Load() {
 			w.Header().Set("Connection", "close")
 		}
-		body := server.NewBody(r)
+		body := server.NewBoundedBody(r)
 		r = r.WithContext(r.Context()) // net/http needs the body of the original request
 		r.Body = body
 		outcome, httpErr := "", checkHeaderBytes(r)
@@ -291,7 +293,7 @@
 	})()
 	srv := &server.Server{
 		Addr: rt.settings.Listen, Handler: rt.Handler(), TLS: rt.certifier.PublicConfig(), GracePeriod: drainTimeout,
-		IdleGrace: idleDrainTimeout,
+		IdleGrace: idleDrainTimeout, Guard: rt.callers.Guard(server.ShareCallers),
 		WrapListener: func(l net.Listener) net.Listener {
 			return &server.CallerListener{Listener: l, StallTimeout: rt.callerStallTimeout, OnStall: func(c net.Conn) {
 				rt.obs.Event("caller reads nothing", "caller", c.RemoteAddr().String())
