Do not take a reset during an upload for the end of a response

Cause: an endpoint that answers a long upload at once with neither a length nor chunks, and resets the connection while the upload is written, made a part look like the whole: the kernel reports a reset once, to the write or to the read, and an end to the other. The agent also passed on responses with a status below 200 such as 000, which net/http accepts, and recorded them as outcomes.

Change: the forwarder (node) completes such a body only if the request has been written; the agent's connections report no end after a failed write; the agent treats a status below 200 as no response.

The forwarder refused all these statuses already.

--- a/adapters/forwarder/exchange.go
+++ b/adapters/forwarder/exchange.go
@@ -262,6 +262,13 @@
 func (x *exchange) Read(p []byte) (int, error) {
 	n, err := x.body.Read(p)
 	if errors.Is(err, io.EOF) {
+		if _, ok := x.body.(*closeDelimitedBody); ok {
+			// If the endpoint resets the connection while the request is written, the kernel may report that to the write, and
+			// an end to the read.
+			if <-x.written; x.writeErr != nil {
+				return n, x.writeErr
+			}
+		}
 		x.bodyRead = true
 	}
 	return n, err
--- a/agent/endpoint.go
+++ b/agent/endpoint.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 )
 
@@ -42,11 +43,49 @@
 			DialContext: dial, MaxIdleConnsPerHost: 256, DisableCompression: true, IdleConnTimeout: time.Minute,
 		}},
 		singleUseClient: &http.Client{CheckRedirect: noRedirect, Transport: &http.Transport{
-			DialContext: dial, DisableKeepAlives: true, DisableCompression: true,
+			DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+				c, err := dial(ctx, network, address)
+				if err != nil {
+					return nil, err
+				}
+				return &endpointConn{Conn: c}, nil
+			}, DisableKeepAlives: true, DisableCompression: true,
 		}},
 	}
 }
 
+// endpointConn is a connection that reports no end after a failed write. If the endpoint resets a connection while a
+// request is written, the kernel may report that to the write, and an end to the read, which could be taken for that of
+// the response.
+type endpointConn struct {
+	net.Conn
+
+	mu       sync.Mutex // held during a write
+	writeErr error
+}
+
+// Write implements net.Conn.
+func (c *endpointConn) Write(p []byte) (n int, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if n, err = c.Conn.Write(p); err != nil {
+		c.writeErr = err
+	}
+	return n, err
+}
+
+// Read implements net.Conn.
+func (c *endpointConn) Read(p []byte) (n int, err error) {
+	if n, err = c.Conn.Read(p); errors.Is(err, io.EOF) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.writeErr != nil {
+			return n, c.writeErr
+		}
+	}
+	return n, err
+}
+
 // statusError is a response of the endpoint with an unsuccessful status.
 type statusError struct {
 	status int
--- a/agent/forward.go
+++ b/agent/forward.go
@@ -174,6 +174,10 @@
 		return stats, err
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode < http.StatusOK { // net/http accepts any number as a status
+		stats.mayHaveRun = true
+		return stats, fmt.Errorf("invalid response status %d", resp.StatusCode)
+	}
 	stats.said.read(resp.StatusCode, resp.Header)
 	if kind == bundler.PoolModel && resp.StatusCode == http.StatusServiceUnavailable {
 		return stats, errEngineUnavailable // the router tries another endpoint
--- a/agent/unframed_response_test.go
+++ b/agent/unframed_response_test.go
@@ -16,6 +16,12 @@
 
 // forwardOnce returns the result of a forwarded operation to which an endpoint responds on a connection that it closes.
 func forwardOnce(t *testing.T, respond func(conn net.Conn)) (responseStats, error) {
+	t.Helper()
+	return forwardTo(t, relayer.NewRecorder(), respond)
+}
+
+// forwardTo is forwardOnce with the writer of the response.
+func forwardTo(t *testing.T, w responseWriter, respond func(conn net.Conn)) (responseStats, error) {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -36,7 +42,7 @@
 	url := "http://" + ln.Addr().String()
 	a := &Agent{settings: Settings{Endpoint: url}, endpoint: newEndpoint(url)}
 	req := &relayer.Request{Method: http.MethodPost, Path: "/", Operation: &relayer.Operation{ID: "op"}}
-	return a.forward(t.Context(), req, bundler.PoolService, relayer.NewRecorder())
+	return a.forward(t.Context(), req, bundler.PoolService, w)
 }
 
 // Guards against a response with neither a length nor chunks that broke off and is recorded as the outcome of an
