Accept what is established when a stopping server closes its listener

Cause: Accept fails as soon as its deadline has passed, also while connections wait in the queue, and the close resets these.

Change: the listener takes from its queue until none has come for 10 ms, 100 ms at most, and ends the queue at once; then it passes on what it has taken. This is adapters/server, so it holds for node, router, agent and control. A connection that is established between the last look and the end is still lost. A socket filter that ignores new connections before would close that gap; the kernel here refuses it (EOPNOTSUPP).

--- a/adapters/server/drain.go
+++ b/adapters/server/drain.go
@@ -11,11 +11,14 @@
 	"time"
 
 	"cactusroute.dev/adapters/sleeper"
+	"cactusroute.dev/adapters/socket"
 )
 
 const (
-	// acceptDrainTime is how long a listener that closes still takes connections that the kernel has established.
-	acceptDrainTime = 50 * time.Millisecond
+	// acceptDrainTime bounds the time for which a listener that closes passes on what it has accepted, which is longer on
+	// a busy machine. Without a call of Accept, only acceptStartTime passes.
+	acceptDrainTime = 3 * time.Second
+	acceptStartTime = 200 * time.Millisecond
 
 	// connPollInterval is how often a server that stops checks whether connections are open.
 	connPollInterval = 20 * time.Millisecond
@@ -26,8 +29,13 @@
 type DrainingListener struct {
 	net.Listener
 
-	once  sync.Once
-	ended chan struct{} // closed when Accept has failed
+	isUsed atomic.Bool // Accept has been called
+	once   sync.Once
+	ended  chan struct{} // closed when Accept has failed
+
+	hasStopped bool       // of Accept, whose calls don't overlap
+	rest       []net.Conn // accepted when the listener stopped
+	stopErr    error      // valid once ended is closed
 }
 
 // NewDrainingListener returns a listener whose Accept is called in a loop.
@@ -37,9 +45,19 @@
 
 // Accept implements net.Listener; it returns net.ErrClosed after Drain.
 func (l *DrainingListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
+	l.isUsed.Store(true)
+	var c net.Conn
+	err := net.ErrClosed
+	if !l.hasStopped {
+		c, err = l.Listener.Accept()
+	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
-		err = net.ErrClosed
+		l.hasStopped, err = true, net.ErrClosed
+		l.rest, l.stopErr = socket.StopListening(l.Listener)
+	}
+	if len(l.rest) > 0 {
+		c, l.rest = l.rest[0], l.rest[1:]
+		return c, nil
 	}
 	if errors.Is(err, net.ErrClosed) {
 		l.once.Do(func() { close(l.ended) })
@@ -49,17 +67,25 @@
 
 // Drain accepts the connections that are established and closes the listener.
 func (l *DrainingListener) Drain() error {
+	var stopErr error
 	d, ok := l.Listener.(interface{ SetDeadline(t time.Time) error })
-	if ok && d.SetDeadline(time.Now().Add(acceptDrainTime)) == nil {
-		select {
-		case <-l.ended:
-		case <-time.After(2 * acceptDrainTime):
-		}
+	if ok && d.SetDeadline(time.Now()) == nil && (l.hasEndedWithin(acceptStartTime) ||
+		l.isUsed.Load() && l.hasEndedWithin(acceptDrainTime)) {
+		stopErr = l.stopErr
 	}
 	if err := l.Close(); !errors.Is(err, net.ErrClosed) { // http.Server.Serve closes its listener, too
-		return err
+		return errors.Join(stopErr, err)
+	}
+	return stopErr
+}
+
+func (l *DrainingListener) hasEndedWithin(d time.Duration) bool {
+	select {
+	case <-l.ended:
+		return true
+	case <-time.After(d):
+		return false
 	}
-	return nil
 }
 
 // ConnCount counts the open connections of an http.Server, whose ConnState is Track.
--- a/adapters/server/drain_test.go
+++ b/adapters/server/drain_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -51,6 +52,52 @@
 	assert.Equal(t, count.Open(), int64(0))
 }
 
+// Guards against a reset of connections that callers establish until the listener closes. A connection counts once its
+// caller has it, whether or not the server has accepted it.
+func TestDrainWhileConnectionsAreEstablished(t *testing.T) {
+	const callers = 200
+	plain, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	l := NewDrainingListener(plain)
+	var count ConnCount
+	hs := &http.Server{ReadHeaderTimeout: testTimeout, Handler: http.NotFoundHandler(), ConnState: count.Track}
+	defer func() { _ = hs.Close() }()
+	go func() { _ = hs.Serve(l) }()
+	var answered, lost atomic.Int64
+	var wg sync.WaitGroup
+	started := make(chan struct{}, callers)
+	for range callers {
+		wg.Go(func() {
+			for n := 0; ; n++ {
+				c, err := net.DialTimeout("tcp", plain.Addr().String(), testTimeout)
+				if err != nil {
+					return // refused: the request was not sent
+				}
+				_ = c.SetDeadline(time.Now().Add(testTimeout))
+				_, err = io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+				if err == nil {
+					_, err = http.ReadResponse(bufio.NewReader(c), nil) //nolint:bodyclose // the connection is closed
+				}
+				_ = c.Close()
+				if err != nil {
+					lost.Add(1)
+					return
+				}
+				answered.Add(1)
+				if n == 0 {
+					started <- struct{}{}
+				}
+			}
+		})
+	}
+	for range callers {
+		<-started
+	}
+	assert.NilError(t, l.Drain())
+	wg.Wait()
+	assert.Equal(t, lost.Load(), int64(0), "of %d", answered.Load())
+}
+
 // Guards against a drain that waits for ever for a listener of which nobody accepts.
 func TestDrainOfAnUnusedListenerEnds(t *testing.T) {
 	plain, err := net.Listen("tcp", "127.0.0.1:0")
--- a/adapters/socket/socket.go
+++ b/adapters/socket/socket.go
@@ -5,6 +5,7 @@
 	"net"
 	"os"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -85,3 +86,57 @@
 	})
 	return err != nil || hasEnded
 }
+
+const (
+	// quietTime is how long no connection must have come before a queue is ended, which maxQuietTime bounds.
+	quietTime    = 10 * time.Millisecond
+	maxQuietTime = 100 * time.Millisecond
+)
+
+// StopListening accepts the connections that a listener has in its queue, and ends the queue once none has come for a
+// while. A close resets what is in the queue: a connection that is established just before is lost.
+func StopListening(l net.Listener) (conns []net.Conn, err error) {
+	sc, ok := l.(syscall.Conn)
+	if !ok {
+		return nil, errors.ErrUnsupported
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return nil, err
+	}
+	var fds []int
+	var acceptErr error
+	deadline := time.Now().Add(maxQuietTime)
+	err = raw.Control(func(fd uintptr) {
+		for {
+			c, _, err := unix.Accept4(int(fd), unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
+			switch {
+			case err == nil:
+				fds = append(fds, c)
+			case errors.Is(err, unix.EINTR), errors.Is(err, unix.ECONNABORTED):
+			case errors.Is(err, unix.EAGAIN) && time.Now().Before(deadline) && isReadableWithin(fd, quietTime):
+			default:
+				_ = unix.Shutdown(int(fd), unix.SHUT_RDWR) // the listener is closed in any case
+				if !errors.Is(err, unix.EAGAIN) {
+					acceptErr = os.NewSyscallError("accept4", err)
+				}
+				return
+			}
+		}
+	})
+	for _, fd := range fds {
+		f := os.NewFile(uintptr(fd), "")
+		c, connErr := net.FileConn(f) // duplicates the descriptor
+		err = errors.Join(err, connErr, f.Close())
+		if connErr == nil {
+			conns = append(conns, c)
+		}
+	}
+	return conns, errors.Join(err, acceptErr)
+}
+
+// isReadableWithin reports whether a descriptor becomes readable within a time.
+func isReadableWithin(fd uintptr, timeout time.Duration) bool {
+	n, err := unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, int(timeout.Milliseconds()))
+	return n > 0 || errors.Is(err, unix.EINTR)
+}
