--- a/node/settings.go
+++ b/node/settings.go
@@ -28,13 +28,14 @@
 	defaultEventBytes         = 256 << 10
 	defaultRoundTripMillis    = 3
 	defaultMegabyteMillis     = 100
-	defaultBodyMemoryBytes    = 64 << 20
 )
 
 // Settings are the settings of a node.
 type Settings struct {
 	Place  configurer.Place `json:"place"`
 	Listen Listen           `json:"listen"`
+	// Machine bounds what the process holds for its callers.
+	Machine configurer.Machine `json:"machine,omitzero"`
 	// Seeds are the host:port of the exchange of some other nodes; they may be outdated.
 	Seeds []string `json:"seeds"`
 	// FirstStart is true while the whole fleet starts for the first time, with empty disks.
@@ -103,7 +104,7 @@
 // Check sets the defaults and returns an error for missing and invalid values.
 func (s *Settings) Check() error {
 	s.setDefaults()
-	errs := []error{s.Place.Check()}
+	errs := []error{s.Place.Check(), s.Machine.Check()}
 	if s.Listen.Exchange == "" {
 		errs = append(errs, &configurer.SettingError{Field: "listen/exchange", Problem: "missing", Allowed: "host:port"})
 	}
@@ -115,7 +116,6 @@
 		{"graceMillis", float64(s.GraceMillis)}, {"retryBudget/windowMillis", float64(s.RetryBudget.WindowMillis)},
 		{"load/coldOver", s.Load.ColdOver}, {"load/loadOver", s.Load.LoadOver},
 		{"domains/roundTripMillis", s.Domains.RoundTripMillis}, {"domains/megabyteMillis", s.Domains.MegabyteMillis},
-		{"bodyMemoryBytes", float64(s.BodyMemoryBytes)},
 		{"endpointLimits/headBytes", float64(s.EndpointLimits.HeadBytes)},
 		{"endpointLimits/headerFields", float64(s.EndpointLimits.HeaderFields)},
 		{"endpointLimits/informationalResponses", float64(s.EndpointLimits.InformationalResponses)},
@@ -133,7 +133,8 @@
 	if !s.Rollouts.IsValid() {
 		errs = append(errs, &configurer.SettingError{Field: "rollouts", Problem: "out of range", Allowed: "share up to 1"})
 	}
-	if s.RetryBudget.Ratio < 0 || s.RetryBudget.Slack < 0 || s.Load.ColdSlack < 0 || s.Load.LoadSlack < 0 {
+	if s.RetryBudget.Ratio < 0 || s.RetryBudget.Slack < 0 || s.Load.ColdSlack < 0 || s.Load.LoadSlack < 0 ||
+		s.BodyMemoryBytes < 0 {
 		errs = append(errs, &configurer.SettingError{Field: "retryBudget", Problem: "negative", Allowed: "0 or more"})
 	}
 	for _, name := range s.SchedulingOff {
@@ -168,7 +169,6 @@
 	})
 	s.Domains.RoundTripMillis = cmp.Or(s.Domains.RoundTripMillis, defaultRoundTripMillis)
 	s.Domains.MegabyteMillis = cmp.Or(s.Domains.MegabyteMillis, defaultMegabyteMillis)
-	s.BodyMemoryBytes = cmp.Or(s.BodyMemoryBytes, defaultBodyMemoryBytes)
 	s.EndpointLimits.Limits = s.EndpointLimits.WithDefaults()
 	s.EndpointLimits.EventBytes = cmp.Or(s.EndpointLimits.EventBytes, defaultEventBytes)
 }
