--- a/core/chooser/telemetry.go
+++ b/core/chooser/telemetry.go
@@ -41,5 +41,6 @@
 		list = append(list, Gauge{Decision: "sums", Name: "ageSeconds", Value: age.Seconds()})
 	}
 	list = append(list, c.domainGauges()...)
+	list = append(list, c.reachGauges()...)
 	return c.shareGauges(list)
 }
