--- a/core/rollouter/driver.go
+++ b/core/rollouter/driver.go
@@ -247,7 +247,7 @@
 
 // moveTime returns how long before the deadline the move begins.
 func (r *run) moveTime() time.Duration {
-	former := collect(&r.rollout, r.last, "").former
+	former := collect(&r.rollout, r.last)[allRoutes].former
 	longest := upperBound(former.Whole.quantile(wholeQuantile))
 	d := time.Duration(r.rollout.DeadlineAt-r.rollout.OrderedAt) * time.Millisecond
 	return max(minMoveTime, min(longest+moveMargin, time.Duration(maxMoveFraction*float64(d))))
