Let the soak roll out a version beside its other faults

Checked are the share that a bad one gets, that an acknowledged order is not lost, and how it has ended once the fleet has recovered.

--- a/soaker/cmd/soaker/main.go
+++ b/soaker/cmd/soaker/main.go
@@ -78,6 +78,7 @@
 	if err != nil {
 		fmt.Println("  error:", err)
 	}
+	fmt.Println("  rollout:", r.Rollout)
 	if len(r.Findings) == 0 {
 		return
 	}
--- a/soaker/endpoint.go
+++ b/soaker/endpoint.go
@@ -44,15 +44,22 @@
 	busy         bool // turns a part of its requests away, most of them with a time for which it wants no others
 	leaving      bool // tells so in its responses, but not in its heartbeats
 	drainStarted time.Time
+	bad          bool      // fails badShare of its requests
+	exposure     *exposure // nil unless its service has a rollout
 }
 
 // StartEndpoint starts an endpoint that serves requests and sends heartbeats until ctx ends.
 func StartEndpoint(ctx context.Context, f *Fleet, id, service string, seed uint64) (*Endpoint, error) {
+	return startVersion(ctx, f, id, service, versionOf(id), seed)
+}
+
+// startVersion starts an endpoint with a software version.
+func startVersion(ctx context.Context, f *Fleet, id, service, version string, seed uint64) (*Endpoint, error) {
 	ln, err := (&net.ListenConfig{}).Listen(ctx, "tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	e := &Endpoint{id: id, service: service, version: versionOf(id), bornMillis: time.Now().UnixMilli(), slots: 8, ln: ln,
+	e := &Endpoint{id: id, service: service, version: version, bornMillis: time.Now().UnixMilli(), slots: 8, ln: ln,
 		checker: f.checker, fleet: f, rng: rand.New(rand.NewPCG(seed, 7))}
 	go e.accept()
 	go e.sendHeartbeats(ctx)
@@ -129,11 +136,15 @@
 	if e.leaving {
 		said = "Cactus-Leaving: 1\r\n"
 	}
+	isBad, x := e.bad && e.rng.Float64() < badShare, e.exposure
 	e.mu.Unlock()
 	if r.Header.Get("Cactus-Endpoint") != e.id {
 		return writeResponse(c, "421 Other", id, "", "")
 	}
 	e.checker.RecordArrival(id, e.id)
+	if x != nil {
+		x.count(e.version)
+	}
 	if busyDraw < busyShare {
 		return e.turnAway(c, id, busyDraw/busyShare)
 	}
@@ -145,6 +156,8 @@
 	}
 	e.checker.RecordRun(id, e, requestChecksum(r.Method, r.RequestURI, body))
 	switch {
+	case isBad:
+		return writeResponse(c, "500 Failed", id, "Cactus-Signature: "+e.id+"\r\n", "failed")
 	case draw < 0.15:
 		return false // closed without a response after the request has run
 	case draw < 0.2:
--- a/soaker/fleet.go
+++ b/soaker/fleet.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"cactusroute.dev/adapters/configurer"
+	"cactusroute.dev/core/rollouter"
 	"cactusroute.dev/node"
 )
 
@@ -91,7 +92,8 @@
 		Place: configurer.Place{Name: name, Region: "r", FailureDomain: "d"},
 		Listen: node.Listen{Front: addresses[0], Ready: addresses[1], Control: addresses[2],
 			Exchange: addresses[3]},
-		MinVoters: f.DiskNodes, HeartbeatMillis: int(heartbeatInterval.Milliseconds()), GraceMillis: gracePeriodMillis}}
+		MinVoters: f.DiskNodes, HeartbeatMillis: int(heartbeatInterval.Milliseconds()), GraceMillis: gracePeriodMillis,
+		Rollouts: rollouter.Limits{ExposeShare: exposeShare, ExposeSlack: exposeSlack}}}
 	if hasDisk {
 		n.settings.DataFolder = filepath.Join(n.folder, "data")
 	}
--- a/soaker/run.go
+++ b/soaker/run.go
@@ -45,6 +45,7 @@
 	Seed     uint64
 	Injected []string
 	Findings []string
+	Rollout  string // how the rollout ended
 	Served   int
 	Refused  int
 	Failed   int
@@ -62,6 +63,7 @@
 	injected    []string
 	faultyNodes map[*Node]bool // nodes with an active fault; at most one fault per node
 	planVersion uint64
+	rollout     string // how it ended
 }
 
 // Run starts a fleet, injects the faults that the seed determines, and checks the fleet's guarantees.
@@ -88,12 +90,14 @@
 	}
 	wg.Go(func() { s.runOperator(callersCtx) })
 	wg.Go(func() { s.runDecliningEndpoints(callersCtx) })
+	wg.Go(func() { s.runRollout(callersCtx, ctx) })
 	s.injectFaults(ctx)
 	s.checkRecovery(ctx)
+	s.checkRollout(ctx)
 	stopCallers()
 	wg.Wait()
 	s.checkFinalPlan(ctx)
-	r = Result{Seed: cfg.Seed, Injected: s.injected, Findings: checker.Findings}
+	r = Result{Seed: cfg.Seed, Injected: s.injected, Findings: checker.Findings, Rollout: s.rollout}
 	r.Served, r.Refused, r.Failed = checker.Counts()
 	return r, nil
 }
@@ -131,9 +135,11 @@
 
 func encodePlan(version uint64) ([]byte, error) {
 	shares := []planner.Share{{Service: "s", Weight: 1}}
-	return json.Marshal(planner.Plan{Version: version, Services: []planner.Service{{Name: "s"}},
+	return json.Marshal(planner.Plan{Version: version, Services: []planner.Service{{Name: "s"}, {Name: rolloutService}},
 		Workspaces: []planner.Workspace{{Name: "w", Keys: []string{"key"}}},
 		Routes: []planner.Route{
+			{Name: "rolled", Host: "soak.example", Prefix: "/rolled/", Kind: planner.KindRepeatable, TimeoutMillis: 2000,
+				MaxAttempts: 2, Shares: []planner.Share{{Service: rolloutService, Weight: 1}}},
 			{Name: "once", Host: "soak.example", Prefix: "/once/", Kind: planner.KindOnce, TimeoutMillis: 2000,
 				Shares: shares},
 			{Name: "safe", Host: "soak.example", Prefix: "/safe/", Kind: planner.KindRepeatable, TimeoutMillis: 2000,
