--- a/core/rollouter/rollouter_test.go
+++ b/core/rollouter/rollouter_test.go
@@ -108,7 +108,8 @@
 		{"as many slots, overload",
 			[]registrar.Endpoint{endpoint("v2", registrar.Ready), endpoint("v2", registrar.Silent)}, 15, false},
 	} {
-		f := NewFacts(&Rollout{Service: "s", Target: "v2"}, append(c.target, former...), func(string) int { return c.inFlight })
+		f := NewFacts(&Rollout{Service: "s", Target: "v2"}, append(c.target, former...),
+			func(string) int { return c.inFlight })
 		assert.Equal(t, f.lacksCapacity(), c.lacks, "%s: %+v", c.name, f)
 		assert.DeepEqual(t, f.Former, []string{"v0", "v1"})
 		assert.Equal(t, f.FormerInFlight, 3*c.inFlight)
--- a/node/rollouts.go
+++ b/node/rollouts.go
@@ -18,8 +18,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
 	defer cancel()
-	// An order that was delayed in this process must not begin after its sender has left.
-	s, err := readForSender(ctx, ci)
+	s, err := readForSender(ctx, ci) // the sender of a delayed order may have left
 	if err != nil {
 		return err
 	}
--- a/node/view.go
+++ b/node/view.go
@@ -31,7 +31,6 @@
 	mu      sync.Mutex
 	chooser *chooser.Chooser
 	routers int
-	index   uint64                           // of the replicated state that the chooser has
 	budgets map[string]*retrier.WindowBudget // by service
 }
 
