Give connections accepted at a stop the time to bring their requests

Cause: net/http drops a request that it reads after the start of its shutdown. A server without an idle grace, as the agent and the control address of a node, shuts it down as soon as the listener is closed.

Change: a server waits a second, at most half of its grace period, for its connections to end by themselves.

--- a/adapters/server/drain_test.go
+++ b/adapters/server/drain_test.go
@@ -55,7 +55,6 @@
 // Guards against a reset of connections that callers establish until the listener closes. A connection counts once its
 // caller has it, whether or not the server has accepted it.
 func TestDrainWhileConnectionsAreEstablished(t *testing.T) {
-	const callers = 200
 	plain, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	l := NewDrainingListener(plain)
@@ -63,13 +62,35 @@
 	hs := &http.Server{ReadHeaderTimeout: testTimeout, Handler: http.NotFoundHandler(), ConnState: count.Track}
 	defer func() { _ = hs.Close() }()
 	go func() { _ = hs.Serve(l) }()
-	var answered, lost atomic.Int64
+	callUntilRefused(t, plain.Addr().String(), func() { assert.NilError(t, l.Drain()) })
+}
+
+// Guards against the same at a server, which ends when its last connections have been answered.
+func TestStopWhileConnectionsAreEstablished(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	s := &Server{Handler: http.NotFoundHandler(), GracePeriod: testTimeout}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	ended := make(chan error, 1)
+	go func() { ended <- s.serve(ctx, l) }()
+	callUntilRefused(t, l.Addr().String(), cancel)
+	err = <-ended
+	assert.Assert(t, errors.Is(err, context.Canceled), "%v", err)
+}
+
+// callUntilRefused lets 200 callers connect and call in a loop, calls stop meanwhile, and checks that each connection
+// was answered.
+func callUntilRefused(t *testing.T, address string, stop func()) {
+	t.Helper()
+	const callers = 200
+	var answered, lost, stoppedAt atomic.Int64
 	var wg sync.WaitGroup
 	started := make(chan struct{}, callers)
 	for range callers {
 		wg.Go(func() {
 			for n := 0; ; n++ {
-				c, err := net.DialTimeout("tcp", plain.Addr().String(), testTimeout)
+				c, err := net.DialTimeout("tcp", address, testTimeout)
 				if err != nil {
 					return // refused: the request was not sent
 				}
@@ -80,6 +101,8 @@
 				}
 				_ = c.Close()
 				if err != nil {
+					t.Logf("lost from %s after %d answers, %s after the stop began: %v", c.LocalAddr(), n,
+						time.Since(time.Unix(0, stoppedAt.Load())), err)
 					lost.Add(1)
 					return
 				}
@@ -93,7 +116,8 @@
 	for range callers {
 		<-started
 	}
-	assert.NilError(t, l.Drain())
+	stoppedAt.Store(time.Now().UnixNano())
+	stop()
 	wg.Wait()
 	assert.Equal(t, lost.Load(), int64(0), "of %d", answered.Load())
 }
--- a/adapters/server/server.go
+++ b/adapters/server/server.go
@@ -15,6 +15,11 @@
 const (
 	readHeaderTimeout = 10 * time.Second
 	maxHeaderBytes    = 32 << 10
+
+	// minIdleGrace is the least time for which connections that have just been accepted bring their requests, at most half
+	// of the grace period.
+	minIdleGrace = time.Second
+
 	// preStopTimeout is the freshness lease: after it, routers send no new requests even if PreStop hooks have failed.
 	preStopTimeout = 2 * time.Second
 )
@@ -66,7 +71,8 @@
 	// GracePeriod limits the total duration of the Drain hooks and the requests in flight.
 	GracePeriod time.Duration
 	// IdleGrace is how long idle connections stay open within GracePeriod after the listener is closed. Until then they
-	// are answered, and closed after the answer: a request may be on its way when an idle connection is closed.
+	// are answered, and closed after the answer: a request may be on its way when an idle connection is closed. It is
+	// minIdleGrace at least.
 	IdleGrace time.Duration
 
 	// Guard bounds what connections hold; it may be nil.
@@ -156,7 +162,8 @@
 // closeConns closes the listener and idle connections, and waits for requests in flight.
 func (s *Server) closeConns(ctx context.Context, hs *http.Server, l *DrainingListener) error {
 	drainErr := l.Drain()
-	idleCtx, cancel := context.WithTimeout(ctx, s.IdleGrace)
+	// net/http drops a request that it reads after the start of its shutdown, also on a new connection.
+	idleCtx, cancel := context.WithTimeout(ctx, max(s.IdleGrace, min(minIdleGrace, s.GracePeriod/2)))
 	defer cancel()
 	AwaitClosed(idleCtx, s.conns.Open)
 	return errors.Join(drainErr, hs.Shutdown(ctx))
