Correct the capacity no faster than a change shows, and let shares replace the reservation by priority

Cause: with requests of 0.6 s the correction of the capacity swung between 0.75 and 1.15, and the reservation refused less urgent requests of workspaces within their share.

Change: the correction changes per correctionDelay and hold time; the divided part of the slots differs for engines; the reservation does not apply while a service is divided.

--- a/core/chooser/chooser.go
+++ b/core/chooser/chooser.go
@@ -199,6 +199,8 @@
 	policy planner.LoadPolicy
 	ledger summer.Ledger // named sums over all routers
 	shares map[string]*serviceShares
+	// isDivided is set while the service of the present request is divided by shares, which replace the reservation.
+	isDivided bool
 
 	events        []Event // not yet taken
 	droppedEvents int
@@ -421,7 +423,7 @@
 		slots *= plainSlotFactor
 	}
 	reserved := reservedFraction * q.Priority
-	if isExemptFromReserve(q.Random) {
+	if isExemptFromReserve(q.Random) || c.isDivided {
 		reserved = 0
 	}
 	return slots * (1 - reserved)
--- a/core/chooser/share.go
+++ b/core/chooser/share.go
@@ -38,9 +38,11 @@
 	// aloneFactor is the multiple of its equal part that a router uses while it knows nothing of the others.
 	aloneFactor = 2
 
-	// shareFraction is the fraction of the slots that is divided, before any correction. Needs include waits for a slot
-	// that the routers don't know of; refusals below the capacity are worse than short queues.
-	shareFraction = 1.1
+	// engineShare and plainShare are the fractions of the slots of engines and of other endpoints that are divided, before
+	// any correction. The needs of short requests include waits for a slot that the routers don't know of, and refusals
+	// below the capacity are worse than short queues.
+	engineShare = 0.93
+	plainShare  = 1.1
 
 	// busyShare is the fraction of the capacity in use from which needs are published, for publishTime.
 	busyShare   = 0.5
@@ -55,12 +57,13 @@
 	fullFraction   = 0.05
 	congestedLoad  = 0.97
 	congestedQueue = 1.5
-	roomyLoad      = 0.9
+	roomyLoad      = 0.85
 
-	// correctionFall and correctionGrowth are the relative rates per second of the correction, from minCorrection to
-	// maxCorrection.
-	correctionFall   = 0.25
-	correctionGrowth = 0.6
+	// correctionFall and correctionGrowth are the relative changes of the correction, from minCorrection to maxCorrection,
+	// in the time after which a change shows: correctionDelay and the mean hold time.
+	correctionDelay  = 500 * time.Millisecond
+	correctionFall   = 0.1
+	correctionGrowth = 0.2
 	minCorrection    = 0.75
 	maxCorrection    = 4
 
@@ -173,6 +176,7 @@
 	ok, full             decayingSum // admitted work of this router that found an endpoint, or none
 	okOthers, fullOthers float64
 
+	holdTime       float64 // mean of all requests in seconds
 	admissible     float64 // by the endpoints' limits, infinite without any
 	correction     float64 // factor of it that follows from what is seen
 	capacity       float64 // divided last; of this router alone if it knows of no other
@@ -217,6 +221,14 @@
 	return w
 }
 
+// fraction returns the part of the slots that is divided.
+func (s *serviceShares) fraction() float64 {
+	if s.plan.Engine {
+		return engineShare
+	}
+	return plainShare
+}
+
 // size returns the size of a request in tokens of the prompt, 0 if it is unknown.
 func (q *Query) size() float64 { return float64(q.PromptTokens + outputTokenFactor*q.OutputTokens) }
 
@@ -246,6 +258,7 @@
 func (c *Chooser) admitShare(now time.Time, q *Query, p *pool) Reason {
 	s := c.sharesOf(q.Service.Name)
 	s.plan = q.Service
+	c.isDivided = !s.publishedSince.IsZero() && now.Sub(s.publishedSince) >= soundSumsTime && s.needed > s.capacity
 	class := sharer.ClassOf(q.Priority)
 	if !q.Deadline.IsZero() && q.Deadline.Sub(now).Seconds() < certainFraction*s.byClass[class].shortHold && !q.isProbe() {
 		return TooLate
@@ -338,6 +351,7 @@
 		for _, w := range s.workspaces {
 			c.unpublishWorkspace(w)
 		}
+		c.isDivided = false
 		c.ledger.Set(s.prefix+okKey, 0)
 		c.ledger.Set(s.prefix+fullKey, 0)
 		delete(c.shares, name)
@@ -415,11 +429,11 @@
 // updateCapacity sets what the endpoints admit, and the mean of their failure rates; it returns the requests in
 // progress at them.
 func (c *Chooser) updateCapacity(now time.Time, s *serviceShares, p *pool) (load float64) {
-	service := s.plan
-	hold := p.holdTime
+	service, hold := s.plan, p.holdTime
 	if hold <= 0 {
 		hold = initialHoldTime.Seconds()
 	}
+	s.holdTime = hold
 	failures, n := 0.0, 0
 	s.admissible = 0
 	for _, e := range p.endpoints {
@@ -445,7 +459,7 @@
 		if service.ColdPerSecond > 0 && now.Before(e.ColdUntil) {
 			limit = min(limit, coldRateFraction*(service.ColdPerSecond*c.limits.ColdFactor+c.limits.ColdSlack)*hold)
 		}
-		s.admissible += shareFraction * limit
+		s.admissible += s.fraction() * limit
 	}
 	for _, e := range p.endpoints {
 		e.usualFailureRate = failures / float64(max(1, n))
@@ -456,11 +470,12 @@
 // correct updates the correction of the capacity; load is the number of requests in progress.
 func (s *serviceShares) correct(now time.Time, elapsed, load float64, isAlone bool) {
 	ok, full := s.ok.inProgress(now, foundWindow)+s.okOthers, s.full.inProgress(now, foundWindow)+s.fullOthers
-	slots := s.admissible / shareFraction
+	slots := s.admissible / s.fraction()
 	congested := slots * congestedQueue
 	if s.plan.Engine {
 		congested = slots * congestedLoad
 	}
+	elapsed /= correctionDelay.Seconds() + s.holdTime
 	switch {
 	case isAlone || s.publishedSince.IsZero() || now.Sub(s.publishedSince) < soundSumsTime:
 		s.correction = 1
