--- a/core/chooser/share_test.go
+++ b/core/chooser/share_test.go
@@ -375,3 +375,65 @@
 		})
 	}
 }
+
+// Guards against a second wave: callers above the share of their workspace return one after the other, later than those
+// within their share, and urgent ones first.
+func TestRefusedCallersReturnApart(t *testing.T) {
+	c := New(limits, "r", "d")
+	c.SetPolicy(planner.LoadPolicy{Shares: true})
+	c.Update(start, testEndpoints(3), nil, 1)
+	query := func(workspace string, priority float64) Query {
+		return Query{Service: &planner.Service{Name: "llm"}, Workspace: workspace, Weight: 1, Priority: priority, Random: 0.5}
+	}
+	now := start
+	for i := range 400 {
+		now = start.Add(time.Duration(i) * 10 * time.Millisecond)
+		if choice, reason := c.Choose(now, query("flood", 0.5)); reason == "" {
+			c.Done(now.Add(50*time.Millisecond), choice)
+		}
+	}
+	c.shares["llm"].workspaces["flood"].Accepted = [4]float64{0.2, 0.2, 0.2, 0.2}
+	last := now
+	for i := range 20 {
+		at, ok := c.ReturnAt(now, query("flood", 0.5), OverShare)
+		assert.Assert(t, ok && at.After(last) && !at.After(now.Add(maxReturn)), "caller %d returns %s later", i, at.Sub(last))
+		last = at
+	}
+	within, _ := c.ReturnAt(now, query("small", 0.5), AllAtCapacity)
+	urgent, _ := c.ReturnAt(now, query("small", 0), AllAtCapacity)
+	assert.Assert(t, urgent.Before(within) && within.Before(last))
+	_, ok := c.ReturnAt(now, query("small", 0), AllTried)
+	assert.Assert(t, !ok)
+}
+
+// Guards against requests that are served although their deadline passes before, and a class that is refused for ever
+// after its requests have become short.
+func TestRequestsSureToBeLateAreRefused(t *testing.T) {
+	c := New(limits, "r", "d")
+	c.SetPolicy(planner.LoadPolicy{Shares: true})
+	c.Update(start, testEndpoints(3), nil, 1)
+	hold, left := 2*time.Second, 300*time.Millisecond
+	refused := [2]int{}
+	rng := rand.New(rand.NewPCG(1, 1))
+	for i := range 2000 {
+		now := start.Add(time.Duration(i) * 10 * time.Millisecond)
+		q := Query{Service: &planner.Service{Name: "llm"}, Random: rng.Float64(), Deadline: now.Add(10 * time.Second)}
+		switch {
+		case i >= 1500:
+			hold, q.Deadline = 50*time.Millisecond, now.Add(left)
+		case i%3 == 0:
+			q.Deadline = now.Add(left)
+		}
+		choice, reason := c.Choose(now, q)
+		switch {
+		case reason == TooLate && i < 1500:
+			refused[0]++
+		case reason == TooLate && i >= 1800:
+			refused[1]++
+		case reason == "":
+			c.Done(now.Add(hold), choice)
+		}
+	}
+	assert.Assert(t, refused[0] >= 450, "%d of 500 requests that end too late are refused", refused[0])
+	assert.Equal(t, refused[1], 0, "requests that have become short are refused")
+}
