--- a/core/chooser/chooser.go
+++ b/core/chooser/chooser.go
@@ -206,6 +206,8 @@
 	policy planner.LoadPolicy
 	ledger summer.Ledger // named sums over all routers
 	shares map[string]*serviceShares
+	// isDivided is set while the service of the present request is divided by shares, which replace the reservation.
+	isDivided bool
 
 	domains     map[string]*serviceDomains // by service
 	destination destination                // of the request for which Choose selects
@@ -449,7 +451,7 @@
 		slots *= plainSlotFactor
 	}
 	reserved := reservedFraction * q.Priority
-	if isExemptFromReserve(q.Random) {
+	if isExemptFromReserve(q.Random) || c.isDivided {
 		reserved = 0
 	}
 	return slots * (1 - reserved)
