--- a/core/chooser/domains.go
+++ b/core/chooser/domains.go
@@ -261,7 +261,7 @@
 		d.Delay = c.domainDelays(prefix, d.Name, s.domains)
 	}
 	s.decider.Step(now, s.domains, s.service, c.sharesOfOthers(prefix, s))
-	c.publishShares(prefix, s)
+	c.publishDomainShares(prefix, s)
 	c.logShare(now, name, s)
 }
 
@@ -292,7 +292,7 @@
 	return delays
 }
 
-func (c *Chooser) setSum(s *serviceDomains, key string, value float64) {
+func (c *Chooser) setDomainSum(s *serviceDomains, key string, value float64) {
 	if !slices.Contains(s.keys, key) {
 		s.keys = append(s.keys, key)
 	}
@@ -306,22 +306,22 @@
 	if hold <= 0 {
 		hold = initialHoldTime.Seconds()
 	}
-	c.setSum(s, own+"/work", rate*hold*workScale)
-	c.setSum(s, own+"/rate", rate*rateScale)
-	c.setSum(s, own+"/price", rate*s.priceMillis*priceScale)
-	c.setSum(s, own+"/routers", 1)
+	c.setDomainSum(s, own+"/work", rate*hold*workScale)
+	c.setDomainSum(s, own+"/rate", rate*rateScale)
+	c.setDomainSum(s, own+"/price", rate*s.priceMillis*priceScale)
+	c.setDomainSum(s, own+"/routers", 1)
 	for to, t := range s.times {
 		t.decay(now)
-		c.setSum(s, own+">"+to+"/ms", t.seconds*1000)
-		c.setSum(s, own+">"+to+"/n", t.count)
+		c.setDomainSum(s, own+">"+to+"/ms", t.seconds*1000)
+		c.setDomainSum(s, own+">"+to+"/n", t.count)
 	}
 }
 
-func (c *Chooser) publishShares(prefix string, s *serviceDomains) {
+func (c *Chooser) publishDomainShares(prefix string, s *serviceDomains) {
 	for i := range s.domains {
 		to := s.domains[i].Name
 		if share := s.decider.Shares[spiller.Pair{From: c.domain, To: to}]; to != c.domain {
-			c.setSum(s, prefix+c.domain+">"+to+"/share", share*shareScale)
+			c.setDomainSum(s, prefix+c.domain+">"+to+"/share", share*shareScale)
 		}
 	}
 }
