Compare endpoints by pace, and let requests for a small service wait in an order shared by the routers

Change: weights by pace within the load bound, one cap by what is finished in time, a queue at each router whose sums the others know, a pause for endpoints that reject. All of it is off without the decisions pace and queues. TestSmallService passes with both on. With both off, ten of its twelve cases fail (one slow spell in 500 ms and two paces by turns pass either way: they guard against a choice that flips); TestChoicesWithoutDemandScheduling passes.

--- a/core/chooser/chooser.go
+++ b/core/chooser/chooser.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"cactusroute.dev/core/pacer"
 	"cactusroute.dev/core/placer"
 	"cactusroute.dev/core/planner"
 	"cactusroute.dev/core/registrar"
@@ -109,6 +110,7 @@
 	// Version restricts the choice of a resumed stream to endpoints of the software version that began it.
 	Version   string
 	IsResumed bool
+	Waiter    *Waiter // place of the request in the queue; nil if it does not wait
 }
 
 // Reason states why no endpoint was selected; it is empty if one was.
@@ -137,6 +139,8 @@
 	// are expected at the endpoint itself or the source is unknown.
 	CacheSource string
 	At          time.Time // when it was selected
+
+	class workClass
 }
 
 // endpoint is the state of one endpoint as known to this router.
@@ -163,6 +167,11 @@
 	otherAttempts       decayingCount // those that endpoints of a higher rank did not accept
 	processEnd          processEnd
 	said                *statement // nil unless it leaves or has asked for quiet
+	pace                pacer.Estimate
+	weight              float64 // share of the requests relative to the mean; 0 until it is known
+	isSlow              bool    // logged as slow
+	rejections          int     // consecutive requests that it has rejected
+	rejectsUntil        time.Time
 }
 
 // history is what a router remembers of its requests for a service.
@@ -176,9 +185,12 @@
 
 type pool struct {
 	history
+	work  work
+	queue *queue // nil unless requests wait in the shared order
 
 	members   *placer.Subset // all endpoints of the service, also those out of service
 	endpoints []*endpoint    // by index in members
+	slots     int            // of the endpoints in service
 }
 
 // Chooser selects endpoints by the state known to one router; it is not safe for concurrent use.
@@ -261,11 +273,15 @@
 		memberPool := placer.NewPool(members)
 		p := &pool{}
 		if known := oldPools[service]; known != nil {
-			p.history = known.history
+			p.history, p.work, p.queue = known.history, known.work, known.queue
 		}
 		p.members = memberPool.All()
 		for i := range memberPool.Len() {
-			p.endpoints = append(p.endpoints, c.byID[memberPool.Name(i)])
+			e := c.byID[memberPool.Name(i)]
+			p.endpoints = append(p.endpoints, e)
+			if e.inService {
+				p.slots += max(0, e.Slots)
+			}
 		}
 		c.pools[service] = p
 	}
@@ -297,16 +313,22 @@
 	if p.firstAt.IsZero() {
 		p.firstAt = now
 	}
-	p.attempts.add(now, demandWindow)
-	p.recent.add(now, growthWindow)
+	if q.Waiter == nil || !q.Waiter.HasJoined {
+		p.attempts.add(now, demandWindow)
+		p.recent.add(now, growthWindow)
+	}
 	var choice Choice
 	var reason Reason
-	if q.Service.Engine && len(q.Parts) > 0 {
+	switch {
+	case q.Service.Engine && len(q.Parts) > 0:
 		choice, reason = c.chooseByAffinity(now, q, p)
-	} else {
+	case c.isQueued(q.Service, p):
+		choice, reason = c.chooseInTurn(now, q, p)
+	default:
 		choice, reason = c.chooseByLoad(now, q, p)
 	}
 	if reason == "" {
+		choice.class = classOf(&q, choice.Rank)
 		p.accepted.add(now, demandWindow)
 	}
 	return choice, reason
@@ -341,7 +363,8 @@
 	if !c.isWithinColdRate(now, q.Service, e) {
 		return ColdRateExhausted
 	}
-	if e.Slots > 0 && !q.Service.Engine && e.inFlight >= max(minRouterLimit, 2*plainSlotFactor*e.Slots/c.routers) {
+	if e.Slots > 0 && !q.Service.Engine && e.inFlight >= c.routerLimit(now, c.pools[q.Service.Name], e) ||
+		c.policy.Queues && now.Before(e.rejectsUntil) {
 		return AllAtCapacity
 	}
 	return ""
@@ -390,6 +413,7 @@
 	}
 	mean := float64(l.total) / float64(len(p.endpoints)) // also of those out of service
 	l.loadBound = c.limits.LoadFactor*mean + c.limits.LoadSlack
+	c.weigh(now, p, l)
 	return l
 }
 
@@ -497,7 +521,7 @@
 		limit := c.admissionLimit(q, e)
 		n := float64(e.load(now, c.remoteAt))
 		isFirst := rank == 1
-		target := f.target(limit, load.loadBound)
+		target := f.target(limit, load.loadBound) * min(1, c.paceWeight(e))
 		if !isFirst {
 			target *= 1 - load.busy*(1-spillFraction)
 		}
@@ -521,7 +545,7 @@
 		}
 		if n+1 <= limit {
 			c.candidates = append(c.candidates, candidate{endpoint: e, rank: rank - 1, load: n, limit: math.Inf(1),
-				maxRate: math.Inf(1)})
+				weight: 1, maxRate: math.Inf(1)})
 		}
 		reason = preferReason(reason, AllAtCapacity)
 	}
@@ -559,7 +583,7 @@
 			reason = preferReason(reason, r)
 			continue
 		}
-		n, limit := float64(e.load(now, c.remoteAt)), c.admissionLimit(q, e)
+		n, limit := float64(e.load(now, c.remoteAt)), min(c.admissionLimit(q, e), c.timelyLimit(now, &q, p, e))
 		if f.isExact && n+1 > limit {
 			reason = preferReason(reason, AllAtCapacity)
 			continue
@@ -569,11 +593,11 @@
 			continue
 		}
 		isAvoided := e.isAvoided(now) || e.State == registrar.Silent && e.consecutiveFailures > 0
-		cost := n
-		cost += c.domainCost(now, &q, p, e)
+		weight, distance := c.paceWeight(e), c.domainCost(now, &q, p, e)
+		cost := c.loadCost(n, weight) + distance
 		if !isAvoided && !f.isExact {
-			c.candidates = append(c.candidates, candidate{endpoint: e, load: cost, limit: limit,
-				maxRate: e.preferredRate(priority)})
+			c.candidates = append(c.candidates, candidate{endpoint: e, load: n + distance, weight: weight, limit: limit,
+				maxRate: min(e.preferredRate(priority), c.settlingRate(now, p, e, n, limit))})
 		}
 		if isAvoided {
 			cost += 1e6 + float64(e.avoidUntil.UnixMilli()%1e9)/1e6
@@ -726,6 +750,7 @@
 
 // OwnLoads returns the load of each endpoint by this router, to be published to the other routers.
 func (c *Chooser) OwnLoads(now time.Time) Loads {
+	c.publishQueues(now)
 	c.published = Loads{}
 	for id, e := range c.byID {
 		e.firstAttempts = recent(e.firstAttempts, now, wantedWindow)
@@ -781,6 +806,7 @@
 	if e := c.lookup(target); e != nil {
 		e.reported, e.reportedAt, e.sentSinceReport = r.Running+r.Waiting, now, 0
 	}
+	c.recordPace(now, target, r.Pace)
 }
 
 // RecordResponse records a response; failed means an error of the endpoint itself.
@@ -790,6 +816,7 @@
 		return
 	}
 	e.consecutiveFailures, e.avoidUntil = 0, time.Time{}
+	e.rejections, e.rejectsUntil = 0, time.Time{}
 	e.updateFailureRate(failed)
 }
 
--- a/core/chooser/forecast.go
+++ b/core/chooser/forecast.go
@@ -108,6 +108,10 @@
 	if hold <= 0 {
 		hold = initialHoldTime.Seconds()
 	}
+	waiting := c.waiting(now, p)
+	if waiting > 0 && p.work.seconds > 0 {
+		hold = p.work.seconds * max(1, float64(totalLoad)/float64(max(1, p.slots)))
+	}
 	delay := reportHops * c.reportInterval.Seconds()
 	f.remaining = math.Exp(-delay / hold)
 	f.ratePerRequest = 1 / (hold * (1 - f.remaining))
@@ -118,6 +122,9 @@
 		(f.attempts / effectiveWindow(demandWindow, span))
 	acceptedRate := max(float64(totalLoad)/hold, accepted/demandWindow.Seconds()*float64(c.routers))
 	f.rate = acceptedRate * f.attempts / accepted * max(1, growth)
+	if waiting > 0 {
+		f.rate = max(float64(totalLoad)/hold, c.triesPerSecond(now, p, waiting))
+	}
 	return f
 }
 
@@ -167,6 +174,7 @@
 	endpoint    *endpoint
 	rank        int
 	load, limit float64
+	weight      float64 // the loads divided by it are leveled
 	maxRate     float64 // of requests
 	rate        float64 // of the requests that it should receive
 }
@@ -177,7 +185,7 @@
 	if f.isExact {
 		return &list[0]
 	}
-	slices.SortFunc(list, func(a, b candidate) int { return cmp.Compare(a.load, b.load) })
+	slices.SortFunc(list, func(a, b candidate) int { return cmp.Compare(a.load/a.weight, b.load/b.weight) })
 	total := f.setRates(list)
 	at := random * max(total, f.rate)
 	for i := range list {
@@ -191,8 +199,8 @@
 	return &list[int(random*float64(len(list)))]
 }
 
-// setRates sets the rates with which the expected requests level the loads of candidates, which are sorted by load, and
-// returns their sum. What exceeds the rate that an endpoint takes goes to the others.
+// setRates sets the rates with which the expected requests level the loads of candidates, which are sorted by load and
+// weight, and returns their sum. What exceeds the rate that an endpoint takes goes to the others.
 func (f *forecast) setRates(list []candidate) (total float64) {
 	left := f.rate
 	for i := range list {
@@ -203,7 +211,7 @@
 		level := f.level(list, left)
 		for i := range list {
 			l := &list[i]
-			if l.rate < 0 && l.maxRate < f.allowedRate(l.load, min(level, l.limit)) {
+			if l.rate < 0 && l.maxRate < f.allowedRate(l.load, min(level*l.weight, l.limit)) {
 				l.rate, isCapped = l.maxRate, true
 				left = max(0, left-l.maxRate)
 			}
@@ -213,7 +221,7 @@
 		}
 		for i := range list {
 			if l := &list[i]; l.rate < 0 {
-				l.rate = f.allowedRate(l.load, min(level, l.limit))
+				l.rate = f.allowedRate(l.load, min(level*l.weight, l.limit))
 			}
 		}
 	}
@@ -226,17 +234,17 @@
 // level returns the load to which the endpoints without a known rate rise if they receive a rate of requests.
 func (f *forecast) level(list []candidate, rate float64) (level float64) {
 	left := rate / f.ratePerRequest
-	sum, n := 0.0, 0
+	sum, weights := 0.0, 0.0
 	for i := range list {
 		if list[i].rate >= 0 {
 			continue
 		}
-		if n > 0 && level <= list[i].load*f.remaining {
+		if weights > 0 && level <= list[i].load*f.remaining/list[i].weight {
 			break
 		}
-		n++
+		weights += list[i].weight
 		sum += list[i].load * f.remaining
-		level = (left + sum) / float64(n)
+		level = (left + sum) / weights
 	}
 	return level
 }
--- a/node/transfer.go
+++ b/node/transfer.go
@@ -77,6 +77,7 @@
 	lastWriteAt      time.Time         // of a stream
 	choiceLogFields  []any             // endpoint and load of the current attempt
 	lastError        *bufferedResponse // last 5xx response of an endpoint
+	waiter           chooser.Waiter
 }
 
 // bufferedResponse is a complete response of an endpoint that was not forwarded to the caller.
@@ -192,28 +193,40 @@
 	query := chooser.Query{Service: q.service, Parts: q.promptParts, Tried: t.tried, Random: rand.Float64(),
 		Priority: q.priority, Version: t.version, IsResumed: t.hasBegun, Weight: q.workspace.ShareWeight(),
 		PromptTokens: q.promptTokens, OutputTokens: q.outputTokens, Kind: q.route.Kind, ReceivedAt: q.receivedAt,
-		TargetAt: q.receivedAt.Add(time.Duration(q.route.TargetMillis) * time.Millisecond), Deadline: q.deadline}
+		TargetAt: q.receivedAt.Add(time.Duration(q.route.TargetMillis) * time.Millisecond), Deadline: q.deadline,
+		Waiter: &t.waiter}
 	if q.workspace != nil {
 		query.Workspace = q.workspace.Name
 	}
 	return query
 }
 
-// choose selects an endpoint, and waits up to chooseTimeout if none is available.
+// choose selects an endpoint. It waits up to chooseTimeout if none is available, and in a queue while the request can
+// be served by its deadline.
 func (t *transfer) choose(ctx context.Context) (chooser.Choice, chooser.Reason) {
 	start := time.Now()
 	until := start.Add(chooseTimeout)
+	t.waiter = chooser.Waiter{}
+	defer func() {
+		if t.waiter.HasJoined {
+			t.proxy.fleet.routing.withChooser(func(ch *chooser.Chooser) { ch.Leave(&t.waiter) })
+		}
+	}()
 	for {
 		now := time.Now()
 		c, reason := t.proxy.fleet.routing.choose(now, t.query())
-		isFinal := reason == "" || reason == chooser.AllTried || reason == chooser.RateLimited ||
+		nextAt := now.Add(chooseInterval)
+		if reason == chooser.AllAtCapacity && t.waiter.HasJoined {
+			nextAt, until = t.waiter.NextAt, t.request.deadline
+		}
+		isFinal := reason == "" || t.waiter.IsRefused || reason == chooser.AllTried || reason == chooser.RateLimited ||
 			reason == chooser.NoVersion || reason == chooser.VersionUnknown ||
 			reason == chooser.AllQuiet || reason == chooser.AllLeaving
 		if isFinal || now.After(until) || isDisconnected(ctx) {
 			t.proxy.metrics.waitTime.Observe(now.Sub(start).Seconds())
 			return c, reason
 		}
-		sleeper.Pause(ctx, chooseInterval)
+		sleeper.Pause(ctx, time.Until(nextAt))
 	}
 }
 
@@ -410,6 +423,11 @@
 		if known {
 			ch.RecordLoad(time.Now(), c.Endpoint, report)
 		}
+		if notRun {
+			ch.RecordRejection(time.Now(), c.Endpoint)
+		} else if resp.Status < http.StatusInternalServerError {
+			ch.RecordTime(time.Now(), c)
+		}
 		if resp.Status == http.StatusMisdirectedRequest {
 			ch.RecordMisdirected(time.Now(), c.Endpoint)
 		} else if valid {
