--- a/core/chooser/queue.go
+++ b/core/chooser/queue.go
@@ -229,8 +229,8 @@
 	return n
 }
 
-// triesPerSecond returns the rate at which requests of all routers try to get a place: new ones once, and those that wait
-// in each waitInterval.
+// triesPerSecond returns the rate at which requests of all routers try to get a place: new ones once, and those that
+// wait in each waitInterval.
 func (c *Chooser) triesPerSecond(now time.Time, p *pool, waiting float64) float64 {
 	arrivals := p.queue.arrivalRate(now)
 	if c.areSumsKnown(now) {
@@ -245,8 +245,8 @@
 	return q.arrivals.get(now, arrivalsWindow) / arrivalsWindow.Seconds()
 }
 
-// settlingRate returns the rate of requests of all routers that brings the load of an endpoint to its limit: what it ends
-// per second with all slots in use, and the difference over some delays of the reports.
+// settlingRate returns the rate of requests of all routers that brings the load of an endpoint to its limit: what it
+// ends per second with all slots in use, and the difference over some delays of the reports.
 func (c *Chooser) settlingRate(now time.Time, p *pool, e *endpoint, load, limit float64) float64 {
 	if p.work.seconds <= 0 || c.reportInterval <= 0 || c.waiting(now, p) <= 0 {
 		return math.Inf(1)
--- a/core/chooser/work.go
+++ b/core/chooser/work.go
@@ -111,8 +111,8 @@
 	return max(1, load/float64(e.Slots))
 }
 
-// weigh computes the weights of the endpoints of a pool. Requests at an endpoint are bounded by a multiple of their mean
-// number, so that no weight exceeds the target below that bound.
+// weigh computes the weights of the endpoints of a pool. Requests at an endpoint are bounded by a multiple of their
+// mean number, so that no weight exceeds the target below that bound.
 func (c *Chooser) weigh(now time.Time, p *pool, load poolLoad) {
 	if !c.policy.Pace || now.Sub(p.work.weighedAt) < weighInterval {
 		return
