Leave the room to requests that can be on time at any router

Change: late requests try for what is left of the rate of places, and count as served at that rate in the forecast. TestSmallService, burst above the capacity: fails on the version before.

--- a/core/chooser/forecast.go
+++ b/core/chooser/forecast.go
@@ -5,6 +5,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"cactusroute.dev/core/queuer"
 )
 
 const (
@@ -108,7 +110,7 @@
 	if hold <= 0 {
 		hold = initialHoldTime.Seconds()
 	}
-	waiting := c.waiting(now, p)
+	waiting := c.waiting(now, p, queuer.Classes-1)
 	if waiting > 0 && p.work.seconds > 0 {
 		hold = p.work.seconds * max(1, float64(totalLoad)/float64(max(1, p.slots)))
 	}
@@ -123,7 +125,7 @@
 	acceptedRate := max(float64(totalLoad)/hold, accepted/demandWindow.Seconds()*float64(c.routers))
 	f.rate = acceptedRate * f.attempts / accepted * max(1, growth)
 	if waiting > 0 {
-		f.rate = max(float64(totalLoad)/hold, c.triesPerSecond(now, p, waiting))
+		f.rate = max(float64(totalLoad)/hold, c.triesPerSecond(now, p, c.waiting(now, p, p.queue.class)))
 	}
 	return f
 }
--- a/core/chooser/queue.go
+++ b/core/chooser/queue.go
@@ -21,6 +21,12 @@
 	// arrivalsWindow is the time constant of the average rate of new requests.
 	arrivalsWindow = 500 * time.Millisecond
 
+	// minLateShare is the least share of the room for requests that are late.
+	minLateShare = 0.1
+
+	// catchUpTime is the time within which requests that wait and can be on time are served before those that are late.
+	catchUpTime = 100 * time.Millisecond
+
 	// timeMargin is the part of the time in a slot that is added to the expected response time where requests are ordered
 	// by whether they can be on time.
 	timeMargin = 0.5
@@ -61,6 +67,7 @@
 	keys     [queuer.Classes]string
 	arrivals decayingCount
 	rateKey  string // of the arrivals per second
+	class    int    // of the request for which a try is made
 	refused  int    // requests that could not be served by their deadline
 	loggedAt time.Time
 	unlogged int // refused since then
@@ -106,7 +113,17 @@
 	if !p.queue.Contains(&w.ticket) {
 		w.HasJoined = p.queue.Join(&w.ticket)
 	}
-	if first := p.queue.First(now); first != nil && first != &w.ticket && c.tryFor(now, first, q.Random, p) {
+	first := p.queue.First(now)
+	if first == nil {
+		first = &w.ticket
+	}
+	p.queue.class = p.queue.Class(now, first)
+	if q.Random >= c.lateShare(now, p, room) {
+		c.wait(now, w, p, room)
+		return Choice{}, AllAtCapacity
+	}
+	q.Random /= c.lateShare(now, p, room)
+	if first != &w.ticket && c.tryFor(now, first, q.Random, p) {
 		c.wait(now, w, p, room)
 		return Choice{}, AllAtCapacity
 	}
@@ -144,6 +161,9 @@
 			ahead += c.ledger.Others(p.queue.keys[class])
 		}
 	}
+	if queuer.IsLate(p.queue.Class(now, &w.ticket)) {
+		room.PerSecond = max(minLateShare*room.PerSecond, room.PerSecond-c.arrivals(now, p))
+	}
 	if w.HasJoined && !room.IsTooLate(now, w.ticket.Deadline, ahead) {
 		return
 	}
@@ -214,31 +234,48 @@
 	}
 }
 
-// waiting returns the number of requests that wait for the service at all routers.
-func (c *Chooser) waiting(now time.Time, p *pool) float64 {
+// waiting returns the number of requests up to a class that wait for the service at all routers.
+func (c *Chooser) waiting(now time.Time, p *pool, class int) (n float64) {
 	if !c.policy.Queues || p.queue == nil {
 		return 0
 	}
-	n := float64(p.queue.Len())
-	if !c.areSumsKnown(now) {
-		return n * float64(c.routers)
-	}
-	for _, key := range p.queue.keys {
-		n += c.ledger.Others(key)
+	areKnown := c.areSumsKnown(now)
+	for i, own := range p.queue.Counts(now) {
+		if i > class {
+			break
+		}
+		if areKnown {
+			n += float64(own) + c.ledger.Others(p.queue.keys[i])
+		} else {
+			n += float64(own * c.routers)
+		}
 	}
 	return n
 }
 
+// arrivals returns the rate of new requests at all routers.
+func (c *Chooser) arrivals(now time.Time, p *pool) float64 {
+	own := p.queue.arrivalRate(now)
+	if c.areSumsKnown(now) {
+		return own + c.ledger.Others(p.queue.rateKey)
+	}
+	return own * float64(c.routers)
+}
+
+// lateShare returns the share of the tries that are made while the first request in the queue is late: the others leave
+// the room to requests of all routers that can be on time.
+func (c *Chooser) lateShare(now time.Time, p *pool, room queuer.Room) float64 {
+	if !queuer.IsLate(p.queue.class) || room.PerSecond <= 0 {
+		return 1
+	}
+	onTime := c.arrivals(now, p) + c.waiting(now, p, p.queue.class-1)/catchUpTime.Seconds()
+	return max(minLateShare, 1-onTime/room.PerSecond)
+}
+
 // triesPerSecond returns the rate at which requests of all routers try to get a place: new ones once, and those that
 // wait in each waitInterval.
 func (c *Chooser) triesPerSecond(now time.Time, p *pool, waiting float64) float64 {
-	arrivals := p.queue.arrivalRate(now)
-	if c.areSumsKnown(now) {
-		arrivals += c.ledger.Others(p.queue.rateKey)
-	} else {
-		arrivals *= float64(c.routers)
-	}
-	return arrivals + waiting/waitInterval.Seconds()
+	return c.arrivals(now, p) + waiting/waitInterval.Seconds()
 }
 
 func (q *queue) arrivalRate(now time.Time) float64 {
@@ -248,7 +285,7 @@
 // settlingRate returns the rate of requests of all routers that brings the load of an endpoint to its limit: what it
 // ends per second with all slots in use, and the difference over some delays of the reports.
 func (c *Chooser) settlingRate(now time.Time, p *pool, e *endpoint, load, limit float64) float64 {
-	if p.work.seconds <= 0 || c.reportInterval <= 0 || c.waiting(now, p) <= 0 {
+	if p.work.seconds <= 0 || c.reportInterval <= 0 || c.waiting(now, p, queuer.Classes-1) <= 0 {
 		return math.Inf(1)
 	}
 	settle := settleReports * reportHops * c.reportInterval.Seconds()
--- a/core/chooser/work_test.go
+++ b/core/chooser/work_test.go
@@ -206,6 +206,7 @@
 		{"burst at one router", 14, smallService{perSecond: burst(260), pace: usual, stated: usual, hot: 0.5}, 80, 0.01},
 		{"burst at one router", 36, smallService{perSecond: burst(260), pace: usual, stated: usual, hot: 0.5}, 80, 0.01},
 		{"burst with noise", 36, smallService{perSecond: burst(250), pace: noise, stated: noise}, 95, 0.01},
+		{"burst above the capacity", 14, smallService{perSecond: burst(400), pace: usual, stated: usual}, 180, 0.25},
 		{"one endpoint rejects", 14, smallService{perSecond: constant(150), pace: usual, stated: usual,
 			rejects: gone}, 70, 0},
 	} {
--- a/core/queuer/queuer.go
+++ b/core/queuer/queuer.go
@@ -38,6 +38,9 @@
 	return class
 }
 
+// IsLate reports whether the requests of a class can't be on time.
+func IsLate(class int) bool { return class >= priorityClasses }
+
 // Queue holds the requests that wait at one router for one service; it is not safe for concurrent use.
 type Queue[T any] struct {
 	// ResponseTime is how long the service takes at present for a request that is sent now.
