--- a/core/chooser/queue_test.go
+++ b/core/chooser/queue_test.go
@@ -17,9 +17,10 @@
 	c.SetPolicy(planner.LoadPolicy{Queues: true})
 	service := &planner.Service{Name: "llm"}
 	query := func(priority float64, left time.Duration) Query {
-		return Query{Service: service, Priority: priority, TargetAt: start.Add(left), Deadline: start.Add(left), Waiter: &Waiter{}}
+		return Query{Service: service, Priority: priority, TargetAt: start.Add(left), Deadline: start.Add(left),
+			Waiter: &Waiter{}}
 	}
-	var held []Choice
+	held := make([]Choice, 0, plainSlotFactor)
 	for range plainSlotFactor {
 		choice, reason := c.Choose(start, query(0, time.Second))
 		assert.Equal(t, reason, Reason(""))
--- a/core/chooser/work_test.go
+++ b/core/chooser/work_test.go
@@ -225,3 +225,39 @@
 		})
 	}
 }
+
+// BenchmarkChooseLarge is a decision among 3,000 endpoints for the requests of 24 workspaces.
+func BenchmarkChooseLarge(b *testing.B) {
+	for _, policy := range []planner.LoadPolicy{{}, {Pace: true, Queues: true}} {
+		for _, s := range []*planner.Service{engine, {Name: "llm"}} {
+			b.Run(fmt.Sprintf("engine=%v,pace=%v", s.Engine, policy.Pace), func(b *testing.B) {
+				f := withSlots(newFleet(14, 3000), 64)
+				c := f.routers[0]
+				c.SetPolicy(policy)
+				now := start
+				f.exchange(now)
+				loads := Loads{}
+				for i, e := range f.ends {
+					loads[e.ID] = Load{Requests: i * 7919 % 40}
+				}
+				c.SetTotalLoads(now.Add(50*time.Millisecond), loads)
+				q := Query{Service: s, Parts: testPrompt(3), TargetAt: start.Add(time.Second), Deadline: start.Add(time.Hour)}
+				workspaces := make([]string, 24)
+				for i := range workspaces {
+					workspaces[i] = fmt.Sprint("w", i)
+				}
+				b.ReportAllocs()
+				for i := 0; b.Loop(); i++ {
+					now = now.Add(10 * time.Microsecond)
+					q.Workspace, q.Random = workspaces[i%len(workspaces)], float64(i%1000)/1000
+					choice, reason := c.Choose(now, q)
+					if reason == "" {
+						c.RecordLoad(now, choice.Endpoint, LoadReport{Pace: 1.5})
+						c.RecordTime(now.Add(time.Millisecond), choice)
+						c.Done(now, choice)
+					}
+				}
+			})
+		}
+	}
+}
