--- a/core/chooser/chooser.go
+++ b/core/chooser/chooser.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"cactusroute.dev/core/pacer"
 	"cactusroute.dev/core/placer"
 	"cactusroute.dev/core/planner"
 	"cactusroute.dev/core/registrar"
@@ -113,7 +114,8 @@
 	IsResumed bool
 	// IsRepeat is set if an earlier call of Choose for the same request was not refused for its share.
 	IsRepeat bool
-	IsStale  bool // the node may not know the latest state
+	IsStale  bool    // the node may not know the latest state
+	Waiter   *Waiter // place of the request in the queue; nil if it does not wait
 }
 
 // Reason states why no endpoint was selected; it is empty if one was.
@@ -146,6 +148,7 @@
 	IsTrial bool
 
 	class int // of priority
+	work  workClass
 }
 
 // endpoint is the state of one endpoint as known to this router.
@@ -175,6 +178,11 @@
 	reach               suspector.Record
 	said                *statement // nil unless it leaves or has asked for quiet
 	newUntil            time.Time  // its version counts as new before; zero if it was known
+	pace                pacer.Estimate
+	weight              float64 // share of the requests relative to the mean; 0 until it is known
+	isSlow              bool    // logged as slow
+	rejections          int     // consecutive requests that it has rejected
+	rejectsUntil        time.Time
 }
 
 // history is what a router remembers of its requests for a service.
@@ -188,9 +196,12 @@
 
 type pool struct {
 	history
+	work  work
+	queue *queue // nil unless requests wait in the shared order
 
 	members   *placer.Subset // all endpoints of the service, also those out of service
 	endpoints []*endpoint    // by index in members
+	slots     int            // of the endpoints in service
 }
 
 // Chooser selects endpoints by the state known to one router; it is not safe for concurrent use.
@@ -293,11 +304,15 @@
 		memberPool := placer.NewPool(members)
 		p := &pool{}
 		if known := oldPools[service]; known != nil {
-			p.history = known.history
+			p.history, p.work, p.queue = known.history, known.work, known.queue
 		}
 		p.members = memberPool.All()
 		for i := range memberPool.Len() {
-			p.endpoints = append(p.endpoints, c.byID[memberPool.Name(i)])
+			e := c.byID[memberPool.Name(i)]
+			p.endpoints = append(p.endpoints, e)
+			if e.inService {
+				p.slots += max(0, e.Slots)
+			}
 		}
 		c.pools[service] = p
 	}
@@ -335,18 +350,24 @@
 			return Choice{}, reason
 		}
 	}
-	p.attempts.add(now, demandWindow)
-	p.recent.add(now, growthWindow)
+	if q.Waiter == nil || !q.Waiter.HasJoined {
+		p.attempts.add(now, demandWindow)
+		p.recent.add(now, growthWindow)
+	}
 	c.prepareGate(&q)
 	var choice Choice
 	var reason Reason
-	if q.Service.Engine && len(q.Parts) > 0 {
+	switch {
+	case q.Service.Engine && len(q.Parts) > 0:
 		choice, reason = c.chooseByAffinity(now, q, p)
-	} else {
+	case c.isQueued(q.Service, p):
+		choice, reason = c.chooseInTurn(now, q, p)
+	default:
 		choice, reason = c.chooseByLoad(now, q, p)
 	}
 	if reason == "" {
 		c.countVersion(&q, &choice.Endpoint)
+		choice.work = classOf(&q, choice.Rank)
 		p.accepted.add(now, demandWindow)
 		c.recordArrival(now, &q, &choice)
 	}
@@ -388,7 +409,8 @@
 	if !c.isWithinColdRate(now, q.Service, e) {
 		return ColdRateExhausted
 	}
-	if e.Slots > 0 && !q.Service.Engine && e.inFlight >= max(minRouterLimit, 2*plainSlotFactor*e.Slots/c.routers) {
+	if e.Slots > 0 && !q.Service.Engine && e.inFlight >= c.routerLimit(now, c.pools[q.Service.Name], e) ||
+		c.policy.Queues && now.Before(e.rejectsUntil) {
 		return AllAtCapacity
 	}
 	return ""
@@ -437,6 +459,7 @@
 	}
 	mean := float64(l.total) / float64(len(p.endpoints)) // also of those out of service
 	l.loadBound = c.limits.LoadFactor*mean + c.limits.LoadSlack
+	c.weigh(now, p, l)
 	return l
 }
 
@@ -545,7 +568,7 @@
 		limit := c.admissionLimit(q, e)
 		n := float64(e.load(now, c.remoteAt))
 		isFirst := rank == 1
-		target := f.target(limit, load.loadBound)
+		target := f.target(limit, load.loadBound) * min(1, c.paceWeight(e))
 		if !isFirst {
 			target *= 1 - load.busy*(1-spillFraction)
 		}
@@ -568,8 +591,8 @@
 			continue
 		}
 		if n+1 <= limit {
-			c.candidates = append(c.candidates, candidate{endpoint: e, rank: rank - 1, limit: math.Inf(1), maxRate: math.Inf(1),
-				load: n + c.affinityDomainCost(now, &q, p, e, source)})
+			c.candidates = append(c.candidates, candidate{endpoint: e, rank: rank - 1, limit: math.Inf(1), weight: 1,
+				maxRate: math.Inf(1), load: n + c.affinityDomainCost(now, &q, p, e, source)})
 		}
 		reason = preferReason(reason, AllAtCapacity)
 	}
@@ -608,7 +631,7 @@
 			reason = preferReason(reason, r)
 			continue
 		}
-		n, limit := float64(e.load(now, c.remoteAt)), c.admissionLimit(q, e)
+		n, limit := float64(e.load(now, c.remoteAt)), min(c.admissionLimit(q, e), c.timelyLimit(now, &q, p, e))
 		if f.isExact && n+1 > limit {
 			reason = preferReason(reason, AllAtCapacity)
 			continue
@@ -618,11 +641,12 @@
 			continue
 		}
 		isAvoided := e.isAvoided(now) || e.State == registrar.Silent && e.consecutiveFailures > 0
-		cost := n + c.domainCost(now, &q, p, e) - c.trialBonus(e)
+		weight, distance := c.paceWeight(e), c.domainCost(now, &q, p, e)-c.trialBonus(e)
+		cost := c.loadCost(n, weight) + distance
 		if !isAvoided && !f.isExact {
-			load, limit := c.withDomainCost(&f, n, limit, cost-n)
-			c.candidates = append(c.candidates, candidate{endpoint: e, load: load, limit: limit,
-				maxRate: e.preferredRate(priority)})
+			load, bound := c.withDomainCost(&f, n, limit, distance)
+			c.candidates = append(c.candidates, candidate{endpoint: e, load: load, weight: weight, limit: bound,
+				maxRate: min(e.preferredRate(priority), c.settlingRate(now, p, e, n, limit))})
 		}
 		if isAvoided {
 			cost += 1e6 + float64(e.avoidUntil.UnixMilli()%1e9)/1e6
@@ -770,6 +794,7 @@
 // OwnLoads returns the load of each endpoint by this router, to be published to the other routers.
 func (c *Chooser) OwnLoads(now time.Time) Loads {
 	c.decideDomains(now)
+	c.publishQueues(now)
 	c.published = Loads{}
 	c.refreshShares(now)
 	for id, e := range c.byID {
@@ -828,6 +853,7 @@
 	if e := c.lookup(target); e != nil {
 		e.reported, e.reportedAt, e.sentSinceReport = r.Running+r.Waiting, now, 0
 	}
+	c.recordPace(now, target, r.Pace)
 }
 
 // RecordResponse records a response; failed means an error of the endpoint itself.
@@ -837,6 +863,7 @@
 		return
 	}
 	e.consecutiveFailures, e.avoidUntil = 0, time.Time{}
+	e.rejections, e.rejectsUntil = 0, time.Time{}
 	e.updateFailureRate(failed)
 }
 
--- a/core/chooser/telemetry.go
+++ b/core/chooser/telemetry.go
@@ -42,5 +42,5 @@
 	}
 	list = append(list, c.domainGauges()...)
 	list = append(list, c.reachGauges()...)
-	return c.shareGauges(list)
+	return c.queueGauges(c.paceGauges(c.shareGauges(list)))
 }
