--- a/core/summer/summer.go
+++ b/core/summer/summer.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"strings"
 	"time"
 )
 
@@ -87,6 +88,16 @@
 // Total returns the sum of this router's present value and the last known values of the others.
 func (l *Ledger) Total(key string) float64 { return l.own[key] + l.Others(key) }
 
+// Keys returns the keys with the prefix in the last total.
+func (l *Ledger) Keys(prefix string) (keys []string) {
+	for key := range l.total {
+		if strings.HasPrefix(key, prefix) {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
 // Age returns the time since totals were received; ok is false if none were.
 func (l *Ledger) Age(now time.Time) (age time.Duration, ok bool) {
 	return now.Sub(l.totalAt), !l.totalAt.IsZero()
