Ask the endpoints with copies of a shared prompt part first

Cause: by chance alone the first endpoint of a ranking refuses every sixth request at the target 2.4 standard deviations below the load bound, and releases, crashes and new endpoints change the rankings of many parts. Such requests went to endpoints that lack the part, and named a source that lacks it as well.

Change: with LoadPolicy.Copies, chooseByAffinity asks the endpoints with copies first: the first two of the ranking, more for a part of high demand; one with room is picked at random, the first one preferred unless the part is hot. A usual copy is filled up to 1.6 deviations below the bound. A request names the endpoint that last answered a prompt with the part to this router as source, else the first other one of the ranking that has been known for 15 s. Changes of the numbers are logged, figures are exposed as cactusroute_scheduling. A node tells the chooser when an endpoint has begun to answer.

--- a/core/arranger/arranger.go
+++ b/core/arranger/arranger.go
@@ -19,8 +19,8 @@
 	// MaxCopies bounds the copies of one part.
 	MaxCopies = 64
 
-	// demandWindow is the time constant of the counts of requests for a part: copies follow demand that lasts longer than
-	// a second.
+	// demandWindow is the time constant of the counts of requests for a part: copies follow demand that lasts longer
+	// than a second.
 	demandWindow = 3 * time.Second
 
 	// partTTL is how long an unused part counts toward the memory that parts need.
@@ -83,6 +83,7 @@
 	tokens      int
 	isPublished bool
 	copies      int
+	holder      Holder // that answered a prompt with the part last
 }
 
 // Arranger holds the parts of prompts for one service as one router knows them; it is not safe for concurrent use.
@@ -90,10 +91,9 @@
 	demandPrefix, samplePrefix string // of keys of sums
 
 	parts    map[placer.Key]*part
-	holders  map[placer.Key]Holder // by any shared part: the endpoint that last answered a prompt with it to this router
-	usual    int                   // copies of a part of low demand
-	capacity Capacity              // at the last call of Arrange
-	isShared bool                  // whether sums of all routers were valid then
+	usual    int      // copies of a part of low demand
+	capacity Capacity // at the last call of Arrange
+	isShared bool     // whether sums of all routers were valid then
 
 	published []*part      // buffer of publishDemand
 	sampled   []placer.Key // published
@@ -103,11 +103,11 @@
 // New returns an arranger without parts for a service.
 func New(service string) *Arranger {
 	return &Arranger{demandPrefix: "part/demand/" + service + "/", samplePrefix: "part/sample/" + service + "/",
-		parts: map[placer.Key]*part{}, holders: map[placer.Key]Holder{}, usual: 1}
+		parts: map[placer.Key]*part{}, usual: 1}
 }
 
-// Record counts a request of this router for a prompt whose last shared part has the key. It returns the number of copies
-// of that part, and whether the demand for it asks for more than the usual ones.
+// Record counts a request of this router for a prompt whose last shared part has the key. It returns the number of
+// copies of that part, and whether the demand for it asks for more than the usual ones.
 func (a *Arranger) Record(now time.Time, l *summer.Ledger, key placer.Key, tokens int) (copies int,
 	isHot bool) {
 	p := a.parts[key]
@@ -154,14 +154,19 @@
 
 // RecordAnswered records that an endpoint has begun to answer a prompt with the part, which it holds from then on.
 func (a *Arranger) RecordAnswered(key placer.Key, h Holder) {
-	if _, known := a.holders[key]; !known && len(a.holders) >= MaxParts {
-		clear(a.holders)
+	if p := a.parts[key]; p != nil {
+		p.holder = h
 	}
-	a.holders[key] = h
 }
 
-// Holder returns the endpoint that last answered a prompt with the part to this router; the zero value if there is none.
-func (a *Arranger) Holder(key placer.Key) Holder { return a.holders[key] }
+// Holder returns the endpoint that last answered a prompt with the part to this router; the zero value if there is
+// none.
+func (a *Arranger) Holder(key placer.Key) Holder {
+	if p := a.parts[key]; p != nil {
+		return p.holder
+	}
+	return Holder{}
+}
 
 // Arrange publishes the own demand and derives the numbers of copies from the demand of all routers. The copies of a
 // part are at the first endpoints of its ranking, so that routers with different sums differ in the last copies only.
@@ -209,8 +214,8 @@
 	}
 }
 
-// publishSample publishes the parts of this router that are among the sampleSize lowest ones of all routers, and returns
-// the estimated number of parts that all routers together use.
+// publishSample publishes the parts of this router that are among the sampleSize lowest ones of all routers, and
+// returns the estimated number of parts that all routers together use.
 func (a *Arranger) publishSample(l *summer.Ledger) (parts float64) {
 	a.lowest = a.lowest[:0]
 	for key := range a.parts {
@@ -245,8 +250,9 @@
 	return parts
 }
 
-// usualCopies returns the number of copies of each part for which the memory of all endpoints suffices. Without sums of
-// the other routers the number of their parts is unknown; there is one copy then, at the first endpoint of the ranking.
+// usualCopies returns the number of copies of each part for which the memory of all endpoints suffices. Without sums
+// of the other routers the number of their parts is unknown; there is one copy then, at the first endpoint of the
+// ranking.
 func (a *Arranger) usualCopies(parts float64) int {
 	c := a.capacity
 	if len(a.parts) == 0 || c.Endpoints < usualCopies || c.Routers > 1 && !a.isShared {
--- a/core/chooser/chooser.go
+++ b/core/chooser/chooser.go
@@ -177,6 +177,7 @@
 type pool struct {
 	history
 
+	copies    copyState
 	members   *placer.Subset // all endpoints of the service, also those out of service
 	endpoints []*endpoint    // by index in members
 }
@@ -201,6 +202,7 @@
 	ended      []EndedStatement      // since the last call of EndedStatements
 
 	candidates []candidate // buffer of chooseByAffinity and chooseByLoad
+	ranked     rankedCopies
 
 	remoteAt       time.Time     // when the loads of the other routers were received
 	reportInterval time.Duration // average time between two receipts
@@ -261,7 +263,7 @@
 		memberPool := placer.NewPool(members)
 		p := &pool{}
 		if known := oldPools[service]; known != nil {
-			p.history = known.history
+			p.history, p.copies = known.history, known.copies
 		}
 		p.members = memberPool.All()
 		for i := range memberPool.Len() {
@@ -467,7 +469,6 @@
 	load := c.poolLoad(now, p)
 	f := c.newForecast(now, p, load.total)
 	reason := NoEndpoint
-	source := c.cacheSource(now, q, p)
 	priority := q.Priority
 	q.Priority *= load.busy
 	random := newSequence(q.Random)
@@ -475,8 +476,9 @@
 	avoidedRank := 0
 	c.candidates = c.candidates[:0]
 	c.iterator.Reset(p.members, affinityKey(q.Parts))
+	c.orderCopies(now, &q, p, &load, &f, priority, &random)
 	for rank := 0; ; {
-		i, ok := c.iterator.Next()
+		i, isCopy, ok := c.nextRanked()
 		if !ok {
 			break
 		}
@@ -497,7 +499,7 @@
 		limit := c.admissionLimit(q, e)
 		n := float64(e.load(now, c.remoteAt))
 		isFirst := rank == 1
-		target := f.target(limit, load.loadBound)
+		target := f.copyTarget(limit, load.loadBound, isCopy)
 		if !isFirst {
 			target *= 1 - load.busy*(1-spillFraction)
 		}
@@ -513,7 +515,7 @@
 			accepted *= c.shareOfRate(now, e, priority)
 		}
 		if random.next() < accepted && c.hasRateRoom(now, e) {
-			return c.assign(now, e, rank-1, source), ""
+			return c.assign(now, e, rank-1, c.sourceFor(now, &q, p, e)), ""
 		}
 		if e.limit.isNamed {
 			reason = preferReason(reason, RateLimited)
@@ -529,10 +531,10 @@
 	case len(c.candidates) > 0 && random.next() >= load.busy:
 		// The expected requests exceed the targets of the loads, but not the slots.
 		if picked := pickByRoom(&f, c.candidates, random.next()); picked != nil {
-			return c.assign(now, picked.endpoint, picked.rank, source), ""
+			return c.assign(now, picked.endpoint, picked.rank, c.sourceFor(now, &q, p, picked.endpoint)), ""
 		}
 	case avoided != nil && reason != AllAtCapacity:
-		return c.assign(now, avoided, avoidedRank, source), ""
+		return c.assign(now, avoided, avoidedRank, c.sourceFor(now, &q, p, avoided)), ""
 	}
 	return Choice{}, reason
 }
--- a/core/chooser/forecast.go
+++ b/core/chooser/forecast.go
@@ -74,8 +74,11 @@
 }
 
 // fillTarget returns the mean load that is boundDeviations standard deviations of random arrivals below the bound.
-func fillTarget(bound float64) float64 {
-	root := (math.Sqrt(boundDeviations*boundDeviations+4*bound) - boundDeviations) / 2
+func fillTarget(bound float64) float64 { return loadBelow(bound, boundDeviations) }
+
+// loadBelow returns the mean load that is a number of standard deviations of random arrivals below the bound.
+func loadBelow(bound, deviations float64) float64 {
+	root := (math.Sqrt(deviations*deviations+4*bound) - deviations) / 2
 	return root * root
 }
 
--- a/core/chooser/stale_loads_test.go
+++ b/core/chooser/stale_loads_test.go
@@ -132,11 +132,13 @@
 	}
 }
 
+func (s *staleLoads) worstWindow() float64 { return worstWindow(s.windows) }
+
 // worstWindow returns the highest share of requests above the load bound in any 5 s.
-func (s *staleLoads) worstWindow() (worst float64) {
-	for i := range len(s.windows) - 4 {
+func worstWindow(windows []windowCount) (worst float64) {
+	for i := range len(windows) - 4 {
 		sent, exceeded := 0, 0
-		for _, w := range s.windows[i : i+5] {
+		for _, w := range windows[i : i+5] {
 			sent, exceeded = sent+w.sent, exceeded+w.exceeded
 		}
 		if exceeded >= 20 {
--- a/node/transfer.go
+++ b/node/transfer.go
@@ -407,6 +407,9 @@
 		if !notRun {
 			ch.RecordResponse(c.Endpoint, resp.Status >= http.StatusInternalServerError)
 		}
+		if resp.Status < http.StatusMultipleChoices {
+			ch.RecordAnswered(c.Endpoint, t.request.promptParts)
+		}
 		if known {
 			ch.RecordLoad(time.Now(), c.Endpoint, report)
 		}
