--- a/core/chooser/chooser.go
+++ b/core/chooser/chooser.go
@@ -199,6 +199,7 @@
 	work  work
 	queue *queue // nil unless requests wait in the shared order
 
+	copies    copyState
 	members   *placer.Subset // all endpoints of the service, also those out of service
 	endpoints []*endpoint    // by index in members
 	slots     int            // of the endpoints in service
@@ -232,6 +233,7 @@
 	ended      []EndedStatement      // since the last call of EndedStatements
 
 	candidates []candidate // buffer of chooseByAffinity and chooseByLoad
+	ranked     rankedCopies
 
 	remoteAt       time.Time     // when the loads of the other routers were received
 	reportInterval time.Duration // average time between two receipts
@@ -304,7 +306,7 @@
 		memberPool := placer.NewPool(members)
 		p := &pool{}
 		if known := oldPools[service]; known != nil {
-			p.history, p.work, p.queue = known.history, known.work, known.queue
+			p.history, p.work, p.queue, p.copies = known.history, known.work, known.queue, known.copies
 		}
 		p.members = memberPool.All()
 		for i := range memberPool.Len() {
@@ -537,7 +539,6 @@
 	load := c.poolLoad(now, &q, p)
 	f := c.newForecast(now, p, load.total)
 	reason := NoEndpoint
-	source := c.cacheSource(now, q, p)
 	c.setDestination(now, &q, load, &f)
 	priority := q.Priority
 	q.Priority *= load.busy
@@ -545,9 +546,17 @@
 	var avoided *endpoint
 	avoidedRank := 0
 	c.candidates = c.candidates[:0]
+	var source *endpoint
+	if c.policy.Domains && !c.policy.Copies {
+		source = c.cacheSource(now, q, p)
+	}
 	c.iterator.Reset(p.members, affinityKey(q.Parts))
+	c.orderCopies(now, &q, p, &load, &f, priority, &random)
+	if c.policy.Domains && c.policy.Copies {
+		source = c.expectedHolder(now, &q, p)
+	}
 	for rank := 0; ; {
-		i, ok := c.iterator.Next()
+		i, isCopy, ok := c.nextRanked()
 		if !ok {
 			break
 		}
@@ -568,7 +577,7 @@
 		limit := c.admissionLimit(q, e)
 		n := float64(e.load(now, c.remoteAt))
 		isFirst := rank == 1
-		target := f.target(limit, load.loadBound) * min(1, c.paceWeight(e))
+		target := f.copyTarget(limit, load.loadBound, isCopy) * min(1, c.paceWeight(e))
 		if !isFirst {
 			target *= 1 - load.busy*(1-spillFraction)
 		}
@@ -584,7 +593,7 @@
 			accepted *= c.shareOfRate(now, e, priority)
 		}
 		if random.next() < accepted && c.hasRateRoom(now, e) {
-			return c.assign(now, e, rank-1, source), ""
+			return c.assign(now, e, rank-1, c.sourceFor(now, &q, p, e)), ""
 		}
 		if e.limit.isNamed {
 			reason = preferReason(reason, RateLimited)
@@ -600,10 +609,10 @@
 	case len(c.candidates) > 0 && random.next() >= load.busy:
 		// The expected requests exceed the targets of the loads, but not the slots.
 		if picked := pickByRoom(&f, c.candidates, random.next()); picked != nil {
-			return c.assign(now, picked.endpoint, picked.rank, source), ""
+			return c.assign(now, picked.endpoint, picked.rank, c.sourceFor(now, &q, p, picked.endpoint)), ""
 		}
 	case avoided != nil && reason != AllAtCapacity:
-		return c.assign(now, avoided, avoidedRank, source), ""
+		return c.assign(now, avoided, avoidedRank, c.sourceFor(now, &q, p, avoided)), ""
 	}
 	return Choice{}, reason
 }
--- a/core/chooser/telemetry.go
+++ b/core/chooser/telemetry.go
@@ -42,5 +42,6 @@
 	}
 	list = append(list, c.domainGauges()...)
 	list = append(list, c.reachGauges()...)
+	list = append(list, c.copyGauges()...)
 	return c.queueGauges(c.paceGauges(c.shareGauges(list)))
 }
