Ignore new connections before a listener ends its queue

Cause: a connection that is established after the last accept is reset by the close. The kernel can drop the first packet of new connections, but refuses that filter for Multipath TCP, which Go uses for listeners (EOPNOTSUPP).

Callers whose first packet is dropped try again after a second and are refused then. Where the filter is refused, the gap remains.

--- a/adapters/socket/socket.go
+++ b/adapters/socket/socket.go
@@ -94,7 +94,7 @@
 )
 
 // StopListening accepts the connections that a listener has in its queue, and ends the queue once none has come for a
-// while. A close resets what is in the queue: a connection that is established just before is lost.
+// while. A close resets what is in the queue, so that new connections are ignored before.
 func StopListening(l net.Listener) (conns []net.Conn, err error) {
 	sc, ok := l.(syscall.Conn)
 	if !ok {
@@ -108,6 +108,8 @@
 	var acceptErr error
 	deadline := time.Now().Add(maxQuietTime)
 	err = raw.Control(func(fd uintptr) {
+		// Where this fails, for example with Multipath TCP, a connection that comes between the two last calls is lost.
+		_ = ignoreNew(int(fd))
 		for {
 			c, _, err := unix.Accept4(int(fd), unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
 			switch {
@@ -140,3 +142,31 @@
 	n, err := unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, int(timeout.Milliseconds()))
 	return n > 0 || errors.Is(err, unix.EINTR)
 }
+
+// tcpFlagsOffset is the offset of the flags in a TCP header.
+const tcpFlagsOffset = 13
+
+// The flags of a TCP header by which a new connection is known.
+const (
+	flagSYN = 0x02
+	flagACK = 0x10
+)
+
+// ignoreNew makes the kernel ignore new connections to a listener, whose callers try again after a second. Those whose
+// handshake has begun are completed.
+func ignoreNew(fd int) error {
+	const (
+		drop = 0
+		keep = 1 << 16
+	)
+	filter := []unix.SockFilter{
+		{Code: unix.BPF_LD | unix.BPF_B | unix.BPF_ABS, K: tcpFlagsOffset},
+		{Code: unix.BPF_ALU | unix.BPF_AND | unix.BPF_K, K: flagSYN | flagACK},
+		{Code: unix.BPF_JMP | unix.BPF_JEQ | unix.BPF_K, K: flagSYN, Jf: 1},
+		{Code: unix.BPF_RET | unix.BPF_K, K: drop},
+		{Code: unix.BPF_RET | unix.BPF_K, K: keep},
+	}
+	program := unix.SockFprog{Len: uint16(len(filter)), Filter: &filter[0]}
+	err := unix.SetsockoptSockFprog(fd, unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &program)
+	return os.NewSyscallError("setsockopt", err)
+}
--- a/node/early_reset_test.go
+++ b/node/early_reset_test.go
@@ -15,8 +15,8 @@
 	"cactusroute.dev/adapters/forwarder"
 )
 
-// Guards against a part of a response that a caller gets as a complete one because the endpoint resets the connection, or
-// ends it, while the upload is still being written, at one attempt or at both.
+// Guards against a part of a response that a caller gets as a complete one because the endpoint resets or ends the
+// connection while the upload is still being written, at one attempt or at both.
 func TestResetDuringUploadIsNotACompleteResponse(t *testing.T) {
 	const uploadBytes = 16 << 20
 	for _, c := range []struct {
