--- a/node/transfer.go
+++ b/node/transfer.go
@@ -247,7 +247,7 @@
 		reason, after = "rateLimit", time.Duration(min(overload, maxRateOverload)*float64(overloadRetryAfter()))
 	}
 	return refusal{status: http.StatusServiceUnavailable, reason: reason, retryAfter: after,
-		logFields: []any{"why", string(cause), "service", t.request.service.Name}}
+		logFields: []any{"why", string(cause), "service", t.request.service.Name, "workspace", t.query().Workspace}}
 }
 
 // returnAfter returns after which time the caller of a request refused for a lack of room may come back.
