Give up slow connects and lost exchanges of the forwarder

Cause: a connect to an endpoint that answers no packets took 500 ms, as long as the first event of a stream may take; a request on a kept connection to it waited for its deadline.

With Request.IsLost, an exchange ends with ErrLost once its answer will not come. Without these fields nothing changes.

Test: connects to a listener with a full queue, late connections, exchanges before and after the response header, with -race.

--- a/adapters/forwarder/exchange.go
+++ b/adapters/forwarder/exchange.go
@@ -28,6 +28,15 @@
 	Deadline time.Time
 	// FreshConn requires a new or recently used connection, for requests that can't be retried.
 	FreshConn bool
+	// NewConn requires a new connection, and closes the idle ones.
+	NewConn bool
+	// ConnectGroup names the endpoints to which connects take as long as to this one. If it is set, a connect that takes
+	// considerably longer fails with ErrSlowConnect, and OnConnect is called once it has ended, unless it is nil.
+	ConnectGroup string
+	OnConnect    func(err error)
+	// IsLost is asked at intervals, if it is set, whether the response will not come; heardAt is when the endpoint last
+	// sent something, or zero. The exchange fails with ErrLost then.
+	IsLost func(heardAt time.Time) bool
 	// SameProcess forbids a new connection after the endpoint has ended a kept one: another process may listen by now.
 	SameProcess bool
 	// IDHeader is the response header in which the endpoint returns ID. A response with another value belongs to
@@ -41,6 +50,13 @@
 // ErrWithdrawn is the cause of an *Error if MaySend has returned false.
 var ErrWithdrawn = errors.New("request withdrawn before it was sent")
 
+// ErrLost means that an exchange was given up because Request.IsLost has said so.
+var ErrLost = errors.New("the endpoint will not respond")
+
+// lostCheckInterval is the time between two questions to Request.IsLost; the answers change with the reports of other
+// routers, which arrive a few times a second.
+const lostCheckInterval = 100 * time.Millisecond
+
 // Response is the response of an endpoint. The caller must close its body.
 type Response struct {
 	Status int
@@ -77,12 +93,15 @@
 	x := &exchange{pool: p, conn: c, written: make(chan struct{}), deadline: r.Deadline}
 	_ = c.SetDeadline(r.Deadline)
 	x.stopCancelHook = context.AfterFunc(ctx, x.cancel)
+	c.heardAt.Store(0)
+	x.watch(r.IsLost)
 	resp, err := x.send(r)
 	if err != nil {
 		x.abort()
 		if ctx.Err() != nil {
 			err = ctx.Err()
 		}
+		err = x.cause(err)
 		return nil, &Error{Outcome: x.outcome, Cause: err}
 	}
 	return resp, nil
@@ -105,6 +124,9 @@
 	mu         sync.Mutex
 	deadline   time.Time // of the request
 	isCanceled bool
+	isLost     bool
+	isEnded    bool        // the connection is no longer the exchange's
+	lostCheck  *time.Timer // nil if there is nothing to ask
 }
 
 // cancel makes all reads and writes fail.
@@ -115,6 +137,53 @@
 	_ = x.conn.SetDeadline(time.Unix(1, 0))
 }
 
+// watch asks at intervals whether the exchange is lost, until it is closed.
+func (x *exchange) watch(isLost func(heardAt time.Time) bool) {
+	if isLost == nil {
+		return
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.lostCheck = time.AfterFunc(lostCheckInterval, func() {
+		var heardAt time.Time
+		if n := x.conn.heardAt.Load(); n != 0 {
+			heardAt = time.Unix(0, n)
+		}
+		is := isLost(heardAt)
+		x.mu.Lock()
+		defer x.mu.Unlock()
+		switch {
+		case x.isEnded:
+		case is:
+			x.isCanceled, x.isLost = true, true
+			_ = x.conn.SetDeadline(time.Unix(1, 0))
+		default:
+			x.lostCheck.Reset(lostCheckInterval)
+		}
+	})
+}
+
+// stopWatch must be called before the connection is used again.
+func (x *exchange) stopWatch() (isLost bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.isEnded = true
+	if x.lostCheck != nil {
+		x.lostCheck.Stop()
+	}
+	return x.isLost
+}
+
+// cause returns ErrLost in place of the error that giving up has caused.
+func (x *exchange) cause(err error) error {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.isLost {
+		return ErrLost
+	}
+	return err
+}
+
 func (x *exchange) setReadDeadline(t time.Time) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -261,8 +330,11 @@
 // Read reads the response body. An error other than io.EOF means that the body is incomplete.
 func (x *exchange) Read(p []byte) (int, error) {
 	n, err := x.body.Read(p)
-	if errors.Is(err, io.EOF) {
+	switch {
+	case errors.Is(err, io.EOF):
 		x.bodyRead = true
+	case err != nil:
+		err = x.cause(err)
 	}
 	return n, err
 }
@@ -281,7 +353,8 @@
 		return nil
 	}
 	x.closed = true
-	reusable := x.stopCancelHook()
+	isLost := x.stopWatch()
+	reusable := x.stopCancelHook() && !isLost
 	isComplete := x.bodyRead
 	select {
 	case <-x.written:
@@ -305,6 +378,7 @@
 
 func (x *exchange) abort() {
 	x.closed = true
+	x.stopWatch()
 	x.stopCancelHook()
 	x.pool.reset(x.conn)
 }
--- a/adapters/forwarder/pool.go
+++ b/adapters/forwarder/pool.go
@@ -8,6 +8,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -60,6 +61,16 @@
 	idleUntil time.Time
 	openAt    time.Time     // when an idle connection was last seen open
 	keptFor   time.Duration // how long it was idle before the last request
+	heardAt   atomic.Int64  // when the endpoint last sent something in the present exchange, in Unix nanoseconds, or 0
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.heardAt.Store(time.Now().UnixNano())
+	}
+	return n, err
 }
 
 // idHistory knows the IDs of the last requests on a connection, by their hashes.
@@ -84,6 +95,8 @@
 	dialer net.Dialer
 	limits Limits
 
+	connects connects
+
 	// OnEnd is called after an endpoint has ended an idle connection, which was last seen open at a given time, unless it
 	// may have done so because the connection was idle. It may be nil and must be set before the first request.
 	OnEnd func(address string, openAt time.Time)
@@ -104,7 +117,8 @@
 		dialer: net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle,
 			Interval: keepAliveInterval, Count: keepAliveCount}, Control: setUserTimeout},
 		idle: map[string][]*conn{}, open: map[string]map[*conn]bool{}, openCount: map[string]int{},
-		keptFor: map[string]time.Duration{},
+		keptFor:  map[string]time.Duration{},
+		connects: connects{times: map[string]*connectTimes{}, pending: map[string]int{}},
 	}
 }
 
@@ -126,6 +140,10 @@
 		if c == nil {
 			break
 		}
+		if r.NewConn {
+			p.close(c)
+			continue
+		}
 		state := c.idleState()
 		// A response to an earlier request with the same ID could be taken for the one to this request.
 		isRepeated := c.sentIDs.contains(r.ID)
@@ -141,7 +159,7 @@
 			break // a new connection replaces the closed one, so that their number doesn't grow
 		}
 	}
-	return p.dial(ctx, r.Address)
+	return p.dialWithin(ctx, r)
 }
 
 // dial opens a connection, which counts as in use.
@@ -150,7 +168,8 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{Conn: nc, br: bufio.NewReaderSize(nc, readBufferBytes), address: address, openedAt: time.Now()}
+	c := &conn{Conn: nc, address: address, openedAt: time.Now()}
+	c.br = bufio.NewReaderSize(c, readBufferBytes)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.openCount[address]++
