Use what all routers know of the reachability of endpoints

Change: with the policy Reachable, an attempt gives up a slow connect, up to three times for a request and outside the retry budget since nothing was sent; trials of unreachable endpoints open new connections; an attempt at an endpoint that is unreachable ends, and the request is repeated where it may be, else its caller gets 502 or a broken connection (reason endpointLost). A connect that was given up counts as a possible end of the process only once it has failed, as before.

--- a/node/process_end.go
+++ b/node/process_end.go
@@ -36,8 +36,8 @@
 
 // isProcessEnd reports whether the failure of an attempt is one that the end of the endpoint's process would cause.
 func isProcessEnd(outcome forwarder.Outcome, err error) bool {
-	if errors.Is(err, forwarder.ErrProcessMayHaveEnded) {
-		return false // the pool has recorded it
+	if errors.Is(err, forwarder.ErrProcessMayHaveEnded) || errors.Is(err, forwarder.ErrSlowConnect) {
+		return false // the pool has recorded it, or the connect has not ended yet
 	}
 	for _, end := range []error{io.EOF, io.ErrUnexpectedEOF, errInsideEvent, syscall.ECONNRESET, syscall.EPIPE,
 		syscall.ETIMEDOUT} {
--- a/node/transfer.go
+++ b/node/transfer.go
@@ -61,6 +61,7 @@
 	tried        []string   // IDs of endpoints
 	sends        int        // attempts, including rejected ones
 	runs         int        // attempts that an endpoint may have executed
+	slowConnects int        // attempts that found no connection in the usual time; not in sends
 	headerSent   bool       // the response header was sent to the caller
 	sentStatus   int        // its status
 	callerConn   lingerConn // set if the response ends with the caller's connection
@@ -312,10 +313,14 @@
 	if c.CacheSource != "" {
 		header[h.CacheSource] = []string{c.CacheSource}
 	}
-	return &forwarder.Request{Address: c.Endpoint.Address, Method: q.inbound.Method, Target: q.inbound.RequestURI,
+	r := &forwarder.Request{Address: c.Endpoint.Address, Method: q.inbound.Method, Target: q.inbound.RequestURI,
 		Host: q.inbound.Host, Header: header, Body: q.body, Deadline: q.deadline, FreshConn: !q.route.CanRetry(),
 		SameProcess: t.hasBegun && t.version != "",
 		IDHeader:    h.RequestID, ID: q.id, MaySend: func() bool { return t.proxy.fleet.routing.accepts(c.Endpoint) }}
+	if t.proxy.fleet.routing.sharesReach() {
+		t.watchReach(r, c)
+	}
+	return r
 }
 
 // canRetry reports whether the request may be executed by another endpoint.
@@ -371,6 +376,9 @@
 	if errors.As(err, &limitErr) {
 		p.metrics.limits.WithLabelValues(limitErr.Bound).Inc()
 	}
+	if outcome == forwarder.NotSent {
+		t.recordUnreachable(c, err)
+	}
 	p.recordProcessEnd(c.Endpoint, outcome, err, t.sentAt, t.lastWriteAt)
 	var avoidUntil time.Time
 	p.fleet.routing.withChooser(func(ch *chooser.Chooser) { avoidUntil = ch.RecordFailure(time.Now(), c.Endpoint) })
@@ -380,6 +388,9 @@
 
 // handleLostResponse decides how to proceed after an attempt that may have been executed and whose response was lost.
 func (t *transfer) handleLostResponse(c chooser.Choice, err error) (decision, refusal) {
+	if errors.Is(err, forwarder.ErrLost) {
+		return t.retryOrEnd(), refusal{status: http.StatusBadGateway, reason: "endpointLost", logFields: []any{"err", err}}
+	}
 	events := t.splitter.events - t.eventsBefore
 	t.proxy.reportSuspect(t.request, c, events)
 	if events < soundEvents {
@@ -404,6 +415,8 @@
 	var limitChanged bool
 	notRun := t.isRejection(resp)
 	t.proxy.fleet.routing.withChooser(func(ch *chooser.Chooser) {
+		now := time.Now()
+		ch.RecordContact(now, now, c.Endpoint)
 		if !notRun {
 			ch.RecordResponse(c.Endpoint, resp.Status >= http.StatusInternalServerError)
 		}
--- a/node/view.go
+++ b/node/view.go
@@ -93,6 +93,13 @@
 	return r.chooser.Accepts(time.Now(), e)
 }
 
+// sharesReach reports whether routers tell each other of endpoints that they could not reach.
+func (r *routingState) sharesReach() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.chooser.SharesReach()
+}
+
 // ownLoads returns the load of each endpoint by this router.
 func (r *routingState) ownLoads() exchanger.Loads {
 	r.mu.Lock()
