Give up requests at a former start of an endpoint at the same address only

A successor at another address may start while the process before finishes its requests. Test: TestRequestsAtAFormerStart (fails for the other address without the change).

--- a/core/chooser/reach.go
+++ b/core/chooser/reach.go
@@ -48,8 +48,8 @@
 	}
 }
 
-// IsLost reports whether a request in flight at the endpoint will not be answered: the endpoint has started again or is
-// unreachable. The request was sent at sentAt, and the endpoint last sent something at heardAt, which is zero if it has
+// IsLost reports whether a request in flight at the endpoint will not be answered: the endpoint is unreachable, or has
+// started again at the same address, where the process before has ended. The request was sent at sentAt, and the endpoint last sent something at heardAt, which is zero if it has
 // sent nothing yet.
 func (c *Chooser) IsLost(now, sentAt, heardAt time.Time, target registrar.Endpoint, canRepeat bool) bool {
 	e := c.byID[target.ID]
@@ -61,7 +61,10 @@
 	} else {
 		c.RecordContact(now, heardAt, target)
 	}
-	return e.Born > target.Born || e.Born == target.Born && e.reach.IsLost(now, heardAt, canRepeat)
+	if e.Born != target.Born {
+		return e.Born > target.Born && e.Address == target.Address
+	}
+	return e.reach.IsLost(now, heardAt, canRepeat)
 }
 
 // SharesReach reports whether routers tell each other of endpoints that they could not reach.
--- a/core/chooser/reach_test.go
+++ b/core/chooser/reach_test.go
@@ -177,6 +177,20 @@
 	assert.Assert(t, got > 0.1)
 }
 
+// Guards against requests that wait for a process that has ended, and against the end of those at a process that still
+// finishes them while its successor has started elsewhere.
+func TestRequestsAtAFormerStart(t *testing.T) {
+	for _, address := range []string{"10.0.0.0:80", "10.0.0.9:80"} {
+		c := New(limits, "r", "d")
+		c.SetPolicy(planner.LoadPolicy{Reachable: true})
+		former := testEndpoints(1)[0]
+		next := former
+		next.Born, next.Address = 2, address
+		c.Update(start, []registrar.Endpoint{next}, nil, 1)
+		assert.Equal(t, c.IsLost(start, start, start, former, false), address == former.Address)
+	}
+}
+
 // Guards against failures at endpoints that go down and up faster than the routers learn of it from each other. Known
 // to fail, see KNOWN-RED.txt.
 func TestEndpointsThatGoDownEverySecond(t *testing.T) {
