--- a/adapters/forwarder/connect.go
+++ b/adapters/forwarder/connect.go
@@ -17,6 +17,10 @@
 	connectDeviations = 4
 	connectWeight     = 0.125
 
+	// connectTick is the unit of the wait for a connection. Only ticks count, not the time in between: while a process
+	// that is short of processor time does not run, it sees neither ticks nor connections.
+	connectTick = 10 * time.Millisecond
+
 	// minConnects is the number of measured connects from which their mean is used.
 	minConnects = 4
 )
@@ -108,21 +112,9 @@
 		}
 		done <- dialResult{c, err}
 	}()
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	var err error
-	select {
-	case res := <-done:
-		return res.conn, res.err
-	case <-timer.C:
-		err = ErrSlowConnect
-	case <-ctx.Done():
-		err = ctx.Err()
-	}
-	select {
-	case res := <-done: // this process was held up
+	res, err := awaitDial(ctx, done, wait)
+	if err == nil {
 		return res.conn, res.err
-	default:
 	}
 	p.connects.addPending(r.Address, 1)
 	go func() {
@@ -137,3 +129,24 @@
 	}()
 	return nil, err
 }
+
+// awaitDial waits for the result of a dial, for a time in which this process runs.
+func awaitDial(ctx context.Context, done <-chan dialResult, wait time.Duration) (dialResult, error) {
+	ticker := time.NewTicker(connectTick)
+	defer ticker.Stop()
+	for waited := time.Duration(0); waited < wait; waited += connectTick {
+		select {
+		case res := <-done:
+			return res, nil
+		case <-ctx.Done():
+			return dialResult{}, ctx.Err()
+		case <-ticker.C:
+		}
+	}
+	select {
+	case res := <-done:
+		return res, nil
+	default:
+		return dialResult{}, ErrSlowConnect
+	}
+}
--- a/core/chooser/reach.go
+++ b/core/chooser/reach.go
@@ -49,8 +49,8 @@
 }
 
 // IsLost reports whether a request in flight at the endpoint will not be answered: the endpoint is unreachable, or has
-// started again at the same address, where the process before has ended. The request was sent at sentAt, and the endpoint last sent something at heardAt, which is zero if it has
-// sent nothing yet.
+// started again at the same address, where the process before has ended. The request was sent at sentAt, and the
+// endpoint last sent something at heardAt, which is zero if it has sent nothing yet.
 func (c *Chooser) IsLost(now, sentAt, heardAt time.Time, target registrar.Endpoint, canRepeat bool) bool {
 	e := c.byID[target.ID]
 	if e == nil || !c.policy.Reachable {
