Fetch no caches from endpoints that others could not reach

Cause: a router that avoids an endpoint by the word of others has no failure of its own and named that endpoint as the source of the cache, so that the engine waited for it.

Test: TestCacheIsNotFetchedFromASuspect, fails on the commit before.

--- a/core/chooser/chooser.go
+++ b/core/chooser/chooser.go
@@ -636,7 +636,8 @@
 }
 
 // cacheSource returns the endpoint that is expected to cache the shared parts of the prompt: the highest-ranked one
-// without failures that has been known for cacheFillTime, in or out of service. It returns nil if there is none.
+// that has been known for cacheFillTime and neither has failed nor is suspected by others, in or out of service. It
+// returns nil if there is none.
 func (c *Chooser) cacheSource(now time.Time, q Query, p *pool) *endpoint {
 	c.iterator.Reset(p.members, affinityKey(q.Parts))
 	for {
@@ -644,7 +645,8 @@
 		if !ok {
 			return nil
 		}
-		if e := p.endpoints[i]; now.Sub(e.knownSince) >= cacheFillTime && e.consecutiveFailures == 0 {
+		if e := p.endpoints[i]; now.Sub(e.knownSince) >= cacheFillTime && e.consecutiveFailures == 0 &&
+			!e.reach.IsSuspected() {
 			return e
 		}
 	}
--- a/core/chooser/reach_test.go
+++ b/core/chooser/reach_test.go
@@ -177,6 +177,23 @@
 	assert.Assert(t, got > 0.1)
 }
 
+// Guards against endpoints that wait for the cache of an endpoint that answers no packets.
+func TestCacheIsNotFetchedFromASuspect(t *testing.T) {
+	c := New(limits, "r", "d")
+	c.SetPolicy(planner.LoadPolicy{Reachable: true})
+	c.Update(start, testEndpoints(3), nil, 1)
+	now := start.Add(cacheFillTime)
+	q := Query{Service: engine, Parts: testPrompt(1), Tried: nil}
+	first, reason := c.Choose(now, q)
+	assert.Equal(t, reason, Reason(""))
+	q.Tried = []string{first.Endpoint.ID}
+	second, _ := c.Choose(now, q)
+	assert.Equal(t, second.CacheSource, first.Endpoint.Address)
+	c.SetTotalSums(now, summer.Sums{failedPrefix + domainHash("far") + "/" + first.Endpoint.ID + "#1": 16})
+	second, _ = c.Choose(now, q)
+	assert.Assert(t, second.CacheSource != first.Endpoint.Address)
+}
+
 // Guards against requests that wait for a process that has ended, and against the end of those at a process that still
 // finishes them while its successor has started elsewhere.
 func TestRequestsAtAFormerStart(t *testing.T) {
--- a/core/suspector/suspector.go
+++ b/core/suspector/suspector.go
@@ -188,10 +188,16 @@
 	}
 }
 
-// IsUnreachable reports whether requests are to be sent elsewhere.
+// IsUnreachable reports whether the endpoint counts as unreachable from this router.
 func (r *Record) IsUnreachable() bool { return !r.unreachableSince.IsZero() }
 
-// IsAvoided reports the same, but for the trials of this router and without recent word of the others.
+// IsSuspected reports whether enough connects have failed to make the endpoint unreachable if nothing speaks against it.
+func (r *Record) IsSuspected() bool {
+	return r.IsUnreachable() || !r.failingSince.IsZero() || !r.nearFailingSince.IsZero()
+}
+
+// IsAvoided reports whether requests are to be sent elsewhere now: not in this router's turn, nor without recent word
+// of the others.
 func (r *Record) IsAvoided(now time.Time) bool {
 	return r.IsUnreachable() && now.Sub(r.heardAt) < wordTTL && !r.Turn.isAt(now)
 }
