--- a/core/chooser/copies.go
+++ b/core/chooser/copies.go
@@ -158,8 +158,12 @@
 			inService++
 		}
 	}
+	usual := p.copies.arranger.Summary().Usual
 	changes := p.copies.arranger.Arrange(now, &c.ledger, arranger.Capacity{Routers: c.routers, Endpoints: inService,
 		Tokens: float64(s.CacheTokens), PerCopy: max(1, copyLoadFraction*fillTarget(load.loadBound)), HoldTime: hold})
+	if after := p.copies.arranger.Summary().Usual; after != usual {
+		c.addEvent("usual copies of prompt parts changed", "service", s.Name, "before", usual, "copies", after)
+	}
 	for _, change := range changes {
 		c.addEvent("copies of a prompt part changed", "service", s.Name, "part", change.Part, "before", change.Before,
 			"copies", change.After, "requestsPerSecond", change.PerSecond)
--- a/core/chooser/copies_test.go
+++ b/core/chooser/copies_test.go
@@ -226,9 +226,9 @@
 					r.Done(now, c)
 				}
 			}
-			var prompts [][]PromptPart
-			for i := range 500 {
-				prompts = append(prompts, testPrompt(i))
+			prompts := make([][]PromptPart, 500)
+			for i := range prompts {
+				prompts[i] = testPrompt(i)
 				choose(prompts[i])
 			}
 			b.ReportAllocs()
