--- a/core/suspector/suspector.go
+++ b/core/suspector/suspector.go
@@ -191,7 +191,7 @@
 // IsUnreachable reports whether the endpoint counts as unreachable from this router.
 func (r *Record) IsUnreachable() bool { return !r.unreachableSince.IsZero() }
 
-// IsSuspected reports whether enough connects have failed to make the endpoint unreachable if nothing speaks against it.
+// IsSuspected reports whether enough connects have failed to make the endpoint unreachable unless a router reaches it.
 func (r *Record) IsSuspected() bool {
 	return r.IsUnreachable() || !r.failingSince.IsZero() || !r.nearFailingSince.IsZero()
 }
