Let shorter times count more in the time of a request in a slot

Cause: the measured time includes waits that the known load does not show; a rate of ends that is too low leaves slots idle. go test -run 'QueueOf|Small|Without' ./core/chooser: ok.

--- a/core/chooser/work.go
+++ b/core/chooser/work.go
@@ -29,6 +29,10 @@
 	// workTimeWeight is the weight of the last response in the average times of a service.
 	workTimeWeight = 0.03
 
+	// shorterTimeFactor is the factor of that weight for shorter times than the average: responses wait for more than slots,
+	// and a rate of ends that is taken for too low leaves slots idle.
+	shorterTimeFactor = 4
+
 	// minWorkTimes is the number of responses of a kind and size before times are compared with their average.
 	minWorkTimes = 8
 )
@@ -48,7 +52,7 @@
 // work is what a router knows of the times of a service.
 type work struct {
 	times     []workTime // by workClass; nil until a response was measured
-	seconds   float64    // average time of a request in a slot; 0 until a response was measured
+	seconds   float64    // time of a request in a slot, rather short; 0 until a response was measured
 	weighedAt time.Time
 }
 
@@ -92,7 +96,11 @@
 		p.work.times = make([]workTime, workClasses)
 		p.work.seconds = slotSeconds
 	}
-	p.work.seconds += workTimeWeight * (slotSeconds - p.work.seconds)
+	weight := workTimeWeight
+	if slotSeconds < p.work.seconds {
+		weight *= shorterTimeFactor
+	}
+	p.work.seconds += weight * (slotSeconds - p.work.seconds)
 	t := &p.work.times[choice.class]
 	l := math.Log(seconds / queueFactor(known, e))
 	if t.n >= minWorkTimes {
