Test crowds of callers at a router with TLS, and keep descriptors for the exchange

The exchange address had the share of a readiness check, too few for the calls of hundreds of other processes at a node with a disk. Callers and endpoints have 10 of 32 parts now, the control and exchange addresses 4 each.

--- a/adapters/server/resources.go
+++ b/adapters/server/resources.go
@@ -48,10 +48,11 @@
 // The shares of connections. Each caller has at most one request at an endpoint. What is left is for files and for
 // connections between processes, which leave the share of their address once they are established.
 const (
-	ShareCallers   Share = 11
-	ShareEndpoints Share = 11
-	ShareControl   Share = 5
-	ShareChecks    Share = 1 // readiness checks, metrics, or new connections of other processes
+	ShareCallers   Share = 10
+	ShareEndpoints Share = 10
+	ShareControl   Share = 4
+	ShareExchange  Share = 4 // calls of other processes
+	ShareChecks    Share = 1 // readiness checks, or metrics
 )
 
 // Resources is what the callers of all addresses of a process may hold.
--- a/loader/crowd/crowd_test.go
+++ b/loader/crowd/crowd_test.go
@@ -5,9 +5,16 @@
 import (
 	"bytes"
 	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
 	"encoding/json"
+	"encoding/pem"
 	"fmt"
 	"io"
+	"math/big"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -375,6 +382,72 @@
 	}
 }
 
+// tlsFiles returns the settings of TLS with a new certificate.
+func tlsFiles(t *testing.T) map[string]any {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	assert.NilError(t, err)
+	template := &x509.Certificate{SerialNumber: big.NewInt(1), NotAfter: time.Now().Add(time.Hour), IsCA: true,
+		BasicConstraintsValid: true, IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)}}
+	cert, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	assert.NilError(t, err)
+	der, err := x509.MarshalPKCS8PrivateKey(key)
+	assert.NilError(t, err)
+	folder := t.TempDir()
+	write := func(name, kind string, content []byte) string {
+		file := filepath.Join(folder, name)
+		assert.NilError(t, os.WriteFile(file, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: content}), 0o600))
+		return file
+	}
+	certFile := write("cert.pem", "CERTIFICATE", cert)
+	return map[string]any{"certFile": certFile, "keyFile": write("key.pem", "PRIVATE KEY", der), "caFile": certFile}
+}
+
+var tlsConfig = &tls.Config{InsecureSkipVerify: true}
+
+// overTLS lets a caller act after a handshake.
+func overTLS(act crowdConn) crowdConn {
+	return func(c net.Conn) {
+		if tc := tls.Client(c, tlsConfig); tc.Handshake() == nil {
+			act(tc)
+		}
+	}
+}
+
+// Guards against the same at a router with TLS, in and after the handshake.
+func TestCrowdAtRouterWithTLS(t *testing.T) {
+	binaries := build(t)
+	for _, c := range []struct {
+		name    string
+		callers int
+		act     crowdConn
+	}{
+		{"no handshake", idleConns, send()},
+		{"half a handshake", idleConns, send("\x16\x03\x01\x02\x00\x01\x00\x01\xfc")},
+		{"idle after the handshake", callers, overTLS(send())},
+		{"short names", callers, overTLS(send(head("GET /none", 2*headBytes, shortLine) + "\r\n"))},
+		{"end held back", callers, overTLS(send(head("GET /none", 2*headBytes, shortLine)))},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			address := freeAddress(t)
+			p := start(t, binaries, "router", map[string]any{"listen": address, "machine": machine(), "tls": tlsFiles(t),
+				"place":    map[string]any{"name": "n", "region": "r", "failureDomain": "d"},
+				"controls": []string{"127.0.0.1:1"}})
+			client := &http.Client{Timeout: waitTimeout / 8,
+				Transport: &http.Transport{DisableKeepAlives: true, TLSClientConfig: tlsConfig}}
+			p.ordinary, p.want = func() int {
+				resp, err := client.Get("https://" + address + "/livez")
+				if err != nil {
+					return 0
+				}
+				defer func() { _ = resp.Body.Close() }()
+				return resp.StatusCode
+			}, http.StatusOK
+			p.meet(t, address, c.callers, c.act)
+		})
+	}
+}
+
 // Guards against the same at the programs of a fleet with agents.
 func TestCrowdAtOtherPrograms(t *testing.T) {
 	binaries := build(t)
--- a/node/node.go
+++ b/node/node.go
@@ -192,7 +192,7 @@
 	} else {
 		sup.Add(service{"subscription", f.subscribe})
 	}
-	sup.Add(&server.Server{Addr: l.Exchange, Handler: exchange, Guard: n.callers.Guard(server.ShareChecks)})
+	sup.Add(&server.Server{Addr: l.Exchange, Handler: exchange, Guard: n.callers.Guard(server.ShareExchange)})
 	if l.Control != "" {
 		sup.Add(service{"control", n.serveControl})
 	}
