--- a/loader/crowd/crowd_test.go
+++ b/loader/crowd/crowd_test.go
@@ -47,7 +47,7 @@
 	trickleSteps   = 8
 	trickleWait    = 50 * time.Millisecond
 	pipelinedHeads = 6
-	stackMaxBytes  = 1 << 20 // of one caller's bodies in chunks
+	chunkedBytes   = 1 << 20 // of one caller's body in small chunks
 )
 
 // lines returns header lines with up to n bytes together.
@@ -357,7 +357,7 @@
 				strings.Repeat("x", bodyBytes/4))},
 		{"largest bodies, not begun", front, callers,
 			send("POST /hold/ HTTP/1.1\r\nHost: h.example\r\nContent-Length: " + strconv.Itoa(bodyBytes) + "\r\n\r\n")},
-		{"bodies in small chunks", front, callers, send(chunked, strings.Repeat("1\r\nx\r\n", stackMaxBytes/6))},
+		{"bodies in small chunks", front, callers, send(chunked, strings.Repeat("1\r\nx\r\n", chunkedBytes/6))},
 		{"read nothing", front, callers, send("GET /large/ HTTP/1.1\r\nHost: h.example\r\n\r\n")},
 		{"idle connections", front, idleConns, send()},
 		{"idle connections, ready", func(n *nodeUnderTest) string { return n.ready }, idleConns, send()},
