--- a/core/chooser/copies.go
+++ b/core/chooser/copies.go
@@ -115,7 +115,7 @@
 func (c *Chooser) copyRoom(now time.Time, q *Query, p *pool, e *endpoint, load *poolLoad, f *forecast,
 	priority float64) float64 {
 	n := float64(e.load(now, c.remoteAt)) + c.domainCost(now, q, p, e)
-	target := f.copyTarget(c.admissionLimit(*q, e), load.loadBound, !c.ranked.isHot)
+	target := f.copyTarget(c.admissionLimit(*q, e), load.loadBound, !c.ranked.isHot) * min(1, c.paceWeight(e))
 	room := max(0, target-n)
 	if !f.isExact {
 		room = f.allowedRate(n, target)
