Give late requests free slots only, and drop the sums of queues that ended

Cause: late requests queued at endpoints before requests that could be on time; the sums of a queue stayed published after the decision was taken out of use or its service had gone. go test ./core/chooser ./core/pacer ./core/queuer: see the landing note.

--- a/core/chooser/chooser.go
+++ b/core/chooser/chooser.go
@@ -285,6 +285,11 @@
 		}
 		c.pools[service] = p
 	}
+	for service, p := range oldPools {
+		if c.pools[service] == nil {
+			c.dropQueue(p)
+		}
+	}
 }
 
 // load returns the known requests at the endpoint: those of all routers or, without recent loads of the other routers,
@@ -583,7 +588,8 @@
 			reason = preferReason(reason, r)
 			continue
 		}
-		n, limit := float64(e.load(now, c.remoteAt)), min(c.admissionLimit(q, e), c.timelyLimit(now, &q, p, e))
+		n := float64(e.load(now, c.remoteAt))
+		limit := min(c.admissionLimit(q, e), c.timelyLimit(now, &q, p, e), p.queue.slotLimit(e))
 		if f.isExact && n+1 > limit {
 			reason = preferReason(reason, AllAtCapacity)
 			continue
--- a/core/chooser/queue.go
+++ b/core/chooser/queue.go
@@ -84,6 +84,7 @@
 // isQueued reports whether requests for the service wait in the shared order.
 func (c *Chooser) isQueued(s *planner.Service, p *pool) bool {
 	if !c.policy.Queues || s.Engine || len(p.endpoints) > maxQueueEndpoints {
+		c.dropQueue(p)
 		return false
 	}
 	if p.queue == nil {
@@ -92,6 +93,18 @@
 	return true
 }
 
+// dropQueue ends the queue of a pool; requests that wait in it go on without.
+func (c *Chooser) dropQueue(p *pool) {
+	if p.queue == nil {
+		return
+	}
+	c.ledger.Set(p.queue.rateKey, 0)
+	for _, key := range p.queue.keys {
+		c.ledger.Set(key, 0)
+	}
+	p.queue = nil
+}
+
 // chooseInTurn lets the request try to get a place, which goes to the first one in the queue.
 func (c *Chooser) chooseInTurn(now time.Time, q Query, p *pool) (Choice, Reason) {
 	w := q.Waiter
@@ -104,6 +117,7 @@
 		return choice, ""
 	}
 	if w == nil {
+		p.queue.class = 0
 		return c.chooseByLoad(now, q, p)
 	}
 	w.query = q
@@ -272,6 +286,15 @@
 	return max(minLateShare, 1-onTime/room.PerSecond)
 }
 
+// slotLimit returns the limit on the load of an endpoint for the request for which a try is made: a late one takes only
+// a free slot, so that it delays no request that can be on time.
+func (q *queue) slotLimit(e *endpoint) float64 {
+	if q == nil || !queuer.IsLate(q.class) || e.Slots <= 0 {
+		return math.Inf(1)
+	}
+	return float64(e.Slots)
+}
+
 // triesPerSecond returns the rate at which requests of all routers try to get a place: new ones once, and those that
 // wait in each waitInterval.
 func (c *Chooser) triesPerSecond(now time.Time, p *pool, waiting float64) float64 {
--- a/core/chooser/work.go
+++ b/core/chooser/work.go
@@ -29,8 +29,8 @@
 	// workTimeWeight is the weight of the last response in the average times of a service.
 	workTimeWeight = 0.03
 
-	// shorterTimeFactor is the factor of that weight for shorter times than the average: responses wait for more than slots,
-	// and a rate of ends that is taken for too low leaves slots idle.
+	// shorterTimeFactor is the factor of that weight for shorter times than the average: responses wait for more than
+	// slots, and a rate of ends that is taken for too low leaves slots idle.
 	shorterTimeFactor = 4
 
 	// minWorkTimes is the number of responses of a kind and size before times are compared with their average.
