Leave the shared queue to plans that ask for it, and let endpoints queue more before shares fall

Change: a plan whose scheduling is derived has no shared queue; "demand" has it. The correction of shares falls from 2.5 requests for each slot of a plain endpoint on, not from 1.5: up to three of them are still on time.

Tests of shares pass unchanged.

--- a/core/chooser/share.go
+++ b/core/chooser/share.go
@@ -56,7 +56,7 @@
 	// other endpoints, which may queue some. While shares bind below roomyLoad, there is room: it rises.
 	fullFraction   = 0.05
 	congestedLoad  = 0.97
-	congestedQueue = 1.5
+	congestedQueue = 2.5
 	roomyLoad      = 0.85
 
 	// correctionFall and correctionGrowth are the relative changes of the correction, from minCorrection to maxCorrection,
--- a/core/planner/scheduling.go
+++ b/core/planner/scheduling.go
@@ -9,7 +9,7 @@
 
 // The values of Scheduling.
 const (
-	// SchedulingDerived is SchedulingDemand for a plan with heavy engines, else SchedulingCount.
+	// SchedulingDerived is SchedulingDemand without Queues for a plan with heavy engines, else SchedulingCount.
 	SchedulingDerived Scheduling = ""
 	// SchedulingCount compares endpoints by their numbers of requests.
 	SchedulingCount Scheduling = "count"
@@ -34,7 +34,8 @@
 		s := &p.Services[i]
 		isOn = isOn || p.Scheduling == SchedulingDerived && s.Engine && s.CacheTokenBytes >= heavyCacheTokenBytes
 	}
-	return LoadPolicy{Shares: isOn, Pace: isOn, Queues: isOn, Domains: isOn, Copies: isOn, Reachable: isOn}
+	return LoadPolicy{Shares: isOn, Pace: isOn, Queues: isOn && p.Scheduling == SchedulingDemand, Domains: isOn, Copies: isOn,
+		Reachable: isOn}
 }
 
 // LoadPolicyNames are the names of the decisions of LoadPolicy in settings.
--- a/core/planner/scheduling_test.go
+++ b/core/planner/scheduling_test.go
@@ -26,6 +26,7 @@
 			p := &Plan{Scheduling: tc.scheduling, Services: tc.services}
 			got := p.LoadPolicy()
 			assert.Equal(t, got != LoadPolicy{}, tc.want)
+			assert.Equal(t, got.Queues, tc.want && tc.scheduling == SchedulingDemand)
 			for _, name := range LoadPolicyNames() {
 				var ok bool
 				got, ok = got.Without(name)
