--- a/core/planner/scheduling.go
+++ b/core/planner/scheduling.go
@@ -34,8 +34,8 @@
 		s := &p.Services[i]
 		isOn = isOn || p.Scheduling == SchedulingDerived && s.Engine && s.CacheTokenBytes >= heavyCacheTokenBytes
 	}
-	return LoadPolicy{Shares: isOn, Pace: isOn, Queues: isOn && p.Scheduling == SchedulingDemand, Domains: isOn, Copies: isOn,
-		Reachable: isOn}
+	return LoadPolicy{Shares: isOn, Pace: isOn, Queues: isOn && p.Scheduling == SchedulingDemand, Domains: isOn,
+		Copies: isOn, Reachable: isOn}
 }
 
 // LoadPolicyNames are the names of the decisions of LoadPolicy in settings.
