Take no decisions under load beside more than 1,500 endpoints

Which decision costs most is not measured.

Change: above 1,500 endpoints a node decides as without demand scheduling, and publishes no sums.

--- a/core/chooser/chooser.go
+++ b/core/chooser/chooser.go
@@ -262,6 +262,9 @@
 	if !p.Reachable {
 		c.resetReach()
 	}
+	if p == (planner.LoadPolicy{}) {
+		c.ledger.Clear() // values that nobody updates would stay in the sums of all routers
+	}
 }
 
 // OwnSums returns the named sums of this router, to be published to the other routers; nil if there are none.
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -67,6 +67,10 @@
 	routingPauseFactor = 8
 	maxRoutingPause    = 250 * time.Millisecond
 
+	// maxScheduledEndpoints is the number of endpoints up to which the decisions of planner.LoadPolicy are in force. Their
+	// cost grows with it: with 3,000 endpoints, routers with a tenth of a core had no time left for requests.
+	maxScheduledEndpoints = 1500
+
 	// convictionThreshold is the number of endpoint starts that failed during the same request before it is refused.
 	convictionThreshold = 3
 
@@ -380,7 +384,11 @@
 			outOfService = append(outOfService, e)
 		}
 	}
-	f.routing.update(inService, outOfService, routers, v, f.settings.loadPolicy(v.plan))
+	policy := f.settings.loadPolicy(v.plan)
+	if len(list) > maxScheduledEndpoints {
+		policy = planner.LoadPolicy{}
+	}
+	f.routing.update(inService, outOfService, routers, v, policy)
 }
 
 // updateRoutingFor updates routing for changed records: at once for departures, and for others not before a pause in
--- a/node/routing_pause_test.go
+++ b/node/routing_pause_test.go
@@ -8,9 +8,31 @@
 	"gotest.tools/v3/assert"
 
 	"cactusroute.dev/core/chooser"
+	"cactusroute.dev/core/planner"
 	"cactusroute.dev/core/registrar"
 )
 
+// Guards routers with a tenth of a core: the decisions under load are not in force beside more endpoints than they were
+// measured with.
+func TestDecisionsUnderLoadEndAboveTheirSize(t *testing.T) {
+	plan := testPlan(1)
+	plan.Scheduling = planner.SchedulingDemand
+	f := newTestProxy(t, plan).fleet
+	for _, c := range []struct {
+		endpoints int
+		isOn      bool
+	}{{maxScheduledEndpoints, true}, {maxScheduledEndpoints + 1, false}} {
+		list := make([]registrar.Endpoint, c.endpoints)
+		for i := range list {
+			list[i] = testEndpoint(fmt.Sprint("e", i), fmt.Sprintf("10.0.%d.%d:1", i/250, i%250+1))
+		}
+		f.endpoints.AddServices([]string{list[0].Service})
+		f.mergeEndpoints(list, "test")
+		f.updateRouting()
+		f.routing.withChooser(func(ch *chooser.Chooser) { assert.Equal(t, ch.SharesReach(), c.isOn, "%d", c.endpoints) })
+	}
+}
+
 // Guards against a router that spends its processor on updates of routing while many endpoints register again: after a
 // failure domain lost power, each of 333 records caused an update over all 1,000 endpoints.
 func TestReturningEndpointsShareUpdatesOfRouting(t *testing.T) {
