--- a/node/log_test.go
+++ b/node/log_test.go
@@ -15,6 +15,7 @@
 	"cactusroute.dev/adapters/observer"
 	"cactusroute.dev/core/chooser"
 	"cactusroute.dev/core/registrar"
+	"cactusroute.dev/core/rollouter"
 )
 
 // Guards against log lines of served requests that exceed their limit or displace those of failed requests.
@@ -95,6 +96,10 @@
 	p.fleet.mu.Unlock()
 	e.ColdUntil, e.Sequence = time.Now().Add(time.Minute), e.Sequence+1
 	p.fleet.mergeEndpoints([]registrar.Endpoint{e}, "test")
+	v := *p.fleet.view.Load()
+	v.rollouts = []rollouter.Rollout{{Service: e.Service, Target: "v2", Phase: rollouter.Trying}}
+	p.fleet.view.Store(&v)
+	p.fleet.updateRouting()
 	for range 20 {
 		p.call(t, "GET", "/safe/", "")
 	}
--- a/node/routing_pause_test.go
+++ b/node/routing_pause_test.go
@@ -44,12 +44,17 @@
 	}
 	f.endpoints.AddServices([]string{list[0].Service})
 	f.mergeEndpoints(list, "test")
-	before := f.routingUpdated
+	updated := func() uint64 {
+		f.routingUpdateMu.Lock()
+		defer f.routingUpdateMu.Unlock()
+		return f.routingUpdated
+	}
+	before := updated()
 	for i := range list[:333] {
 		list[i].Born++
 		f.mergeEndpoints(list[i:i+1], "test")
 	}
-	updates := f.routingUpdated - before
+	updates := updated() - before
 	eventually(t, "all records in force", func() bool {
 		in := 0
 		f.routing.withChooser(func(c *chooser.Chooser) { in = len(c.Loads(time.Now())) })
