Count work with decayingCount, and decode sums with the decoder of loads

Cause: the read of the whole change found two pieces written again: decayingSum of the shares beside decayingCount, and the loop over varint pairs in the decoder of named sums beside the one for loads.

Change: decayingCount counts work, too; decodeCounts serves both decoders. The arithmetic and the bounds are the same.

--- a/adapters/exchanger/loads.go
+++ b/adapters/exchanger/loads.go
@@ -238,21 +238,30 @@
 }
 
 func (d *loadDecoder) decodeCounts(counts []byte, each func(id string, n int)) error {
+	if !decodeCounts(counts, d.ids, maxRequests, func(id string, n uint64) { each(id, int(n)) }) {
+		return errInvalidLoads
+	}
+	return nil
+}
+
+// decodeCounts decodes what encodeCounts has encoded, with the names by number; ok is false if a number has no name or
+// a count is above the bound.
+func decodeCounts(counts []byte, names []string, maxCount uint64, each func(name string, n uint64)) (ok bool) {
 	number := uint64(0)
 	for rest := counts; len(rest) > 0; number++ {
 		delta, n := binary.Uvarint(rest)
-		if n <= 0 || delta >= uint64(len(d.ids)) {
-			return errInvalidLoads
+		if n <= 0 || delta >= uint64(len(names)) {
+			return false
 		}
 		count, k := binary.Uvarint(rest[n:])
 		number += delta
-		if k <= 0 || number >= uint64(len(d.ids)) || count > maxRequests {
-			return errInvalidLoads
+		if k <= 0 || number >= uint64(len(names)) || count > maxCount {
+			return false
 		}
-		each(d.ids[number], int(count))
+		each(names[number], count)
 		rest = rest[n+k:]
 	}
-	return nil
+	return true
 }
 
 // maxRequests is more than any endpoint can have in flight.
--- a/adapters/exchanger/sums.go
+++ b/adapters/exchanger/sums.go
@@ -1,7 +1,6 @@
 package exchanger
 
 import (
-	"encoding/binary"
 	"errors"
 	"maps"
 	"slices"
@@ -97,19 +96,8 @@
 	}
 	d.keys = append(d.keys, m.NewKeys...)
 	sums := make(Sums, len(m.Values)/2)
-	number := uint64(0)
-	for rest := m.Values; len(rest) > 0; number++ {
-		delta, n := binary.Uvarint(rest)
-		if n <= 0 || delta >= uint64(len(d.keys)) {
-			return nil, errInvalidSums
-		}
-		value, k := binary.Uvarint(rest[n:])
-		number += delta
-		if k <= 0 || number >= uint64(len(d.keys)) || value > summer.MaxCount {
-			return nil, errInvalidSums
-		}
-		sums[d.keys[number]] = value
-		rest = rest[n+k:]
+	if !decodeCounts(m.Values, d.keys, summer.MaxCount, func(key string, n uint64) { sums[key] = n }) {
+		return nil, errInvalidSums
 	}
 	return sums, nil
 }
--- a/core/chooser/forecast.go
+++ b/core/chooser/forecast.go
@@ -58,8 +58,16 @@
 	return d.value * math.Exp(-now.Sub(d.at).Seconds()/window.Seconds())
 }
 
-func (d *decayingCount) add(now time.Time, window time.Duration) {
-	d.value, d.at = d.get(now, window)+1, now
+func (d *decayingCount) add(now time.Time, window time.Duration) { d.addWork(now, window, 1) }
+
+// addWork counts an event by its work.
+func (d *decayingCount) addWork(now time.Time, window time.Duration, work float64) {
+	d.value, d.at = d.get(now, window)+work, now
+}
+
+// inProgress returns the requests in progress that the counted work in seconds causes.
+func (d *decayingCount) inProgress(now time.Time, window time.Duration) float64 {
+	return d.get(now, window) / window.Seconds()
 }
 
 // effectiveWindow returns the seconds that a decayingCount covers if events are counted since a time span.
--- a/core/chooser/share.go
+++ b/core/chooser/share.go
@@ -122,28 +122,6 @@
 	TooLate   Reason = "the response can't be complete before the deadline"
 )
 
-// decayingSum is a decayingCount of work.
-type decayingSum struct {
-	value float64
-	at    time.Time
-}
-
-func (d *decayingSum) get(now time.Time, window time.Duration) float64 {
-	if d.value == 0 {
-		return 0
-	}
-	return d.value * math.Exp(-now.Sub(d.at).Seconds()/window.Seconds())
-}
-
-func (d *decayingSum) add(now time.Time, window time.Duration, work float64) {
-	d.value, d.at = d.get(now, window)+work, now
-}
-
-// inProgress returns the requests in progress that the work causes.
-func (d *decayingSum) inProgress(now time.Time, window time.Duration) float64 {
-	return d.get(now, window) / window.Seconds()
-}
-
 // classWork is the work of the requests of one priority class of a service.
 type classWork struct {
 	holdTime  float64 // mean in seconds, 0 until a request has ended
@@ -155,11 +133,11 @@
 type workspaceShare struct {
 	sharer.Workspace
 
-	need   [sharer.Classes]decayingSum // of this router
-	others [sharer.Classes]float64     // of the other routers, when last heard of
-	keys   [sharer.Classes]string      // of the named sums
-	credit [sharer.Classes]float64     // fractions of requests that add up to accepted ones
-	line   [sharer.Classes]time.Time   // when the last refused caller returns
+	need   [sharer.Classes]decayingCount // of this router
+	others [sharer.Classes]float64       // of the other routers, when last heard of
+	keys   [sharer.Classes]string        // of the named sums
+	credit [sharer.Classes]float64       // fractions of requests that add up to accepted ones
+	line   [sharer.Classes]time.Time     // when the last refused caller returns
 	usedAt time.Time
 	isOver bool // logged as above its share
 }
@@ -173,7 +151,7 @@
 	list       []*sharer.Workspace // buffer
 	byClass    [sharer.Classes]classWork
 
-	ok, full             decayingSum // admitted work of this router that found an endpoint, or none
+	ok, full             decayingCount // admitted work of this router that found an endpoint, or none
 	okOthers, fullOthers float64
 
 	holdTime       float64 // mean of all requests in seconds
@@ -267,7 +245,7 @@
 		return ""
 	}
 	w := c.workspaceShare(now, s, q.Workspace, q.Weight)
-	w.need[class].add(now, needWindow, s.work(q, class))
+	w.need[class].addWork(now, needWindow, s.work(q, class))
 	if k, size := &s.byClass[class], q.size(); size > 0 {
 		if k.size == 0 {
 			k.size = size
@@ -305,13 +283,13 @@
 	work := s.work(q, class)
 	switch reason {
 	case "":
-		s.ok.add(now, foundWindow, work)
+		s.ok.addWork(now, foundWindow, work)
 		if q.IsRepeat {
-			s.full.add(now, foundWindow, -min(work, s.full.get(now, foundWindow)))
+			s.full.addWork(now, foundWindow, -min(work, s.full.get(now, foundWindow)))
 		}
 	case AllAtCapacity, ColdRateExhausted, RateLimited:
 		if !q.IsRepeat {
-			s.full.add(now, foundWindow, work)
+			s.full.addWork(now, foundWindow, work)
 		}
 	}
 	return class
