Close a drained listener again without an error

Cause: at a stop, Drain closes the listener, and http.Server closes it again, in Serve when Accept has failed or in Shutdown if Serve has not ended yet. In the second case Shutdown returned "use of closed network connection", and the server reported an error at a regular end and closed its connections at once. Change: DrainingListener.Close closes once.

--- a/adapters/server/drain.go
+++ b/adapters/server/drain.go
@@ -36,6 +36,9 @@
 	hasStopped bool       // of Accept, whose calls don't overlap
 	rest       []net.Conn // accepted when the listener stopped
 	stopErr    error      // valid once ended is closed
+
+	closeOnce sync.Once
+	closeErr  error // of the first Close
 }
 
 // NewDrainingListener returns a listener whose Accept is called in a loop.
@@ -65,6 +68,16 @@
 	return c, err
 }
 
+// Close closes the listener; further calls return the same error. Both Drain and http.Server close it, in any order.
+func (l *DrainingListener) Close() error {
+	l.closeOnce.Do(func() {
+		if err := l.Listener.Close(); !errors.Is(err, net.ErrClosed) {
+			l.closeErr = err
+		}
+	})
+	return l.closeErr
+}
+
 // Drain accepts the connections that are established and closes the listener.
 func (l *DrainingListener) Drain() error {
 	var stopErr error
@@ -73,10 +86,7 @@
 		l.isUsed.Load() && l.hasEndedWithin(acceptDrainTime)) {
 		stopErr = l.stopErr
 	}
-	if err := l.Close(); !errors.Is(err, net.ErrClosed) { // http.Server.Serve closes its listener, too
-		return errors.Join(stopErr, err)
-	}
-	return stopErr
+	return errors.Join(stopErr, l.Close())
 }
 
 func (l *DrainingListener) hasEndedWithin(d time.Duration) bool {
--- a/adapters/server/drain_test.go
+++ b/adapters/server/drain_test.go
@@ -131,6 +131,21 @@
 	assert.Assert(t, time.Since(start) < testTimeout)
 }
 
+// Guards against an error at a regular end: http.Server closes its listener when Accept fails and when it shuts down, both
+// after Drain has closed it.
+func TestDrainedListenerIsClosedAgainWithoutAnError(t *testing.T) {
+	plain, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	l := NewDrainingListener(plain)
+	hs := &http.Server{ReadHeaderTimeout: testTimeout, Handler: http.NotFoundHandler()}
+	ended := make(chan error, 1)
+	go func() { ended <- hs.Serve(l) }()
+	assert.NilError(t, l.Drain())
+	assert.NilError(t, hs.Shutdown(t.Context()))
+	assert.Assert(t, <-ended != nil)
+	assert.NilError(t, l.Close())
+}
+
 // Guards against a server that closes idle connections at the start of its shutdown, when requests may be on their way,
 // and against one that never ends because idle connections stay.
 func TestStopAnswersWhatIdleConnectionsBring(t *testing.T) {
