--- a/adapters/server/drain_test.go
+++ b/adapters/server/drain_test.go
@@ -131,8 +131,8 @@
 	assert.Assert(t, time.Since(start) < testTimeout)
 }
 
-// Guards against an error at a regular end: http.Server closes its listener when Accept fails and when it shuts down, both
-// after Drain has closed it.
+// Guards against an error at a regular end: http.Server closes its listener when Accept fails and when it shuts down,
+// both after Drain has closed it.
 func TestDrainedListenerIsClosedAgainWithoutAnError(t *testing.T) {
 	plain, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
