Bound the keys in a message of named sums

Cause: a router publishes up to 4,096 keys, but a control instance sent the totals of all routers unbounded, and numbered up to twice the keys of a message, while a receiver rejected more than 12,544 keys on a connection and ended it. Near 1,500 endpoints that nobody reaches, the reach/ keys of three failure domains come close; the rejected loads showed what a rejection costs.

Change: a message has at most 4,096 keys. Groups of keys share the room; in a group, subjects with the smallest values are left out first and with all their keys, because failures of an endpoint without the contacts that speak against them would make it unreachable. The largest number left out is logged and counted at most every 10 s for each connection. A receiver skips keys beyond its bound, so that a sender of an earlier release does not lose the connection; numbers that were never sent and damaged values are rejected as before.

--- a/adapters/exchanger/exchanger_test.go
+++ b/adapters/exchanger/exchanger_test.go
@@ -84,6 +84,8 @@
 
 func (s *fakeSource) Sums(Contact) Sums { return nil }
 
+func (s *fakeSource) SumsDropped(int) {}
+
 func (s *fakeSource) LoadsReceived(from Contact, loads Loads) {
 	s.record(fmt.Sprintf("%s e: %d requests", from.Name, loads["e"].Requests))
 }
--- a/adapters/exchanger/loads.go
+++ b/adapters/exchanger/loads.go
@@ -238,27 +238,31 @@
 }
 
 func (d *loadDecoder) decodeCounts(counts []byte, each func(id string, n int)) error {
-	if !decodeCounts(counts, d.ids, maxRequests, func(id string, n uint64) { each(id, int(n)) }) {
+	if !decodeCounts(counts, d.ids, 0, maxRequests, func(id string, n uint64) { each(id, int(n)) }) {
 		return errInvalidLoads
 	}
 	return nil
 }
 
-// decodeCounts decodes what encodeCounts has encoded, with the names by number; ok is false if a number has no name or
-// a count is above the bound.
-func decodeCounts(counts []byte, names []string, maxCount uint64, each func(name string, n uint64)) (ok bool) {
-	number := uint64(0)
+// decodeCounts decodes what encodeCounts has encoded, with the names by number; counts of the unknown numbers that
+// follow are skipped. ok is false if a number is beyond these or a count is above the bound.
+func decodeCounts(
+	counts []byte, names []string, unknown int, maxCount uint64, each func(name string, n uint64),
+) (ok bool) {
+	number, numbers := uint64(0), uint64(len(names)+unknown)
 	for rest := counts; len(rest) > 0; number++ {
 		delta, n := binary.Uvarint(rest)
-		if n <= 0 || delta >= uint64(len(names)) {
+		if n <= 0 || delta >= numbers {
 			return false
 		}
 		count, k := binary.Uvarint(rest[n:])
 		number += delta
-		if k <= 0 || number >= uint64(len(names)) || count > maxCount {
+		if k <= 0 || number >= numbers || count > maxCount {
 			return false
 		}
-		each(names[number], count)
+		if number < uint64(len(names)) {
+			each(names[number], count)
+		}
 		rest = rest[n+k:]
 	}
 	return true
--- a/adapters/exchanger/server.go
+++ b/adapters/exchanger/server.go
@@ -39,6 +39,9 @@
 	// SumsReceived and Sums are LoadsReceived and Loads for named sums; nil sums are not sent.
 	SumsReceived(from Contact, sums Sums)
 	Sums(to Contact) Sums
+	// SumsDropped reports that n keys were left out of the sums sent in one message; at most one call in
+	// dropReportInterval for each connection.
+	SumsDropped(n int)
 	// AcceptsRouters reports whether routers may subscribe. An instance without a quorum and without a state has nothing
 	// to send them, while other instances may.
 	AcceptsRouters() bool
@@ -355,6 +358,9 @@
 		return nil
 	}
 	m, ok := sender.next(now, s.source.Sums(sub.contact))
+	if n := sender.takeDropped(now); n > 0 {
+		s.source.SumsDropped(n)
+	}
 	if !ok {
 		return nil
 	}
--- a/adapters/exchanger/sums.go
+++ b/adapters/exchanger/sums.go
@@ -21,6 +21,9 @@
 
 	// sumRefreshInterval is how often unchanged sums are sent again, because receivers know their age only so.
 	sumRefreshInterval = time.Second
+
+	// dropReportInterval is how often the keys that messages have left out are reported.
+	dropReportInterval = 10 * time.Second
 )
 
 // sumsMessage carries sums. A key is sent once on a connection and gets the next number, which identifies it later.
@@ -35,6 +38,9 @@
 	numbers map[string]uint64
 	last    Sums
 	sentAt  time.Time
+
+	dropped    int       // most keys left out of a message since reportedAt
+	reportedAt time.Time // when dropped was last taken
 }
 
 // isDue reports whether the minimum interval since the last message has passed.
@@ -42,8 +48,20 @@
 	return now.Sub(s.sentAt) >= sumInterval*time.Duration(1+len(s.last)/sumKeysPerInterval)
 }
 
-// next returns the message with the sums if they are to be sent; nil sums are not sent.
+// takeDropped returns the number of keys that a message had to leave out since the last call, 0 if it was not long ago.
+func (s *sumSender) takeDropped(now time.Time) (n int) {
+	if s.dropped == 0 || now.Sub(s.reportedAt) < dropReportInterval {
+		return 0
+	}
+	n, s.dropped, s.reportedAt = s.dropped, 0, now
+	return n
+}
+
+// next returns the message with the sums if they are to be sent; nil sums are not sent. The receiver takes no more than
+// summer.MaxKeys in each message, while the sums of all routers have as many keys as they differ in.
 func (s *sumSender) next(now time.Time, sums Sums) (m sumsMessage, ok bool) {
+	sums, dropped := sums.Bounded(summer.MaxKeys)
+	s.dropped = max(s.dropped, dropped)
 	if sums == nil || maps.Equal(sums, s.last) && now.Sub(s.sentAt) < sumRefreshInterval {
 		return m, false
 	}
@@ -65,12 +83,15 @@
 	return m, true
 }
 
-// sumDecoder decodes the sums of one direction of a connection.
-type sumDecoder struct{ keys []string }
+// sumDecoder decodes the sums of one direction of a connection. The keys of numbers from maxSumNumbers on are unknown.
+type sumDecoder struct {
+	keys    []string // by number
+	unknown int      // further numbers
+}
 
 var errInvalidSums = errors.New("invalid encoding of sums")
 
-// maxSumNumbers bounds the numbers of keys on a connection; the sender drops unused ones earlier.
+// maxSumNumbers bounds the numbers of keys on a connection; senders that bound their messages drop unused ones earlier.
 const maxSumNumbers = 3*summer.MaxKeys + maxUnusedNumbers
 
 // decodeEnvelope decodes a received message.
@@ -84,19 +105,19 @@
 
 func (d *sumDecoder) decode(m *sumsMessage) (Sums, error) {
 	if m.Reset {
-		d.keys = nil
-	}
-	if len(d.keys)+len(m.NewKeys) > maxSumNumbers {
-		return nil, errInvalidSums
+		d.keys, d.unknown = nil, 0
 	}
 	for _, key := range m.NewKeys {
 		if len(key) > summer.MaxKeyBytes {
 			return nil, errInvalidSums
 		}
 	}
-	d.keys = append(d.keys, m.NewKeys...)
+	known := min(len(m.NewKeys), maxSumNumbers-len(d.keys))
+	d.keys = append(d.keys, m.NewKeys[:known]...)
+	d.unknown += len(m.NewKeys) - known
 	sums := make(Sums, len(m.Values)/2)
-	if !decodeCounts(m.Values, d.keys, summer.MaxCount, func(key string, n uint64) { sums[key] = n }) {
+	ok := decodeCounts(m.Values, d.keys, d.unknown, summer.MaxCount, func(key string, n uint64) { sums[key] = n })
+	if !ok {
 		return nil, errInvalidSums
 	}
 	return sums, nil
--- a/core/chooser/chooser.go
+++ b/core/chooser/chooser.go
@@ -226,6 +226,7 @@
 
 	reachKeys map[string]bool // of ledger, set by publishReach
 
+	sumsDropped   int     // keys left out of messages
 	events        []Event // not yet taken
 	droppedEvents int
 
--- a/core/chooser/telemetry.go
+++ b/core/chooser/telemetry.go
@@ -1,6 +1,10 @@
 package chooser
 
-import "time"
+import (
+	"time"
+
+	"cactusroute.dev/core/summer"
+)
 
 // maxPendingEvents bounds the events that wait to be logged.
 const maxPendingEvents = 64
@@ -35,11 +39,20 @@
 	return events, dropped
 }
 
+// RecordSumsDropped records that n keys were left out of a message with the sums of all routers.
+func (c *Chooser) RecordSumsDropped(n int) {
+	c.sumsDropped += n
+	c.addEvent("named sums left out of a message", "keys", n, "max", summer.MaxKeys)
+}
+
 // Gauges returns the figures of the decisions under load that are in force.
 func (c *Chooser) Gauges(now time.Time) (list []Gauge) {
 	if age, ok := c.ledger.Age(now); ok {
 		list = append(list, Gauge{Decision: "sums", Name: "ageSeconds", Value: age.Seconds()})
 	}
+	if c.sumsDropped > 0 {
+		list = append(list, Gauge{Decision: "sums", Name: "keysLeftOut", Value: float64(c.sumsDropped)})
+	}
 	list = append(list, c.domainGauges()...)
 	list = append(list, c.reachGauges()...)
 	list = append(list, c.copyGauges()...)
--- a/node/sums.go
+++ b/node/sums.go
@@ -72,6 +72,11 @@
 	return total
 }
 
+// SumsDropped implements exchanger.Source.
+func (f *fleet) SumsDropped(n int) {
+	f.routing.withChooser(func(c *chooser.Chooser) { c.RecordSumsDropped(n) })
+}
+
 // SumsReceived implements exchanger.Receiver.
 func (r *receiver) SumsReceived(sums exchanger.Sums) {
 	f := r.fleet
