Send the changed endpoints of a subscriber together

Cause: each changed endpoint went to each subscriber in a message of its own, as soon as its heartbeat arrived. When a failure domain with 1,000 endpoints returns, a control instance with 50 subscribers sends 50,000 messages, and each router merges, logs and acknowledges as many.

Change: after a message with endpoints there is a pause of 1 ms for each subscriber of the server, 100 ms at most, in which changes collect. Departures don't wait, nor does what the answer about a stream relies on. A server with 12 subscribers pauses 12 ms.

--- a/adapters/exchanger/exchanger_test.go
+++ b/adapters/exchanger/exchanger_test.go
@@ -56,6 +56,12 @@
 	s.recorded = append(s.recorded, text)
 }
 
+func (s *fakeSource) allRecorded() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.recorded
+}
+
 func (s *fakeSource) hasRecorded(text string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/adapters/exchanger/server.go
+++ b/adapters/exchanger/server.go
@@ -77,6 +77,8 @@
 
 	mu       sync.Mutex
 	pending  map[string]registrar.Endpoint // newest unsent record by endpoint ID
+	isUrgent bool                          // pending has a departure
+	pauseEnd time.Time                     // before which only urgent records are sent
 	suspects []Suspect                     // unsent
 	evidence Evidence                      // unsent
 	resync   bool                          // all evidence is to be sent
@@ -367,10 +369,29 @@
 	return sub.conn.Send(ctx, kindSums, 0, m)
 }
 
+// takeEndpoints returns the records to be sent now, and the time until others are to be sent. After each message there
+// is a pause in proportion to the number of subscribers, because a domain that returns brings hundreds of endpoints one
+// after the other. Departures don't wait, nor does what an answer about a stream relies on. The caller holds mu.
+func (sub *subscriber) takeEndpoints(now time.Time, subscribers int) (list []registrar.Endpoint, wait time.Duration) {
+	wait = sub.pauseEnd.Sub(now)
+	if len(sub.pending) == 0 || wait > 0 && !sub.isUrgent && len(sub.answers) == 0 {
+		if len(sub.pending) == 0 {
+			wait = 0
+		}
+		return nil, wait
+	}
+	list = slices.Collect(maps.Values(sub.pending))
+	clear(sub.pending)
+	sub.isUrgent, sub.pauseEnd = false, now.Add(min(maxEndpointPause, time.Duration(subscribers)*endpointPause))
+	return list, 0
+}
+
 func (s *Server) sendPending(ctx context.Context, sub *subscriber) error {
+	s.mu.Lock()
+	subscribers := len(s.subscribers)
+	s.mu.Unlock()
 	sub.mu.Lock()
-	changed := slices.Collect(maps.Values(sub.pending))
-	clear(sub.pending)
+	changed, wait := sub.takeEndpoints(time.Now(), subscribers)
 	suspects := sub.suspects
 	sub.suspects = nil
 	evidence, resync := sub.evidence, sub.resync
@@ -386,6 +407,9 @@
 	if resync {
 		evidence = s.source.AllEvidence()
 	}
+	if wait > 0 {
+		time.AfterFunc(wait, sub.notify)
+	}
 	if len(changed) > 0 {
 		m := endpointsMessage{Records: encodeEndpoints(time.Now(), changed)}
 		if err := sub.conn.Send(ctx, kindEndpoints, 0, m); err != nil {
@@ -455,6 +479,7 @@
 		defer sub.mu.Unlock()
 		for _, e := range changed {
 			sub.pending[e.ID] = e
+			sub.isUrgent = sub.isUrgent || e.State == registrar.Draining || e.State == registrar.Gone
 		}
 	})
 }
--- a/adapters/exchanger/wire.go
+++ b/adapters/exchanger/wire.go
@@ -41,6 +41,11 @@
 	// loadRefreshInterval is how often unchanged loads are sent again, because receivers use them for 1 s only.
 	loadRefreshInterval = 600 * time.Millisecond
 
+	// endpointPause is the time between two messages with changed endpoints for each subscriber of a server, and
+	// maxEndpointPause its bound. A message takes the server some 20 us for each subscriber.
+	endpointPause    = time.Millisecond
+	maxEndpointPause = 100 * time.Millisecond
+
 	// maxMessageBytes is enough for a plan of the largest accepted size and its framing.
 	maxMessageBytes = 8 << 20
 
