Merge loads and sums once for all subscribers of an instance

Cause: a control instance merged the loads of all its routers and the other instances anew for each message to each subscriber, so that the work grew with the square of their number; the merge of named sums ran four times for each use in its own routing, too.

The bound of 1,500 endpoints for demand scheduling moves to planner.LoadPolicy.For; node loses lines.

--- a/adapters/exchanger/sums.go
+++ b/adapters/exchanger/sums.go
@@ -57,8 +57,8 @@
 	return n
 }
 
-// next returns the message with the sums if they are to be sent; nil sums are not sent. The receiver takes no more than
-// summer.MaxKeys in each message, while the sums of all routers have as many keys as they differ in.
+// next returns the message with the sums, which must not change, if they are to be sent; nil sums are not. The receiver
+// takes no more than summer.MaxKeys in each message, while the sums of all routers have as many keys as they differ in.
 func (s *sumSender) next(now time.Time, sums Sums) (m sumsMessage, ok bool) {
 	sums, dropped := sums.Bounded(summer.MaxKeys)
 	s.dropped = max(s.dropped, dropped)
@@ -79,7 +79,7 @@
 		values[n] = int(min(sums[key], summer.MaxCount))
 	}
 	m.Values = encodeCounts(values)
-	s.last, s.sentAt = maps.Clone(sums), now
+	s.last, s.sentAt = sums, now
 	return m, true
 }
 
--- a/core/planner/scheduling.go
+++ b/core/planner/scheduling.go
@@ -38,6 +38,18 @@
 		Copies: isOn, Reachable: isOn}
 }
 
+// MaxScheduledEndpoints is the number of endpoints up to which the decisions of LoadPolicy are in force. Their cost
+// grows with it: with 3,000 endpoints, routers with a tenth of a core had no time left for requests.
+const MaxScheduledEndpoints = 1500
+
+// For returns the decisions that are in force with a number of endpoints.
+func (p LoadPolicy) For(endpoints int) LoadPolicy {
+	if endpoints > MaxScheduledEndpoints {
+		return LoadPolicy{}
+	}
+	return p
+}
+
 // LoadPolicyNames are the names of the decisions of LoadPolicy in settings.
 func LoadPolicyNames() []string {
 	return []string{"shares", "pace", "queues", "domains", "copies", "reachable"}
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -108,6 +108,10 @@
 
 // Loads implements exchanger.Source.
 func (f *fleet) Loads(to exchanger.Contact) exchanger.Loads {
+	return f.totalLoads.Get(to.Eligible, f.mergeLoads)
+}
+
+func (f *fleet) mergeLoads(isOwn bool) exchanger.Loads {
 	total := f.routing.ownLoads()
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -116,7 +120,7 @@
 			total.Add(sub.loads)
 		}
 	}
-	if to.Eligible {
+	if isOwn {
 		return total
 	}
 	for name, inst := range f.instances {
@@ -269,8 +273,10 @@
 func (f *fleet) aggregateLoads(ctx context.Context) error {
 	for i := 0; ctx.Err() == nil; i++ {
 		f.routing.setTotalLoads(f.Loads(exchanger.Contact{}))
-		if sums := f.Sums(exchanger.Contact{}); sums != nil && i%sumAggregations == 0 {
-			f.routing.setTotalSums(sums)
+		if i%sumAggregations == 0 {
+			if sums := f.Sums(exchanger.Contact{}); sums != nil {
+				f.routing.setTotalSums(sums)
+			}
 		}
 		sleeper.Pause(ctx, loadAggregationInterval)
 	}
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -67,10 +67,6 @@
 	routingPauseFactor = 8
 	maxRoutingPause    = 250 * time.Millisecond
 
-	// maxScheduledEndpoints is the number of endpoints up to which the decisions of planner.LoadPolicy are in force. Their
-	// cost grows with it: with 3,000 endpoints, routers with a tenth of a core had no time left for requests.
-	maxScheduledEndpoints = 1500
-
 	// convictionThreshold is the number of endpoint starts that failed during the same request before it is refused.
 	convictionThreshold = 3
 
@@ -133,6 +129,9 @@
 	routingPause    atomic.Int64  // end of the pause after the last update, in nanoseconds since started
 	routingPending  atomic.Bool   // an update follows that pause
 
+	totalLoads exchanger.Totals[exchanger.Loads]
+	totalSums  exchanger.Totals[exchanger.Sums]
+
 	mu    sync.Mutex
 	seeds []string
 	// seedsInformedAt is when this control instance, while quorate, last exchanged contacts with an address.
@@ -384,11 +383,7 @@
 			outOfService = append(outOfService, e)
 		}
 	}
-	policy := f.settings.loadPolicy(v.plan)
-	if len(list) > maxScheduledEndpoints {
-		policy = planner.LoadPolicy{}
-	}
-	f.routing.update(inService, outOfService, routers, v, policy)
+	f.routing.update(inService, outOfService, routers, v, f.settings.loadPolicy(v.plan).For(len(list)))
 }
 
 // updateRoutingFor updates routing for changed records: at once for departures, and for others not before a pause in
--- a/node/routing_pause_test.go
+++ b/node/routing_pause_test.go
@@ -21,7 +21,7 @@
 	for _, c := range []struct {
 		endpoints int
 		isOn      bool
-	}{{maxScheduledEndpoints, true}, {maxScheduledEndpoints + 1, false}} {
+	}{{planner.MaxScheduledEndpoints, true}, {planner.MaxScheduledEndpoints + 1, false}} {
 		list := make([]registrar.Endpoint, c.endpoints)
 		for i := range list {
 			list[i] = testEndpoint(fmt.Sprint("e", i), fmt.Sprintf("10.0.%d.%d:1", i/250, i%250+1))
--- a/node/sums.go
+++ b/node/sums.go
@@ -46,7 +46,11 @@
 }
 
 // Sums implements exchanger.Source.
-func (f *fleet) Sums(to exchanger.Contact) (total exchanger.Sums) {
+func (f *fleet) Sums(to exchanger.Contact) exchanger.Sums {
+	return f.totalSums.Get(to.Eligible, f.mergeSums)
+}
+
+func (f *fleet) mergeSums(isOwn bool) (total exchanger.Sums) {
 	add := func(sums exchanger.Sums) {
 		if sums != nil && total == nil {
 			total = exchanger.Sums{}
@@ -61,7 +65,7 @@
 			add(sub.sums)
 		}
 	}
-	if to.Eligible {
+	if isOwn {
 		return total
 	}
 	for name, inst := range f.instances {
