Move routes of a rollout at different times, and save exposure for the move

Cause: a version that turns bad around the move passed the operator's bound on exposure: all requests moved at once, as early as the longest ones need (up to two fifths of the time), and the trial had by then used nine tenths of the share.

Change: each route moves at its own time, named by the change to moving; after a third of the time the trial uses three tenths of its share, at least 12 requests a second in all; the rollout is not completed before 0.8 s are left, so that a version that turns bad until then is rolled back.

--- a/core/chooser/chooser.go
+++ b/core/chooser/chooser.go
@@ -96,6 +96,7 @@
 // Query describes the request for which an endpoint is selected.
 type Query struct {
 	Service  *planner.Service
+	Route    string
 	Parts    []PromptPart
 	Tried    []string // IDs of endpoints to exclude
 	Random   float64  // uniform in [0, 1)
@@ -364,7 +365,7 @@
 		p.attempts.add(now, demandWindow)
 		p.recent.add(now, growthWindow)
 	}
-	c.prepareGate(&q)
+	c.prepareGate(now, &q)
 	var choice Choice
 	var reason Reason
 	switch {
@@ -376,7 +377,7 @@
 		choice, reason = c.chooseByLoad(now, q, p)
 	}
 	if reason == "" {
-		c.countVersion(&q, &choice.Endpoint)
+		c.countVersion(now, &q, &choice.Endpoint)
 		choice.work = classOf(&q, choice.Rank)
 		p.accepted.add(now, demandWindow)
 		c.recordArrival(now, &q, &choice)
--- a/core/chooser/rollouts.go
+++ b/core/chooser/rollouts.go
@@ -56,12 +56,13 @@
 	}
 	for _, r := range list {
 		g := &gate{Gate: rollouter.NewGate(r, share), since: now}
-		if known := old[r.Service]; known != nil && known.Update(r) {
+		if known := old[r.Service]; known != nil && known.Update(now, r) {
 			g.Gate, g.since = known.Gate, known.since
 		}
 		if c.restartedAt.IsZero() { // otherwise the process before may have used it
 			g.Slack = slackPart * c.limits.Rollouts.ExposeSlack / float64(c.routers)
 		}
+		g.LaterRate = rollouter.LaterRate / float64(c.routers)
 		c.updateGate(g, share)
 		c.gates[r.Service] = g
 	}
@@ -126,11 +127,11 @@
 }
 
 // prepareGate determines what the rollout of a service, if there is one, means for a request.
-func (c *Chooser) prepareGate(q *Query) {
+func (c *Chooser) prepareGate(now time.Time, q *Query) {
 	c.gate = c.gates[q.Service.Name]
 	if g := c.gate; g != nil {
-		g.admitsTrial = g.Admits(rollouter.Admission{Version: g.Rollout.Target, IsResumed: q.IsResumed, IsStale: q.IsStale,
-			HasTarget: g.hasTarget, OnlyTarget: g.onlyTarget})
+		g.admitsTrial = g.Admits(rollouter.Admission{Now: now, Version: g.Rollout.Target, Route: q.Route,
+			IsResumed: q.IsResumed, IsStale: q.IsStale, HasTarget: g.hasTarget, OnlyTarget: g.onlyTarget})
 	}
 }
 
@@ -143,8 +144,8 @@
 	case e.Version == g.Rollout.Target:
 		return !g.admitsTrial || g.Rollout.Phase == rollouter.Trying && !g.onlyTarget && !g.trial[e.ID]
 	default:
-		return !g.Admits(rollouter.Admission{Version: e.Version, IsResumed: q.IsResumed, HasTarget: g.hasTarget}) ||
-			c.isNewVersion(now, q, e)
+		return !g.Admits(rollouter.Admission{Now: now, Version: e.Version, Route: q.Route, IsResumed: q.IsResumed,
+			HasTarget: g.hasTarget}) || c.isNewVersion(now, q, e)
 	}
 }
 
@@ -178,9 +179,9 @@
 }
 
 // countVersion counts a request that is sent to an endpoint.
-func (c *Chooser) countVersion(q *Query, e *registrar.Endpoint) {
+func (c *Chooser) countVersion(now time.Time, q *Query, e *registrar.Endpoint) {
 	if c.gate != nil {
-		c.gate.CountSent(e.Version, len(q.Tried) > 0)
+		c.gate.CountSent(now, e.Version, len(q.Tried) > 0)
 	}
 }
 
--- a/core/rollouter/driver.go
+++ b/core/rollouter/driver.go
@@ -1,6 +1,7 @@
 package rollouter
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"slices"
@@ -21,13 +22,18 @@
 	longStrata  = 8
 
 	// maxMoveFraction is the largest part of a rollout's time that is kept for the move, minMoveTime the least time, and
-	// moveMargin the time in addition to wholeQuantile of the durations of requests: what runs at the former versions has
-	// to end in it. Until then the target is tried, because some versions turn bad late.
+	// moveMargin the time in addition to wholeQuantile of the durations of a route's requests: what runs at the former
+	// versions has to end in it. Until then the target is tried, because some versions turn bad late. Routes with short
+	// requests move later than others.
 	maxMoveFraction = 0.4
 	minMoveTime     = 2 * time.Second
 	moveMargin      = 1500 * time.Millisecond
 	wholeQuantile   = 0.998
 
+	// maxDelays bounds the routes that move later than others, and minDelay is the least time by which they do.
+	maxDelays = 100
+	minDelay  = 200 * time.Millisecond
+
 	// minMoved is how long the target must have got all requests before a rollout is completed: some versions fail only
 	// under load.
 	minMoved = time.Second
@@ -50,8 +56,9 @@
 	// that lose their control instance find another one within it.
 	unheardTime = 2500 * time.Millisecond
 
-	// commitMargin is how long before the deadline a rollout ends, so that its end is committed in time.
-	commitMargin = 500 * time.Millisecond
+	// commitMargin is how long before the deadline a rollout ends, so that its end is committed in time. It does not end
+	// before: a version that turns bad until then can still be rolled back.
+	commitMargin = 800 * time.Millisecond
 
 	// overtime is how long after the deadline a rollout is tried further that could not be judged, because no control
 	// instance had a quorum or no endpoint of the target was known.
@@ -111,6 +118,7 @@
 	rollout    Rollout
 	deadline   time.Time // by the clock of this process, which may have been stepped since the order
 	phaseSince time.Time
+	ackedSince time.Time  // when all routers were known to know of the move; zero before
 	emptySince time.Time  // zero while the former versions have requests
 	strata     []Outcomes // the last one is not complete
 	begunAt    time.Time  // of the last stratum
@@ -148,7 +156,7 @@
 			d.runs[r.Service] = known
 		}
 		if known.rollout.Phase != r.Phase {
-			known.rollout, known.phaseSince, known.emptySince = *r, now, time.Time{}
+			known.rollout, known.phaseSince, known.ackedSince, known.emptySince = *r, now, time.Time{}, time.Time{}
 		}
 		known.record(now, outcomes)
 		f := facts(r)
@@ -199,7 +207,7 @@
 		return r.nextOfMove(now, f)
 	}
 	left := r.deadline.Sub(now)
-	moveTime := r.moveTime()
+	_, moveTime := r.moveTimes()
 	answers := r.answers()
 	switch {
 	case f.TargetReady > 0 && len(f.Former) == 0 && now.Sub(r.phaseSince) >= minMoved:
@@ -233,24 +241,51 @@
 		r.emptySince = now
 	}
 	hasAcked := f.AckedIndex >= r.rollout.Index && (f.IsComplete || now.Sub(r.phaseSince) >= unheardTime)
-	isEmpty := !r.emptySince.IsZero() && now.Sub(r.emptySince) >= emptyTime && now.Sub(r.phaseSince) >= minMoved
+	if hasAcked && r.ackedSince.IsZero() {
+		r.ackedSince = now
+	}
+	delay := r.rollout.maxDelay()
+	hasMoved := hasAcked && now.Sub(r.ackedSince) >= delay && now.Sub(r.phaseSince) >= delay+minMoved
+	isEmpty := !r.emptySince.IsZero() && now.Sub(r.emptySince) >= emptyTime
+	isDue := r.deadline.Sub(now) <= commitMargin
 	switch {
 	case f.TargetReady == 0:
 		return 0, ""
-	case hasAcked && isEmpty:
+	case hasMoved && isEmpty && (isDue || len(f.Former) == 0):
 		return Completed, "former versions have no requests"
-	case r.deadline.Sub(now) <= commitMargin && now.Sub(r.phaseSince) >= minMoved:
+	case isDue && now.Sub(r.phaseSince) >= delay+minMoved:
 		return Completed, fmt.Sprintf("deadline, with %d requests at former versions", f.FormerInFlight)
 	}
 	return 0, ""
 }
 
-// moveTime returns how long before the deadline the move begins.
-func (r *run) moveTime() time.Duration {
-	former := collect(&r.rollout, r.last)[allRoutes].former
-	longest := upperBound(former.Whole.quantile(wholeQuantile))
-	d := time.Duration(r.rollout.DeadlineAt-r.rollout.OrderedAt) * time.Millisecond
-	return max(minMoveTime, min(longest+moveMargin, time.Duration(maxMoveFraction*float64(d))))
+// moveTimes returns how long before the deadline routes move, and the longest of these times, at which the others do.
+func (r *run) moveTimes() (byRoute map[string]time.Duration, longest time.Duration) {
+	byRoute, longest = map[string]time.Duration{}, minMoveTime
+	limit := time.Duration(maxMoveFraction * float64(r.rollout.duration()))
+	for route, s := range collect(&r.rollout, r.last) {
+		if route != allRoutes && s.former.Whole.total() >= minFormer {
+			d := upperBound(s.former.Whole.quantile(wholeQuantile)) + moveMargin
+			byRoute[route] = max(minMoveTime, min(d, limit))
+			longest = max(longest, byRoute[route])
+		}
+	}
+	return byRoute, longest
+}
+
+// delays returns by how many milliseconds routes move later than the rollout does now.
+func (r *run) delays(now time.Time) map[string]int64 {
+	byRoute, _ := r.moveTimes()
+	routes := slices.SortedFunc(maps.Keys(byRoute), func(a, b string) int {
+		return cmp.Or(cmp.Compare(byRoute[a], byRoute[b]), cmp.Compare(a, b))
+	})
+	list := map[string]int64{}
+	for _, route := range routes[:min(len(routes), maxDelays)] {
+		if delay := r.deadline.Sub(now) - byRoute[route]; delay >= minDelay {
+			list[route] = delay.Milliseconds()
+		}
+	}
+	return list
 }
 
 // answers returns the answers of the target.
@@ -265,12 +300,17 @@
 
 func (r *run) step(now time.Time, next Phase, reason string, f *Facts) Step {
 	c := r.rollout
-	c.Phase, c.Reason, c.Former = next, reason, f.Former
+	c.Phase, c.Reason, c.Former, c.Delays = next, reason, f.Former, nil
+	_, moveTime := r.moveTimes()
+	if next == Moving && len(f.Former) > 0 {
+		c.Delays = r.delays(now)
+	}
 	return Step{Change: Change{Rollout: c}, Keyvals: []any{"service", c.Service, "target", c.Target,
 		"phase", next.String(), "before", r.rollout.Phase.String(), "reason", reason,
 		"leftMs", r.deadline.Sub(now).Milliseconds(),
 		"counts", Summary(&c, r.last), "recent", Summary(&c, r.strata[len(r.strata)-1]),
-		"recentMs", now.Sub(r.begunAt).Milliseconds(), "moveMs", r.moveTime().Milliseconds(), "deviations", certainDeviations,
+		"recentMs", now.Sub(r.begunAt).Milliseconds(), "moveMs", moveTime.Milliseconds(),
+		"delays", len(c.Delays), "maxDelayMs", c.maxDelay().Milliseconds(), "deviations", certainDeviations,
 		"targetReady", f.TargetReady, "formerInFlight", f.FormerInFlight, "ackedIndex", f.AckedIndex,
 		"heardAll", f.IsComplete}}
 }
--- a/core/rollouter/fleet_test.go
+++ b/core/rollouter/fleet_test.go
@@ -46,6 +46,9 @@
 	target   []*registrar.Endpoint
 	answers  behaviour
 	leaders  bool // a leader is there
+	duration time.Duration
+	// longest is the typical duration on route r3, to which an eighth of the requests go; 0 for that of the others.
+	longest time.Duration
 
 	requests, toTarget, bad int
 	fiftiethBad             time.Time
@@ -56,10 +59,16 @@
 }
 
 func newSimulatedFleet(seed uint64, routers int, perS float64, answers behaviour) *simulatedFleet {
+	return newSimulatedFleetFor(testDuration, seed, routers, perS, answers)
+}
+
+func newSimulatedFleetFor(
+	d time.Duration, seed uint64, routers int, perS float64, answers behaviour,
+) *simulatedFleet {
 	start := time.UnixMilli(1_700_000_000_000)
 	f := &simulatedFleet{rng: rand.New(rand.NewPCG(seed, 1)), now: start, start: start, perS: perS, driver: NewDriver(),
-		answers: answers, leaders: true}
-	r, _ := New(start, "s", "v2", testDuration)
+		answers: answers, leaders: true, duration: d}
+	r, _ := New(start, "s", "v2", d)
 	f.rollouts, _ = Apply(nil, Change{Rollout: r}, 1)
 	f.record()
 	for i := range 12 {
@@ -77,7 +86,7 @@
 
 func (f *simulatedFleet) addRouter() {
 	g := NewGate(f.rollouts[0], testShare)
-	g.Slack = 0.4 * testSlack / 10
+	g.Slack, g.LaterRate = 0.4*testSlack/10, LaterRate/10
 	f.routers = append(f.routers, g)
 	f.lag = append(f.lag, time.Duration(20+f.rng.IntN(200))*time.Millisecond)
 }
@@ -96,7 +105,7 @@
 	for i := range f.routers {
 		for j := len(f.history) - 1; j >= 0; j-- {
 			if f.now.Sub(f.changed[j]) >= f.lag[i] {
-				f.routers[i].Update(f.history[j])
+				f.routers[i].Update(f.now, f.history[j])
 				break
 			}
 		}
@@ -113,17 +122,24 @@
 func (f *simulatedFleet) send(g *Gate, trial map[string]bool) {
 	f.requests++
 	route := []string{"r1", "r2", "r3"}[f.rng.IntN(3)]
+	typical := 60 * time.Millisecond
+	if f.longest > 0 {
+		if route = "r1"; f.rng.IntN(8) == 0 {
+			route, typical = "r3", f.longest
+		}
+	}
 	// Half of the requests prefer endpoints of the target.
 	e := f.target[f.rng.IntN(len(f.target))]
 	isTarget := f.rng.IntN(2) == 0 && (trial[e.ID] || g.Rollout.Phase != Trying)
-	if !isTarget || !g.Admits(Admission{Version: "v2", HasTarget: true}) {
-		if e = f.former[f.rng.IntN(len(f.former))]; !g.Admits(Admission{Version: "v1", HasTarget: true}) {
+	if !isTarget || !g.Admits(Admission{Now: f.now, Version: "v2", Route: route, HasTarget: true}) {
+		e = f.former[f.rng.IntN(len(f.former))]
+		if !g.Admits(Admission{Now: f.now, Version: "v1", Route: route, HasTarget: true}) {
 			e = f.target[f.rng.IntN(len(f.target))]
 		}
 	}
-	g.CountSent(e.Version, false)
+	g.CountSent(f.now, e.Version, false)
 	result, slowdown := f.answers(f, e, route)
-	first := time.Duration(60*slowdown*math.Exp(0.4*f.rng.NormFloat64())*1e6) * time.Nanosecond
+	first := time.Duration(float64(typical) * slowdown * math.Exp(0.4*f.rng.NormFloat64()))
 	if e.Version == "v1" {
 		f.inFlightFormer = append(f.inFlightFormer, f.now.Add(first))
 	} else {
@@ -347,3 +363,33 @@
 		}
 	}
 }
+
+// Guards against a version that turns bad only around the move and gets more requests than the operator allows before
+// it is rolled back. Later on, the bound can't be met: see docs/design/rollouts.md.
+func TestVersionsThatTurnBadLateAreRolledBackWithinTheBound(t *testing.T) {
+	for _, c := range []struct {
+		duration time.Duration
+		perS     float64
+		at       float64 // part of the duration
+	}{{12 * time.Second, 700, 0.8}, {20 * time.Second, 700, 0.9}, {40 * time.Second, 400, 0.95}} {
+		for _, kind := range []struct {
+			name            string
+			share, slowdown float64
+		}{{"all fail", 1, 1}, {"a third fails", 0.33, 1}, {"half are four times slower", 0.5, 4}} {
+			for _, longest := range []time.Duration{0, 1200 * time.Millisecond} {
+				t.Run(fmt.Sprintf("%s from %g of %s on, longest %s", kind.name, c.at, c.duration, longest), func(t *testing.T) {
+					for seed := range uint64(simulatedSeeds) {
+						f := newSimulatedFleetFor(c.duration, seed, 10, c.perS, bad(kind.share, kind.slowdown,
+							func(f *simulatedFleet, _ string) bool { return float64(f.age()) > c.at*float64(c.duration) }))
+						f.longest = longest
+						f.run(c.duration)
+						assert.Equal(t, f.state().Phase, RolledBack, "seed %d: %v", seed, f.reasons)
+						bound := testShare*float64(f.requests) + testSlack
+						assert.Assert(t, float64(f.toTarget) <= bound, "seed %d: %d of %d requests: %v", seed, f.toTarget,
+							f.requests, f.reasons)
+					}
+				})
+			}
+		}
+	}
+}
--- a/core/rollouter/gate.go
+++ b/core/rollouter/gate.go
@@ -18,6 +18,16 @@
 	firstPart    = 0.4
 	firstAnswers = 3
 
+	// fullTrial is the part of a rollout's time, from the first sound answer of the target on, in which it is tried with
+	// the whole allowed share, and laterPart the part of the share that it gets afterwards: what is saved is left for the
+	// answers after the move until a version that turns bad then is found out.
+	fullTrial = 1.0 / 3
+	laterPart = 0.3
+
+	// LaterRate is the number of requests a second of all routers that the target gets afterwards at least, if the share
+	// allows them: with fewer, slow answers on one route are not told from chance.
+	LaterRate = 12
+
 	// confirmDelay is within which time an endpoint must answer another request for a broken answer to count as a failure
 	// of its version. An endpoint that has crashed or is cut off does not answer.
 	confirmDelay = 1500 * time.Millisecond
@@ -59,13 +69,20 @@
 	Rollout Rollout
 	// Slack is the number of requests that the target may get beside its share.
 	Slack float64
+	// LaterRate is this router's part of the constant LaterRate.
+	LaterRate float64
 
 	share    float64 // of the requests that the target may get
-	requests float64 // of this router to the service, without retries
+	requests float64 // of this router to the service, without retries; those of the later trial count in part
 	sent     float64 // to the target, with retries
+	total    float64 // as requests, each counted whole
 	sound    int     // answers of the target
-	outcomes Outcomes
-	broken   map[string][]brokenAttempt // by endpoint ID
+	// soundSince is when the first sound answer came, and movedAt when the router learned of the move; zero before, and in
+	// a router that has started after it.
+	soundSince, movedAt time.Time
+	soundTotal          float64 // total at soundSince
+	outcomes            Outcomes
+	broken              map[string][]brokenAttempt // by endpoint ID
 }
 
 // brokenAttempt is an attempt that counts as failed once its endpoint is known to be running.
@@ -81,19 +98,24 @@
 }
 
 // Update sets the progress of the rollout; it returns false for another one, which needs a gate of its own.
-func (g *Gate) Update(r Rollout) bool {
+func (g *Gate) Update(now time.Time, r Rollout) bool {
 	if !g.Rollout.isSame(&r) {
 		return false
 	}
+	if g.Rollout.Phase == Trying && r.Phase == Moving {
+		g.movedAt = now
+	}
 	g.Rollout = r
 	return true
 }
 
 // Admission is what a gate needs to know about a request.
 type Admission struct {
+	Now       time.Time
 	Version   string // of the endpoint
-	IsResumed bool   // the request continues a stream that the version began
-	IsStale   bool   // the router may not know the latest state
+	Route     string
+	IsResumed bool // the request continues a stream that the version began
+	IsStale   bool // the router may not know the latest state
 	// HasTarget is set while endpoints of the target are in service.
 	HasTarget bool
 	// OnlyTarget is set if no endpoint of another version is known, in or out of service: the target replaces nothing.
@@ -104,18 +126,36 @@
 func (g *Gate) Admits(a Admission) bool {
 	r := &g.Rollout
 	isTarget := a.Version == r.Target
-	switch r.Phase {
-	case Trying:
+	switch {
+	case r.Phase == Trying || r.Phase == Moving && !g.hasMoved(a.Now, a.Route):
 		return !isTarget || a.OnlyTarget || !a.IsStale && g.hasRoom()
-	case Moving:
+	case r.Phase == Moving:
 		return isTarget || a.IsResumed || !a.HasTarget
-	case Completed:
+	case r.Phase == Completed:
 		return isTarget || !a.HasTarget || !r.isFormer(a.Version)
 	default:
 		return !isTarget
 	}
 }
 
+// hasMoved reports whether the requests of a route go to the target once the rollout is moving. A router that started
+// after the move delays nothing: the others have moved by then, and the control instance counts on it.
+func (g *Gate) hasMoved(now time.Time, route string) bool {
+	return g.movedAt.IsZero() || now.Sub(g.movedAt) >= time.Duration(g.Rollout.Delays[route])*time.Millisecond
+}
+
+// trialPart returns the part of its share with which the target is tried. Past the deadline it is the whole share
+// again, because evidence is missing then.
+func (g *Gate) trialPart(now time.Time) float64 {
+	d := g.Rollout.duration()
+	elapsed := now.Sub(g.soundSince)
+	if g.sound == 0 || elapsed < time.Duration(fullTrial*float64(d)) || elapsed >= d {
+		return 1
+	}
+	perSecond := exposureSafety * g.share * (g.total - g.soundTotal) / elapsed.Seconds()
+	return min(1, max(laterPart, g.LaterRate/max(perSecond, math.SmallestNonzeroFloat64)))
+}
+
 func (r *Rollout) isFormer(version string) bool {
 	return slices.Contains(r.Former, version)
 }
@@ -130,9 +170,10 @@
 }
 
 // CountSent counts a request that is sent to an endpoint.
-func (g *Gate) CountSent(version string, isRetry bool) {
+func (g *Gate) CountSent(now time.Time, version string, isRetry bool) {
 	if !isRetry {
-		g.requests++
+		g.total++
+		g.requests += g.trialPart(now)
 	}
 	if version == g.Rollout.Target {
 		g.sent++
@@ -140,7 +181,7 @@
 }
 
 // Sent returns the requests to the service and those to the target, as counted at this router.
-func (g *Gate) Sent() (requests, target float64) { return g.requests, g.sent }
+func (g *Gate) Sent() (requests, target float64) { return g.total, g.sent }
 
 // Record counts the result of an attempt.
 func (g *Gate) Record(now time.Time, a Attempt) {
@@ -166,7 +207,9 @@
 	delete(g.broken, id)
 	g.count(&a, a.Result == Failed)
 	if a.Result == Answered && a.Endpoint.Version == g.Rollout.Target {
-		g.sound++
+		if g.sound++; g.soundSince.IsZero() {
+			g.soundSince, g.soundTotal = now, g.total
+		}
 	}
 }
 
--- a/core/rollouter/rollout.go
+++ b/core/rollouter/rollout.go
@@ -55,6 +55,8 @@
 	// Former are the versions that the target replaces; none before Moving.
 	Former []string `cbor:"7,keyasint,omitempty"`
 	Index  uint64   `cbor:"8,keyasint"` // of the log entry with the last change
+	// Delays are the milliseconds by which routes move later than the change to Moving; the others move at once.
+	Delays map[string]int64 `cbor:"9,keyasint,omitempty"`
 }
 
 // Change is the content of a log entry about a rollout: a new one in phase Trying, or its next phase. The fields of a
@@ -71,6 +73,19 @@
 	return fmt.Sprintf("a rollout of service %s to version %s is in progress", e.Running.Service, e.Running.Target)
 }
 
+// maxDelay returns the time after which all routes move.
+func (r *Rollout) maxDelay() (longest time.Duration) {
+	for _, ms := range r.Delays {
+		longest = max(longest, time.Duration(ms)*time.Millisecond)
+	}
+	return longest
+}
+
+// duration returns the time from the order to the deadline.
+func (r *Rollout) duration() time.Duration {
+	return time.Duration(r.DeadlineAt-r.OrderedAt) * time.Millisecond
+}
+
 // Find returns the last rollout of a service.
 func Find(list []Rollout, service string) (r Rollout, ok bool) {
 	i := indexOf(list, service)
--- a/node/transfer.go
+++ b/node/transfer.go
@@ -193,8 +193,9 @@
 
 func (t *transfer) query() chooser.Query {
 	q, f := t.request, t.proxy.fleet
-	query := chooser.Query{Service: q.service, Parts: q.promptParts, Tried: t.tried, Random: rand.Float64(),
-		Priority: q.priority, Version: t.version, IsResumed: t.hasBegun, Weight: q.workspace.ShareWeight(),
+	query := chooser.Query{Service: q.service, Route: q.route.Name, Parts: q.promptParts, Tried: t.tried,
+		Random: rand.Float64(), Priority: q.priority, Version: t.version, IsResumed: t.hasBegun,
+		Weight:       q.workspace.ShareWeight(),
 		PromptTokens: q.promptTokens, OutputTokens: q.outputTokens, Kind: q.route.Kind, ReceivedAt: q.receivedAt,
 		TargetAt: q.receivedAt.Add(time.Duration(q.route.TargetMillis) * time.Millisecond), Deadline: q.deadline,
 		IsRepeat: t.hasAsked, Waiter: &t.waiter, IsStale: len(f.view.Load().rollouts) > 0 && !f.mayDeny(time.Now())}
