Complete a rollout only when nothing runs at the former endpoints

Cause: 0.5 s before the deadline a rollout was completed in any case. The former endpoints stop at once then, so that the requests there were cut, and routers that did not know of the move yet still sent to them.

Change: the deadline does not complete a rollout any more; it waits until all routers know of the move and nothing has been in flight at former endpoints for 0.4 s.

--- a/core/rollouter/driver.go
+++ b/core/rollouter/driver.go
@@ -233,7 +233,7 @@
 }
 
 // nextOfMove completes a rollout once every router is known to send nothing more to the former versions, and what ran
-// there has ended. At the deadline the former versions may be cut off.
+// there has ended, also past the deadline: the former endpoints stop at once at the end.
 func (r *run) nextOfMove(now time.Time, f *Facts) (Phase, string) {
 	if f.FormerInFlight > 0 {
 		r.emptySince = time.Time{}
@@ -248,13 +248,8 @@
 	hasMoved := hasAcked && now.Sub(r.ackedSince) >= delay && now.Sub(r.phaseSince) >= delay+minMoved
 	isEmpty := !r.emptySince.IsZero() && now.Sub(r.emptySince) >= emptyTime
 	isDue := r.deadline.Sub(now) <= commitMargin
-	switch {
-	case f.TargetReady == 0:
-		return 0, ""
-	case hasMoved && isEmpty && (isDue || len(f.Former) == 0):
+	if f.TargetReady > 0 && hasMoved && isEmpty && (isDue || len(f.Former) == 0) {
 		return Completed, "former versions have no requests"
-	case isDue && now.Sub(r.phaseSince) >= delay+minMoved:
-		return Completed, fmt.Sprintf("deadline, with %d requests at former versions", f.FormerInFlight)
 	}
 	return 0, ""
 }
--- a/core/rollouter/fleet_test.go
+++ b/core/rollouter/fleet_test.go
@@ -53,6 +53,7 @@
 	requests, toTarget, bad int
 	fiftiethBad             time.Time
 	lastToTarget            time.Time
+	lastToFormer            time.Time
 	inFlightFormer          []time.Time // ends of requests at former endpoints
 	ended                   time.Duration
 	reasons                 []string
@@ -142,6 +143,7 @@
 	first := time.Duration(float64(typical) * slowdown * math.Exp(0.4*f.rng.NormFloat64()))
 	if e.Version == "v1" {
 		f.inFlightFormer = append(f.inFlightFormer, f.now.Add(first))
+		f.lastToFormer = f.now
 	} else {
 		f.toTarget++
 		f.lastToTarget = f.now
@@ -393,3 +395,25 @@
 		}
 	}
 }
+
+// Guards against the end of a rollout, at which the former endpoints stop at once, while a request still runs there or a
+// router does not know of the move, also when the deadline passes meanwhile.
+func TestCompletionWaitsForTheFormerVersions(t *testing.T) {
+	const late = testDuration + 2*time.Second
+	for _, c := range []struct {
+		name    string
+		prepare func(f *simulatedFleet)
+	}{
+		{"long request", func(f *simulatedFleet) { f.inFlightFormer = append(f.inFlightFormer, f.start.Add(late)) }},
+		{"router without the state", func(f *simulatedFleet) { f.lag[0] = late - testDuration + minMoveTime }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newSimulatedFleet(1, 10, 300, sound)
+			c.prepare(f)
+			f.run(late + 2*time.Second)
+			assert.Equal(t, f.state().Phase, Completed, "%v", f.reasons)
+			assert.Assert(t, f.ended >= late, "%v", f.reasons)
+			assert.Assert(t, f.lastToFormer.Before(f.start.Add(f.ended)), "%v", f.reasons)
+		})
+	}
+}
