Give up the connect of an exchange of contacts after 300 ms

The logs of 30 routers without a disk show the same second: they start at 53.91 and exchange contacts with the seeds, which are up at 54.27. The first packets are lost, the kernels repeat them after a second, and the exchange ends after its 700 ms; the next one at 54.82 succeeds, and all waiting requests are answered 0.1 s later.

Change: an exchange gives up its connect after 300 ms, within which the kernel of a running machine answers over any link, also if the process is busy; the exchange itself still has 700 ms. A new one begins up to 200 ms later.

--- a/adapters/exchanger/discovery.go
+++ b/adapters/exchanger/discovery.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"slices"
 	"sync"
@@ -24,6 +25,10 @@
 	// discoveryTimeout bounds one exchange of contacts.
 	discoveryTimeout = 700 * time.Millisecond
 
+	// discoveryConnectTimeout bounds the TCP connect of an exchange, which the kernel of a running machine answers even if
+	// the process is busy. If the machine is not up yet, the kernel here would repeat its lost packet after a second only.
+	discoveryConnectTimeout = 300 * time.Millisecond
+
 	// maxDiscoveryBytes is enough for the contacts of several thousand processes.
 	maxDiscoveryBytes = 1 << 20
 )
@@ -63,7 +68,8 @@
 	onContacts func(quorate, eligible []Contact)) *Discovery {
 	return &Discovery{self: self, choosesBootstrapper: choosesBootstrapper, quorateInstances: quorate,
 		onContacts: onContacts, started: time.Now(),
-		client:   &http.Client{Timeout: discoveryTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
+		client: &http.Client{Timeout: discoveryTimeout, Transport: &http.Transport{DisableKeepAlives: true,
+			DialContext: (&net.Dialer{Timeout: discoveryConnectTimeout}).DialContext}},
 		eligible: map[string]knownContact{}}
 }
 
