Answer what idle connections have brought when a stopping process closes them

Cause: at the end of its wait, a stopping process called http.Server.Shutdown, which closes idle connections also when a request has arrived that was not read yet, and drops what it reads later.

Change: Guard.CloseIdle interrupts the waits for the first bytes of a head, and no other read; a connection with unread bytes reads them, and its request is answered or refused. node, router, agent and control call it before Shutdown.

--- a/adapters/messenger/conn.go
+++ b/adapters/messenger/conn.go
@@ -421,6 +421,9 @@
 	return n, err
 }
 
+// NetConn returns the connection below, as that of tls.Conn.
+func (c *countingConn) NetConn() net.Conn { return c.Conn }
+
 // CountingListener counts the bytes of all accepted connections.
 type CountingListener struct {
 	net.Listener
--- a/adapters/server/caller_conn.go
+++ b/adapters/server/caller_conn.go
@@ -82,6 +82,20 @@
 	return ok && cc.HasLeft()
 }
 
+// NetConn returns the connection below, as that of tls.Conn.
+func (c *CallerConn) NetConn() net.Conn { return c.Conn }
+
+// socketOf returns the lowest connection.
+func socketOf(c net.Conn) net.Conn {
+	for {
+		outer, ok := c.(interface{ NetConn() net.Conn })
+		if !ok {
+			return c
+		}
+		c = outer.NetConn()
+	}
+}
+
 // SetLinger sets what a close does with unsent data, as that of net.TCPConn.
 func (c *CallerConn) SetLinger(sec int) error {
 	tc, ok := c.Conn.(*net.TCPConn)
--- a/adapters/server/guard.go
+++ b/adapters/server/guard.go
@@ -8,9 +8,12 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"cactusroute.dev/adapters/socket"
 )
 
 const (
@@ -46,6 +49,8 @@
 	resources *Resources
 	maxConns  int
 
+	isClosing atomic.Bool // connections are to end instead of waiting for a request
+
 	mu    sync.Mutex
 	conns map[*guardedConn]struct{}
 }
@@ -55,6 +60,7 @@
 	if hs.ConnState = count.Track; g == nil {
 		return
 	}
+	g.isClosing.Store(false)
 	maxHead, timeout, next := hs.MaxHeaderBytes, hs.ReadHeaderTimeout, hs.Handler
 	if maxHead <= 0 {
 		maxHead = http.DefaultMaxHeaderBytes
@@ -115,6 +121,20 @@
 	return gc
 }
 
+// CloseIdle ends the connections that wait for a request, unless a part of one has arrived that was not read yet. The
+// shutdown of net/http closes them nevertheless, and drops what it reads later. A nil guard ends none.
+func (g *Guard) CloseIdle() {
+	if g == nil {
+		return
+	}
+	g.isClosing.Store(true)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for c := range g.conns {
+		c.interrupt()
+	}
+}
+
 // victim returns the connection to close for a new one, the longest waiting of those that cost most; nil if all have
 // requests that may run. The caller holds mu.
 func (g *Guard) victim() (victim *guardedConn) {
@@ -176,6 +196,10 @@
 	parsed    int    // lines of this head that net/http had in its buffer before the rest was read
 	buffered  int    // lines of the last read that net/http may have left in its buffer
 	deadlines int    // read deadlines set since the last answer
+
+	mu            sync.Mutex
+	isWaiting     bool // for the first bytes of a head
+	isInterrupted bool
 }
 
 func guarded(c net.Conn) *guardedConn {
@@ -347,7 +371,7 @@
 	if !c.reserveHead(int64(c.parsed * headLineBytes)) {
 		return c.refuse(BoundHeadMemory, headRefusal)
 	}
-	n, err := c.Conn.Read(p)
+	n, err := c.readFirst(p)
 	if n == 0 {
 		return 0, err
 	}
@@ -387,6 +411,43 @@
 	return c.Read(p)
 }
 
+// readFirst reads the first bytes of a head. Once idle connections are to end, it waits for none.
+func (c *guardedConn) readFirst(p []byte) (n int, err error) {
+	c.mu.Lock()
+	c.isWaiting = true
+	c.mu.Unlock()
+	if c.guard.isClosing.Load() {
+		c.interrupt()
+	}
+	n, err = c.Conn.Read(p)
+	c.mu.Lock()
+	c.isWaiting = false
+	isInterrupted := c.isInterrupted
+	c.isInterrupted = false
+	c.mu.Unlock()
+	if !isInterrupted {
+		return n, err
+	}
+	_ = c.Conn.SetReadDeadline(time.Now().Add(c.headerTimeout))
+	switch {
+	case n > 0 || !errors.Is(err, os.ErrDeadlineExceeded):
+		return n, err
+	case !socket.HasUnread(socketOf(c.Conn)): // a read past its deadline returns nothing
+		return 0, io.EOF
+	}
+	return c.Conn.Read(p)
+}
+
+// interrupt ends the wait for the first bytes of a head, but no other read.
+func (c *guardedConn) interrupt() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.isWaiting {
+		c.isInterrupted = true
+		_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
 // reserveWhole reserves the cost of the head that has been read, or refuses it.
 func (c *guardedConn) reserveWhole() error {
 	if c.reserveHead(c.scanner.cost() + int64(c.parsed*headLineBytes)) {
--- a/adapters/server/server.go
+++ b/adapters/server/server.go
@@ -173,6 +173,10 @@
 	idleCtx, cancel := context.WithTimeout(ctx, max(s.IdleGrace, min(minIdleGrace, s.GracePeriod/2)))
 	defer cancel()
 	AwaitClosed(idleCtx, s.conns.Open)
+	s.Guard.CloseIdle()
+	lastCtx, cancelLast := context.WithTimeout(ctx, closeGrace)
+	defer cancelLast()
+	AwaitClosed(lastCtx, s.conns.Open)
 	return errors.Join(drainErr, hs.Shutdown(ctx))
 }
 
--- a/adapters/socket/socket.go
+++ b/adapters/socket/socket.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"os"
 	"syscall"
@@ -43,6 +44,31 @@
 	return n, nil
 }
 
+// ReadArrived reads what has arrived, also after the read deadline; os.ErrDeadlineExceeded means that it is nothing.
+func ReadArrived(c net.Conn, b []byte) (n int, err error) {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return 0, os.ErrDeadlineExceeded
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	var readErr error
+	if err := raw.Control(func(fd uintptr) { n, readErr = syscall.Read(int(fd), b) }); err != nil {
+		return 0, err
+	}
+	switch {
+	case errors.Is(readErr, syscall.EAGAIN), errors.Is(readErr, syscall.EINTR):
+		return 0, os.ErrDeadlineExceeded
+	case readErr != nil:
+		return 0, os.NewSyscallError("read", readErr)
+	case n == 0:
+		return 0, io.EOF
+	}
+	return n, nil
+}
+
 // UnacknowledgedBytes returns the number of written bytes that the peer has not acknowledged; ok is false if it is not
 // known.
 func UnacknowledgedBytes(c net.Conn) (n int, ok bool) {
@@ -65,26 +91,33 @@
 // HasEnded reports whether the peer has closed a connection whose data has been read up to there. It does not wait,
 // also not for a read in progress.
 func HasEnded(c net.Conn) bool {
+	n, err := peek(c)
+	return err == nil && n == 0 || err != nil && !errors.Is(err, unix.EAGAIN) && !errors.Is(err, unix.EINTR) &&
+		!errors.Is(err, errors.ErrUnsupported)
+}
+
+// HasUnread reports whether data of the peer has arrived that was not read; it does not wait.
+func HasUnread(c net.Conn) bool {
+	n, err := peek(c)
+	return err == nil && n > 0
+}
+
+// peek returns the number of bytes that can be read, at most 1; it is 0 at the end.
+func peek(c net.Conn) (n int, err error) {
 	sc, ok := c.(syscall.Conn)
 	if !ok {
-		return false
+		return 0, errors.ErrUnsupported
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return false
+		return 0, err
 	}
-	hasEnded := false
+	var peekErr error
 	err = raw.Control(func(fd uintptr) {
 		var b [1]byte
-		n, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		switch {
-		case err == nil:
-			hasEnded = n == 0
-		case !errors.Is(err, unix.EAGAIN) && !errors.Is(err, unix.EINTR):
-			hasEnded = true
-		}
+		n, _, peekErr = unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 	})
-	return err != nil || hasEnded
+	return n, errors.Join(err, peekErr)
 }
 
 const (
--- a/node/front_server.go
+++ b/node/front_server.go
@@ -254,6 +254,8 @@
 func (s *frontServer) closeConns(deadline time.Time) {
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
+	s.guard.CloseIdle()
+	server.AwaitClosed(ctx, s.openConns)
 	s.mu.Lock()
 	servers := s.servers
 	s.mu.Unlock()
