Read what has arrived of a stream after a pause of its caller or node

Cause: the stall timeout of a stream runs while the node writes to the caller. After a caller that read nothing for longer than it (2 s by default), or a node without processor time, the next read met its deadline, although events were waiting: a sound stream was cut, and its endpoint was reported as failed and suspected.

Change: past the deadline of a stall, a read returns what has arrived; a stream ends as stalled when nothing has, or after 64 reads without an event. TestStreamOfACallerThatPausesIsComplete fails before (unexpected EOF after 450 ms of a pause) and passes now.

--- a/adapters/forwarder/exchange.go
+++ b/adapters/forwarder/exchange.go
@@ -72,7 +72,8 @@
 	Body         io.ReadCloser
 	// Trailer returns the fields after the last chunk, once the body has been read to its end.
 	Trailer func() http.Header
-	// SetReadDeadline limits reads of the body, up to the deadline of the request.
+	// SetReadDeadline limits the waits of reads of the body, up to the deadline of the request. What has arrived is read
+	// also after it: the reader may have been late.
 	SetReadDeadline func(t time.Time)
 }
 
@@ -94,6 +95,7 @@
 	_ = c.SetDeadline(r.Deadline)
 	x.stopCancelHook = context.AfterFunc(ctx, x.cancel)
 	c.heardAt.Store(0)
+	c.readsUntil.Store(0)
 	x.watch(r.IsLost)
 	resp, err := x.send(r)
 	if err != nil {
@@ -134,6 +136,12 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.isCanceled = true
+	x.endReads()
+}
+
+// endReads makes all reads and writes fail; the caller holds mu.
+func (x *exchange) endReads() {
+	x.conn.readsUntil.Store(0)
 	_ = x.conn.SetDeadline(time.Unix(1, 0))
 }
 
@@ -156,7 +164,7 @@
 		case x.isEnded:
 		case is:
 			x.isCanceled, x.isLost = true, true
-			_ = x.conn.SetDeadline(time.Unix(1, 0))
+			x.endReads()
 		default:
 			x.lostCheck.Reset(lostCheckInterval)
 		}
@@ -193,6 +201,7 @@
 	if t.After(x.deadline) {
 		t = x.deadline
 	}
+	x.conn.readsUntil.Store(x.deadline.UnixNano())
 	_ = x.conn.SetReadDeadline(t)
 }
 
--- a/adapters/forwarder/pool.go
+++ b/adapters/forwarder/pool.go
@@ -6,6 +6,7 @@
 	"errors"
 	"hash/maphash"
 	"net"
+	"os"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -13,6 +14,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"cactusroute.dev/adapters/socket"
 )
 
 const (
@@ -62,11 +65,16 @@
 	openAt    time.Time     // when an idle connection was last seen open
 	keptFor   time.Duration // how long it was idle before the last request
 	heardAt   atomic.Int64  // when the endpoint last sent something in the present exchange, in Unix nanoseconds, or 0
+	// readsUntil is until when what has arrived is read in spite of an earlier read deadline, in Unix nanoseconds, or 0.
+	readsUntil atomic.Int64
 }
 
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if errors.Is(err, os.ErrDeadlineExceeded) && time.Now().UnixNano() < c.readsUntil.Load() {
+		n, err = socket.ReadArrived(c.Conn, p)
+	}
 	if n > 0 {
 		c.heardAt.Store(time.Now().UnixNano())
 	}
--- a/node/fakes_test.go
+++ b/node/fakes_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -245,6 +246,23 @@
 	}
 }
 
+// clockInterval is the precision of startClock.
+const clockInterval = 5 * time.Millisecond
+
+// startClock returns the time since its start as a goroutine of this process experiences it: on a busy machine, less
+// than by the clock. Bounds on it hold for waits of the code under test, whatever the machine's speed.
+func startClock(t testing.TB) (elapsed func() time.Duration) {
+	var n atomic.Int64
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go func() {
+		for ; ctx.Err() == nil; n.Add(1) {
+			time.Sleep(clockInterval)
+		}
+	}()
+	return func() time.Duration { return time.Duration(n.Load()) * clockInterval }
+}
+
 func encodedTestPlan(t testing.TB, version uint64) fleetapplier.EncodedPlan {
 	return fleetapplier.EncodedPlan{Version: version, Content: encodePlan(t, testPlan(version))}
 }
--- a/node/transfer.go
+++ b/node/transfer.go
@@ -35,7 +35,7 @@
 	boundBufferedBytes = "bufferedBytes"
 
 	// streamBufferBytes is the buffer size for streams; an event has a few hundred bytes.
-	streamBufferBytes = 8 << 10
+	streamBufferBytes, maxLateReads = 8 << 10, 64 // together more than the largest event
 
 	// unresponsiveTimeout is the time without a response after which an endpoint counts as failed if the caller
 	// disconnects or the deadline passes: a multiple of the latency targets, and longer than callers with short timeouts
@@ -810,6 +810,8 @@
 	response *forwarder.Response
 	events   uint64
 	deadline time.Time
+
+	lateReads int // since the deadline
 }
 
 func newStallTimer(timeout time.Duration, resp *forwarder.Response) *stallTimer {
@@ -822,16 +824,18 @@
 	if s.timeout <= 0 {
 		return
 	}
-	s.deadline = time.Now().Add(s.timeout)
+	s.deadline, s.lateReads = time.Now().Add(s.timeout), 0
 	s.response.SetReadDeadline(s.deadline)
 }
 
 // update is called after each read with the number of events so far and the error of the read, which it returns. A
-// timeout of the read becomes a *stalledError.
+// timeout of the read becomes a *stalledError, and so do maxLateReads of what had arrived before.
 func (s *stallTimer) update(events uint64, err error) error {
 	switch {
 	case s.timeout <= 0:
-	case errors.Is(err, os.ErrDeadlineExceeded) && !time.Now().Before(s.deadline):
+	case err == nil && events == s.events && s.lateReads < maxLateReads && !time.Now().Before(s.deadline):
+		s.lateReads++
+	case (errors.Is(err, os.ErrDeadlineExceeded) || s.lateReads >= maxLateReads) && !time.Now().Before(s.deadline):
 		return &stalledError{timeout: s.timeout, events: events}
 	case err == nil && events > s.events:
 		s.events = events
