Tell the other instances when an endpoint moves its heartbeats

Cause: an instance to which an endpoint no longer sends its heartbeats reported it as silent after four intervals, because sequence numbers alone are not published; the instance that has them corrected it. Each of the two changes went from each instance to each other one and to all routers, and each router logged it and updated its routing. Endpoints move when an instance answers late, so that with 3,000 endpoints hundreds were silent and ready by turns without any fault.

Change: the first heartbeat at an instance that knows the endpoint already (registrar.TakenOver) goes to the other control instances, and one that hears of a newer heartbeat elsewhere stops to wait for it.

Test: TestEndpointMovesToAnotherInstance; without the change the former instance reports the endpoint as silent.

--- a/adapters/exchanger/lists.go
+++ b/adapters/exchanger/lists.go
@@ -157,7 +157,9 @@
 }
 
 // reportUnknown sends the instance what it lacks of the endpoints known at the begin of the subscription.
-func (s *Subscription) reportUnknown(ctx context.Context, m *receivedEndpointsMessage, sent []registrar.Endpoint) error {
+func (s *Subscription) reportUnknown(
+	ctx context.Context, m *receivedEndpointsMessage, sent []registrar.Endpoint,
+) error {
 	unknown := registrar.Unknown(s.known, sent, m.isSent)
 	s.known = nil
 	if len(unknown) == 0 {
--- a/adapters/exchanger/server.go
+++ b/adapters/exchanger/server.go
@@ -488,6 +488,23 @@
 	})
 }
 
+// PublishTakeover sends records to the other control instances, to which an endpoint may have sent its heartbeats.
+func (s *Server) PublishTakeover(list []registrar.Endpoint) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for sub := range s.subscribers {
+		if !sub.contact.Eligible {
+			continue
+		}
+		sub.mu.Lock()
+		for _, e := range list {
+			sub.addPending(e)
+		}
+		sub.mu.Unlock()
+		sub.notify()
+	}
+}
+
 // addPending adds a record to be sent; the caller holds mu.
 func (sub *subscriber) addPending(e registrar.Endpoint) {
 	sub.pending[e.ID] = e
--- a/core/registrar/registrar.go
+++ b/core/registrar/registrar.go
@@ -101,14 +101,21 @@
 	Changed               // the record affects routing
 	Outdated              // the table holds a newer record that the sender lacks
 	Invalid               // the record was not merged, see Endpoint.Check
+	TakenOver             // only the instance to which the endpoint sends its heartbeats has changed
 )
 
-// RecordHeartbeat merges a record that an endpoint sent to this instance and restarts its heartbeat timeout.
+// RecordHeartbeat merges a record that an endpoint sent to this instance and restarts its heartbeat timeout. The other
+// instances need to know the record unless it is unchanged: the former one waits for its heartbeats.
 func (r *Registrar) RecordHeartbeat(now time.Time, e Endpoint) MergeResult {
 	if e.CheckHeartbeat(now) != nil {
 		return Invalid
 	}
+	_, isKnown := r.records[e.ID]
+	_, wasHere := r.lastHeartbeat[e.ID]
 	result := r.Merge(now, e)
+	if result == Unchanged && isKnown && !wasHere {
+		result = TakenOver
+	}
 	if cur := r.records[e.ID]; cur != nil && cur.Born == e.Born && cur.State != Gone {
 		r.lastHeartbeat[e.ID] = now
 	}
@@ -146,6 +153,10 @@
 		r.records[e.ID] = &e
 		return Changed
 	}
+	if e.Born > cur.Born || e.Born == cur.Born && e.Sequence > cur.Sequence {
+		// Its heartbeats go elsewhere, or RecordHeartbeat records this one.
+		delete(r.lastHeartbeat, e.ID)
+	}
 	if cur.Born == e.Born && cur.State != Gone && e.State != Gone && (cur.State == Draining) != (e.State == Draining) {
 		// A draining endpoint never becomes ready again; what it told in a response may be older than a heartbeat.
 		return r.mergeDraining(cur, e)
--- a/core/registrar/registrar_test.go
+++ b/core/registrar/registrar_test.go
@@ -219,3 +219,28 @@
 	add("b", "s", "v2", 2, Ready) // starts again with another version
 	assert.DeepEqual(t, versions(start.Add(time.Hour+goneRetention+1)), []string{"v1", "v2"})
 }
+
+// Guards against an endpoint that counts as silent, at all routers and again and again, because it sends its heartbeats
+// to another instance: at 3,000 endpoints, a busy instance lost hundreds to its neighbour, and told all others so.
+func TestEndpointMovesToAnotherInstance(t *testing.T) {
+	a, b, sequence := New(time.Second), New(time.Second), uint64(0)
+	now := start
+	beat := func(r *Registrar) MergeResult {
+		now, sequence = now.Add(time.Second), sequence+1
+		return r.RecordHeartbeat(now, heartbeat("e", 1, sequence, Ready))
+	}
+	assert.Equal(t, beat(a), Changed)
+	assert.Equal(t, b.Merge(now, a.Get("e")), Changed)
+	for range 5 {
+		assert.Equal(t, beat(a), Unchanged)
+	}
+	assert.Equal(t, beat(b), TakenOver)
+	assert.Equal(t, a.Merge(now, b.Get("e")), Unchanged)
+	for range silentAfterIntervals + 1 {
+		assert.Equal(t, beat(b), Unchanged)
+		assert.Equal(t, len(a.Expire(now)), 0)
+	}
+	assert.Equal(t, beat(a), TakenOver)
+	now = now.Add(silentAfterIntervals * time.Second)
+	assert.Equal(t, len(a.Expire(now)), 1, "it is silent at the instance that it went back to")
+}
--- a/node/control.go
+++ b/node/control.go
@@ -202,8 +202,11 @@
 	outcome := f.endpoints.RecordHeartbeat(now, e)
 	merged := f.endpoints.Get(e.ID)
 	f.mu.Unlock()
-	if outcome == registrar.Changed {
+	switch outcome {
+	case registrar.Changed:
 		f.publishEndpoints([]registrar.Endpoint{merged}, "heartbeat")
+	case registrar.TakenOver:
+		f.control.server.PublishTakeover([]registrar.Endpoint{merged})
 	}
 	if e.State == registrar.Draining {
 		d := registrar.Departure{ID: e.ID, Born: e.Born, Sequence: e.Sequence}
