Resume streams of a version that is rolled back for a second, within its share

Cause: from the rollback on, routers refused every request to the target, also those that continue a stream which the target began. No other version may go on with these, and its endpoints still run for some seconds, so that the streams were lost.

Change: a resumed stream is admitted at the target for 1 s after the router learned of the rollback, while the share and the slack allow one more request. New requests, routers without a confirmed state and routers that started afterwards are refused as before.

--- a/core/chooser/rollouts_test.go
+++ b/core/chooser/rollouts_test.go
@@ -221,3 +221,52 @@
 		})
 	}
 }
+
+// Guards against streams that a version began before it was rolled back and that are refused although its endpoints
+// still run, and against more requests to it than these, or later ones than an operator bears.
+func TestStreamsOfARolledBackVersion(t *testing.T) {
+	start := time.UnixMilli(1_700_000_000_000)
+	stream := Query{IsResumed: true, Version: "v2"}
+	for _, c := range []struct {
+		name    string
+		phases  []rollouter.Phase
+		query   Query
+		after   time.Duration // the rollback
+		resumed int           // streams before
+		want    bool
+	}{
+		{"stream", []rollouter.Phase{rollouter.Trying, rollouter.RolledBack}, stream, time.Second / 2, 0, true},
+		{"stream after the move", []rollouter.Phase{rollouter.Trying, rollouter.Moving, rollouter.RolledBack}, stream,
+			time.Second / 2, 0, true},
+		{"new request", []rollouter.Phase{rollouter.Trying, rollouter.RolledBack}, Query{}, time.Second / 2, 0, false},
+		{"late", []rollouter.Phase{rollouter.Trying, rollouter.RolledBack}, stream, 1100 * time.Millisecond, 0, false},
+		{"share is used up", []rollouter.Phase{rollouter.Trying, rollouter.RolledBack}, stream, time.Second / 2, 60, false},
+		{"stale state", []rollouter.Phase{rollouter.Trying, rollouter.RolledBack},
+			Query{IsResumed: true, Version: "v2", IsStale: true}, time.Second / 2, 0, false},
+		{"router started afterwards", []rollouter.Phase{rollouter.RolledBack}, stream, time.Second / 2, 0, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			ch := New(Limits{LoadFactor: 2, LoadSlack: 3, Rollouts: rollouter.Limits{ExposeShare: 0.1, ExposeSlack: 50}},
+				"router", "d")
+			ch.Update(start, versions(4, 4), nil, 1)
+			choose := func(now time.Time, q Query) string {
+				q.Service = &planner.Service{Name: "llm"}
+				choice, reason := ch.Choose(now, q)
+				if reason == "" {
+					ch.Done(now, choice)
+				}
+				return choice.Endpoint.Version
+			}
+			for _, phase := range c.phases {
+				ch.SetRollouts(start, newRollout(t, start, phase), 1)
+				for range 20 {
+					choose(start, Query{Version: "v1", IsResumed: true})
+				}
+			}
+			for range c.resumed {
+				choose(start, stream)
+			}
+			assert.Equal(t, choose(start.Add(c.after), c.query) == "v2", c.want)
+		})
+	}
+}
--- a/core/rollouter/gate.go
+++ b/core/rollouter/gate.go
@@ -28,6 +28,10 @@
 	// allows them: with fewer, slow answers on one route are not told from chance.
 	LaterRate = 12
 
+	// resumeTime is how long after a rollback streams that the target began may be resumed there. Operators bear requests
+	// to a bad version for a few seconds after its first bad answers, and the judgement takes most of them.
+	resumeTime = time.Second
+
 	// confirmDelay is within which time an endpoint must answer another request for a broken answer to count as a failure
 	// of its version. An endpoint that has crashed or is cut off does not answer.
 	confirmDelay = 1500 * time.Millisecond
@@ -77,12 +81,13 @@
 	sent     float64 // to the target, with retries
 	total    float64 // as requests, each counted whole
 	sound    int     // answers of the target
-	// soundSince is when the first sound answer came, and movedAt when the router learned of the move; zero before, and in
-	// a router that has started after it.
-	soundSince, movedAt time.Time
-	soundTotal          float64 // total at soundSince
-	outcomes            Outcomes
-	broken              map[string][]brokenAttempt // by endpoint ID
+	// soundSince is when the first sound answer came, movedAt when the router learned of the move, and rolledBackAt of the
+	// rollback; zero before, and in a router that has started after it.
+	soundSince, movedAt, rolledBackAt time.Time
+
+	soundTotal float64 // total at soundSince
+	outcomes   Outcomes
+	broken     map[string][]brokenAttempt // by endpoint ID
 }
 
 // brokenAttempt is an attempt that counts as failed once its endpoint is known to be running.
@@ -102,8 +107,11 @@
 	if !g.Rollout.isSame(&r) {
 		return false
 	}
-	if g.Rollout.Phase == Trying && r.Phase == Moving {
+	switch {
+	case g.Rollout.Phase == Trying && r.Phase == Moving:
 		g.movedAt = now
+	case !g.Rollout.Phase.HasEnded() && r.Phase == RolledBack:
+		g.rolledBackAt = now
 	}
 	g.Rollout = r
 	return true
@@ -134,7 +142,8 @@
 	case r.Phase == Completed:
 		return isTarget || !a.HasTarget || !r.isFormer(a.Version)
 	default:
-		return !isTarget
+		isInTime := !g.rolledBackAt.IsZero() && a.Now.Sub(g.rolledBackAt) <= resumeTime
+		return !isTarget || a.IsResumed && isInTime && !a.IsStale && g.hasRoom()
 	}
 }
 
