--- a/node/shutdown_test.go
+++ b/node/shutdown_test.go
@@ -182,8 +182,8 @@
 }
 
 // Guards against a stopping node that closes a connection on which a request has just been sent, without an answer: its
-// caller can't know whether a request that must not be repeated has run. What callers send after that time, because they
-// are short of processor time themselves, doesn't count.
+// caller can't know whether a request that must not be repeated has run. What callers send after that time, because
+// they are short of processor time themselves, doesn't count.
 func TestStoppingNodeAnswersWhatItsConnectionsBring(t *testing.T) {
 	t.Parallel()
 	const (
