Spread the heartbeats of a domain's endpoints over its control instances

Change: exchanger.Preferred selects among the instances of the domain by rendezvous hashing of the endpoint's ID. Endpoints stay at an instance of their domain that they have found, and orders go to the first instance, both as before.

--- a/node/control.go
+++ b/node/control.go
@@ -68,7 +68,7 @@
 	if f.control != nil && f.control.isQuorate() {
 		return f.control, nil
 	}
-	if c, ok := f.preferredInstance(f.self.Domain); ok {
+	if c, ok := f.preferredInstance(f.self.Domain, ""); ok {
 		return nil, &RedirectError{Address: c.Control}
 	}
 	return nil, &UnavailableError{Reason: "no control instance with a quorum is known"}
@@ -188,7 +188,7 @@
 // acknowledgement guarantees that its state reaches all routers.
 func (f *fleet) Register(ctx context.Context, e registrar.Endpoint) (next string, err error) {
 	if f.control == nil || e.State != registrar.Ready && !f.control.isQuorate() {
-		if c, ok := f.preferredInstance(e.Domain); ok {
+		if c, ok := f.preferredInstance(e.Domain, e.ID); ok {
 			return "", &RedirectError{Address: c.Control}
 		}
 		return "", &UnavailableError{Reason: "no control instance with a quorum is known"}
@@ -214,7 +214,7 @@
 			return "", err
 		}
 	}
-	if c, ok := f.preferredInstance(e.Domain); ok && c.Domain == e.Domain && f.self.Domain != e.Domain {
+	if c, ok := f.preferredInstance(e.Domain, e.ID); ok && c.Domain == e.Domain && f.self.Domain != e.Domain {
 		return c.Control, nil
 	}
 	return f.self.Control, nil
@@ -292,17 +292,10 @@
 	}
 }
 
-// preferredInstance returns another quorate control instance, preferably in the failure domain.
-func (f *fleet) preferredInstance(domain string) (best exchanger.Contact, ok bool) {
-	for _, c := range f.quorateInstances() {
-		if c.Name == f.self.Name {
-			continue
-		}
-		if !ok || c.Domain == domain && best.Domain != domain {
-			best, ok = c, true
-		}
-	}
-	return best, ok
+// preferredInstance returns another quorate control instance, preferably in the failure domain. Endpoints are spread by
+// their IDs: a thousand heartbeats in a second were answered late by one instance, and moved to others.
+func (f *fleet) preferredInstance(domain, id string) (exchanger.Contact, bool) {
+	return exchanger.Preferred(f.quorateInstances(), f.self.Name, domain, id)
 }
 
 // describeEndpoint formats an endpoint for logs as ID@address#start.sequence.
--- a/node/evidence_test.go
+++ b/node/evidence_test.go
@@ -90,7 +90,7 @@
 	assert.Equal(t, status, http.StatusOK)
 	assert.Assert(t, strings.Contains(body, `"part":"`+part.String()+`","lifted":false,"crashes":2`), body)
 	eventually(t, "a quorate instance", func() bool {
-		_, isKnown := late.fleet.preferredInstance("")
+		_, isKnown := late.fleet.preferredInstance("", "")
 		return isKnown && f.nodes[0].fleet.control.isQuorate()
 	})
 	for _, c := range []struct {
