--- a/adapters/orderer/doc.go
+++ b/adapters/orderer/doc.go
@@ -1,2 +1,2 @@
-// Package orderer has the HTTP handlers of operators' orders of rollouts.
+// Package orderer has the HTTP handlers of operators' orders of rollouts, and their client.
 package orderer
--- a/adapters/orderer/orderer.go
+++ b/adapters/orderer/orderer.go
@@ -19,8 +19,8 @@
 	// StartRollout begins a rollout, or acknowledges again one that has been ordered before. It returns a
 	// *rollouter.ConflictError while another one of the service is running.
 	StartRollout(ctx context.Context, r rollouter.Rollout) error
-	// Rollout returns the last rollout of a service, or a *rollouter.UnknownError.
-	Rollout(ctx context.Context, service string) (rollouter.Rollout, error)
+	// Rollouts returns the last rollout of each service that had one.
+	Rollouts(ctx context.Context) ([]rollouter.Rollout, error)
 }
 
 // Orderer handles the requests of operators.
@@ -56,7 +56,11 @@
 // Get returns the handler that responds with the result of encode for the last rollout of the service in the path.
 func (o *Orderer) Get(encode func(r rollouter.Rollout) any) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		rollout, err := o.Control.Rollout(r.Context(), r.PathValue("service"))
+		list, err := o.Control.Rollouts(r.Context())
+		var rollout rollouter.Rollout
+		if err == nil {
+			rollout, err = rollouter.Last(list, r.PathValue("service"))
+		}
 		if err != nil {
 			o.writeResult(w, r, err)
 			return
@@ -92,12 +96,35 @@
 	DurationSeconds float64 `json:"durationSeconds"`
 }
 
-// progressBody is the body of the response to GET /v1/rollouts/SERVICE.
-type progressBody struct {
-	Service string `json:"service"`
-	Target  string `json:"target"`
-	Phase   string `json:"phase"`
-	Reason  string `json:"reason,omitempty"`
+// Progress is the body of the response to GET /v1/rollouts/SERVICE, and an element of that to GET /v1/rollouts.
+type Progress struct {
+	Service string   `json:"service"`
+	Target  string   `json:"target"` // software version
+	Phase   string   `json:"phase"`
+	Reason  string   `json:"reason,omitempty"` // of the last change of phase
+	Former  []string `json:"former,omitempty"` // versions that the target replaces; none before the move
+	// DeadlineMillis is the time until the deadline, by the clock of the instance that answers; negative after it.
+	DeadlineMillis int64 `json:"deadlineMillis"`
+}
+
+func newProgress(r rollouter.Rollout) Progress {
+	return Progress{Service: r.Service, Target: r.Target, Phase: r.Phase.String(), Reason: r.Reason, Former: r.Former,
+		DeadlineMillis: r.DeadlineAt - time.Now().UnixMilli()}
+}
+
+// list responds with the last rollouts of all services.
+func (o *Orderer) list(w http.ResponseWriter, r *http.Request) {
+	rollouts, err := o.Control.Rollouts(r.Context())
+	if err != nil {
+		o.writeResult(w, r, err)
+		return
+	}
+	body := make([]Progress, 0, len(rollouts))
+	for _, rollout := range rollouts {
+		body = append(body, newProgress(rollout))
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(body)
 }
 
 // Register adds the handlers of the project's own protocol.
@@ -108,7 +135,6 @@
 			err = json.Unmarshal(data, &b)
 			return b.Service, b.Target, rollouter.Seconds(b.DurationSeconds), err
 		}))
-	mux.HandleFunc("GET /v1/rollouts/{service}", o.Get(func(r rollouter.Rollout) any {
-		return progressBody{Service: r.Service, Target: r.Target, Phase: r.Phase.String(), Reason: r.Reason}
-	}))
+	mux.HandleFunc("GET /v1/rollouts", o.list)
+	mux.HandleFunc("GET /v1/rollouts/{service}", o.Get(func(r rollouter.Rollout) any { return newProgress(r) }))
 }
--- a/node/rollout_address_test.go
+++ b/node/rollout_address_test.go
@@ -112,7 +112,7 @@
 // service that the order does not name.
 func TestAddressesThatAreUsedAgainInARollout(t *testing.T) {
 	f := newAddressFleet(t)
-	var former, target []int
+	former, target := make([]int, 0, 6), make([]int, 0, 5)
 	for i := range 6 {
 		former = append(former, f.listen(fmt.Sprint("a", i), "s", "v1"))
 	}
--- a/node/rollouts.go
+++ b/node/rollouts.go
@@ -33,13 +33,10 @@
 	return f.logOrder("rollout", r.Service+" to "+r.Target, err)
 }
 
-// Rollout implements Control.
-func (f *fleet) Rollout(ctx context.Context, service string) (r rollouter.Rollout, err error) {
+// Rollouts implements Control.
+func (f *fleet) Rollouts(ctx context.Context) ([]rollouter.Rollout, error) {
 	s, err := f.readState(ctx)
-	if err != nil {
-		return r, err
-	}
-	return rollouter.Last(s.Rollouts, service)
+	return s.Rollouts, err
 }
 
 // CommitStep implements advancer.Instance.
--- a/node/rollouts_test.go
+++ b/node/rollouts_test.go
@@ -169,7 +169,8 @@
 // phase returns the phase that a read of an operator shows, or 0 if no node answers.
 func (f *rolloutFleet) phase() rollouter.Phase {
 	for _, n := range f.nodes {
-		if r, err := n.fleet.Rollout(context.Background(), "s"); err == nil {
+		list, err := n.fleet.Rollouts(context.Background())
+		if r, ok := rollouter.Find(list, "s"); err == nil && ok {
 			return r.Phase
 		}
 	}
