Count the delays of routes from the time of the move

Cause, found by reading the change before: routers counted the delays from when they learned of the move.

Change: the move names its time, and a route moves at this time and its delay by the router's clock, or the delay after the router learned of it if that is earlier. The wait begins anew when a router reports an older state again.

Test: 6 cases, of which late, after the delay and clock ahead can't hold with delays from the learning alone.

--- a/core/rollouter/driver.go
+++ b/core/rollouter/driver.go
@@ -241,7 +241,9 @@
 		r.emptySince = now
 	}
 	hasAcked := f.AckedIndex >= r.rollout.Index && (f.IsComplete || now.Sub(r.phaseSince) >= unheardTime)
-	if hasAcked && r.ackedSince.IsZero() {
+	if !hasAcked {
+		r.ackedSince = time.Time{}
+	} else if r.ackedSince.IsZero() {
 		r.ackedSince = now
 	}
 	delay := r.rollout.maxDelay()
@@ -298,7 +300,7 @@
 	c.Phase, c.Reason, c.Former, c.Delays = next, reason, f.Former, nil
 	_, moveTime := r.moveTimes()
 	if next == Moving && len(f.Former) > 0 {
-		c.Delays = r.delays(now)
+		c.Delays, c.MovedAt = r.delays(now), now.UnixMilli()
 	}
 	return Step{Change: Change{Rollout: c}, Keyvals: []any{"service", c.Service, "target", c.Target,
 		"phase", next.String(), "before", r.rollout.Phase.String(), "reason", reason,
--- a/core/rollouter/gate.go
+++ b/core/rollouter/gate.go
@@ -147,10 +147,12 @@
 	}
 }
 
-// hasMoved reports whether the requests of a route go to the target once the rollout is moving. A router that started
-// after the move delays nothing: the others have moved by then, and the control instance counts on it.
+// hasMoved reports whether the requests of a route go to the target once the rollout is moving. A router that learned
+// of the move late, or started after it, may not move later than the others, on which the control instance counts. The
+// time since it learned of the move bounds the wait, too, because clocks may have been stepped.
 func (g *Gate) hasMoved(now time.Time, route string) bool {
-	return g.movedAt.IsZero() || now.Sub(g.movedAt) >= time.Duration(g.Rollout.Delays[route])*time.Millisecond
+	delay := g.Rollout.Delays[route]
+	return g.movedAt.IsZero() || now.Sub(g.movedAt).Milliseconds() >= delay || now.UnixMilli() >= g.Rollout.MovedAt+delay
 }
 
 // trialPart returns the part of its share with which the target is tried. Past the deadline it is the whole share
--- a/core/rollouter/rollout.go
+++ b/core/rollouter/rollout.go
@@ -56,7 +56,9 @@
 	Former []string `cbor:"7,keyasint,omitempty"`
 	Index  uint64   `cbor:"8,keyasint"` // of the log entry with the last change
 	// Delays are the milliseconds by which routes move later than the change to Moving; the others move at once.
-	Delays map[string]int64 `cbor:"9,keyasint,omitempty"`
+	// They count from MovedAt, in Unix milliseconds by the clock of the instance that decided.
+	Delays  map[string]int64 `cbor:"9,keyasint,omitempty"`
+	MovedAt int64            `cbor:"10,keyasint,omitempty"`
 }
 
 // Change is the content of a log entry about a rollout: a new one in phase Trying, or its next phase. The fields of a
--- a/core/rollouter/rollouter_test.go
+++ b/core/rollouter/rollouter_test.go
@@ -115,3 +115,40 @@
 		assert.Equal(t, f.FormerInFlight, 3*c.inFlight)
 	}
 }
+
+// Guards against a router that learns of the move late, or has a stepped clock, and still sends to the former versions
+// when the others do not: the end does not wait for it.
+func TestRoutesMoveByTheDelayOfTheMove(t *testing.T) {
+	const delay = 3 * time.Second
+	start := time.UnixMilli(1_000_000)
+	for _, c := range []struct {
+		name  string
+		learn time.Duration // after the move
+		step  time.Duration // of the router's clock
+		isNew bool          // the router started after the move
+		want  time.Duration // until requests go to the target, after the move
+	}{
+		{"at once", 0, 0, false, delay},
+		{"late", 2 * time.Second, 0, false, delay},
+		{"after the delay", 4 * time.Second, 0, false, 4 * time.Second},
+		{"clock behind", time.Second, -time.Minute, false, delay + time.Second},
+		{"clock ahead", time.Second, time.Minute, false, time.Second},
+		{"new router", time.Second, 0, true, time.Second},
+	} {
+		r := order(t, start, "v2", 12*time.Second).Rollout
+		g := NewGate(r, testShare)
+		r.Phase, r.MovedAt, r.Delays = Moving, start.UnixMilli(), map[string]int64{"long": 0, "short": delay.Milliseconds()}
+		at := start.Add(c.learn + c.step)
+		g.Update(at, r)
+		if c.isNew {
+			g = NewGate(r, testShare)
+		}
+		for after := c.learn; after < 2*delay; after += testTick {
+			admits := func(route string) bool {
+				return !g.Admits(Admission{Now: start.Add(after + c.step), Version: "v1", Route: route, HasTarget: true})
+			}
+			assert.Assert(t, admits("long") && admits("added"), c.name)
+			assert.Equal(t, admits("short"), after >= c.want, "%s after %v", c.name, after)
+		}
+	}
+}
--- a/model/rollout.pml
+++ b/model/rollout.pml
@@ -1,7 +1,8 @@
 /*
  * End of a rollout: when it is completed, no router sends requests to the former version any more, although the leader
  * changes and routers learn of states late; a rollout ends once. Two leaders may commit at the same time, and orders are
- * sent again. Each switch removes one rule:
+ * sent again. MOVING at a router stands for the move of its last route, for whose delay the leader waits after the report.
+ * Each switch removes one rule:
  *   NO_ACK    the leader does not wait for the routers to report the state with the move
  *   NO_EMPTY  the leader does not wait for the requests at the former version
  *   NO_PHASE  a phase is applied although a later one is
