Count work that finds no endpoint as a lack of capacity only while requests queue

Cause: a small plain service that all workspaces together ask for twice its capacity keeps 16% of its slots idle under shares. Routers know the loads with a delay, so that part of the admitted requests finds no endpoint by chance, at any load; the correction of the capacity took that for a lack of capacity and fell to its minimum. For the same reason shares went on refusing after the burst.

Change: where requests above the slots queue at the endpoints, and nothing else limits them, such work counts only above 1.5 requests for each slot, below that the capacity rises, and nothing is refused for shares while less than half of the slots are in use.

The test's requests now tell later tries of one request from new ones, as routers do.

--- a/core/chooser/share.go
+++ b/core/chooser/share.go
@@ -53,11 +53,14 @@
 
 	// The capacity is corrected by what is seen: it falls while more than fullFraction of the admitted work finds no
 	// endpoint, or more requests are in progress than congestedLoad of the slots of engines, or congestedQueue of those of
-	// other endpoints, which may queue some. While shares bind below roomyLoad, there is room: it rises.
+	// other endpoints, which may queue some. While shares bind below roomyLoad, or roomyQueue, there is room: it rises.
+	// Below roomyQueue, admitted work that finds no endpoint is no sign of a lack of capacity: the routers know the loads
+	// with a delay, and part of them finds none by chance.
 	fullFraction   = 0.05
 	congestedLoad  = 0.97
 	congestedQueue = 2.5
 	roomyLoad      = 0.85
+	roomyQueue     = 1.5
 
 	// correctionFall and correctionGrowth are the relative changes of the correction, from minCorrection to maxCorrection,
 	// in the time after which a change shows: correctionDelay and the mean hold time.
@@ -156,6 +159,7 @@
 
 	holdTime       float64 // mean of all requests in seconds
 	admissible     float64 // by the endpoints' limits, infinite without any
+	isQueueing     bool    // requests above the slots, the only limits, queue at the endpoints
 	correction     float64 // factor of it that follows from what is seen
 	capacity       float64 // divided last; of this router alone if it knows of no other
 	needed         float64
@@ -379,7 +383,7 @@
 	}
 	s.correct(now, elapsed, load, isAlone)
 	switch hasRoom := load < busyShare*s.admissible; {
-	case hasRoom && s.correction >= 1:
+	case hasRoom && (s.correction >= 1 || s.isQueueing):
 		s.capacity = math.Inf(1)
 	case isAlone:
 		s.capacity *= aloneFactor / float64(max(aloneFactor, c.routers))
@@ -413,7 +417,7 @@
 	}
 	s.holdTime = hold
 	failures, n := 0.0, 0
-	s.admissible = 0
+	s.admissible, s.isQueueing = 0, !service.Engine
 	for _, e := range p.endpoints {
 		if !e.accepts(now) {
 			continue
@@ -438,6 +442,7 @@
 			limit = min(limit, coldRateFraction*(service.ColdPerSecond*c.limits.ColdFactor+c.limits.ColdSlack)*hold)
 		}
 		s.admissible += s.fraction() * limit
+		s.isQueueing = s.isQueueing && limit == float64(e.Slots)
 	}
 	for _, e := range p.endpoints {
 		e.usualFailureRate = failures / float64(max(1, n))
@@ -449,19 +454,22 @@
 func (s *serviceShares) correct(now time.Time, elapsed, load float64, isAlone bool) {
 	ok, full := s.ok.inProgress(now, foundWindow)+s.okOthers, s.full.inProgress(now, foundWindow)+s.fullOthers
 	slots := s.admissible / s.fraction()
-	congested := slots * congestedQueue
+	congested, roomy := slots*congestedQueue, slots*roomyLoad
 	if s.plan.Engine {
 		congested = slots * congestedLoad
 	}
+	if s.isQueueing {
+		roomy = slots * roomyQueue
+	}
 	elapsed /= correctionDelay.Seconds() + s.holdTime
 	switch {
 	case isAlone || s.publishedSince.IsZero() || now.Sub(s.publishedSince) < soundSumsTime:
 		s.correction = 1
-	case full > fullFraction*(ok+full) || load > congested:
+	case load > congested || full > fullFraction*(ok+full) && (!s.isQueueing || load > roomy):
 		s.correction = max(minCorrection, s.correction*(1-correctionFall*elapsed))
 	case s.needed <= s.capacity:
 		s.correction += (1 - s.correction) * elapsed
-	case load < roomyLoad*slots || math.IsInf(slots, 1):
+	case load < roomy || math.IsInf(slots, 1):
 		s.correction = min(maxCorrection, s.correction*(1+correctionGrowth*elapsed))
 	}
 	s.capacity = s.admissible * s.correction
--- a/core/chooser/work_test.go
+++ b/core/chooser/work_test.go
@@ -30,6 +30,8 @@
 	latencies                     []float64 // ms
 	sent, exceeded, refused, late int
 	rejected                      int
+	busySlots                     int // in each ms from measureFrom to measureTo, added up
+	measureFrom, measureTo        int // ms
 	queues                        [3][]*job
 	rng                           *rand.Rand
 }
@@ -97,6 +99,9 @@
 
 // work lets an endpoint work for a millisecond.
 func (s *smallService) work(i int, now time.Time, ms, slots int) {
+	if ms >= s.measureFrom && ms < s.measureTo {
+		s.busySlots += min(slots, len(s.queues[i]))
+	}
 	for _, j := range s.queues[i][:min(slots, len(s.queues[i]))] {
 		if j.left -= 1 / s.pace(i, ms); j.left > 0 {
 			continue
@@ -118,9 +123,10 @@
 	j.query.Random = s.rng.Float64()
 	c, reason := j.router.Choose(now, j.query)
 	w := j.query.Waiter
+	j.query.IsRepeat = true
 	if reason != "" {
 		j.nextAt = now.Add(10 * time.Millisecond)
-		if reason == AllTried || w.IsRefused || !w.HasJoined && now.After(j.until) {
+		if reason == AllTried || reason == OverShare || w.IsRefused || !w.HasJoined && now.After(j.until) {
 			j.router.Leave(w)
 			s.refused++
 			return true
@@ -226,6 +232,24 @@
 	}
 }
 
+// Guards against shares that refuse beside free slots while all workspaces ask for twice the capacity of a small
+// service, and after that: routers know the loads with a delay, so that part of the admitted requests finds no endpoint
+// although there is room, which was taken for a lack of capacity.
+func TestSharesLeaveNoSlotsIdle(t *testing.T) {
+	usual := func(int, int) float64 { return 1 }
+	s := smallService{routers: 14, policy: planner.LoadPolicy{Shares: true, Pace: true}, pace: usual, stated: usual,
+		measureFrom: 6000, measureTo: 10_000, perSecond: func(ms int) float64 {
+			if ms >= 4000 && ms < 10_000 {
+				return 600
+			}
+			return 84
+		}}
+	s.run(14)
+	busy := float64(s.busySlots) / float64((s.measureTo-s.measureFrom)*18)
+	t.Logf("%.3f of the slots busy, %d late, %d refused", busy, s.late, s.refused)
+	assert.Assert(t, busy >= 0.95, "%.3f of the slots busy", busy)
+}
+
 // BenchmarkChooseLarge is a decision among 3,000 endpoints for the requests of 24 workspaces.
 func BenchmarkChooseLarge(b *testing.B) {
 	for _, policy := range []planner.LoadPolicy{{}, {Pace: true, Queues: true}} {
