--- a/core/chooser/share.go
+++ b/core/chooser/share.go
@@ -249,11 +249,7 @@
 		return ""
 	}
 	w := c.workspaceShare(now, s, q.Workspace, q.Weight)
-	if s.plan.Engine || s.byClass[class].holdTime > 0 {
-		// Not before the first response: a router that has just started would count short requests for several times
-		// their work, and take the return of its callers for an overload.
-		w.need[class].addWork(now, needWindow, s.work(q, class))
-	}
+	w.need[class].addWork(now, needWindow, s.work(q, class))
 	if k, size := &s.byClass[class], q.size(); size > 0 {
 		if k.size == 0 {
 			k.size = size
