Allocate the lists of an update of routing once

Cause: an update of routing over 3,000 endpoints copied their records four times into slices and a map that grew step by step.

Change: they are made with their size, and Update reads the two lists in place.

--- a/core/chooser/chooser.go
+++ b/core/chooser/chooser.go
@@ -290,7 +290,13 @@
 	old := c.byID
 	c.byID = make(map[string]*endpoint, len(inService)+len(outOfService))
 	membersByService := map[string][]placer.Endpoint{}
-	for i, e := range append(slices.Clone(inService), outOfService...) {
+	for i := range len(inService) + len(outOfService) {
+		var e *registrar.Endpoint
+		if i < len(inService) {
+			e = &inService[i]
+		} else {
+			e = &outOfService[i-len(inService)]
+		}
 		known := old[e.ID]
 		if known == nil || known.Born != e.Born || known.Address != e.Address {
 			known = &endpoint{knownSince: now}
@@ -301,7 +307,7 @@
 		if known.State == registrar.Silent && e.State == registrar.Ready {
 			known.extendProcessEnd(now, c.limits.HeartbeatInterval)
 		}
-		known.Endpoint, known.inService = e, i < len(inService)
+		known.Endpoint, known.inService = *e, i < len(inService)
 		c.byID[e.ID] = known
 		membersByService[e.Service] = append(membersByService[e.Service], placer.Endpoint{Name: e.ID})
 	}
@@ -315,6 +321,7 @@
 			p.history, p.work, p.queue, p.copies = known.history, known.work, known.queue, known.copies
 		}
 		p.members = memberPool.All()
+		p.endpoints = make([]*endpoint, 0, memberPool.Len())
 		for i := range memberPool.Len() {
 			e := c.byID[memberPool.Name(i)]
 			p.endpoints = append(p.endpoints, e)
--- a/core/registrar/registrar.go
+++ b/core/registrar/registrar.go
@@ -260,7 +260,7 @@
 // silent endpoints, because they may be unreachable from this instance only. A record of an unknown service may be from
 // another writer and takes no address until a plan names its service.
 func (r *Registrar) RegisteredEndpoints() []Endpoint {
-	latest := map[string]*Endpoint{}
+	latest := make(map[string]*Endpoint, len(r.records))
 	for _, e := range r.records {
 		if !r.isKnownService(e.Service) {
 			continue
@@ -269,7 +269,7 @@
 			latest[e.Address] = e
 		}
 	}
-	var list []Endpoint
+	list := make([]Endpoint, 0, len(latest))
 	for _, e := range latest {
 		if e.State != Gone {
 			list = append(list, *e)
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -375,7 +375,7 @@
 	list := f.endpoints.RegisteredEndpoints()
 	routers := f.maxRecentRouters()
 	f.mu.Unlock()
-	var inService, outOfService []registrar.Endpoint
+	inService, outOfService := make([]registrar.Endpoint, 0, len(list)), []registrar.Endpoint(nil)
 	for _, e := range list {
 		if e.AcceptsRequests() && !v.takenOut[e.Domain] {
 			inService = append(inService, e)
