Don't move to a version of which few answers have failed, and move in time with few

Change: failures of 5 answers or more make the target suspect, from 2 failures and 1.5 deviations below 10. The move waits for more answers until 1.7 s are left.

The other tests of core/rollouter pass.

--- a/core/rollouter/driver.go
+++ b/core/rollouter/driver.go
@@ -48,6 +48,10 @@
 	capacityFactor = 1.25
 	slotsFactor    = 0.8
 
+	// lateMoveTime is how long before the deadline the move begins although the target has few answers: later, the rollout
+	// would not be completed in time.
+	lateMoveTime = 1700 * time.Millisecond
+
 	// emptyTime is how long the former versions must have had no request in flight before a rollout is completed. It spans
 	// several messages with the requests of other routers.
 	emptyTime = 400 * time.Millisecond
@@ -220,7 +224,7 @@
 		return RolledBack, fmt.Sprintf("only %d answers by the deadline", answers)
 	case left > moveTime || f.TargetReady == 0 || answers < fewSoundAnswers || f.lacksCapacity():
 		return 0, ""
-	case answers < soundAnswers && left > moveTime/2:
+	case answers < soundAnswers && left > max(moveTime/2, lateMoveTime):
 		return 0, ""
 	}
 	if finding, isSuspect := r.judge(suspectDeviations); isSuspect {
--- a/core/rollouter/fleet_test.go
+++ b/core/rollouter/fleet_test.go
@@ -418,3 +418,21 @@
 		})
 	}
 }
+
+// Guards against a version of which most of a few answers have failed and that gets all requests for want of others,
+// and against a good one with few answers that is completed after its deadline.
+func TestVersionsWithFewAnswers(t *testing.T) {
+	for _, perS := range []float64{8, 15, 30} {
+		for seed := range uint64(10) {
+			f := newSimulatedFleet(seed, 10, perS, bad(0.6, 1, always))
+			f.run(testDuration)
+			assert.Assert(t, len(f.reasons) == 1 && f.state().Phase == RolledBack, "%g, seed %d: %v", perS, seed, f.reasons)
+			if perS < 15 {
+				continue // too few answers to call a version sound
+			}
+			f = newSimulatedFleet(seed, 10, perS, sound)
+			f.run(testDuration)
+			assert.Equal(t, f.state().Phase, Completed, "%g, seed %d: %v", perS, seed, f.reasons)
+		}
+	}
+}
--- a/core/rollouter/judge.go
+++ b/core/rollouter/judge.go
@@ -26,6 +26,15 @@
 	minBad        = 6
 	minSuspectBad = 3
 
+	// minSuspectAnswers is the least answers for which failures make the target suspect: a version of which 4 of 6 answers
+	// had failed was once called sound.
+	minSuspectAnswers = fewSoundAnswers
+
+	// minFewBad failures of fewer answers than minAnswers, at fewDeviations, make the target suspect, too: 2 of 5 are no
+	// chance where the former versions fail none.
+	minFewBad     = 2
+	fewDeviations = 1.5
+
 	// maxUnexplainedBad is the number of bad answers of one endpoint from which the version is called bad although no
 	// other endpoint of it has answered as often. It leaves room below the 50 bad answers that an operator bears.
 	maxUnexplainedBad = 30
@@ -193,11 +202,17 @@
 	})
 	f = Finding{Measure: m.name, Bad: total.target.bad, Answers: total.target.n, FormerBad: total.former.bad,
 		FormerAnswers: total.former.n, Deviations: total.deviations}
-	least := float64(minBad)
+	least, leastAnswers := float64(minBad), float64(minAnswers)
 	if deviations <= suspectDeviations {
 		least = minSuspectBad
+		if m.histogram == nil {
+			leastAnswers = minSuspectAnswers
+		}
+		if total.target.n < minAnswers {
+			least, deviations = minFewBad, fewDeviations
+		}
 	}
-	if total.target.n < minAnswers || total.target.bad < least || total.deviations < deviations {
+	if total.target.n < leastAnswers || total.target.bad < least || total.deviations < deviations {
 		return f, false
 	}
 	worst := ""
