--- a/loader/crowd/crowd_test.go
+++ b/loader/crowd/crowd_test.go
@@ -264,7 +264,7 @@
 	front, ready, control, metrics, exchange string
 }
 
-func startNode(t *testing.T, binaries string) *nodeUnderTest {
+func startNode(t *testing.T, binaries string, machine map[string]any) *nodeUnderTest {
 	t.Helper()
 	held := make(chan struct{})
 	endpoint := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -286,7 +286,7 @@
 		"place": map[string]any{"name": "n", "region": "r", "failureDomain": "d"}, "firstStart": true,
 		"listen": map[string]any{"front": n.front, "ready": n.ready, "control": n.control, "metrics": n.metrics,
 			"exchange": n.exchange},
-		"dataFolder": t.TempDir(), "seeds": []string{n.exchange}, "machine": machine(),
+		"dataFolder": t.TempDir(), "seeds": []string{n.exchange}, "machine": machine,
 	})
 	plan := map[string]any{"version": 1, "services": []any{map[string]any{"name": "s"}}, "routes": []any{
 		map[string]any{"name": "all", "host": "h.example", "prefix": "/", "kind": "repeatable", "timeoutMillis": 60000,
@@ -376,7 +376,7 @@
 			send(head("GET /hold/", 8*headBytes, shortLine))},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			n := startNode(t, binaries)
+			n := startNode(t, binaries, machine())
 			n.meet(t, c.address(n), c.callers, c.act)
 		})
 	}
