Take departures and router counts into routing without an update of all

Cause: each endpoint that left, and each change of the number of routers, caused an update of routing over all endpoints at once, the latter with each heartbeat while routers subscribe again. With 3,000 endpoints an update takes 7 to 15 ms (BenchmarkUpdateRouting), on a router with a tenth of a core ten times as long, so that 400 endpoints of a scale-in, or the routers that return after a failure, take all its time for seconds. The pause of other updates was eight times their duration, but 250 ms at most, which such a router spends a third of its time with.

Change: Chooser.Withdraw takes departures out of service in place, at once; SetRouters sets the count. The update of all endpoints follows after its pause, 1 s at most.

Test: TestDeparturesAndRouterCountsNeedNoUpdateOfAllEndpoints; before, each of 400 departures was an update.

--- a/core/chooser/chooser.go
+++ b/core/chooser/chooser.go
@@ -338,6 +338,27 @@
 	}
 }
 
+// Withdraw takes endpoints that drain or are gone out of service, before an Update that may follow later: one over
+// thousands of endpoints for each of hundreds that leave would take all the time of a small processor.
+func (c *Chooser) Withdraw(list []registrar.Endpoint) {
+	for i := range list {
+		e := c.byID[list[i].ID]
+		if s := list[i].State; e == nil || s != registrar.Draining && s != registrar.Gone || e.Born > list[i].Born {
+			continue
+		}
+		if e.inService {
+			e.inService = false
+			c.pools[e.Service].slots -= max(0, e.Slots)
+		}
+		if e.Born == list[i].Born {
+			e.State = list[i].State
+		}
+	}
+}
+
+// SetRouters sets the number of routers.
+func (c *Chooser) SetRouters(n int) { c.routers = max(1, n) }
+
 // load returns the known requests at the endpoint: those of all routers or, without recent loads of the other routers,
 // an estimate from the endpoint's last report.
 func (e *endpoint) load(now time.Time, remoteAt time.Time) int {
--- a/core/chooser/copies.go
+++ b/core/chooser/copies.go
@@ -236,7 +236,8 @@
 
 // canBeSource reports whether other endpoints may fetch from it, in or out of service.
 func (c *Chooser) canBeSource(e *endpoint) bool {
-	return e.consecutiveFailures == 0 && e.State != registrar.Silent && !e.reach.IsSuspected() && c.isCacheSource(e)
+	isPresent := e.State != registrar.Silent && e.State != registrar.Gone
+	return e.consecutiveFailures == 0 && isPresent && !e.reach.IsSuspected() && c.isCacheSource(e)
 }
 
 // fetchPays reports whether an engine fetches the tokens faster than it reads them.
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -14,6 +14,7 @@
 	"cactusroute.dev/adapters/exchanger"
 	"cactusroute.dev/adapters/messenger"
 	"cactusroute.dev/adapters/sleeper"
+	"cactusroute.dev/core/chooser"
 	"cactusroute.dev/core/confirmer"
 	"cactusroute.dev/core/fleetapplier"
 	"cactusroute.dev/core/planner"
@@ -65,7 +66,7 @@
 	// maxRoutingPause its bound. When a third of 1,000 endpoints registers again after a power loss, an update for each
 	// record would take all the time of a small processor.
 	routingPauseFactor = 8
-	maxRoutingPause    = 250 * time.Millisecond
+	maxRoutingPause    = time.Second
 
 	// convictionThreshold is the number of endpoint starts that failed during the same request before it is refused.
 	convictionThreshold = 3
@@ -386,15 +387,17 @@
 	f.routing.update(inService, outOfService, routers, v, f.settings.loadPolicy(v.plan).For(len(list)))
 }
 
-// updateRoutingFor updates routing for changed records: at once for departures, and for others not before a pause in
-// proportion to the time that the last update took.
+// updateRoutingFor updates routing for changed records after a pause in proportion to the time that the last update took.
+// Departures are in force at once.
 func (f *fleet) updateRoutingFor(changed []registrar.Endpoint) {
-	isDeparture := slices.ContainsFunc(changed, func(e registrar.Endpoint) bool {
-		return e.State == registrar.Draining || e.State == registrar.Gone
-	})
+	if slices.ContainsFunc(changed, func(e registrar.Endpoint) bool { return !e.AcceptsRequests() }) {
+		f.routingUpdateMu.Lock() // a running update may not know them
+		f.routing.withChooser(func(c *chooser.Chooser) { c.Withdraw(changed) })
+		f.routingUpdateMu.Unlock()
+	}
 	wait := time.Until(f.started.Add(time.Duration(f.routingPause.Load())))
 	switch {
-	case isDeparture || wait <= 0:
+	case wait <= 0:
 		f.updateRouting()
 	case f.routingPending.CompareAndSwap(false, true):
 		time.AfterFunc(wait, func() {
@@ -428,20 +431,25 @@
 	return n
 }
 
-// recordRouterCount records a router count and updates routing if the maximum changed.
+// recordRouterCount records a router count and sets that of routing if the maximum changed.
 func (f *fleet) recordRouterCount(n int) {
 	f.mu.Lock()
-	before := f.maxRecentRouters()
 	f.routerCounts = slices.DeleteFunc(f.routerCounts, func(c routerCount) bool {
 		return time.Since(c.at) > routerCountWindow || c.n <= n
 	})
 	f.routerCounts = append(f.routerCounts, routerCount{n, time.Now()})
 	after := f.maxRecentRouters()
 	f.mu.Unlock()
-	if before != after {
-		f.updateRouting()
-		f.markCacheDirty()
+	if f.routing.routerCount() == after {
+		return
 	}
+	f.routingUpdateMu.Lock()
+	defer f.routingUpdateMu.Unlock()
+	f.mu.Lock()
+	after = f.maxRecentRouters()
+	f.mu.Unlock()
+	f.routing.setRouters(after)
+	f.markCacheDirty()
 }
 
 // publishEndpoints publishes changed records to this node's routing and to all subscribers.
--- a/node/routing_pause_test.go
+++ b/node/routing_pause_test.go
@@ -66,3 +66,36 @@
 	f.mergeEndpoints(list[:1], "test")
 	f.routing.withChooser(func(c *chooser.Chooser) { assert.Equal(t, len(c.Loads(time.Now())), endpoints-1) })
 }
+
+// Guards against a router that spends its processor on updates of routing over all endpoints while many leave, or while
+// the routers of a fleet subscribe again and their number changes with each heartbeat; and against requests for an
+// endpoint that has left.
+func TestDeparturesAndRouterCountsNeedNoUpdateOfAllEndpoints(t *testing.T) {
+	const endpoints, leaving = 3000, 400
+	f := newTestProxy(t, nil).fleet
+	list := make([]registrar.Endpoint, endpoints)
+	for i := range list {
+		list[i] = testEndpoint(fmt.Sprint("e", i), fmt.Sprintf("10.0.%d.%d:1", i/250, i%250+1))
+	}
+	f.endpoints.AddServices([]string{list[0].Service})
+	f.mergeEndpoints(list, "test")
+	f.updateRouting()
+	before := f.routingUpdated
+	for i := range leaving {
+		e := list[i]
+		e.State, e.Sequence = registrar.Draining, e.Sequence+1
+		if i%2 == 1 {
+			f.mu.Lock()
+			e, _ = f.endpoints.Deregister(time.Now(), e.ID)
+			f.mu.Unlock()
+			f.publishEndpoints([]registrar.Endpoint{e}, "test")
+		}
+		f.mergeEndpoints([]registrar.Endpoint{e}, "test")
+		f.recordRouterCount(2 + i)
+		f.routing.withChooser(func(c *chooser.Chooser) { assert.Equal(t, len(c.Loads(time.Now())), endpoints-1-i) })
+		assert.Equal(t, f.routing.routerCount(), 2+i)
+	}
+	f.routingUpdateMu.Lock()
+	defer f.routingUpdateMu.Unlock()
+	assert.Assert(t, f.routingUpdated-before < leaving/8, "%d updates", f.routingUpdated-before)
+}
--- a/node/view.go
+++ b/node/view.go
@@ -57,6 +57,14 @@
 	r.chooser.SetRollouts(time.Now(), v.rollouts, v.index)
 }
 
+// setRouters replaces the router count.
+func (r *routingState) setRouters(n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.routers = max(1, n)
+	r.chooser.SetRouters(n)
+}
+
 func (r *routingState) serviceBudget(service string) *retrier.WindowBudget {
 	b := r.budgets[service]
 	if b == nil {
