--- a/node/fleet.go
+++ b/node/fleet.go
@@ -387,8 +387,8 @@
 	f.routing.update(inService, outOfService, routers, v, f.settings.loadPolicy(v.plan).For(len(list)))
 }
 
-// updateRoutingFor updates routing for changed records after a pause in proportion to the time that the last update took.
-// Departures are in force at once.
+// updateRoutingFor updates routing for changed records after a pause in proportion to the time that the last update
+// took. Departures are in force at once.
 func (f *fleet) updateRoutingFor(changed []registrar.Endpoint) {
 	if slices.ContainsFunc(changed, func(e registrar.Endpoint) bool { return !e.AcceptsRequests() }) {
 		f.routingUpdateMu.Lock() // a running update may not know them
