--- a/core/rollouter/gate.go
+++ b/core/rollouter/gate.go
@@ -30,7 +30,7 @@
 
 	// resumeTime is how long after a rollback streams that the target began may be resumed there. Operators bear requests
 	// to a bad version for a few seconds after its first bad answers, and the judgement takes most of them.
-	resumeTime = time.Second
+	resumeTime = 600 * time.Millisecond
 
 	// confirmDelay is within which time an endpoint must answer another request for a broken answer to count as a failure
 	// of its version. An endpoint that has crashed or is cut off does not answer.
