Keep floods out while the capacity for short requests rises

Change: the capacity rises below 1.2 requests for each slot, and the condition for refusing nothing is the former one.

--- a/core/chooser/share.go
+++ b/core/chooser/share.go
@@ -60,7 +60,7 @@
 	congestedLoad  = 0.97
 	congestedQueue = 2.5
 	roomyLoad      = 0.85
-	roomyQueue     = 1.5
+	roomyQueue     = 1.2
 
 	// correctionFall and correctionGrowth are the relative changes of the correction, from minCorrection to maxCorrection,
 	// in the time after which a change shows: correctionDelay and the mean hold time.
@@ -390,7 +390,7 @@
 	}
 	s.correct(now, elapsed, load, isAlone)
 	switch hasRoom := load < busyShare*s.admissible; {
-	case hasRoom && (s.correction >= 1 || s.isQueueing):
+	case hasRoom && s.correction >= 1:
 		s.capacity = math.Inf(1)
 	case isAlone:
 		s.capacity *= aloneFactor / float64(max(aloneFactor, c.routers))
