--- a/node/conviction_lift_test.go
+++ b/node/conviction_lift_test.go
@@ -112,7 +112,7 @@
 	// The part crashes endpoints again.
 	now := time.Now()
 	f.nodes[0].fleet.evidence.merge(exchanger.Evidence{Convictions: []attributor.Conviction{
-		{Part: part, Revision: 5, Crashes: 3, At: now, RefusedAt: now, RefusedBy: "router"}}}, "test")
+		{Part: part, Revision: 100, Crashes: 3, At: now, RefusedAt: now, RefusedBy: "router"}}}, "test")
 	for _, n := range f.nodes {
 		eventually(t, "convicted again", func() bool { return n.convicts(part) })
 	}
