Keep loads and named sums that other processes report in one place

Loads and named sums were received, merged and dropped by the same code written twice: for subscribers, for peer instances and in the merge of totals. Now recordReported, receiver.record and eachReported serve both.

--- a/node/exchange.go
+++ b/node/exchange.go
@@ -90,7 +90,7 @@
 	f.mu.Lock()
 	if sub := f.subscribers[c.Name]; sub != nil && sub.Address == c.Address {
 		sub.subscriptions--
-		sub.loads, sub.sums = nil, nil
+		sub.reported = reported{}
 		sub.changedAt = time.Now()
 	}
 	f.mu.Unlock()
@@ -99,35 +99,42 @@
 
 // LoadsReceived implements exchanger.Source.
 func (f *fleet) LoadsReceived(from exchanger.Contact, loads exchanger.Loads) {
+	f.recordReported(from, func(r *reported) { r.loads = loads })
+}
+
+// recordReported updates what a subscriber has reported.
+func (f *fleet) recordReported(from exchanger.Contact, update func(*reported)) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if sub := f.subscribers[from.Name]; sub != nil {
-		sub.loads = loads
+		update(&sub.reported)
 	}
 }
 
-// Loads implements exchanger.Source.
-func (f *fleet) Loads(to exchanger.Contact) exchanger.Loads {
-	return f.totalLoads.Get(to.Eligible, f.mergeLoads)
-}
-
-func (f *fleet) mergeLoads(isOwn bool) exchanger.Loads {
-	total := f.routing.ownLoads()
+// eachReported visits what this instance's routers have reported and, unless isOwn, what other instances have.
+func (f *fleet) eachReported(isOwn bool, visit func(*reported)) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for name, sub := range f.subscribers {
 		if f.instances[name] == nil && sub.subscriptions > 0 {
-			total.Add(sub.loads)
+			visit(&sub.reported)
 		}
 	}
-	if isOwn {
-		return total
-	}
 	for name, inst := range f.instances {
-		if name != f.self.Name {
-			total.Add(inst.loads)
+		if !isOwn && name != f.self.Name {
+			visit(&inst.reported)
 		}
 	}
+}
+
+// Loads implements exchanger.Source.
+func (f *fleet) Loads(to exchanger.Contact) exchanger.Loads {
+	return f.totalLoads.Get(to.Eligible, f.mergeLoads)
+}
+
+func (f *fleet) mergeLoads(isOwn bool) exchanger.Loads {
+	total := f.routing.ownLoads()
+	f.eachReported(isOwn, func(r *reported) { total.Add(r.loads) })
 	return total
 }
 
@@ -254,18 +261,22 @@
 
 // LoadsReceived implements exchanger.Receiver.
 func (r *receiver) LoadsReceived(loads exchanger.Loads) {
-	f := r.fleet
-	if !r.isPeer {
-		if r.isActive() {
-			f.routing.setTotalLoads(loads)
+	r.record(func() { r.fleet.routing.setTotalLoads(loads) }, func(r *reported) { r.loads = loads })
+}
+
+// record applies totals to the routing of a router, or updates what a peer instance has reported.
+func (r *receiver) record(apply func(), update func(*reported)) {
+	switch {
+	case r.isPeer:
+		f := r.fleet
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if inst := f.instances[r.instance.Name]; inst != nil {
+			update(&inst.reported)
 		}
-		return
+	case r.isActive():
+		apply()
 	}
-	f.mu.Lock()
-	if inst := f.instances[r.instance.Name]; inst != nil {
-		inst.loads = loads
-	}
-	f.mu.Unlock()
 }
 
 // aggregateLoads periodically applies the total loads, as routers receive them, to a control instance's own routing,
@@ -399,7 +410,7 @@
 		f.mu.Lock()
 		expired := f.instances[c.Name] != inst || time.Since(inst.seenAt) > instanceRetention
 		inst.subscribed = !expired
-		inst.loads, inst.sums, inst.routers = nil, nil, 0
+		inst.reported, inst.routers = reported{}, 0
 		f.mu.Unlock()
 		if expired {
 			return
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -81,14 +81,19 @@
 // knownInstance is a control instance as known to this node.
 type knownInstance struct {
 	exchanger.Contact
-	seenAt     time.Time       // when any node last reported it
-	quorateAt  time.Time       // when it was last reported to be quorate
-	heardAt    time.Time       // when a heartbeat last reported it to be quorate
-	routers    int             // routers subscribed to it
-	loads      exchanger.Loads // requests in flight of it and of its routers
-	sums       exchanger.Sums  // named sums, likewise
-	failedAt   time.Time       // when a subscription to it last failed
-	subscribed bool            // a control instance's subscription to this peer is running
+	seenAt     time.Time // when any node last reported it
+	quorateAt  time.Time // when it was last reported to be quorate
+	heardAt    time.Time // when a heartbeat last reported it to be quorate
+	routers    int       // routers subscribed to it
+	reported   reported  // of it and of its routers
+	failedAt   time.Time // when a subscription to it last failed
+	subscribed bool      // a control instance's subscription to this peer is running
+}
+
+// reported is what another process has last reported.
+type reported struct {
+	loads exchanger.Loads // requests in flight
+	sums  exchanger.Sums
 }
 
 // suspect is a request during which endpoints failed; starts holds the starts of these endpoints.
@@ -170,8 +175,7 @@
 
 type subscriber struct {
 	exchanger.Contact
-	loads         exchanger.Loads // requests in flight
-	sums          exchanger.Sums
+	reported      reported
 	subscriptions int
 	changedAt     time.Time // of the number of subscriptions
 }
--- a/node/scale_bench_test.go
+++ b/node/scale_bench_test.go
@@ -43,7 +43,7 @@
 	}
 	for i := range 5 {
 		inst := f.recordInstance(exchanger.Contact{Name: fmt.Sprint("i", i), Domain: fmt.Sprint("d", i%3)}, true)
-		inst.loads = loads(10*i, 50)
+		inst.reported.loads = loads(10*i, 50)
 	}
 	return f, routers
 }
--- a/node/sums.go
+++ b/node/sums.go
@@ -38,11 +38,7 @@
 
 // SumsReceived implements exchanger.Source.
 func (f *fleet) SumsReceived(from exchanger.Contact, sums exchanger.Sums) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if sub := f.subscribers[from.Name]; sub != nil {
-		sub.sums = sums
-	}
+	f.recordReported(from, func(r *reported) { r.sums = sums })
 }
 
 // Sums implements exchanger.Source.
@@ -58,21 +54,7 @@
 		total.Add(sums)
 	}
 	add(f.routing.ownSums())
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for name, sub := range f.subscribers {
-		if f.instances[name] == nil && sub.subscriptions > 0 {
-			add(sub.sums)
-		}
-	}
-	if isOwn {
-		return total
-	}
-	for name, inst := range f.instances {
-		if name != f.self.Name {
-			add(inst.sums)
-		}
-	}
+	f.eachReported(isOwn, func(r *reported) { add(r.sums) })
 	return total
 }
 
@@ -83,18 +65,7 @@
 
 // SumsReceived implements exchanger.Receiver.
 func (r *receiver) SumsReceived(sums exchanger.Sums) {
-	f := r.fleet
-	if !r.isPeer {
-		if r.isActive() {
-			f.routing.setTotalSums(sums)
-		}
-		return
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if inst := f.instances[r.instance.Name]; inst != nil {
-		inst.sums = sums
-	}
+	r.record(func() { r.fleet.routing.setTotalSums(sums) }, func(r *reported) { r.sums = sums })
 }
 
 // Sums implements exchanger.Receiver.
