--- a/core/chooser/chooser.go
+++ b/core/chooser/chooser.go
@@ -196,6 +196,14 @@
 	holdTime float64       // average duration of a request in seconds; 0 until one has ended
 }
 
+// hold returns the average duration of a request in seconds, or the assumed one.
+func (h *history) hold() float64 {
+	if h.holdTime <= 0 {
+		return initialHoldTime.Seconds()
+	}
+	return h.holdTime
+}
+
 type pool struct {
 	history
 	work  work
@@ -640,7 +648,7 @@
 		}
 		if n+1 <= limit {
 			c.candidates = append(c.candidates, candidate{endpoint: e, rank: rank - 1, limit: math.Inf(1), weight: 1,
-				maxRate: math.Inf(1), load: n + c.affinityDomainCost(now, &q, p, e, source)})
+				maxRate: math.Inf(1), load: n + c.affinityDomainCost(now, &q, e, source)})
 		}
 		reason = preferReason(reason, AllAtCapacity)
 	}
@@ -690,7 +698,7 @@
 			continue
 		}
 		isAvoided := e.isAvoided(now) || e.State == registrar.Silent && e.consecutiveFailures > 0
-		weight, distance := c.paceWeight(e), c.domainCost(now, &q, p, e)-c.trialBonus(e)
+		weight, distance := c.paceWeight(e), c.domainCost(now, e)-c.trialBonus(e)
 		cost := c.loadCost(n, weight) + distance
 		if !isAvoided && !f.isExact {
 			load, bound := c.withDomainCost(&f, n, limit, distance)
--- a/core/chooser/copies.go
+++ b/core/chooser/copies.go
@@ -114,7 +114,7 @@
 // failure domain.
 func (c *Chooser) copyRoom(now time.Time, q *Query, p *pool, e *endpoint, load *poolLoad, f *forecast,
 	priority float64) float64 {
-	n := float64(e.load(now, c.remoteAt)) + c.domainCost(now, q, p, e)
+	n := float64(e.load(now, c.remoteAt)) + c.domainCost(now, e)
 	target := f.copyTarget(c.admissionLimit(*q, e), load.loadBound, !c.ranked.isHot) * min(1, c.paceWeight(e))
 	room := max(0, target-n)
 	if !f.isExact {
@@ -147,10 +147,6 @@
 
 // arrange updates the numbers of copies and logs the changes.
 func (c *Chooser) arrange(now time.Time, s *planner.Service, p *pool, load *poolLoad) {
-	hold := p.holdTime
-	if hold <= 0 {
-		hold = initialHoldTime.Seconds()
-	}
 	inService := 0
 	for _, e := range p.endpoints {
 		if e.accepts(now) {
@@ -159,7 +155,7 @@
 	}
 	usual := p.copies.arranger.Summary().Usual
 	changes := p.copies.arranger.Arrange(now, &c.ledger, arranger.Capacity{Routers: c.routers, Endpoints: inService,
-		Tokens: float64(s.CacheTokens), PerCopy: max(1, copyLoadFraction*fillTarget(load.loadBound)), HoldTime: hold})
+		Tokens: float64(s.CacheTokens), PerCopy: max(1, copyLoadFraction*fillTarget(load.loadBound)), HoldTime: p.hold()})
 	if after := p.copies.arranger.Summary().Usual; after != usual {
 		c.addEvent("usual copies of prompt parts changed", "service", s.Name, "before", usual, "copies", after)
 	}
@@ -240,13 +236,21 @@
 	return e.consecutiveFailures == 0 && isPresent && !e.reach.IsSuspected() && c.isCacheSource(e)
 }
 
-// fetchPays reports whether an engine fetches the tokens faster than it reads them.
+// fetchSeconds returns how long an engine fetches cached tokens within its failure domain, 0 if its link is not known.
+func fetchSeconds(s *planner.Service, tokens int) float64 {
+	if s.LinkBitsPerSecond <= 0 {
+		return 0
+	}
+	return float64(tokens) * float64(s.CacheTokenBytes) * 8 / s.LinkBitsPerSecond
+}
+
+// fetchPays reports whether an engine fetches the tokens, of which there are some, faster than it reads them.
 func fetchPays(s *planner.Service, tokens int, isSameDomain bool) bool {
-	bits := float64(tokens) * float64(s.CacheTokenBytes) * 8
+	seconds := fetchSeconds(s, tokens)
 	if !isSameDomain {
-		bits *= remoteFetchFactor
+		seconds *= remoteFetchFactor
 	}
-	return s.LinkBitsPerSecond <= 0 || bits/s.LinkBitsPerSecond < float64(tokens)/readTokensPerSecond
+	return seconds < float64(tokens)/readTokensPerSecond
 }
 
 // RecordAnswered records that an endpoint has begun to answer the prompt, and holds its parts.
--- a/core/chooser/domains.go
+++ b/core/chooser/domains.go
@@ -15,9 +15,6 @@
 	// the demand of the domains.
 	remoteDomainCost = 0.5
 
-	// domainSumsTTL is how long the sums of other routers are valid for decisions about domains.
-	domainSumsTTL = 2 * time.Second
-
 	// domainInterval is the time between two decisions about a service; sums are published as often.
 	domainInterval = 200 * time.Millisecond
 
@@ -68,19 +65,8 @@
 	MegabyteMillis float64 `json:"megabyteMillis"`
 }
 
-// timeSum is the total duration of some requests; older ones lose weight with the time constant demandWindow.
-type timeSum struct {
-	seconds, count float64
-	at             time.Time
-}
-
-func (t *timeSum) decay(now time.Time) {
-	if t.count > 0 {
-		factor := math.Exp(-max(0, now.Sub(t.at)).Seconds() / demandWindow.Seconds())
-		t.seconds, t.count = t.seconds*factor, t.count*factor
-	}
-	t.at = now
-}
+// timeSum is the total duration of some requests and their number, over demandWindow.
+type timeSum struct{ seconds, requests decayingCount }
 
 // serviceDomains is what a router knows of the failure domains of one service.
 type serviceDomains struct {
@@ -184,8 +170,8 @@
 		t = &timeSum{}
 		s.times[choice.Endpoint.Domain] = t
 	}
-	t.decay(now)
-	t.seconds, t.count = t.seconds+seconds, t.count+1
+	t.seconds.addWork(now, demandWindow, seconds)
+	t.requests.add(now, demandWindow)
 }
 
 // decideDomains publishes the demand of this router and decides which share of the requests of each domain leaves it.
@@ -208,8 +194,7 @@
 func (c *Chooser) decideDomainsOf(now time.Time, name string, s *serviceDomains, p *pool) {
 	prefix := "domain/" + name + "/"
 	c.publishDemand(now, prefix, s)
-	age, ok := c.ledger.Age(now)
-	if s.isKnown = c.routers <= 1 || ok && age <= domainSumsTTL; !s.isKnown {
+	if s.isKnown = c.routers <= 1 || c.areSumsKnown(now); !s.isKnown {
 		return
 	}
 	s.domains = s.domains[:0]
@@ -311,9 +296,8 @@
 	c.setDomainSum(s, own+"/price", rate*s.priceMillis*priceScale)
 	c.setDomainSum(s, own+"/routers", 1)
 	for to, t := range s.times {
-		t.decay(now)
-		c.setDomainSum(s, own+">"+to+"/ms", t.seconds*1000)
-		c.setDomainSum(s, own+">"+to+"/n", t.count)
+		c.setDomainSum(s, own+">"+to+"/ms", t.seconds.get(now, demandWindow)*1000)
+		c.setDomainSum(s, own+">"+to+"/n", t.requests.get(now, demandWindow))
 	}
 }
 
@@ -381,7 +365,7 @@
 		return 1
 	}
 	s := c.domains[q.Service.Name]
-	if s == nil || !s.isKnown || now.Sub(s.decidedAt) > domainSumsTTL || len(s.domains) < 2 || s.service.HoldSeconds <= 0 {
+	if s == nil || !s.isKnown || now.Sub(s.decidedAt) > sumsTTL || len(s.domains) < 2 || s.service.HoldSeconds <= 0 {
 		return 1
 	}
 	d := &c.destination
@@ -421,7 +405,7 @@
 // domainCost returns the number of requests to which it is equivalent that an endpoint is in another failure domain
 // than the one to which the request should go. Endpoints of that one are filled up to their slots, within the load
 // bound, and as far beyond as leaving costs.
-func (c *Chooser) domainCost(now time.Time, _ *Query, _ *pool, e *endpoint) float64 {
+func (c *Chooser) domainCost(now time.Time, e *endpoint) float64 {
 	d := &c.destination
 	switch {
 	case !d.isKnown && e.Domain == c.domain, d.isKnown && e.Domain == d.domain:
@@ -451,25 +435,20 @@
 }
 
 // affinityDomainCost returns the domain and move costs of an endpoint while those that hold the prompt are full.
-func (c *Chooser) affinityDomainCost(now time.Time, q *Query, p *pool, e, source *endpoint) float64 {
+func (c *Chooser) affinityDomainCost(now time.Time, q *Query, e, source *endpoint) float64 {
 	if !c.destination.isKnown {
 		return 0
 	}
-	return c.domainCost(now, q, p, e) + c.moveCost(q, e, source)
+	return c.domainCost(now, e) + c.moveCost(q, e, source)
 }
 
 // moveCost returns the number of requests to which it is equivalent that an endpoint has to fetch the cached parts of
 // the prompt from their source.
 func (c *Chooser) moveCost(q *Query, e, source *endpoint) float64 {
-	if source == nil || e == source || q.Service.LinkBitsPerSecond <= 0 {
+	if source == nil || e == source {
 		return 0
 	}
-	tokens := 0
-	for _, part := range q.Parts[:max(0, len(q.Parts)-1)] {
-		tokens += part.Tokens
-	}
-	seconds := float64(tokens) * float64(q.Service.CacheTokenBytes) * 8 / q.Service.LinkBitsPerSecond
-	return seconds * c.destination.perSecond
+	return fetchSeconds(q.Service, sharedTokens(q.Parts)) * c.destination.perSecond
 }
 
 // domainGauges returns the shares that leave the domain of this router and the bytes that it has sent to others.
--- a/core/chooser/domains_test.go
+++ b/core/chooser/domains_test.go
@@ -350,11 +350,11 @@
 		assert.Equal(t, holder.Domain, "b")
 		f := c.newForecast(start, p, 0)
 		c.setDestination(start, &q, c.poolLoad(start, &q, p), &f)
-		abroad := c.affinityDomainCost(start, &q, p, holder, holder)
-		atHome := c.affinityDomainCost(start, &q, p, p.endpoints[0], holder)
+		abroad := c.affinityDomainCost(start, &q, holder, holder)
+		atHome := c.affinityDomainCost(start, &q, p.endpoints[0], holder)
 		assert.Assert(t, abroad < atHome, "cost %.2f at the holder, %.2f at home", abroad, atHome)
 		// Between two endpoints that hold the parts, the one in the destination is preferred.
-		copyAtHome := c.domainCost(start, &q, p, p.endpoints[0])
-		assert.Equal(t, copyAtHome < c.domainCost(start, &q, p, holder), c.destination.domain == "a")
+		copyAtHome := c.domainCost(start, p.endpoints[0])
+		assert.Equal(t, copyAtHome < c.domainCost(start, holder), c.destination.domain == "a")
 	}
 }
--- a/core/chooser/forecast.go
+++ b/core/chooser/forecast.go
@@ -117,10 +117,7 @@
 		f.isExact = true
 		return f
 	}
-	hold := p.holdTime
-	if hold <= 0 {
-		hold = initialHoldTime.Seconds()
-	}
+	hold := p.hold()
 	waiting := c.waiting(now, p, queuer.Classes-1)
 	if waiting > 0 && p.work.seconds > 0 {
 		hold = p.work.seconds * max(1, float64(totalLoad)/float64(max(1, p.slots)))
--- a/core/chooser/queue.go
+++ b/core/chooser/queue.go
@@ -132,11 +132,12 @@
 		first = &w.ticket
 	}
 	p.queue.class = p.queue.Class(now, first)
-	if q.Random >= c.lateShare(now, p, room) {
+	share := c.lateShare(now, p, room)
+	if q.Random >= share {
 		c.wait(now, w, p, room)
 		return Choice{}, AllAtCapacity
 	}
-	q.Random /= c.lateShare(now, p, room)
+	q.Random /= share
 	if first != &w.ticket && c.tryFor(now, first, q.Random, p) {
 		c.wait(now, w, p, room)
 		return Choice{}, AllAtCapacity
--- a/core/chooser/share.go
+++ b/core/chooser/share.go
@@ -233,10 +233,7 @@
 func (s *serviceShares) work(q *Query, class int) float64 {
 	k := &s.byClass[class]
 	hold, size := s.hold(class), q.size()
-	if size <= 0 {
-		return hold
-	}
-	if k.size == 0 {
+	if size <= 0 || k.size == 0 {
 		return hold
 	}
 	return hold * min(maxSizeFactor, max(minSizeFactor, size/k.size))
@@ -418,10 +415,7 @@
 // updateCapacity sets what the endpoints admit, and the mean of their failure rates; it returns the requests in
 // progress at them.
 func (c *Chooser) updateCapacity(now time.Time, s *serviceShares, p *pool) (load float64) {
-	service, hold := s.plan, p.holdTime
-	if hold <= 0 {
-		hold = initialHoldTime.Seconds()
-	}
+	service, hold := s.plan, p.hold()
 	s.holdTime = hold
 	failures, n := 0.0, 0
 	s.admissible, s.isQueueing = 0, !service.Engine
@@ -616,9 +610,6 @@
 	class := sharer.ClassOf(q.Priority)
 	w := c.workspaceShare(now, s, q.Workspace, q.Weight)
 	earliest := now.Add(minReturn + time.Duration(class)*returnStep)
-	spread := time.Duration(q.Random * float64(minReturn))
-	perSecond := w.need[class].inProgress(now, needWindow) * w.Accepted[class] / s.hold(class)
-	gap := time.Duration(float64(time.Second) / max(returnFraction*perSecond, 1/maxReturn.Seconds()))
 	if reason == AllAtCapacity {
 		overload := 1.0
 		if s.needed > s.capacity && s.capacity > 0 {
@@ -626,6 +617,8 @@
 		}
 		return earliest.Add(time.Duration(q.Random * overload * float64(returnSpread))), true
 	}
+	perSecond := w.need[class].inProgress(now, needWindow) * w.Accepted[class] / s.hold(class)
+	gap := time.Duration(float64(time.Second) / max(returnFraction*perSecond, 1/maxReturn.Seconds()))
 	latest := now.Add(maxReturn)
 	if next := w.line[class].Add(gap); next.After(earliest) {
 		earliest = next
@@ -634,5 +627,5 @@
 		return latest.Add(-time.Duration(q.Random * float64(maxReturn/4))), true
 	}
 	w.line[class] = earliest
-	return earliest.Add(spread), true
+	return earliest.Add(time.Duration(q.Random * float64(minReturn))), true
 }
