--- a/core/chooser/chooser.go
+++ b/core/chooser/chooser.go
@@ -108,7 +108,6 @@
 	// PromptTokens and OutputTokens are stated by the caller; 0 means unknown.
 	PromptTokens, OutputTokens int
 	Kind                       planner.Kind
-	ReceivedAt                 time.Time
 	TargetAt                   time.Time // until which the response, or the first event of a stream, is on time
 	Deadline                   time.Time
 	// Version restricts the choice of a resumed stream to endpoints of the software version that began it.
--- a/core/chooser/copies.go
+++ b/core/chooser/copies.go
@@ -91,7 +91,7 @@
 		}
 		isAdmitted = true
 		r.copies = max(r.copies, len(r.order))
-		w := c.copyRoom(now, q, p, e, load, f, priority)
+		w := c.copyRoom(now, q, e, load, f, priority)
 		if !r.isHot {
 			if len(r.order) == 1 {
 				w *= firstPreference
@@ -112,7 +112,7 @@
 
 // copyRoom returns the rate of requests for which an endpoint has room, less for a new one and for one in another
 // failure domain.
-func (c *Chooser) copyRoom(now time.Time, q *Query, p *pool, e *endpoint, load *poolLoad, f *forecast,
+func (c *Chooser) copyRoom(now time.Time, q *Query, e *endpoint, load *poolLoad, f *forecast,
 	priority float64) float64 {
 	n := float64(e.load(now, c.remoteAt)) + c.domainCost(now, e)
 	target := f.copyTarget(c.admissionLimit(*q, e), load.loadBound, !c.ranked.isHot) * min(1, c.paceWeight(e))
--- a/core/chooser/share_test.go
+++ b/core/chooser/share_test.go
@@ -44,12 +44,12 @@
 )
 
 type sharedRequest struct {
-	at       time.Time
-	router   int
-	query    Query
-	name     string // of the group
-	attempts int
-	isBack   bool
+	at, receivedAt time.Time
+	router         int
+	query          Query
+	name           string // of the group
+	attempts       int
+	isBack         bool
 }
 
 func (s *sharedLoad) run() {
@@ -135,11 +135,12 @@
 				}
 				for due[w][class] += rate / 3000 * 2 * rng.Float64(); due[w][class] >= 1; due[w][class]-- {
 					q := Query{Service: service, Priority: float64(class) / 2, Workspace: fmt.Sprintf("w%02d", w), Weight: 1,
-						ReceivedAt: now, Deadline: now.Add(3 * time.Second)}
+						Deadline: now.Add(3 * time.Second)}
 					if s.engine {
 						q.Parts = testPrompt(rng.IntN(200))
 					}
-					batch = append(batch, sharedRequest{at: now, router: rng.IntN(12), query: q, name: fmt.Sprint(name, class)})
+					batch = append(batch, sharedRequest{at: now, receivedAt: now, router: rng.IntN(12), query: q,
+						name: fmt.Sprint(name, class)})
 				}
 			}
 		}
@@ -161,7 +162,7 @@
 	queues map[string][]time.Time, done map[string][]completion,
 ) []sharedRequest {
 	phase := -1
-	switch at := int(r.query.ReceivedAt.Sub(start).Milliseconds()); {
+	switch at := int(r.receivedAt.Sub(start).Milliseconds()); {
 	case at >= 2000 && at < floodAt:
 		phase = 0
 	case at >= settled && at < sharedMillis-500:
@@ -197,7 +198,7 @@
 	end := begin.Add(s.hold)
 	queues[id] = append(queues[id], end)
 	done[id] = append(done[id], completion{end, c, choice})
-	if phase >= 0 && end.Sub(r.query.ReceivedAt) <= s.hold+240*time.Millisecond {
+	if phase >= 0 && end.Sub(r.receivedAt) <= s.hold+240*time.Millisecond {
 		s.onTime[phase][r.name]++
 	}
 	return waiting
--- a/core/chooser/work_test.go
+++ b/core/chooser/work_test.go
@@ -38,12 +38,13 @@
 }
 
 type job struct {
-	router *Chooser
-	query  Query
-	choice Choice
-	nextAt time.Time
-	until  time.Time // of the tries without a queue
-	left   float64   // ms of work at the usual pace
+	router     *Chooser
+	query      Query
+	choice     Choice
+	receivedAt time.Time
+	nextAt     time.Time
+	until      time.Time // of the tries without a queue
+	left       float64   // ms of work at the usual pace
 }
 
 func (s *smallService) run(seconds int) {
@@ -78,8 +79,9 @@
 			if s.rng.Float64() < s.hot {
 				r = f.routers[0]
 			}
-			pending = append(pending, &job{router: r, left: 60, nextAt: now, until: now.Add(40 * time.Millisecond),
-				query: Query{Service: service, ReceivedAt: now, TargetAt: now.Add(300 * time.Millisecond),
+			pending = append(pending, &job{router: r, left: 60, receivedAt: now, nextAt: now,
+				until: now.Add(40 * time.Millisecond),
+				query: Query{Service: service, TargetAt: now.Add(300 * time.Millisecond),
 					Deadline: now.Add(3 * time.Second), Waiter: &Waiter{}}})
 		}
 		pending = slices.DeleteFunc(pending, func(j *job) bool {
@@ -120,7 +122,7 @@
 		j.router.RecordLoad(now, j.choice.Endpoint, LoadReport{Running: len(s.queues[i]), Pace: s.stated(i, ms)})
 		j.router.RecordTime(now, j.choice)
 		j.router.Done(now, j.choice)
-		s.latencies = append(s.latencies, float64(now.Sub(j.query.ReceivedAt).Milliseconds()))
+		s.latencies = append(s.latencies, float64(now.Sub(j.receivedAt).Milliseconds()))
 		if now.After(j.query.TargetAt) {
 			s.late++
 		}
--- a/core/rollouter/driver.go
+++ b/core/rollouter/driver.go
@@ -274,9 +274,8 @@
 	return byRoute, longest
 }
 
-// delays returns by how many milliseconds routes move later than the rollout does now.
-func (r *run) delays(now time.Time) map[string]int64 {
-	byRoute, _ := r.moveTimes()
+// delays returns by how many milliseconds routes move later than the rollout does now, from the result of moveTimes.
+func (r *run) delays(now time.Time, byRoute map[string]time.Duration) map[string]int64 {
 	routes := slices.SortedFunc(maps.Keys(byRoute), func(a, b string) int {
 		return cmp.Or(cmp.Compare(byRoute[a], byRoute[b]), cmp.Compare(a, b))
 	})
@@ -302,9 +301,9 @@
 func (r *run) step(now time.Time, next Phase, reason string, f *Facts) Step {
 	c := r.rollout
 	c.Phase, c.Reason, c.Former, c.Delays = next, reason, f.Former, nil
-	_, moveTime := r.moveTimes()
+	byRoute, moveTime := r.moveTimes()
 	if next == Moving && len(f.Former) > 0 {
-		c.Delays, c.MovedAt = r.delays(now), now.UnixMilli()
+		c.Delays, c.MovedAt = r.delays(now, byRoute), now.UnixMilli()
 	}
 	return Step{Change: Change{Rollout: c}, Keyvals: []any{"service", c.Service, "target", c.Target,
 		"phase", next.String(), "before", r.rollout.Phase.String(), "reason", reason,
--- a/core/summer/summer.go
+++ b/core/summer/summer.go
@@ -55,9 +55,6 @@
 // Clear removes this router's values.
 func (l *Ledger) Clear() { clear(l.own) }
 
-// Add adds to this router's value of a key.
-func (l *Ledger) Add(key string, delta float64) { l.Set(key, l.own[key]+delta) }
-
 // Own returns this router's value of a key.
 func (l *Ledger) Own(key string) float64 { return l.own[key] }
 
--- a/core/summer/summer_test.go
+++ b/core/summer/summer_test.go
@@ -20,7 +20,7 @@
 	for i := range routers {
 		routers[i].SetTotal(start, total)
 		assert.Equal(t, routers[i].Total("a"), 6.0)
-		routers[i].Add("a", 4)
+		routers[i].Set("a", routers[i].Own("a")+4)
 		assert.Equal(t, routers[i].Total("a"), 10.0, "own values count at once")
 	}
 }
--- a/node/transfer.go
+++ b/node/transfer.go
@@ -196,7 +196,7 @@
 	query := chooser.Query{Service: q.service, Route: q.route.Name, Parts: q.promptParts, Tried: t.tried,
 		Random: rand.Float64(), Priority: q.priority, Version: t.version, IsResumed: t.hasBegun,
 		Weight:       q.workspace.ShareWeight(),
-		PromptTokens: q.promptTokens, OutputTokens: q.outputTokens, Kind: q.route.Kind, ReceivedAt: q.receivedAt,
+		PromptTokens: q.promptTokens, OutputTokens: q.outputTokens, Kind: q.route.Kind,
 		TargetAt: q.receivedAt.Add(time.Duration(q.route.TargetMillis) * time.Millisecond), Deadline: q.deadline,
 		IsRepeat: t.hasAsked, Waiter: &t.waiter, IsStale: len(f.view.Load().rollouts) > 0 && !f.mayDeny(time.Now())}
 	if q.workspace != nil {
