--- a/review/standin-2/longstreams.go
+++ b/review/standin-2/longstreams.go
@@ -121,7 +121,7 @@
 				}
 				return
 			}
-			time.Sleep(4 * time.Second) // until all machines are in touch again, for sure
+			time.Sleep(time.Duration(envInt("WAIT_MS", 4000)) * time.Millisecond) // the other machines are in touch all the time
 			b := send("taken up", f.nodes[u%3], u, map[string]string{"Last-Event-Id": strconv.Itoa(a.lastEvent()), "Resumes": a.id},
 				min(6*time.Second, time.Until(deadlineAt)))
 			c := send("new", f.nodes[u%3], u, nil, 2*time.Second)
