--- a/review/standin-2/parts.go
+++ b/review/standin-2/parts.go
@@ -268,7 +268,8 @@
 	return "", nil
 }
 
-// middlePart checks the rule BUDGET about requests with a part that crashes replicas, in the middle of a long prompt.
+// middlePart checks the rules BUDGET and LOST about a part that crashes replicas in the middle of a long prompt. BAD_EVERY_MS
+// sets the time between two requests with the part.
 func middlePart(ctx context.Context, env *environment) (string, error) {
 	p, err := startParts(ctx, env, 6)
 	if p != nil {
@@ -306,7 +307,7 @@
 				p.send("bad", "/chat/"+own, prompt(badPart, own), "other question "+own)
 			})
 		}
-		time.Sleep(time.Second)
+		time.Sleep(time.Duration(envInt("BAD_EVERY_MS", 400)) * time.Millisecond)
 	}
 	cancel()
 	wg.Wait()
@@ -323,8 +324,12 @@
 	if nBefore < 20 || env.trouble && crashes == 0 {
 		return "", fmt.Errorf("nothing was tried: %s", result)
 	}
+	var broken []string
 	if reached > 3 {
-		return fmt.Sprintf("BUDGET: %d requests with the part reached replicas later than 3 s after the fifth crash", reached), nil
+		broken = append(broken, fmt.Sprintf("BUDGET: %d requests with the part reached replicas later than 3 s after the fifth crash", reached))
 	}
-	return "", nil
+	if n >= 20 && 2*began*nBefore < beganBefore*n {
+		broken = append(broken, "LOST: sound requests with the same key and first part begin less than half as often as before")
+	}
+	return strings.Join(broken, "; "), nil
 }
