--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/standin-2"
 mkdir -p ../../.bin
-GOWORK=off GOFLAGS=-mod=mod GOTOOLCHAIN=local go build -o ../../.bin/review-standin-2 .
+GOWORK=off GOFLAGS=-mod=mod GOTOOLCHAIN=local go build -buildvcs=false -o ../../.bin/review-standin-2 .
