--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -23,7 +23,7 @@
 }
 
 var scenarios = map[string]scenario{"popular": popularQuestions, "middle": middlePart, "answers": largeAnswers,
-	"firststart": firstStart, "long": longStreams, "stop": plannedStop, "chunk": oddChunk}
+	"firststart": firstStart, "long": longStreams, "chunk": oddChunk}
 
 // maxRunTime is shorter than the 120 seconds that a script may take.
 const maxRunTime = 110 * time.Second
