Bound the memory of buffered answers

Callers saw: a process ended, out of memory, while many callers waited for large answers; all its requests were lost.

Cause: up to 256 KiB of each response are buffered before any of it goes to the caller, and so is each 5xx response that waits for a retry, outside of any budget. What a process holds was bounded by its connections times 256 KiB only.

Change: answers have a budget beside heads and bodies, an eighth of the memory (answerMemory). A buffer reserves before it grows. Without room the answer is not refused: what is buffered goes to the caller and the rest follows as it arrives. A failure that can't be kept is discarded and retried; if that fails too, the caller gets 502. Rejections and other responses that nobody gets are discarded instead of buffered.

--- a/adapters/server/resources.go
+++ b/adapters/server/resources.go
@@ -19,18 +19,24 @@
 	BoundHeadBytes   = "headBytes"
 	BoundHeadMemory  = "headMemory"
 	BoundBodyMemory  = "bodyMemory"
+
+	// BoundAnswerMemory ends the buffering of answers, which are then passed on as they arrive.
+	BoundAnswerMemory = "answerMemory"
 )
 
+var bounds = []string{BoundConnections, BoundHeadBytes, BoundHeadMemory, BoundBodyMemory, BoundAnswerMemory}
+
 const (
 	defaultMemoryBytes = 256 << 20
 	defaultDescriptors = 1 << 10
 
-	// The parts of the memory for heads, bodies and connections of callers, and that above which the garbage collector
-	// works without pause.
-	headMemoryDivisor = 8
-	bodyMemoryDivisor = 4
-	connMemoryDivisor = 4
-	memoryLimitShare  = 0.75
+	// The parts of the memory for heads, bodies, buffered answers and connections of callers, and that above which the
+	// garbage collector works without pause.
+	headMemoryDivisor   = 8
+	bodyMemoryDivisor   = 4
+	answerMemoryDivisor = 8
+	connMemoryDivisor   = 4
+	memoryLimitShare    = 0.75
 
 	// connBytes is what net/http holds for a connection: two buffers, its state and the stack of a goroutine.
 	connBytes = 16 << 10
@@ -57,8 +63,9 @@
 
 // Resources is what the callers of all addresses of a process may hold.
 type Resources struct {
-	Heads  Budget
-	Bodies Budget
+	Heads   Budget
+	Bodies  Budget
+	Answers Budget // of endpoints, buffered before they are passed on
 
 	descriptors int
 	maxConns    int // by memory
@@ -85,9 +92,11 @@
 	r := &Resources{descriptors: cmp.Or(m.Descriptors, processDescriptors()),
 		maxConns: int(memory / connMemoryDivisor / connBytes), obs: obs, reports: map[string]*boundReport{},
 		refused: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cactusroute_caller_limits_total",
-			Help: "Requests refused and connections closed because callers hold too much, by bound."}, []string{"bound"})}
+			Help: "Requests refused, connections closed and answers not buffered because callers hold too much, by bound."},
+			[]string{"bound"})}
 	r.Heads.Limit, r.Bodies.Limit = memory/headMemoryDivisor, memory/bodyMemoryDivisor
-	for _, bound := range []string{BoundConnections, BoundHeadBytes, BoundHeadMemory, BoundBodyMemory} {
+	r.Answers.Limit = memory / answerMemoryDivisor
+	for _, bound := range bounds {
 		r.refused.WithLabelValues(bound)
 		r.reports[bound] = &boundReport{}
 	}
@@ -95,7 +104,9 @@
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "cactusroute_caller_head_bytes",
 			Help: "Memory reserved for the heads of callers' requests."}, func() float64 { return float64(r.Heads.Used()) }),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "cactusroute_caller_body_bytes",
-			Help: "Memory reserved for the bodies of callers' requests."}, func() float64 { return float64(r.Bodies.Used()) }))
+			Help: "Memory reserved for the bodies of callers' requests."}, func() float64 { return float64(r.Bodies.Used()) }),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "cactusroute_caller_answer_bytes",
+			Help: "Memory reserved for buffered answers to callers."}, func() float64 { return float64(r.Answers.Used()) }))
 	return r
 }
 
@@ -136,5 +147,5 @@
 	report.refused, report.next = 0, now.Add(reportInterval)
 	r.mu.Unlock()
 	_ = r.obs.Logger.Log("msg", "callers exceed a bound", "bound", bound, "refused", n,
-		"headBytes", r.Heads.Used(), "bodyBytes", r.Bodies.Used())
+		"headBytes", r.Heads.Used(), "bodyBytes", r.Bodies.Used(), "answerBytes", r.Answers.Used())
 }
--- a/loader/crowd/crowd_test.go
+++ b/loader/crowd/crowd_test.go
@@ -34,11 +34,25 @@
 	"cactusroute.dev/loader/spawner"
 )
 
-// The limits of the machine that the settings of a program under test state, and the crowd that it meets.
+// machineLimits are the limits of the machine that the settings of a program under test state. Its process must keep
+// to them.
+type machineLimits struct{ memoryBytes, descriptors int }
+
+func (m machineLimits) settings() map[string]any {
+	return map[string]any{"memoryBytes": m.memoryBytes, "descriptors": m.descriptors}
+}
+
+var (
+	// smallMachine has descriptors for 160 callers.
+	smallMachine = machineLimits{memoryBytes: 64 << 20, descriptors: 512}
+
+	// manyDescriptors has descriptors for more callers than its memory bears without a bound on each thing that they hold.
+	manyDescriptors = machineLimits{memoryBytes: 64 << 20, descriptors: 2870}
+)
+
 const (
-	machineMemoryBytes = 64 << 20
-	machineDescriptors = 512
-	callers            = 300
+	callers     = 300 // of a crowd
+	manyCallers = 600 // of a crowd at a machine with manyDescriptors
 
 	headBytes      = 16 << 10 // the limit of the plan
 	bodyBytes      = 4 << 20  // the limit of the plan
@@ -48,6 +62,7 @@
 	trickleWait    = 50 * time.Millisecond
 	pipelinedHeads = 6
 	chunkedBytes   = 1 << 20 // of one caller's body in small chunks
+	answerBytes    = 250_000 // of one large answer that has not ended
 )
 
 // lines returns header lines with up to n bytes together.
@@ -107,6 +122,7 @@
 // program is a process under test.
 type program struct {
 	process *spawner.Process
+	machine machineLimits
 	log     string
 	// ordinary sends an ordinary request and returns its status, 0 without an answer.
 	ordinary func() int
@@ -191,13 +207,10 @@
 	<-sampled
 	peak := p.peakMemory(t)
 	t.Logf("peak %d MB (%d MB before), %d descriptors", peak>>20, before>>20, peakDescriptors.Load())
-	assert.Check(t, peak <= machineMemoryBytes, "%d MB of %d MB", peak>>20, machineMemoryBytes>>20)
-	assert.Check(t, peakDescriptors.Load() <= machineDescriptors, "%d descriptors of %d", peakDescriptors.Load(),
-		machineDescriptors)
-}
-
-func machine() map[string]any {
-	return map[string]any{"memoryBytes": machineMemoryBytes, "descriptors": machineDescriptors}
+	limits := p.machine
+	assert.Check(t, peak <= limits.memoryBytes, "%d MB of %d MB", peak>>20, limits.memoryBytes>>20)
+	assert.Check(t, int(peakDescriptors.Load()) <= limits.descriptors, "%d descriptors of %d", peakDescriptors.Load(),
+		limits.descriptors)
 }
 
 // build builds the programs into a folder and returns it.
@@ -242,9 +255,10 @@
 	return resp.StatusCode
 }
 
-// start starts a program, which is stopped at the end of the test.
-func start(t *testing.T, binaries, name string, settings map[string]any) *program {
+// start starts a program on a machine, which is stopped at the end of the test.
+func start(t *testing.T, binaries, name string, machine machineLimits, settings map[string]any) *program {
 	t.Helper()
+	settings["machine"] = machine.settings()
 	s := &spawner.Spawner{BinDir: binaries, WorkDir: t.TempDir()}
 	process, err := s.Start(name, name, settings)
 	assert.NilError(t, err)
@@ -255,48 +269,76 @@
 			t.Logf("%s", content[max(0, len(content)-2000):])
 		}
 	})
-	return &program{process: process, log: log}
+	return &program{process: process, machine: machine, log: log}
 }
 
-// nodeUnderTest is a node with one endpoint, which holds the requests of the crowd until the test has ended.
+// route returns a route of a plan to one service.
+func route(name, prefix, service string) map[string]any {
+	return map[string]any{"name": name, "host": "h.example", "prefix": prefix, "kind": "repeatable",
+		"timeoutMillis": 60000, "maxAttempts": 1, "shares": []any{map[string]any{"service": service, "weight": 1}}}
+}
+
+// nodeUnderTest is a node with an endpoint of each service, which holds the requests of the crowd until the test has
+// ended.
 type nodeUnderTest struct {
 	*program
 	front, ready, control, metrics, exchange string
 }
 
-func startNode(t *testing.T, binaries string, machine map[string]any) *nodeUnderTest {
+func startNode(t *testing.T, binaries string, machine machineLimits) *nodeUnderTest {
 	t.Helper()
 	held := make(chan struct{})
-	endpoint := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("Cactus-Request-Id", r.Header.Get("Cactus-Request-Id"))
-		switch r.URL.Path {
-		case "/hold/":
-			select {
-			case <-held:
-			case <-r.Context().Done():
-			}
+		path := strings.TrimPrefix(r.URL.Path, "/engines")
+		switch path {
 		case "/large/":
 			_, _ = io.CopyN(w, zeros{}, bodyBytes)
+			return
+		case "/announced/":
+			w.Header().Set("Content-Length", strconv.Itoa(answerBytes+1))
+			_, _ = io.CopyN(w, zeros{}, answerBytes)
+		case "/unfinished/":
+			_, _ = io.CopyN(w, zeros{}, answerBytes)
+		case "/hold/":
+		default:
+			return
+		}
+		if path != "/hold/" {
+			_ = http.NewResponseController(w).Flush()
+		}
+		select {
+		case <-held:
+		case <-r.Context().Done():
 		}
-	}))
-	t.Cleanup(func() { close(held); endpoint.Close() })
+	})
+	// The endpoints by service.
+	endpoints := map[string]*httptest.Server{"s": httptest.NewServer(handler), "engines": httptest.NewServer(handler)}
+	t.Cleanup(func() {
+		close(held)
+		for _, e := range endpoints {
+			e.Close()
+		}
+	})
 	n := &nodeUnderTest{front: freeAddress(t), ready: freeAddress(t), control: freeAddress(t), metrics: freeAddress(t),
 		exchange: freeAddress(t)}
-	n.program = start(t, binaries, "node", map[string]any{
+	n.program = start(t, binaries, "node", machine, map[string]any{
 		"place": map[string]any{"name": "n", "region": "r", "failureDomain": "d"}, "firstStart": true,
 		"listen": map[string]any{"front": n.front, "ready": n.ready, "control": n.control, "metrics": n.metrics,
 			"exchange": n.exchange},
-		"dataFolder": t.TempDir(), "seeds": []string{n.exchange}, "machine": machine,
+		"dataFolder": t.TempDir(), "seeds": []string{n.exchange},
 	})
-	plan := map[string]any{"version": 1, "services": []any{map[string]any{"name": "s"}}, "routes": []any{
-		map[string]any{"name": "all", "host": "h.example", "prefix": "/", "kind": "repeatable", "timeoutMillis": 60000,
-			"maxAttempts": 1, "shares": []any{map[string]any{"service": "s", "weight": 1}}}},
+	plan := map[string]any{"version": 1, "services": []any{map[string]any{"name": "s"},
+		map[string]any{"name": "engines", "engine": true, "slots": 10 * callers, "cacheTokens": 1 << 20}},
+		"routes": []any{route("all", "/", "s"), route("engines", "/engines/", "engines")},
 		"limits": map[string]any{"headerBytes": headBytes, "bodyBytes": bodyBytes, "headerTimeoutMillis": 3000,
 			"idleTimeoutMillis": 15000}}
-	heartbeat := func(sequence int) int {
-		return call(http.MethodPut, n.control, "/v1/endpoints/e", map[string]any{"service": "s", "sequence": sequence,
-			"address": strings.TrimPrefix(endpoint.URL, "http://"), "failureDomain": "d",
-			"slots": 10 * callers, "bornMillis": 1})
+	heartbeat := func(sequence int) {
+		for service, e := range endpoints {
+			call(http.MethodPut, n.control, "/v1/endpoints/of-"+service, map[string]any{"service": service,
+				"sequence": sequence, "address": strings.TrimPrefix(e.URL, "http://"), "failureDomain": "d",
+				"slots": 10 * callers, "bornMillis": 1})
+		}
 	}
 	isPlanned := false
 	n.ordinary, n.want = func() int {
@@ -376,7 +418,7 @@
 			send(head("GET /hold/", 8*headBytes, shortLine))},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			n := startNode(t, binaries, machine())
+			n := startNode(t, binaries, smallMachine)
 			n.meet(t, c.address(n), c.callers, c.act)
 		})
 	}
@@ -430,7 +472,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			address := freeAddress(t)
-			p := start(t, binaries, "router", map[string]any{"listen": address, "machine": machine(), "tls": tlsFiles(t),
+			p := start(t, binaries, "router", smallMachine, map[string]any{"listen": address, "tls": tlsFiles(t),
 				"place":    map[string]any{"name": "n", "region": "r", "failureDomain": "d"},
 				"controls": []string{"127.0.0.1:1"}})
 			client := &http.Client{Timeout: waitTimeout / 8,
@@ -475,11 +517,11 @@
 			t.Run(p.name+"/"+c.name, func(t *testing.T) {
 				address := freeAddress(t)
 				settings := map[string]any{"place": map[string]any{"name": "n", "region": "r", "failureDomain": "d"},
-					"listen": address, "machine": machine()}
+					"listen": address}
 				for key, value := range p.settings {
 					settings[key] = value
 				}
-				process := start(t, binaries, p.name, settings)
+				process := start(t, binaries, p.name, smallMachine, settings)
 				process.ordinary, process.want = func() int { return call(http.MethodGet, address, "/livez", nil) }, http.StatusOK
 				process.meet(t, address, c.callers, c.act)
 			})
--- a/loader/crowd/stop_test.go
+++ b/loader/crowd/stop_test.go
@@ -42,14 +42,14 @@
 // closes idle ones early, also when it gets no processor time for a while.
 func TestStopAnswersEstablishedConnections(t *testing.T) {
 	binaries := build(t)
-	largeMachine := map[string]any{"memoryBytes": 4 * machineMemoryBytes, "descriptors": 4 * machineDescriptors}
+	largeMachine := machineLimits{memoryBytes: 256 << 20, descriptors: 2048}
 	noControls := []string{"127.0.0.1:1"}
 	place := map[string]any{"name": "n", "region": "r", "failureDomain": "d"}
 	other := func(name string, settings map[string]any) func(t *testing.T) (*program, string) {
 		return func(t *testing.T) (*program, string) {
 			address := freeAddress(t)
-			settings["place"], settings["listen"], settings["machine"] = place, address, largeMachine
-			p := start(t, binaries, name, settings)
+			settings["place"], settings["listen"] = place, address
+			p := start(t, binaries, name, largeMachine, settings)
 			p.ordinary, p.want = func() int { return call(http.MethodGet, address, "/livez", nil) }, http.StatusOK
 			return p, address
 		}
--- a/node/evidence_test.go
+++ b/node/evidence_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -82,7 +83,7 @@
 		resp, err := client.Do(r)
 		assert.NilError(t, err)
 		defer func() { _ = resp.Body.Close() }()
-		data, err := readBounded(resp.Body)
+		data, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes))
 		assert.NilError(t, err)
 		return resp.StatusCode, string(data)
 	}
--- a/node/proxy.go
+++ b/node/proxy.go
@@ -66,8 +66,9 @@
 	stopping  atomic.Bool
 	stopTimes atomic.Pointer[stopTimes] // nil until stopping
 	bodies    *server.Budget
-	// onBodyLimit is called when a body is refused for lack of memory.
-	onBodyLimit func(bound string)
+	answers   *server.Budget
+	// onMemoryLimit is called when a body is refused or an answer is not buffered for lack of memory.
+	onMemoryLimit func(bound string)
 }
 
 // request is one request of a caller.
@@ -148,7 +149,8 @@
 	}
 	p.fleet.routing.countFirstAttempt(q.receivedAt, q.service.Name)
 	t := &transfer{proxy: p, request: q, w: w, hasBegun: q.isBound, version: q.version,
-		splitter: eventSplitter{maxEventBytes: p.fleet.settings.EndpointLimits.EventBytes}}
+		splitter: eventSplitter{maxEventBytes: p.fleet.settings.EndpointLimits.EventBytes},
+		buffered: answerMemory{budget: p.answers, onLimit: p.onMemoryLimit}}
 	if q.route.Kind == planner.KindStream && q.route.Resumable {
 		t.splitter.lastID = q.lastEventID
 	}
@@ -295,13 +297,14 @@
 		}
 		size = min(size, maxInitialBodyBytes)
 		if !p.reserve(q, size) {
-			return bodyRefusal(errBodyBudget)
+			return bodyRefusal(errNoMemory)
 		}
 		buf := make([]byte, 0, size+1)
-		var err error
-		if q.body, err = readAll(r, buf, q.inbound.ContentLength, func(n int64) bool { return p.reserve(q, n) }); err != nil {
+		body, err := readAll(r, buf, q.inbound.ContentLength, func(n int64) bool { return p.reserve(q, n) })
+		if err != nil {
 			return bodyRefusal(err)
 		}
+		q.body = body
 	}
 	q.fingerprint = fingerprint(q)
 	if starts, convicted := p.fleet.isConvicted(q.fingerprint); convicted {
@@ -311,13 +314,13 @@
 	return nil
 }
 
-// errBodyBudget means that the bodies of all requests together exceed their limit.
-var errBodyBudget = errors.New("the bodies of all requests exceed their memory limit")
+// errNoMemory means that a buffer can't grow because the buffers of all requests together are at their limit.
+var errNoMemory = errors.New("the buffers of all requests exceed their memory limit")
 
 // reserve takes memory for the body of a request.
 func (p *proxy) reserve(q *request, n int64) bool {
 	if !p.bodies.Take(n, q.reserved+n) {
-		p.onBodyLimit(server.BoundBodyMemory)
+		p.onMemoryLimit(server.BoundBodyMemory)
 		return false
 	}
 	q.reserved += n
@@ -325,7 +328,7 @@
 }
 
 func bodyRefusal(err error) *refusal {
-	if errors.Is(err, errBodyBudget) {
+	if errors.Is(err, errNoMemory) {
 		return &refusal{status: http.StatusServiceUnavailable, reason: "memory", retryAfter: overloadRetryAfter()}
 	}
 	var tooLarge *http.MaxBytesError
@@ -335,7 +338,8 @@
 	return &refusal{status: http.StatusRequestTimeout, reason: "bodyIncomplete", logFields: []any{"err", err}}
 }
 
-// readAll reads r into buf, which grows as grow permits. length is that of all of r, or -1.
+// readAll reads r into buf, which grows as grow permits. length is that of all of r, or -1. It returns errNoMemory with
+// what it has read if the buffer can't grow.
 func readAll(r io.Reader, buf []byte, length int64, grow func(n int64) bool) ([]byte, error) {
 	for {
 		n, err := r.Read(buf[len(buf):cap(buf)])
@@ -352,7 +356,7 @@
 				n = min(n, length+1-n)
 			}
 			if !grow(n) {
-				return nil, errBodyBudget
+				return buf, errNoMemory
 			}
 			buf = slices.Grow(buf, int(n))
 		}
--- a/node/transfer.go
+++ b/node/transfer.go
@@ -27,13 +27,6 @@
 	// maxSends bounds the endpoints that one request is sent to, including those that reject it.
 	maxSends = 4
 
-	// maxBufferedBytes is the size up to which a response is buffered before any of it is sent to the caller, so that the
-	// request can be retried if the response ends early.
-	maxBufferedBytes = 256 << 10
-
-	// boundBufferedBytes is the name of the bound maxBufferedBytes on responses that are not forwarded as they arrive.
-	boundBufferedBytes = "bufferedBytes"
-
 	// streamBufferBytes is the buffer size for streams; an event has a few hundred bytes.
 	streamBufferBytes, maxLateReads = 8 << 10, 64 // together more than the largest event
 
@@ -78,16 +71,11 @@
 	firstByteAt      time.Time         // when the first bytes of the body were sent to the caller
 	lastWriteAt      time.Time         // of a stream
 	choiceLogFields  []any             // endpoint and load of the current attempt
+	buffered         answerMemory      // of the response of the current attempt
 	lastError        *bufferedResponse // last 5xx response of an endpoint
 	waiter           chooser.Waiter
 }
 
-// bufferedResponse is a complete response of an endpoint that was not forwarded to the caller.
-type bufferedResponse struct {
-	response *forwarder.Response
-	body     []byte
-}
-
 // decision states how to proceed after an attempt.
 type decision uint8
 
@@ -102,6 +90,7 @@
 // run makes attempts until the request is finished, refused, aborted or abandoned.
 func (t *transfer) run(ctx context.Context) {
 	q, p := t.request, t.proxy
+	defer t.releaseError()
 	var ref refusal
 	if server.HasCallerLeft(ctx) {
 		t.finish(abandonRequest, refusal{reason: "callerLeft"})
@@ -306,6 +295,7 @@
 		return t.handleSendError(ctx, c, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
+	defer t.buffered.release()
 	t.recordResponse(c, resp)
 	defer t.recordTrailer(c, resp)
 	if d, ref, ok := t.handleRejection(c, resp); ok {
@@ -534,7 +524,7 @@
 	if !t.isRejection(resp) {
 		return finishRequest, refusal{}, false
 	}
-	if _, err := readBounded(resp.Body); err != nil {
+	if err := discardAnswer(resp); err != nil {
 		t.recordFailure(c, forwarder.Rejected, err)
 	}
 	ref = refusal{status: http.StatusServiceUnavailable, reason: "endpointRejected", retryAfter: t.retryAfter(),
@@ -555,26 +545,11 @@
 	return false
 }
 
-// alwaysGrow is the grow function of buffers that maxBufferedBytes bounds.
-func alwaysGrow(int64) bool { return true }
-
-// readBounded reads a body of up to maxBufferedBytes; it returns a *forwarder.LimitError for a longer one.
-func readBounded(r io.Reader) ([]byte, error) {
-	body, err := readAll(io.LimitReader(r, maxBufferedBytes+1), make([]byte, 0, 512), -1, alwaysGrow)
-	if err == nil && len(body) > maxBufferedBytes {
-		err = &forwarder.LimitError{Bound: boundBufferedBytes, Limit: maxBufferedBytes, Seen: int64(len(body))}
-	}
-	return body, err
-}
-
 // handleServerError decides how to proceed after a 5xx response. It buffers the response, which is forwarded if no
 // retry succeeds.
 func (t *transfer) handleServerError(c chooser.Choice, resp *forwarder.Response) (decision, refusal) {
-	body, err := readBounded(resp.Body)
-	if err != nil {
+	if err := t.keepError(resp); err != nil {
 		t.recordFailure(c, forwarder.Unknown, err)
-	} else {
-		t.lastError = &bufferedResponse{response: resp, body: body}
 	}
 	return t.retryOrEnd(), refusal{status: http.StatusBadGateway, reason: "endpointError",
 		logFields: []any{"endpointStatus", resp.Status}}
@@ -596,7 +571,7 @@
 // handleOtherResponse decides how to proceed after a response that can't follow what the caller has.
 func (t *transfer) handleOtherResponse(c chooser.Choice, resp *forwarder.Response) (decision, refusal) {
 	if resp.Status >= http.StatusMultipleChoices {
-		if _, err := readBounded(resp.Body); err != nil {
+		if err := discardAnswer(resp); err != nil {
 			t.recordFailure(c, forwarder.Unknown, err)
 		}
 	}
@@ -640,32 +615,6 @@
 	t.w.WriteHeader(resp.Status)
 }
 
-// copyResponse forwards a response that is not a stream. Up to maxBufferedBytes are buffered first.
-func (t *transfer) copyResponse(ctx context.Context, c chooser.Choice, resp *forwarder.Response) (decision, refusal) {
-	buf, err := readAll(io.LimitReader(resp.Body, maxBufferedBytes+1),
-		make([]byte, 0, max(512, min(resp.Length+1, maxBufferedBytes))), -1, alwaysGrow)
-	if err != nil {
-		return t.handleReadError(ctx, c, err)
-	}
-	if err := t.writeResponse(resp, buf); err != nil {
-		return abandonRequest, refusal{reason: "callerLeft"}
-	}
-	if len(buf) <= maxBufferedBytes {
-		if !resp.EndsWithConn {
-			t.recordAnswered(resp)
-		}
-		return finishRequest, refusal{status: resp.Status}
-	}
-	if _, err := io.Copy(t.w, resp.Body); err != nil {
-		if isDisconnected(ctx) {
-			return abandonRequest, refusal{reason: "callerLeft"}
-		}
-		t.recordFailure(c, forwarder.Unknown, err)
-		return abortResponse, refusal{reason: "endpointBroke", logFields: []any{"err", err}}
-	}
-	return finishRequest, refusal{status: resp.Status}
-}
-
 // writeResponse sends the header of a response that is not a stream and the buffered start of its body.
 func (t *transfer) writeResponse(resp *forwarder.Response, body []byte) error {
 	t.firstByteAt = time.Now()
