Reserve the cost of heads as net/http has parsed them

Callers saw: nothing by itself; a process could take more memory than it had reserved, up to 150 KB for each connection.

Cause: the guard trusted its scanner about any head of which it had reserved something. net/http skips empty lines behind a request with a body, so that the scanner took the first of them for a whole head of 8 bytes and the real head, in the same read, was parsed for nothing. Heads that begin in the buffer of net/http were reserved in part only.

Change: the cost of the parsed head is compared with the reservation before each request is handled, and the difference is reserved or the request refused.

"costly behind an empty line" of TestGuardRefusesCostlyHeadsFirst got 200 instead of 503.

--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,7 @@
 	go test -tags crowd -count=1 -p 1 -timeout 30m ./loader/crowd
 
 # Each target of the form MODULE/PACKAGE:FUNCTION is fuzzed for FUZZTIME.
-FUZZ := adapters/forwarder:FuzzResponse adapters/exchanger:FuzzMessages node/.:FuzzEventSplitter \
+FUZZ := adapters/forwarder:FuzzResponse adapters/server:FuzzGuard adapters/exchanger:FuzzMessages node/.:FuzzEventSplitter \
 	node/.:FuzzStreamLog node/.:FuzzHeartbeat platform/.:FuzzHeartbeat platform/.:FuzzPlan
 FUZZTIME := 5s
 
--- a/adapters/server/guard.go
+++ b/adapters/server/guard.go
@@ -317,23 +317,21 @@
 	return true
 }
 
-// admitParsed reserves the cost of a head that net/http had in its buffer before.
+// admitParsed reserves the cost of a head as net/http has parsed it, where that is more than the scanner has found: a
+// head that was in the buffer before, or one behind empty lines, which net/http skips.
 func (c *guardedConn) admitParsed(r *http.Request) bool {
-	if c.head.Load() > 0 {
-		return true
-	}
-	s := headScanner{}
+	s := headScanner{bytes: len(r.RequestURI)}
 	for name, values := range r.Header {
 		for _, v := range values {
 			s.lines++
 			s.bytes += len(name) + len(v)
 		}
 	}
-	if c.reserveHead(s.cost()) {
-		return true
+	if cost := s.cost(); cost > c.head.Load() && !c.reserveHead(cost) {
+		c.guard.resources.Report(BoundHeadMemory)
+		return false
 	}
-	c.guard.resources.Report(BoundHeadMemory)
-	return false
+	return true
 }
 
 // SetReadDeadline implements net.Conn.
--- a/adapters/server/guard_test.go
+++ b/adapters/server/guard_test.go
@@ -138,6 +138,8 @@
 		{"costly in the buffer", "", getHead + "\r\n" + getHead + shortLines(500) + "\r\n", http.StatusServiceUnavailable},
 		{"costly in a body's read", "", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx" + costly,
 			http.StatusServiceUnavailable},
+		{"costly behind an empty line", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx",
+			"\r\n" + getHead + shortLines(500) + "\r\n", http.StatusServiceUnavailable},
 		{"ordinary", "", getHead + shortLines(20) + "\r\n", http.StatusOK},
 	} {
 		t.Run(c.name, func(t *testing.T) {
