Count buffered lines of a head across the reads beside a request

Callers saw: nothing by itself; lines of a head that waits behind a request in progress were not reserved.

Cause: the guard counts the lines that a read leaves in the buffer of net/http, because they are parsed before the guard sees the rest of their head. While a request is in progress net/http reads one byte past that buffer, to learn of the caller's end, and this read set the count back.

Change: a read of one byte adds to the count. All others of net/http come with its buffer of 4 KB, or bypass it.

--- a/adapters/server/guard.go
+++ b/adapters/server/guard.go
@@ -353,8 +353,14 @@
 	default:
 		n, err = c.Conn.Read(p)
 	}
-	if c.buffered = 0; len(p) <= readerBytes { // a longer read bypasses the buffer
-		c.buffered = bytes.Count(p[:n], []byte("\n"))
+	ends := bytes.Count(p[:n], []byte("\n"))
+	switch {
+	case len(p) == 1: // of net/http beside a request, to learn of the caller's end; what is in the buffer stays there
+		c.buffered += ends
+	case len(p) <= readerBytes:
+		c.buffered = ends
+	default: // bypasses the buffer
+		c.buffered = 0
 	}
 	return n, err
 }
--- a/adapters/server/guard_test.go
+++ b/adapters/server/guard_test.go
@@ -18,6 +18,7 @@
 
 	"cactusroute.dev/adapters/configurer"
 	"cactusroute.dev/adapters/observer"
+	"cactusroute.dev/adapters/socket"
 )
 
 // guardedServer serves connections with a guard, if that is not nil.
@@ -26,16 +27,20 @@
 	guard     *Guard
 	address   string
 	count     ConnCount
+	held      chan struct{} // ends the requests for /hold
 }
 
 func startGuarded(tb testing.TB, machine *configurer.Machine, config *tls.Config) *guardedServer {
 	tb.Helper()
-	s := &guardedServer{}
+	s := &guardedServer{held: make(chan struct{})}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(tb, err)
 	s.address = l.Addr().String()
 	hs := &http.Server{MaxHeaderBytes: 16 << 10, ReadHeaderTimeout: testTimeout, ConnContext: WithConn,
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/hold" {
+				<-s.held
+			}
 			body := NewBoundedBody(r)
 			data, err := io.ReadAll(body)
 			if err != nil {
@@ -174,6 +179,40 @@
 	}
 }
 
+// Guards against lines that net/http has parsed before the rest of their head is read, and that nobody has reserved
+// because the server looked for a disconnect of the caller meanwhile.
+func TestGuardCountsLinesBehindARequestInProgress(t *testing.T) {
+	const lines = 400
+	s := startGuarded(t, &configurer.Machine{}, nil)
+	conn, err := net.Dial("tcp", s.address)
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(conn, "GET /hold HTTP/1.1\r\nHost: h\r\n\r\n"+getHead+shortLines(lines))
+	assert.NilError(t, err)
+	isRead := func() bool {
+		s.guard.mu.Lock()
+		defer s.guard.mu.Unlock()
+		for c := range s.guard.conns {
+			return c.waitsSince.Load() == 0 && !socket.HasUnread(socketOf(c))
+		}
+		return false
+	}
+	await := func(what string, condition func() bool) {
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			if !condition() {
+				return poll.Continue("%s: %d bytes", what, s.resources.Heads.Used())
+			}
+			return poll.Success()
+		})
+	}
+	await("the first request is read", isRead)
+	_, err = io.WriteString(conn, "b")
+	assert.NilError(t, err)
+	await("the next byte is read", isRead)
+	close(s.held)
+	await("the parsed lines are reserved", func() bool { return s.resources.Heads.Used() >= lines*headLineBytes })
+}
+
 // Guards against idle connections that keep others out, and against a new connection that is preferred to a request.
 func TestGuardClosesTheLongestWaitingConnection(t *testing.T) {
 	s := startGuarded(t, &configurer.Machine{Descriptors: 128}, nil)
