Close connections at once whose refused head net/http has begun to parse

Callers saw: a process above its memory while clients sent the start of a costly head behind another request.

Cause: up to 4 KB of such a head are parsed before the guard sees the rest, 150 KB for 780 lines. A refusal released what was reserved for them and then waited up to 500 ms for the caller to read it, while net/http still held the lines: that of all connections together had no bound.

Change: such a refusal is written and the connection closed without the wait. A reset may take the answer with it, as a closed connection may; the request has not run.

--- a/adapters/server/guard.go
+++ b/adapters/server/guard.go
@@ -462,13 +462,14 @@
 	return err
 }
 
-// refuse answers a head that has not been passed on, and waits for the caller to read the answer.
+// refuse answers a head that has not been passed on, and waits for the caller to read the answer. It doesn't wait while
+// net/http holds lines of the head that it had in its buffer: nothing is reserved for them any more.
 func (c *guardedConn) refuse(bound, answer string) (int, error) {
 	c.release()
 	c.guard.resources.Report(bound)
 	deadline := time.Now().Add(closeGrace)
 	_ = c.SetDeadline(deadline)
-	if _, err := io.WriteString(c.Conn, answer); err == nil && c.CloseWrite() == nil {
+	if _, err := io.WriteString(c.Conn, answer); err == nil && c.CloseWrite() == nil && c.parsed == 0 {
 		_, _ = io.CopyN(io.Discard, c.Conn, maxDiscardedBytes)
 	}
 	return 0, errHeadRefused
--- a/loader/crowd/crowd_test.go
+++ b/loader/crowd/crowd_test.go
@@ -63,6 +63,7 @@
 	pipelinedHeads = 6
 	chunkedBytes   = 1 << 20 // of one caller's body in small chunks
 	answerBytes    = 250_000 // of one large answer that has not ended
+	laterTime      = 500 * time.Millisecond
 )
 
 // lines returns header lines with up to n bytes together.
@@ -300,6 +301,9 @@
 			_, _ = io.CopyN(w, zeros{}, answerBytes)
 		case "/unfinished/":
 			_, _ = io.CopyN(w, zeros{}, answerBytes)
+		case "/later/":
+			time.Sleep(laterTime)
+			return
 		case "/hold/":
 		default:
 			return
--- a/loader/crowd/memory_test.go
+++ b/loader/crowd/memory_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"testing"
+	"time"
 )
 
 const hostLine = "Host: h.example\r\n"
@@ -32,6 +33,14 @@
 		{"large answers, unfinished", sendAndDiscard(request("GET /unfinished/", ""))},
 		{"large answers of known length, unfinished", sendAndDiscard(request("GET /announced/", ""))},
 		{"large answers that nobody reads", send(request("GET /large/", ""))},
+		{"head behind an empty line", send(
+			request("POST /ordinary/", "Content-Length: 1\r\n")+"x", "\r\n"+head("GET /hold/", 3900, shortLine)+"\r\n")},
+		{"unfinished head behind a request", func(c net.Conn) {
+			send(request("GET /later/", "") + head("GET /hold/", 3900, shortLine))(c)
+			time.Sleep(laterTime / 2)
+			sendAndReceive("b")(c)
+			time.Sleep(trickleWait)
+		}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			n := startNode(t, binaries, manyDescriptors)
