Drop the trailers of requests

Callers saw: a process above its memory while 600 clients sent trailers of 4 KB, or heads that announce trailers.

Cause: net/http keeps the parsed trailer with the request until its end, and the names that a Trailer line announces likewise. Nothing reserved them: the guard knows the text of a head, and trailers are parts of bodies. No handler uses them, and they are not passed on.

Change: both are dropped, the announced names before the request is handled, the trailer once the body has been read.

--- a/adapters/server/body.go
+++ b/adapters/server/body.go
@@ -70,6 +70,7 @@
 	switch {
 	case errors.Is(err, io.EOF):
 		b.isComplete = true
+		b.request.Trailer = nil // not reserved, and not used
 		if b.isAwaited {
 			b.isAwaited = false
 			b.conn.awaitBody(false)
--- a/adapters/server/guard.go
+++ b/adapters/server/guard.go
@@ -81,6 +81,7 @@
 			refuseParsed(w, r)
 			return
 		}
+		r.Trailer = nil // the names that the head announces; no handler uses trailers
 		next.ServeHTTP(w, r)
 	})
 }
