--- a/loader/crowd/memory_test.go
+++ b/loader/crowd/memory_test.go
@@ -49,8 +49,8 @@
 		{"large answers of known length, unfinished", sendAndDiscard(request("GET /announced/", ""))},
 		{"large answers that nobody reads", send(request("GET /large/", ""))},
 		{"trailers", send(request("POST /hold/", chunked), "1\r\nx\r\n0\r\n"+lines(4000, shortLine)+"\r\n")},
-		{"announced trailers", send(request("POST /hold/", chunked+"Trailer: "+strings.Join(names(headBytes-200), ",")+"\r\n"),
-			"1\r\nx\r\n")},
+		{"announced trailers", send(
+			request("POST /hold/", chunked+"Trailer: "+strings.Join(names(headBytes-200), ",")+"\r\n"), "1\r\nx\r\n")},
 		{"tokens of Connection", send(request("GET /hold/", "Connection: "+strings.Join(names(headBytes-200), ",")+"\r\n"))},
 		{"prompt parts", send(request("GET /engines/hold/", promptParts(headBytes-200)))},
 		{"head behind an empty line", send(
