Bound what arrives on callers' connections without being read

Callers saw: a machine above its memory, to which bytes that have arrived and are not read count, while clients sent on behind a request in progress.

Cause: nothing reads such bytes before the request has ended, and the receive buffer of a connection grows with what was read from it before: 175 KB for a new connection, 1.2 MB after a body of 4 MB, for each of 896 connections.

Change: if the settings state the memory, the listener of callers has receive buffers that together take an eighth of it, 8 to 128 KB each; a caller that sends more waits. The kernel holds the bound, also while the process gets no processor time. Addresses of other processes keep the buffers of the system.

Evidence: the crowd tests now count the unread bytes of an address as memory, in all cases.

--- a/adapters/server/drain_test.go
+++ b/adapters/server/drain_test.go
@@ -59,7 +59,7 @@
 // Guards against a reset of connections that callers establish until the listener closes. A connection counts once its
 // caller has it, whether or not the server has accepted it.
 func TestDrainWhileConnectionsAreEstablished(t *testing.T) {
-	plain, err := Listen(t.Context(), "127.0.0.1:0")
+	plain, err := (*Guard)(nil).Listen(t.Context(), "127.0.0.1:0")
 	assert.NilError(t, err)
 	l := NewDrainingListener(plain)
 	var count ConnCount
@@ -71,7 +71,7 @@
 
 // Guards against the same at a server, which ends when its last connections have been answered.
 func TestStopWhileConnectionsAreEstablished(t *testing.T) {
-	l, err := Listen(t.Context(), "127.0.0.1:0")
+	l, err := (*Guard)(nil).Listen(t.Context(), "127.0.0.1:0")
 	assert.NilError(t, err)
 	s := &Server{Handler: http.NotFoundHandler(), GracePeriod: testTimeout}
 	ctx, cancel := context.WithCancel(t.Context())
--- a/adapters/server/guard.go
+++ b/adapters/server/guard.go
@@ -11,8 +11,11 @@
 	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"cactusroute.dev/adapters/socket"
 )
 
@@ -49,12 +52,30 @@
 	resources *Resources
 	maxConns  int
 
+	// receiveBytes is the size of the receive buffer of a connection, 0 for that of the system.
+	receiveBytes int
+
 	isClosing atomic.Bool // connections are to end instead of waiting for a request
 
 	mu    sync.Mutex
 	conns map[*guardedConn]struct{}
 }
 
+// Listen returns a listener for a DrainingListener, whose connections have the receive buffers of the guard. A nil
+// guard sets none.
+func (g *Guard) Listen(ctx context.Context, address string) (net.Listener, error) {
+	cfg := net.ListenConfig{}
+	cfg.SetMultipathTCP(false) // it can't ignore new connections
+	if g != nil && g.receiveBytes > 0 {
+		cfg.Control = func(_, _ string, raw syscall.RawConn) error {
+			return raw.Control(func(fd uintptr) {
+				_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, g.receiveBytes) // else that of the system
+			})
+		}
+	}
+	return cfg.Listen(ctx, "tcp", address)
+}
+
 // Install makes a server with its final limits serve connections of the guard. A nil guard has no bounds.
 func (g *Guard) Install(hs *http.Server, count *ConnCount) {
 	if hs.ConnState = count.Track; g == nil {
--- a/adapters/server/resources.go
+++ b/adapters/server/resources.go
@@ -30,17 +30,22 @@
 	defaultMemoryBytes = 256 << 20
 	defaultDescriptors = 1 << 10
 
-	// The parts of the memory for heads, bodies, buffered answers and connections of callers, and that above which the
-	// garbage collector works without pause.
+	// The parts of the memory for heads, bodies, buffered answers and connections of callers and for what has arrived on
+	// these and was not read, and that above which the garbage collector works without pause.
 	headMemoryDivisor   = 8
 	bodyMemoryDivisor   = 4
 	answerMemoryDivisor = 8
 	connMemoryDivisor   = 4
+	unreadMemoryDivisor = 8
 	memoryLimitShare    = 0.75
 
 	// connBytes is what net/http holds for a connection: two buffers, its state and the stack of a goroutine.
 	connBytes = 16 << 10
 
+	// minReceiveBytes is enough for an ordinary request, and maxReceiveBytes for a body at 100 Mbit/s and 10 ms.
+	minReceiveBytes = 8 << 10
+	maxReceiveBytes = 128 << 10
+
 	// descriptorShares is the number of parts of the descriptors.
 	descriptorShares = 32
 
@@ -68,7 +73,8 @@
 	Answers Budget // of endpoints, buffered before they are passed on
 
 	descriptors int
-	maxConns    int // by memory
+	maxConns    int   // by memory
+	unread      int64 // what may arrive on callers' connections without being read; 0 means no bound
 	obs         *observer.Observer
 	refused     *prometheus.CounterVec // bound
 
@@ -86,14 +92,15 @@
 // keeps to it.
 func NewResources(m configurer.Machine, obs *observer.Observer) *Resources {
 	memory := cmp.Or(m.MemoryBytes, defaultMemoryBytes)
-	if m.MemoryBytes > 0 {
-		debug.SetMemoryLimit(int64(memoryLimitShare * float64(memory)))
-	}
 	r := &Resources{descriptors: cmp.Or(m.Descriptors, processDescriptors()),
 		maxConns: int(memory / connMemoryDivisor / connBytes), obs: obs, reports: map[string]*boundReport{},
 		refused: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cactusroute_caller_limits_total",
 			Help: "Requests refused, connections closed and answers not buffered because callers hold too much, by bound."},
 			[]string{"bound"})}
+	if m.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(memoryLimitShare * float64(memory)))
+		r.unread = memory / unreadMemoryDivisor
+	}
 	r.Heads.Limit, r.Bodies.Limit = memory/headMemoryDivisor, memory/bodyMemoryDivisor
 	r.Answers.Limit = memory / answerMemoryDivisor
 	for _, bound := range bounds {
@@ -127,6 +134,16 @@
 		maxConns: max(1, min(r.maxConns, r.Descriptors(share)))}
 }
 
+// CallerGuard returns the guard of the address of callers that are not processes of the fleet: what arrives on its
+// connections is bounded together, also while it is not read.
+func (r *Resources) CallerGuard() *Guard {
+	g := r.Guard(ShareCallers)
+	if g != nil && r.unread > 0 {
+		g.receiveBytes = min(max(int(r.unread)/g.maxConns, minReceiveBytes), maxReceiveBytes)
+	}
+	return g
+}
+
 // Descriptors returns the number of descriptors in a share.
 func (r *Resources) Descriptors(share Share) int {
 	return r.descriptors * int(share) / descriptorShares
--- a/adapters/server/server.go
+++ b/adapters/server/server.go
@@ -92,20 +92,13 @@
 			err = fmt.Errorf("serve %s: %w", s.Addr, err)
 		}
 	}()
-	l, err := Listen(ctx, s.Addr)
+	l, err := s.Guard.Listen(ctx, s.Addr)
 	if err != nil {
 		return err
 	}
 	return s.serve(ctx, l)
 }
 
-// Listen returns a listener for a DrainingListener, without Multipath TCP, which can't ignore new connections.
-func Listen(ctx context.Context, address string) (net.Listener, error) {
-	var cfg net.ListenConfig
-	cfg.SetMultipathTCP(false)
-	return cfg.Listen(ctx, "tcp", address)
-}
-
 func (s *Server) serve(ctx context.Context, l net.Listener) error {
 	draining := NewDrainingListener(l)
 	l = draining
--- a/loader/crowd/crowd_test.go
+++ b/loader/crowd/crowd_test.go
@@ -24,7 +24,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -64,6 +63,7 @@
 	chunkedBytes   = 1 << 20 // of one caller's body in small chunks
 	answerBytes    = 250_000 // of one large answer that has not ended
 	laterTime      = 500 * time.Millisecond
+	sampleInterval = 20 * time.Millisecond
 )
 
 // lines returns header lines with up to n bytes together.
@@ -156,6 +156,33 @@
 	return len(entries)
 }
 
+// unreadBytes returns the bytes that have arrived on the connections to an address and that its process has not read.
+// They count toward the memory of its machine.
+func unreadBytes(address string) (n int) {
+	_, port, err := net.SplitHostPort(address)
+	if err != nil {
+		return 0
+	}
+	sockets, err := os.ReadFile("/proc/net/tcp")
+	if err != nil {
+		return 0
+	}
+	const listens = "0A" // a state whose queue is not in bytes
+	number, _ := strconv.Atoi(port)
+	suffix := fmt.Sprintf(":%04X", number)
+	for line := range strings.Lines(string(sockets)) {
+		fields := strings.Fields(line)
+		if len(fields) < 5 || !strings.HasSuffix(fields[1], suffix) || fields[3] == listens {
+			continue
+		}
+		_, unread, _ := strings.Cut(fields[4], ":")
+		if bytes, err := strconv.ParseInt(unread, 16, 64); err == nil {
+			n += int(bytes)
+		}
+	}
+	return n
+}
+
 // awaitOrdinary sends ordinary requests until one is answered as expected.
 func (p *program) awaitOrdinary(t *testing.T, when string) {
 	t.Helper()
@@ -173,14 +200,15 @@
 func (p *program) meet(t *testing.T, address string, n int, act crowdConn) {
 	p.awaitOrdinary(t, "before the crowd")
 	before := p.peakMemory(t)
-	var peakDescriptors atomic.Int64
+	peakDescriptors, peakUnread := 0, 0 // valid once sampled is closed
 	sampled := make(chan struct{})
 	ctx, cancel := context.WithCancel(t.Context())
 	go func() {
 		defer close(sampled)
 		for ctx.Err() == nil {
-			peakDescriptors.Store(max(peakDescriptors.Load(), int64(p.descriptors())))
-			time.Sleep(10 * time.Millisecond)
+			peakDescriptors = max(peakDescriptors, p.descriptors())
+			peakUnread = max(peakUnread, unreadBytes(address))
+			time.Sleep(sampleInterval)
 		}
 	}()
 	conns := make([]net.Conn, n)
@@ -207,11 +235,12 @@
 	cancel()
 	<-sampled
 	peak := p.peakMemory(t)
-	t.Logf("peak %d MB (%d MB before), %d descriptors", peak>>20, before>>20, peakDescriptors.Load())
+	t.Logf("peak %d MB (%d MB before), %d MB unread, %d descriptors", peak>>20, before>>20, peakUnread>>20,
+		peakDescriptors)
 	limits := p.machine
-	assert.Check(t, peak <= limits.memoryBytes, "%d MB of %d MB", peak>>20, limits.memoryBytes>>20)
-	assert.Check(t, int(peakDescriptors.Load()) <= limits.descriptors, "%d descriptors of %d", peakDescriptors.Load(),
-		limits.descriptors)
+	assert.Check(t, peak+peakUnread <= limits.memoryBytes, "%d MB and %d MB unread of %d MB", peak>>20, peakUnread>>20,
+		limits.memoryBytes>>20)
+	assert.Check(t, peakDescriptors <= limits.descriptors, "%d descriptors of %d", peakDescriptors, limits.descriptors)
 }
 
 // build builds the programs into a folder and returns it.
@@ -286,7 +315,7 @@
 	front, ready, control, metrics, exchange string
 }
 
-func startNode(t *testing.T, binaries string, machine machineLimits) *nodeUnderTest {
+func startNode(t *testing.T, binaries string, machine machineLimits, moreRoutes ...any) *nodeUnderTest {
 	t.Helper()
 	held := make(chan struct{})
 	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -334,16 +363,9 @@
 	})
 	plan := map[string]any{"version": 1, "services": []any{map[string]any{"name": "s"},
 		map[string]any{"name": "engines", "engine": true, "slots": 10 * callers, "cacheTokens": 1 << 20}},
-		"routes": []any{route("all", "/", "s"), route("engines", "/engines/", "engines")},
+		"routes": append([]any{route("all", "/", "s"), route("engines", "/engines/", "engines")}, moreRoutes...),
 		"limits": map[string]any{"headerBytes": headBytes, "bodyBytes": bodyBytes, "headerTimeoutMillis": 3000,
 			"idleTimeoutMillis": 15000}}
-	heartbeat := func(sequence int) {
-		for service, e := range endpoints {
-			call(http.MethodPut, n.control, "/v1/endpoints/of-"+service, map[string]any{"service": service,
-				"sequence": sequence, "address": strings.TrimPrefix(e.URL, "http://"), "failureDomain": "d",
-				"slots": 10 * callers, "bornMillis": 1})
-		}
-	}
 	isPlanned := false
 	n.ordinary, n.want = func() int {
 		isPlanned = isPlanned || call(http.MethodPut, n.control, "/v1/plan", plan) == http.StatusOK
@@ -353,13 +375,21 @@
 	t.Cleanup(cancel)
 	go func() {
 		for sequence := 1; ctx.Err() == nil; sequence++ {
-			heartbeat(sequence)
+			for service, e := range endpoints {
+				n.register("of-"+service, service, strings.TrimPrefix(e.URL, "http://"), sequence)
+			}
 			time.Sleep(300 * time.Millisecond)
 		}
 	}()
 	return n
 }
 
+// register sends a heartbeat of an endpoint and returns the status.
+func (n *nodeUnderTest) register(id, service, address string, sequence int) int {
+	return call(http.MethodPut, n.control, "/v1/endpoints/"+id, map[string]any{"service": service, "sequence": sequence,
+		"address": address, "failureDomain": "d", "slots": 10 * callers, "bornMillis": 1})
+}
+
 type zeros struct{}
 
 // Read implements io.Reader.
--- a/loader/crowd/memory_test.go
+++ b/loader/crowd/memory_test.go
@@ -61,6 +61,7 @@
 			sendAndReceive("b")(c)
 			time.Sleep(trickleWait)
 		}},
+		{"bytes behind a request", send(request("GET /hold/", ""), strings.Repeat("x", chunkedBytes))},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			n := startNode(t, binaries, manyDescriptors)
--- a/node/front_server.go
+++ b/node/front_server.go
@@ -119,7 +119,7 @@
 // Serve serves callers until ctx ends, then shuts down: it reports not ready, accepts connections for drainNotice, and
 // answers what the open ones bring until they are closed or the grace period ends.
 func (s *frontServer) Serve(ctx context.Context) error {
-	plain, err := server.Listen(ctx, s.addr)
+	plain, err := s.guard.Listen(ctx, s.addr)
 	if err != nil {
 		return err
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -145,7 +145,7 @@
 		<-ctx.Done()
 		return ctx.Err()
 	}
-	fs := &frontServer{addr: n.settings.Listen.Front, handler: n.front, guard: n.callers.Guard(server.ShareCallers),
+	fs := &frontServer{addr: n.settings.Listen.Front, handler: n.front, guard: n.callers.CallerGuard(),
 		grace: time.Duration(n.settings.GraceMillis) * time.Millisecond,
 		limits: func() planner.Limits {
 			if p := n.fleet.view.Load().plan; p != nil {
--- a/router/router.go
+++ b/router/router.go
@@ -293,7 +293,7 @@
 	})()
 	srv := &server.Server{
 		Addr: rt.settings.Listen, Handler: rt.Handler(), TLS: rt.certifier.PublicConfig(), GracePeriod: drainTimeout,
-		IdleGrace: idleDrainTimeout, Guard: rt.callers.Guard(server.ShareCallers),
+		IdleGrace: idleDrainTimeout, Guard: rt.callers.CallerGuard(),
 		WrapListener: func(l net.Listener) net.Listener {
 			return &server.CallerListener{Listener: l, StallTimeout: rt.callerStallTimeout, OnStall: func(c net.Conn) {
 				rt.obs.Event("caller reads nothing", "caller", c.RemoteAddr().String())
