Bound what callers hold altogether

Callers saw: nothing yet; bounds that hold one by one let a process exceed the smallest machine when all are used at once.

Cause: heads, bodies, buffered answers and connections had a part of the memory each, 7/8 of it together, beside the state of the fleet, the program and unread bytes. The sum had never been made.

Change: with a stated memory these parts have a budget together, half of the memory, with the order of refusal that each has by itself; a connection of a caller counts 32 KB in it. An operator's larger bodyMemoryBytes raises it. The garbage collector works without pause from 0.7 of the memory instead of 0.75, which leaves room for an eighth of unread bytes.

--- a/adapters/server/budget.go
+++ b/adapters/server/budget.go
@@ -12,7 +12,8 @@
 
 // Budget bounds bytes that are held at the same time. The zero value has no limit.
 type Budget struct {
-	Limit int64 // 0 means none
+	Limit int64   // 0 means none
+	Whole *Budget // that this one is a part of; nil means none
 	used  atomic.Int64
 }
 
@@ -23,7 +24,8 @@
 	if total > ordinaryBytes {
 		limit -= limit/reserveDivisor + total
 	}
-	if used := b.used.Add(n); b.Limit > 0 && used > limit {
+	isFull := b.used.Add(n) > limit && b.Limit > 0
+	if isFull || b.Whole != nil && !b.Whole.Take(n, total) {
 		b.used.Add(-n)
 		return false
 	}
@@ -31,7 +33,12 @@
 }
 
 // Release returns n bytes.
-func (b *Budget) Release(n int64) { b.used.Add(-n) }
+func (b *Budget) Release(n int64) {
+	b.used.Add(-n)
+	if b.Whole != nil {
+		b.Whole.Release(n)
+	}
+}
 
 // Used returns the bytes that are held.
 func (b *Budget) Used() int64 { return b.used.Load() }
--- a/adapters/server/guard.go
+++ b/adapters/server/guard.go
@@ -52,6 +52,9 @@
 	resources *Resources
 	maxConns  int
 
+	// whole is the budget of what callers hold together, of which each connection takes requestBytes; nil means none.
+	whole *Budget
+
 	// receiveBytes is the size of the receive buffer of a connection, 0 for that of the system.
 	receiveBytes int
 
@@ -126,17 +129,18 @@
 	gc.waitsSince.Store(time.Now().UnixNano())
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if len(g.conns) >= g.maxConns {
+	if !g.add(gc) {
 		g.resources.Report(BoundConnections)
 		victim := g.victim()
-		if victim == nil {
+		if victim != nil {
+			g.drop(victim)
+			_ = victim.Close()
+		}
+		if victim == nil || !g.add(gc) {
 			_ = c.Close()
 			return nil
 		}
-		delete(g.conns, victim)
-		_ = victim.Close()
 	}
-	g.conns[gc] = struct{}{}
 	if _, ok := c.(*tls.Conn); ok {
 		return &guardedTLSConn{guardedConn: gc}
 	}
@@ -169,10 +173,30 @@
 	return victim
 }
 
+// add counts a connection and reports whether there is room for it; the caller holds mu.
+func (g *Guard) add(c *guardedConn) bool {
+	if len(g.conns) >= g.maxConns || g.whole != nil && !g.whole.Take(requestBytes, 0) {
+		return false
+	}
+	g.conns[c] = struct{}{}
+	return true
+}
+
+// drop counts a connection no more; the caller holds mu.
+func (g *Guard) drop(c *guardedConn) {
+	if _, ok := g.conns[c]; !ok {
+		return
+	}
+	delete(g.conns, c)
+	if g.whole != nil {
+		g.whole.Release(requestBytes)
+	}
+}
+
 func (g *Guard) remove(c *guardedConn) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	delete(g.conns, c)
+	g.drop(c)
 }
 
 // guardedListener wraps the connections that it accepts, after TLS if that is set.
--- a/adapters/server/resources.go
+++ b/adapters/server/resources.go
@@ -37,7 +37,11 @@
 	answerMemoryDivisor = 8
 	connMemoryDivisor   = 4
 	unreadMemoryDivisor = 8
-	memoryLimitShare    = 0.75
+	memoryLimitShare    = 0.7
+
+	// wholeMemoryDivisor is the part of the memory for heads, bodies, buffered answers and connections together. The rest
+	// is for the state of the fleet, the program itself and unread bytes.
+	wholeMemoryDivisor = 2
 
 	// connBytes is what net/http holds for a connection: two buffers, its state and the stack of a goroutine.
 	connBytes = 16 << 10
@@ -46,6 +50,10 @@
 	minReceiveBytes = 8 << 10
 	maxReceiveBytes = 128 << 10
 
+	// requestBytes is what a connection with a small request in progress takes: goroutines, buffers, and the connection to
+	// an endpoint.
+	requestBytes = 32 << 10
+
 	// descriptorShares is the number of parts of the descriptors.
 	descriptorShares = 32
 
@@ -72,6 +80,7 @@
 	Bodies  Budget
 	Answers Budget // of endpoints, buffered before they are passed on
 
+	whole       Budget // of Heads, Bodies, Answers and callers' connections, if the settings state the memory
 	descriptors int
 	maxConns    int   // by memory
 	unread      int64 // what may arrive on callers' connections without being read; 0 means no bound
@@ -100,6 +109,8 @@
 	if m.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitShare * float64(memory)))
 		r.unread = memory / unreadMemoryDivisor
+		r.whole.Limit = memory / wholeMemoryDivisor
+		r.Heads.Whole, r.Bodies.Whole, r.Answers.Whole = &r.whole, &r.whole, &r.whole
 	}
 	r.Heads.Limit, r.Bodies.Limit = memory/headMemoryDivisor, memory/bodyMemoryDivisor
 	r.Answers.Limit = memory / answerMemoryDivisor
@@ -139,11 +150,24 @@
 func (r *Resources) CallerGuard() *Guard {
 	g := r.Guard(ShareCallers)
 	if g != nil && r.unread > 0 {
+		g.whole = &r.whole
 		g.receiveBytes = min(max(int(r.unread)/g.maxConns, minReceiveBytes), maxReceiveBytes)
 	}
 	return g
 }
 
+// SetBodyMemory replaces the limit on the bodies of all requests, unless n is 0. What is more than before is added to
+// what callers may hold together.
+func (r *Resources) SetBodyMemory(n int64) {
+	if n == 0 {
+		return
+	}
+	if more := n - r.Bodies.Limit; more > 0 && r.whole.Limit > 0 {
+		r.whole.Limit += more
+	}
+	r.Bodies.Limit = n
+}
+
 // Descriptors returns the number of descriptors in a share.
 func (r *Resources) Descriptors(share Share) int {
 	return r.descriptors * int(share) / descriptorShares
@@ -164,5 +188,6 @@
 	report.refused, report.next = 0, now.Add(reportInterval)
 	r.mu.Unlock()
 	_ = r.obs.Logger.Log("msg", "callers exceed a bound", "bound", bound, "refused", n,
-		"headBytes", r.Heads.Used(), "bodyBytes", r.Bodies.Used(), "answerBytes", r.Answers.Used())
+		"headBytes", r.Heads.Used(), "bodyBytes", r.Bodies.Used(), "answerBytes", r.Answers.Used(),
+		"callerBytes", r.whole.Used())
 }
--- a/loader/crowd/memory_test.go
+++ b/loader/crowd/memory_test.go
@@ -3,12 +3,17 @@
 package crowd
 
 import (
+	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
+
+	"gotest.tools/v3/assert"
 )
 
 const hostLine = "Host: h.example\r\n"
@@ -36,6 +41,49 @@
 	}
 }
 
+// mixed returns a caller's part in a crowd whose callers take turns with different parts.
+func mixed(parts ...crowdConn) crowdConn {
+	var next atomic.Int64
+	return func(c net.Conn) { parts[int(next.Add(1))%len(parts)](c) }
+}
+
+// Guards against bounds that hold one by one and not together: everything that callers may hold at once, beside the
+// state of the largest deployment, on the smallest machine of all deployments.
+func TestMixedCrowdAtNodeWithFullState(t *testing.T) {
+	const (
+		routes     = 6000 // a plan of a megabyte
+		endpoints  = 3000
+		waves      = 4
+		allCallers = 900 // more than the machine has descriptors for
+	)
+	smallest := machineLimits{memoryBytes: 136 << 20, descriptors: 2870}
+	moreRoutes := make([]any, routes)
+	for i := range moreRoutes {
+		moreRoutes[i] = route("further-"+strconv.Itoa(i), "/further/"+strconv.Itoa(i)+"/", "s")
+	}
+	n := startNode(t, build(t), smallest, moreRoutes...)
+	n.awaitOrdinary(t, "before the endpoints")
+	for i := range endpoints {
+		status := n.register("further-"+strconv.Itoa(i), "engines", fmt.Sprintf("127.1.%d.%d:9", i/250, 1+i%250), 1)
+		assert.Equal(t, status, http.StatusOK)
+	}
+	const chunked = "Transfer-Encoding: chunked\r\n"
+	whole := head("GET /hold/", headBytes, shortLine) + "\r\n"
+	for range waves {
+		n.meet(t, n.front, allCallers, mixed(
+			send(whole), send(head("GET /hold/", headBytes, shortLine)), sendSlowly(whole),
+			send(request("POST /hold/", chunked), "1\r\nx\r\n0\r\n"+lines(4000, shortLine)+"\r\n"),
+			send(request("GET /engines/hold/", promptParts(headBytes-200))),
+			send("POST /hold/ HTTP/1.1\r\n"+hostLine+"Content-Length: "+strconv.Itoa(bodyBytes)+"\r\n\r\n",
+				strings.Repeat("x", bodyBytes/4)),
+			send(request("POST /hold/", chunked), strings.Repeat("1\r\nx\r\n", chunkedBytes/6)),
+			send(request("POST /hold/", "Content-Length: 15000\r\n"), strings.Repeat("x", 15000)),
+			sendAndDiscard(request("GET /unfinished/", "")), send(request("GET /large/", "")),
+			send(request("GET /ordinary/", "")+head("GET /hold/", 3900, shortLine)), send(),
+		))
+	}
+}
+
 // Guards against crowds at a node of which each caller holds little by itself, on a machine with descriptors for all.
 func TestManyCallersAtNode(t *testing.T) {
 	binaries := build(t)
@@ -62,6 +110,8 @@
 			time.Sleep(trickleWait)
 		}},
 		{"bytes behind a request", send(request("GET /hold/", ""), strings.Repeat("x", chunkedBytes))},
+		{"bytes behind a request, after a large body", send(request("POST /ordinary/", "Content-Length: 1048576\r\n"),
+			strings.Repeat("x", 1<<20), request("GET /hold/", ""), strings.Repeat("x", 2<<20))},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			n := startNode(t, binaries, manyDescriptors)
--- a/node/node.go
+++ b/node/node.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -76,7 +75,7 @@
 	n.callers = server.NewResources(s.Machine, obs)
 	pool.MaxConns = n.callers.Descriptors(server.ShareEndpoints)
 	n.front.bodies, n.front.answers, n.front.onMemoryLimit = &n.callers.Bodies, &n.callers.Answers, n.callers.Report
-	n.front.bodies.Limit = cmp.Or(s.BodyMemoryBytes, n.front.bodies.Limit)
+	n.callers.SetBodyMemory(s.BodyMemoryBytes)
 	n.ready.Check = func() error {
 		if !f.isReady() {
 			return errors.New("no plan received yet")
