Wait for unread bodies as for callers

Callers saw: a control instance answered nobody while 160 clients held back the end of a body.

Cause: where a handler leaves a body, net/http reads up to 256 KB of it, before it sends a short response, without a deadline. For the guard such a connection had a request in progress that must not be cut, so that it never made room for others: the connections of an address were taken for as long as their clients liked.

Change: a connection waits for its caller from the head of a request until the end of its body has been read, whoever reads it, and may be closed for a new connection as any that waits. The exchange address reads bodies through server.Body for this (TrackBodies), without a part in the memory of callers.

Evidence: the crowd tests have the kinds of node at router, agent and control too: trailers, chunk extensions, small chunks, pipelined heads, bytes behind a request. "control/trailers, end held back" failed: no ordinary request was answered in 20 s. TestUnfinishedBodiesHoldNoConnection failed: no connection in 10 s.

--- a/adapters/server/body.go
+++ b/adapters/server/body.go
@@ -27,7 +27,6 @@
 	hasFailed  bool
 	conn       *guardedConn // nil without a guard
 	isBounded  bool         // memory is reserved for what is read
-	isAwaited  bool
 }
 
 // NewBody returns the body of a request.
@@ -43,10 +42,12 @@
 }
 
 // BoundBodies makes a handler read bodies with NewBoundedBody.
-func BoundBodies(next http.Handler) http.Handler {
+func BoundBodies(next http.Handler) http.Handler { return readBodies(next, NewBoundedBody) }
+
+func readBodies(next http.Handler, newBody func(r *http.Request) *Body) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.ContentLength != 0 {
-			body := NewBoundedBody(r)
+			body := newBody(r)
 			r = r.WithContext(r.Context()) // net/http needs the body of the original request
 			r.Body = body
 		}
@@ -54,15 +55,14 @@
 	})
 }
 
+// TrackBodies makes a handler read bodies with NewBody.
+func TrackBodies(next http.Handler) http.Handler { return readBodies(next, NewBody) }
+
 // bodyCopies is how often what is read of a body is held while a buffer for it grows.
 const bodyCopies = 2
 
 // Read implements io.Reader.
 func (b *Body) Read(p []byte) (int, error) {
-	if b.conn != nil && !b.isComplete && !b.isAwaited {
-		b.isAwaited = true
-		b.conn.awaitBody(true)
-	}
 	n, err := b.request.Body.Read(p)
 	if b.isBounded && n > 0 && !b.conn.reserveBody(int64(bodyCopies*n)) {
 		n, err = 0, ErrBodyMemory
@@ -71,8 +71,7 @@
 	case errors.Is(err, io.EOF):
 		b.isComplete = true
 		b.request.Trailer = nil // not reserved, and not used
-		if b.isAwaited {
-			b.isAwaited = false
+		if b.conn != nil {
 			b.conn.awaitBody(false)
 		}
 	case err != nil:
--- a/adapters/server/guard.go
+++ b/adapters/server/guard.go
@@ -106,10 +106,26 @@
 			return
 		}
 		r.Trailer = nil // the names that the head announces; no handler uses trailers
-		next.ServeHTTP(w, r)
+		serveBody(next, w, r)
 	})
 }
 
+// serveBody handles a request whose connection waits for the body until that has been read: by the handler through a
+// Body, or by net/http, which reads up to 256 KB that the handler has left. It does so before it sends a short
+// response, and would wait for as long as the caller takes.
+func serveBody(next http.Handler, w http.ResponseWriter, r *http.Request) {
+	c := guardedConnOf(r.Context())
+	if c == nil || r.ContentLength == 0 {
+		next.ServeHTTP(w, r)
+		return
+	}
+	c.awaitBody(true)
+	next.ServeHTTP(w, r)
+	if c.readsBody.Load() {
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(closeGrace))
+	}
+}
+
 // refuseParsed refuses a request whose head net/http has taken from its buffer.
 func refuseParsed(w http.ResponseWriter, r *http.Request) {
 	defer NewBody(r).Leave(w)()
@@ -234,7 +250,7 @@
 	waitsSince atomic.Int64 // Unix nanoseconds since when the caller is waited for, 0 while there is a whole request
 	head, body atomic.Int64 // bytes reserved
 	isKept     atomic.Bool  // a request has been answered
-	readsBody  atomic.Bool  // the handler waits for the body of the request
+	readsBody  atomic.Bool  // the body of the request has not been read to its end
 
 	isHead    bool // the next bytes belong to a head
 	scanner   headScanner
@@ -324,7 +340,7 @@
 	return k
 }
 
-// awaitBody notes that the body of the request has not arrived yet, or that it is complete.
+// awaitBody notes that the body of the request has not been read yet, or that it is complete.
 func (c *guardedConn) awaitBody(isAwaited bool) {
 	c.readsBody.Store(isAwaited)
 	if isAwaited {
--- a/adapters/server/guard_test.go
+++ b/adapters/server/guard_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"crypto/tls"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -279,3 +280,45 @@
 		})
 	}
 }
+
+// Guards against callers that hold back the end of a body that no handler reads: net/http waits for it before it sends
+// the response, and the connection was kept for them for ever.
+func TestUnfinishedBodiesHoldNoConnection(t *testing.T) {
+	for _, c := range []struct{ name, answer string }{
+		{"short answer", "short"},
+		{"long answer", strings.Repeat("long", 10<<10)}, // written before the handler returns
+	} {
+		res := NewResources(configurer.Machine{Descriptors: 128}, observer.New(io.Discard, "test"))
+		g := res.Guard(ShareCallers)
+		s := &Server{Guard: g, Handler: TrackBodies(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, c.answer)
+		}))}
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- s.serve(ctx, l) }()
+		conns := make([]net.Conn, 0, g.maxConns)
+		for range g.maxConns {
+			conn, err := net.Dial("tcp", l.Addr().String())
+			assert.NilError(t, err)
+			conns = append(conns, conn)
+			_, err = io.WriteString(conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nhalf")
+			assert.NilError(t, err)
+		}
+		client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			resp, err := client.Get("http://" + l.Addr().String())
+			if err != nil {
+				return poll.Continue("%s: %v", c.name, err)
+			}
+			_ = resp.Body.Close()
+			return poll.Success()
+		})
+		for _, conn := range conns {
+			_ = conn.Close()
+		}
+		cancel()
+		assert.Check(t, errors.Is(<-done, context.Canceled))
+	}
+}
--- a/loader/crowd/crowd_test.go
+++ b/loader/crowd/crowd_test.go
@@ -528,6 +528,7 @@
 func TestCrowdAtOtherPrograms(t *testing.T) {
 	binaries := build(t)
 	const largeHead = 32 << 10 // what a router takes
+	post := func(header string) string { return request("POST /v1/chat/completions", header) }
 	for _, p := range []struct {
 		name     string
 		settings map[string]any
@@ -547,6 +548,20 @@
 			{"largest bodies", callers, send("POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\nContent-Length: 1048576\r\n\r\n",
 				strings.Repeat("x", 1<<19))},
 			{"idle connections", idleConns, send()},
+			{"trickled", callers, sendSlowly(head("GET /none", largeHead, shortLine) + "\r\n")},
+			{"pipelined", callers, send(strings.Repeat(head("GET /livez", 4<<10, shortLine)+"\r\n", pipelinedHeads))},
+			{"after a body", callers, send(
+				post("Content-Length: 1\r\n"), "x", "\r\n"+head("GET /none", 3900, shortLine)+"\r\n")},
+			{"chunk extensions", callers, send(
+				post(chunkedLine), strings.Repeat("1;"+strings.Repeat("x", 4000)+"\r\nx\r\n", 200))},
+			{"trailers", callers, send(post(chunkedLine), "1\r\nx\r\n0\r\n"+lines(4000, shortLine)+"\r\n")},
+			{"trailers, end held back", callers, send(post(chunkedLine), "1\r\nx\r\n0\r\n"+lines(4000, shortLine))},
+			{"announced trailers", callers, send(
+				post(chunkedLine+"Trailer: "+strings.Join(names(headBytes), ",")+"\r\n"), "1\r\nx\r\n")},
+			{"bodies in small chunks", callers, send(post(chunkedLine), strings.Repeat("1\r\nx\r\n", chunkedBytes/6))},
+			{"tokens of Connection", callers, send(
+				request("GET /none", "Connection: "+strings.Join(names(headBytes), ",")+"\r\n"))},
+			{"bytes behind a request", callers, send(request("GET /livez", ""), strings.Repeat("x", chunkedBytes))},
 		} {
 			t.Run(p.name+"/"+c.name, func(t *testing.T) {
 				address := freeAddress(t)
--- a/loader/crowd/memory_test.go
+++ b/loader/crowd/memory_test.go
@@ -16,7 +16,10 @@
 	"gotest.tools/v3/assert"
 )
 
-const hostLine = "Host: h.example\r\n"
+const (
+	hostLine    = "Host: h.example\r\n"
+	chunkedLine = "Transfer-Encoding: chunked\r\n"
+)
 
 // request returns a request without a body, and with further header lines.
 func request(line, header string) string { return line + " HTTP/1.1\r\n" + hostLine + header + "\r\n" }
@@ -67,16 +70,15 @@
 		status := n.register("further-"+strconv.Itoa(i), "engines", fmt.Sprintf("127.1.%d.%d:9", i/250, 1+i%250), 1)
 		assert.Equal(t, status, http.StatusOK)
 	}
-	const chunked = "Transfer-Encoding: chunked\r\n"
 	whole := head("GET /hold/", headBytes, shortLine) + "\r\n"
 	for range waves {
 		n.meet(t, n.front, allCallers, mixed(
 			send(whole), send(head("GET /hold/", headBytes, shortLine)), sendSlowly(whole),
-			send(request("POST /hold/", chunked), "1\r\nx\r\n0\r\n"+lines(4000, shortLine)+"\r\n"),
+			send(request("POST /hold/", chunkedLine), "1\r\nx\r\n0\r\n"+lines(4000, shortLine)+"\r\n"),
 			send(request("GET /engines/hold/", promptParts(headBytes-200))),
 			send("POST /hold/ HTTP/1.1\r\n"+hostLine+"Content-Length: "+strconv.Itoa(bodyBytes)+"\r\n\r\n",
 				strings.Repeat("x", bodyBytes/4)),
-			send(request("POST /hold/", chunked), strings.Repeat("1\r\nx\r\n", chunkedBytes/6)),
+			send(request("POST /hold/", chunkedLine), strings.Repeat("1\r\nx\r\n", chunkedBytes/6)),
 			send(request("POST /hold/", "Content-Length: 15000\r\n"), strings.Repeat("x", 15000)),
 			sendAndDiscard(request("GET /unfinished/", "")), send(request("GET /large/", "")),
 			send(request("GET /ordinary/", "")+head("GET /hold/", 3900, shortLine)), send(),
@@ -87,7 +89,6 @@
 // Guards against crowds at a node of which each caller holds little by itself, on a machine with descriptors for all.
 func TestManyCallersAtNode(t *testing.T) {
 	binaries := build(t)
-	const chunked = "Transfer-Encoding: chunked\r\n"
 	for _, c := range []struct {
 		name string
 		act  crowdConn
@@ -96,9 +97,9 @@
 		{"large answers, unfinished", sendAndDiscard(request("GET /unfinished/", ""))},
 		{"large answers of known length, unfinished", sendAndDiscard(request("GET /announced/", ""))},
 		{"large answers that nobody reads", send(request("GET /large/", ""))},
-		{"trailers", send(request("POST /hold/", chunked), "1\r\nx\r\n0\r\n"+lines(4000, shortLine)+"\r\n")},
+		{"trailers", send(request("POST /hold/", chunkedLine), "1\r\nx\r\n0\r\n"+lines(4000, shortLine)+"\r\n")},
 		{"announced trailers", send(
-			request("POST /hold/", chunked+"Trailer: "+strings.Join(names(headBytes-200), ",")+"\r\n"), "1\r\nx\r\n")},
+			request("POST /hold/", chunkedLine+"Trailer: "+strings.Join(names(headBytes-200), ",")+"\r\n"), "1\r\nx\r\n")},
 		{"tokens of Connection", send(request("GET /hold/", "Connection: "+strings.Join(names(headBytes-200), ",")+"\r\n"))},
 		{"prompt parts", send(request("GET /engines/hold/", promptParts(headBytes-200)))},
 		{"head behind an empty line", send(
--- a/node/node.go
+++ b/node/node.go
@@ -194,7 +194,8 @@
 	} else {
 		sup.Add(service{"subscription", f.subscribe})
 	}
-	sup.Add(&server.Server{Addr: l.Exchange, Handler: exchange, Guard: n.callers.Guard(server.ShareExchange)})
+	sup.Add(&server.Server{Addr: l.Exchange, Handler: server.TrackBodies(exchange),
+		Guard: n.callers.Guard(server.ShareExchange)})
 	if l.Control != "" {
 		sup.Add(service{"control", n.serveControl})
 	}
