Leave the kernel's half out of receive buffers

Callers saw: nothing; up to 1.6 times the bound on unread bytes could arrive.

Cause: the kernel doubles the size of a receive buffer for its own data, of which segments on loopback have little.

Change: the size that is set is half of a connection's share, and at most 64 KB.

--- a/adapters/server/resources.go
+++ b/adapters/server/resources.go
@@ -46,9 +46,11 @@
 	// connBytes is what net/http holds for a connection: two buffers, its state and the stack of a goroutine.
 	connBytes = 16 << 10
 
-	// minReceiveBytes is enough for an ordinary request, and maxReceiveBytes for a body at 100 Mbit/s and 10 ms.
+	// minReceiveBytes is enough for an ordinary request, and maxReceiveBytes for a body at 50 Mbit/s and 10 ms. The kernel
+	// doubles them, for its own data, which a connection on loopback hardly has.
 	minReceiveBytes = 8 << 10
-	maxReceiveBytes = 128 << 10
+	maxReceiveBytes = 64 << 10
+	kernelFactor    = 2
 
 	// requestBytes is what a connection with a small request in progress takes: goroutines, buffers, and the connection to
 	// an endpoint.
@@ -151,7 +153,7 @@
 	g := r.Guard(ShareCallers)
 	if g != nil && r.unread > 0 {
 		g.whole = &r.whole
-		g.receiveBytes = min(max(int(r.unread)/g.maxConns, minReceiveBytes), maxReceiveBytes)
+		g.receiveBytes = min(max(int(r.unread)/g.maxConns/kernelFactor, minReceiveBytes), maxReceiveBytes)
 	}
 	return g
 }
