Bound the memory of buffered answers of routers

Callers saw: nothing yet; callers that read large answers slowly could take 8 MiB of a router's memory each.

Cause: as at nodes, responses of agents were buffered outside of any budget: a stream while its caller is slow, another response until it is complete.

Change: both reserve a part of answerMemory. While it is used up, a stream holds one chunk until its caller has read it, and the flow control of the response leaves the rest at the agent; another response is passed on as it arrives, and broken off if it ends early. Results of operations are buffered as before, because they are compared and joined as a whole.

--- a/router/buffered_response.go
+++ b/router/buffered_response.go
@@ -2,28 +2,43 @@
 
 import (
 	"context"
+	"errors"
+	"io"
+	"net/http"
 	"sync"
+	"time"
+
+	"cactusroute.dev/adapters/server"
 )
 
 // bufferedResponse reads a response from the agent as fast as it arrives. The responses of one agent share a
-// connection, and a slow caller must not block the others. Agents limit a response to 8 MiB.
+// connection, and a slow caller must not block the others. Agents limit a response to 8 MiB. While the buffers of all
+// responses are at their limit, it holds one chunk, and the agent the rest.
 type bufferedResponse struct {
 	Response
+	callers    *server.Resources
 	cancelRead context.CancelFunc
 	readDone   chan struct{}
 	dataReady  chan struct{}
+	consumed   chan struct{} // signalled when a chunk was taken out
+
+	mu       sync.Mutex
+	queue    []bufferedChunk
+	size     int
+	reserved int64 // by the chunks in queue
+	err      error
+}
 
-	mu    sync.Mutex
-	queue [][]byte
-	size  int
-	err   error
+// bufferedChunk is a chunk of a response, and what is reserved for it.
+type bufferedChunk struct {
+	data     []byte
+	reserved int64
 }
 
-func newBufferedResponse(ctx context.Context, r Response) *bufferedResponse {
+func newBufferedResponse(ctx context.Context, r Response, callers *server.Resources) *bufferedResponse {
 	ctx, cancel := context.WithCancel(ctx)
-	b := &bufferedResponse{
-		Response: r, cancelRead: cancel, readDone: make(chan struct{}), dataReady: make(chan struct{}, 1),
-	}
+	b := &bufferedResponse{Response: r, callers: callers, cancelRead: cancel, readDone: make(chan struct{}),
+		dataReady: make(chan struct{}, 1), consumed: make(chan struct{}, 1)}
 	go b.read(ctx)
 	return b
 }
@@ -32,37 +47,73 @@
 	defer close(b.readDone)
 	for {
 		p, err := b.Response.Next(ctx)
+		reserved := int64(0)
+		if err == nil {
+			reserved, err = b.reserve(ctx, int64(len(p)))
+		}
 		b.mu.Lock()
 		b.size += len(p)
 		if err == nil && b.size > maxBufferedBytes {
 			err = errResponseTooLarge
 		}
+		b.reserved += reserved
 		if err == nil {
-			b.queue = append(b.queue, p)
+			b.queue = append(b.queue, bufferedChunk{data: p, reserved: reserved})
 		}
 		b.err = err
 		b.mu.Unlock()
-		select {
-		case b.dataReady <- struct{}{}:
-		default:
-		}
+		signal(b.dataReady)
 		if err != nil {
 			return
 		}
 	}
 }
 
+// reserve reserves n bytes, or waits until the caller has taken out all chunks before; the next one needs no
+// reservation then.
+func (b *bufferedResponse) reserve(ctx context.Context, n int64) (reserved int64, err error) {
+	for isReported := false; ; isReported = true {
+		b.mu.Lock()
+		isEmpty, total := len(b.queue) == 0, b.reserved+n
+		b.mu.Unlock()
+		if b.callers.Answers.Take(n, total) {
+			return n, nil
+		}
+		if !isReported {
+			b.callers.Report(server.BoundAnswerMemory)
+		}
+		if isEmpty {
+			return 0, nil
+		}
+		select {
+		case <-b.consumed:
+		case <-ctx.Done():
+			return 0, ctx.Err()
+		}
+	}
+}
+
+func signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
 // Next returns the next buffered chunk, or the read error after the last one.
 func (b *bufferedResponse) Next(ctx context.Context) ([]byte, error) {
 	for {
 		b.mu.Lock()
 		if len(b.queue) > 0 {
-			p := b.queue[0]
-			b.queue[0] = nil
+			c := b.queue[0]
+			b.queue[0] = bufferedChunk{}
 			b.queue = b.queue[1:]
-			b.size -= len(p)
+			b.size -= len(c.data)
+			b.reserved -= c.reserved
 			b.mu.Unlock()
-			return p, nil
+			b.callers.Answers.Release(c.reserved)
+			signal(b.consumed)
+			return c.data, nil
 		}
 		err := b.err
 		b.mu.Unlock()
@@ -83,3 +134,58 @@
 	<-b.readDone
 	b.Response.Cancel()
 }
+
+// close stops reading and returns what is reserved.
+func (b *bufferedResponse) close() {
+	b.cancelRead()
+	<-b.readDone
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.callers.Answers.Release(b.reserved)
+	b.reserved, b.queue = 0, nil
+}
+
+// errNoMemory means that a response can't be buffered any further because the buffers of all responses are at their
+// limit.
+var errNoMemory = errors.New("the buffers of all responses exceed their memory limit")
+
+// errResponseBroken means that a response ended early of which the caller has a part.
+var errResponseBroken = errors.New("response ended early")
+
+// deliverWhole buffers a response that is not a stream until it is complete, so that it can be retried, and sends it.
+// Without memory for more it sends what it has buffered, and the rest as it arrives.
+func (t *transfer) deliverWhole(ctx context.Context, resp Response) error {
+	answers, reserved := &t.rt.callers.Answers, int64(0)
+	defer func() { answers.Release(reserved) }()
+	body, err := readResponse(ctx, resp, func(n int64) bool {
+		if !answers.Take(n, reserved+n) {
+			return false
+		}
+		reserved += n
+		return true
+	})
+	if err != nil && !errors.Is(err, errNoMemory) {
+		return err
+	}
+	t.rt.metrics.firstToken.Observe(time.Since(t.receivedAt).Seconds())
+	if err == nil {
+		return writeResponse(t.w, resp.Head(), body)
+	}
+	t.rt.callers.Report(server.BoundAnswerMemory)
+	t.w.Header().Set("Content-Type", resp.Head().ContentType)
+	t.w.WriteHeader(resp.Head().Status)
+	for err = nil; err == nil; body, err = resp.Next(ctx) {
+		if _, err := t.w.Write(body); err != nil {
+			return errCallerDisconnected
+		}
+		if reserved > 0 {
+			answers.Release(reserved)
+			reserved = 0
+		}
+	}
+	if errors.Is(err, io.EOF) {
+		return nil
+	}
+	t.streamError = &httpError{Status: http.StatusBadGateway, Code: "response_broken", EndsStream: true}
+	return errors.Join(errResponseBroken, err)
+}
--- a/router/forward.go
+++ b/router/forward.go
@@ -112,6 +112,9 @@
 			}
 		}
 		o, err := t.attempt(ctx, c)
+		if errors.Is(err, errResponseBroken) {
+			return "broken"
+		}
 		if ctx.Err() != nil && o.Kind != retrier.Completed {
 			return t.handleContextEnd(ctx, o)
 		}
@@ -334,8 +337,8 @@
 	h := resp.Head()
 	isStream := h.Status == http.StatusOK && strings.HasPrefix(h.ContentType, "text/event-stream")
 	if isStream {
-		buffered := newBufferedResponse(ctx, resp)
-		defer buffered.cancelRead()
+		buffered := newBufferedResponse(ctx, resp, t.rt.callers)
+		defer buffered.close()
 		resp = buffered
 	}
 	defer func() {
@@ -349,16 +352,12 @@
 	if t.progress.started {
 		return errMissingDone // a resumed response must be a stream, too
 	}
-	body, err := readResponse(ctx, resp)
-	if err != nil {
-		return err
-	}
-	t.rt.metrics.firstToken.Observe(time.Since(t.receivedAt).Seconds())
-	return writeResponse(t.w, h, body)
+	return t.deliverWhole(ctx, resp)
 }
 
-// readResponse buffers a response until it is complete.
-func readResponse(ctx context.Context, resp Response) ([]byte, error) {
+// readResponse buffers a response until it is complete. It returns errNoMemory with what it has read if the buffer
+// can't grow; a nil grow has no limit.
+func readResponse(ctx context.Context, resp Response, grow func(n int64) bool) ([]byte, error) {
 	var buf bytes.Buffer
 	for {
 		p, err := resp.Next(ctx)
@@ -371,7 +370,10 @@
 		if buf.Len()+len(p) > maxBufferedBytes {
 			return nil, errResponseTooLarge
 		}
-		buf.Write(p)
+		hasRoom := grow == nil || grow(int64(len(p)))
+		if buf.Write(p); !hasRoom {
+			return buf.Bytes(), errNoMemory
+		}
 	}
 }
 
--- a/router/operation.go
+++ b/router/operation.go
@@ -255,7 +255,7 @@
 	resp, err := o.rt.relay.Start(ctx, e.Address, o.req)
 	var body []byte
 	if err == nil {
-		if body, err = readResponse(ctx, resp); err != nil {
+		if body, err = readResponse(ctx, resp, nil); err != nil {
 			resp.Cancel()
 		}
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -71,7 +71,6 @@
 	relay := relayClient{client: relayer.NewClient(ctx, options)}
 	rt := newRouter(s, control, relay, obs, binary.LittleEndian.Uint64(seed[:]))
 	rt.certifier = cert
-	rt.callers = server.NewResources(s.Machine, obs)
 	return rt, nil
 }
 
@@ -81,6 +80,7 @@
 		settings: s, control: control, relay: relay, obs: obs, admission: newAdmissionController(s.MaxConcurrent),
 		placement: newPlacementTable(), operationRuns: newFlightGroup(), fingerprintLocks: newKeyedMutex(),
 		callerStallTimeout: callerStallTimeout, budget: retrier.NewBudget(), rng: rand.New(rand.NewPCG(seed, 0)),
+		callers: server.NewResources(s.Machine, obs),
 	}
 	rt.metrics = newMetrics(obs.Registry, rt)
 	return rt
