Test that crowds leave no memory behind

TestRepeatedCrowdsAtNode lets crowds come at one node, whose requests share no name, key, request ID, prompt part, host, path or stream. It guards against tables and labels that grow with what callers think of.

--- a/loader/crowd/memory_test.go
+++ b/loader/crowd/memory_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -86,6 +87,34 @@
 	}
 }
 
+// wavesVariable is the number of crowds that TestRepeatedCrowdsAtNode lets come, for runs of minutes by hand.
+const wavesVariable = "CROWD_WAVES"
+
+// Guards against memory that stays behind for each connection, name, key, request ID, prompt part, host or stream that
+// callers think of: no two requests share any of them.
+func TestRepeatedCrowdsAtNode(t *testing.T) {
+	waves := 10
+	if n, err := strconv.Atoi(os.Getenv(wavesVariable)); err == nil {
+		waves = n
+	}
+	n := startNode(t, build(t), manyDescriptors)
+	var next atomic.Int64
+	for range waves {
+		n.meet(t, n.front, manyCallers, func(c net.Conn) {
+			id := strconv.FormatInt(next.Add(1), 10)
+			for i, path := range []string{"/ordinary/", "/engines/ordinary/", "/none" + id + "/"} {
+				unique := id + "-" + strconv.Itoa(i)
+				sendAndReceive(request("GET "+path+"?"+unique, "Cactus-Request-Id: id"+unique+"\r\nCactus-Key: key"+unique+
+					"\r\nCactus-Prompt-Parts: shared"+unique+":100,own"+unique+":10\r\nLast-Event-Id: "+id+
+					"\r\nCactus-Resumes: stream"+unique+"\r\n"+lines(2<<10, func(line int) string {
+					return "name" + unique + "-" + strconv.Itoa(line) + ": value" + unique + "\r\n"
+				})))(c)
+			}
+			send("GET / HTTP/1.1\r\nHost: host" + id + ".example\r\n\r\n")(c)
+		})
+	}
+}
+
 // Guards against crowds at a node of which each caller holds little by itself, on a machine with descriptors for all.
 func TestManyCallersAtNode(t *testing.T) {
 	binaries := build(t)
