Keep the sum of a body and a chunk size from overflowing

Callers saw: repeatable requests ended without an answer although another endpoint was sound, and the faulty endpoint got all of them.

Cause: an endpoint that sends a chunk and then a size near the largest integer made the sum of what was read and what follows negative, so that the bound on bodies held, and the next read panicked on its slice. net/http recovers the panic; the failure of the endpoint was never recorded.

Change: the sum ends at the largest integer, and a read is bounded by what is left of its buffer first.

--- a/adapters/forwarder/body.go
+++ b/adapters/forwarder/body.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net/http"
 	"slices"
 	"strconv"
@@ -89,7 +90,7 @@
 		if n > 0 && b.br.Buffered() == 0 {
 			break
 		}
-		m, err := b.br.Read(p[n:min(int64(len(p)), int64(n)+b.left)])
+		m, err := b.br.Read(p[n : n+int(min(int64(len(p)-n), b.left))])
 		n += m
 		b.left -= int64(m)
 		b.seen += int64(m)
@@ -137,7 +138,7 @@
 	if b.left == 0 {
 		return b.readTrailer()
 	}
-	return checkLimit(BoundBodyBytes, b.limits.BodyBytes, b.seen+b.left)
+	return checkLimit(BoundBodyBytes, b.limits.BodyBytes, b.seen+min(b.left, math.MaxInt64-b.seen))
 }
 
 func parseChunkSize(digits []byte) (int64, error) {
--- a/adapters/forwarder/fuzz_test.go
+++ b/adapters/forwarder/fuzz_test.go
@@ -17,6 +17,7 @@
 		"HTTP/1.1 200 OK\r\nX-Id: 2\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 0\r\n\r\n",
 		"HTTP/1.1 500 E\r\nX-Half: HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\n",
 		"HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\nffffffffffffffff\r\n",
+		"HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n7fffffffffffffff\r\nxxx",
 		"HTTP/1.1 204 No Content\r\nX-Id: 1\r\nContent-Length: 5\r\n\r\n",
 	} {
 		f.Add([]byte(seed), true)
--- a/adapters/forwarder/limits_test.go
+++ b/adapters/forwarder/limits_test.go
@@ -68,6 +68,8 @@
 		{name: "chunks", prefix: chunked, part: "1\r\nx\r\n", bound: BoundBodyBytes, inBody: true},
 		{name: "chunk size above the bound", prefix: chunked + "fffffffff\r\n", part: "x", bound: BoundBodyBytes,
 			inBody: true},
+		{name: "chunk size of the largest integer", prefix: chunked + "1\r\nx\r\n7fffffffffffffff\r\n", part: "x",
+			bound: BoundBodyBytes, inBody: true},
 		{name: "chunk size line", prefix: chunked, part: "0", bound: BoundChunkLineBytes, inBody: true},
 		{name: "chunk extension", prefix: chunked + "1;", part: "x", bound: BoundChunkLineBytes, inBody: true},
 		{name: "chunk extensions", prefix: chunked, part: "1;" + strings.Repeat("x", 900) + "\r\nx\r\n",
