--- a/adapters/server/budget.go
+++ b/adapters/server/budget.go
@@ -14,7 +14,10 @@
 type Budget struct {
 	Limit int64   // 0 means none
 	Whole *Budget // that this one is a part of; nil means none
-	used  atomic.Int64
+	// OnRefused is called when bytes don't fit; it may be nil.
+	OnRefused func()
+
+	used atomic.Int64
 }
 
 // Take reserves n bytes for a holder that has total bytes with them, and reports whether they fit. A holder above
@@ -27,6 +30,9 @@
 	isFull := b.used.Add(n) > limit && b.Limit > 0
 	if isFull || b.Whole != nil && !b.Whole.Take(n, total) {
 		b.used.Add(-n)
+		if b.OnRefused != nil {
+			b.OnRefused()
+		}
 		return false
 	}
 	return true
--- a/adapters/server/resources.go
+++ b/adapters/server/resources.go
@@ -115,7 +115,7 @@
 		r.Heads.Whole, r.Bodies.Whole, r.Answers.Whole = &r.whole, &r.whole, &r.whole
 	}
 	r.Heads.Limit, r.Bodies.Limit = memory/headMemoryDivisor, memory/bodyMemoryDivisor
-	r.Answers.Limit = memory / answerMemoryDivisor
+	r.Answers.Limit, r.Answers.OnRefused = memory/answerMemoryDivisor, func() { r.Report(BoundAnswerMemory) }
 	for _, bound := range bounds {
 		r.refused.WithLabelValues(bound)
 		r.reports[bound] = &boundReport{}
--- a/node/answer_memory.go
+++ b/node/answer_memory.go
@@ -32,14 +32,12 @@
 // answerMemory is what one request has reserved for a buffered response.
 type answerMemory struct {
 	budget   *server.Budget
-	onLimit  func(bound string)
 	reserved int64 // bytes
 }
 
 // take reserves n more bytes and reports whether they fit.
 func (m *answerMemory) take(n int64) bool {
 	if !m.budget.Take(n, m.reserved+n) {
-		m.onLimit(server.BoundAnswerMemory)
 		return false
 	}
 	m.reserved += n
--- a/node/proxy.go
+++ b/node/proxy.go
@@ -67,8 +67,8 @@
 	stopTimes atomic.Pointer[stopTimes] // nil until stopping
 	bodies    *server.Budget
 	answers   *server.Budget
-	// onMemoryLimit is called when a body is refused or an answer is not buffered for lack of memory.
-	onMemoryLimit func(bound string)
+	// onBodyLimit is called when a body is refused for lack of memory.
+	onBodyLimit func(bound string)
 }
 
 // request is one request of a caller.
@@ -150,7 +150,7 @@
 	p.fleet.routing.countFirstAttempt(q.receivedAt, q.service.Name)
 	t := &transfer{proxy: p, request: q, w: w, hasBegun: q.isBound, version: q.version,
 		splitter: eventSplitter{maxEventBytes: p.fleet.settings.EndpointLimits.EventBytes},
-		buffered: answerMemory{budget: p.answers, onLimit: p.onMemoryLimit}}
+		buffered: answerMemory{budget: p.answers}}
 	if q.route.Kind == planner.KindStream && q.route.Resumable {
 		t.splitter.lastID = q.lastEventID
 	}
@@ -320,7 +320,7 @@
 // reserve takes memory for the body of a request.
 func (p *proxy) reserve(q *request, n int64) bool {
 	if !p.bodies.Take(n, q.reserved+n) {
-		p.onMemoryLimit(server.BoundBodyMemory)
+		p.onBodyLimit(server.BoundBodyMemory)
 		return false
 	}
 	q.reserved += n
--- a/router/buffered_response.go
+++ b/router/buffered_response.go
@@ -16,7 +16,7 @@
 // responses are at their limit, it holds one chunk, and the agent the rest.
 type bufferedResponse struct {
 	Response
-	callers    *server.Resources
+	answers    *server.Budget
 	cancelRead context.CancelFunc
 	readDone   chan struct{}
 	dataReady  chan struct{}
@@ -35,9 +35,9 @@
 	reserved int64
 }
 
-func newBufferedResponse(ctx context.Context, r Response, callers *server.Resources) *bufferedResponse {
+func newBufferedResponse(ctx context.Context, r Response, answers *server.Budget) *bufferedResponse {
 	ctx, cancel := context.WithCancel(ctx)
-	b := &bufferedResponse{Response: r, callers: callers, cancelRead: cancel, readDone: make(chan struct{}),
+	b := &bufferedResponse{Response: r, answers: answers, cancelRead: cancel, readDone: make(chan struct{}),
 		dataReady: make(chan struct{}, 1), consumed: make(chan struct{}, 1)}
 	go b.read(ctx)
 	return b
@@ -72,16 +72,13 @@
 // reserve reserves n bytes, or waits until the caller has taken out all chunks before; the next one needs no
 // reservation then.
 func (b *bufferedResponse) reserve(ctx context.Context, n int64) (reserved int64, err error) {
-	for isReported := false; ; isReported = true {
+	for {
 		b.mu.Lock()
 		isEmpty, total := len(b.queue) == 0, b.reserved+n
 		b.mu.Unlock()
-		if b.callers.Answers.Take(n, total) {
+		if b.answers.Take(n, total) {
 			return n, nil
 		}
-		if !isReported {
-			b.callers.Report(server.BoundAnswerMemory)
-		}
 		if isEmpty {
 			return 0, nil
 		}
@@ -111,7 +108,7 @@
 			b.size -= len(c.data)
 			b.reserved -= c.reserved
 			b.mu.Unlock()
-			b.callers.Answers.Release(c.reserved)
+			b.answers.Release(c.reserved)
 			signal(b.consumed)
 			return c.data, nil
 		}
@@ -141,7 +138,7 @@
 	<-b.readDone
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.callers.Answers.Release(b.reserved)
+	b.answers.Release(b.reserved)
 	b.reserved, b.queue = 0, nil
 }
 
@@ -171,7 +168,6 @@
 	if err == nil {
 		return writeResponse(t.w, resp.Head(), body)
 	}
-	t.rt.callers.Report(server.BoundAnswerMemory)
 	t.w.Header().Set("Content-Type", resp.Head().ContentType)
 	t.w.WriteHeader(resp.Head().Status)
 	for err = nil; err == nil; body, err = resp.Next(ctx) {
--- a/router/forward.go
+++ b/router/forward.go
@@ -337,7 +337,7 @@
 	h := resp.Head()
 	isStream := h.Status == http.StatusOK && strings.HasPrefix(h.ContentType, "text/event-stream")
 	if isStream {
-		buffered := newBufferedResponse(ctx, resp, t.rt.callers)
+		buffered := newBufferedResponse(ctx, resp, &t.rt.callers.Answers)
 		defer buffered.close()
 		resp = buffered
 	}
