Bound the memory of buffered answers of agents

Callers saw: nothing yet; while routers take responses slowly, each request of an endpoint could take 8 MiB of its agent.

Cause: as at nodes and routers, buffers of responses had a bound each and none together. Since routers leave to the agent what their own budget does not permit, callers that read slowly would have filled agents instead.

Change: beyond the window of flow control (256 KiB), without which the router sends no credit, a buffer reserves each further segment from answerMemory. Without room the endpoint waits for the router.

--- a/adapters/relayer/response.go
+++ b/adapters/relayer/response.go
@@ -18,13 +18,24 @@
 // ErrResponseTooLarge means that a recorded response exceeds the buffer limit.
 var ErrResponseTooLarge = errors.New("recorded response exceeds 8 MiB")
 
+// Memory bounds what the buffers of all responses hold beyond the flow-control window, without which a router would not
+// extend the window. It is safe for concurrent use.
+type Memory interface {
+	// Take reserves n bytes for a buffer that has total bytes with them, and reports whether they fit.
+	Take(n, total int64) bool
+	// Release returns n bytes.
+	Release(n int64)
+}
+
 // ResponseBuffer buffers the response to one attempt at the agent, so that it can be resent from any offset that the
 // router has not consumed yet.
 type ResponseBuffer struct {
 	ctx    context.Context // of the run; nil for a recorder
 	cancel context.CancelFunc
+	memory Memory // nil means no bound but maxBufferedBytes
 
 	mu           sync.Mutex
+	reserved     int64 // bytes of memory
 	head         *Head
 	base         int64    // offset of the first byte of the first segment
 	total        int64    // bytes written
@@ -57,9 +68,9 @@
 	outOfRange bool // the buffer does not contain the offset of the reader
 }
 
-func newResponseBuffer(ctx context.Context, cancel context.CancelFunc) *ResponseBuffer {
+func newResponseBuffer(ctx context.Context, cancel context.CancelFunc, memory Memory) *ResponseBuffer {
 	return &ResponseBuffer{
-		ctx: ctx, cancel: cancel, spaceFreed: make(chan struct{}, 1), stateChanged: make(chan struct{}, 1),
+		ctx: ctx, cancel: cancel, memory: memory, spaceFreed: make(chan struct{}, 1), stateChanged: make(chan struct{}, 1),
 	}
 }
 
@@ -78,8 +89,8 @@
 	b.wakeReaders()
 }
 
-// Write appends to the response. It blocks while the buffer holds 8 MiB that the router has not consumed, and fails
-// if the run is cancelled meanwhile.
+// Write appends to the response. It blocks while the buffer holds 8 MiB that the router has not consumed, or the window
+// and all that the memory permits, and fails if the run is cancelled meanwhile.
 func (b *ResponseBuffer) Write(p []byte) (n int, err error) {
 	for len(p) > 0 {
 		k := b.append(p)
@@ -105,6 +116,9 @@
 	for len(p) > 0 && b.total-b.base < maxBufferedBytes {
 		last := len(b.segments) - 1
 		if last < 0 || len(b.segments[last]) == segmentBytes {
+			if !b.reserveSegment() {
+				break
+			}
 			b.segments = append(b.segments, nil)
 			last++
 			if last > 0 {
@@ -122,6 +136,34 @@
 	return n
 }
 
+// reserveSegment reserves memory for one more segment; the caller holds mu.
+func (b *ResponseBuffer) reserveSegment() bool {
+	if b.memory == nil || b.total-b.base < windowBytes {
+		return true
+	}
+	if !b.memory.Take(segmentBytes, b.reserved+segmentBytes) {
+		return false
+	}
+	b.reserved += segmentBytes
+	return true
+}
+
+// releaseMemory returns up to n reserved bytes; the caller holds mu.
+func (b *ResponseBuffer) releaseMemory(n int64) {
+	if n = min(n, b.reserved); n > 0 {
+		b.memory.Release(n)
+		b.reserved -= n
+	}
+}
+
+// discard returns all memory once the response is no longer sent.
+func (b *ResponseBuffer) discard() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.releaseMemory(b.reserved)
+	b.memory = nil
+}
+
 func (b *ResponseBuffer) wakeReaders() {
 	for _, r := range b.readers {
 		signal(r.wake)
@@ -211,6 +253,7 @@
 	for consumed := min(m.Consumed, r.offset); consumed-b.base >= segmentBytes; b.base += segmentBytes {
 		b.segments[0] = nil
 		b.segments = b.segments[1:]
+		b.releaseMemory(segmentBytes)
 		signal(b.spaceFreed)
 	}
 }
--- a/adapters/relayer/server.go
+++ b/adapters/relayer/server.go
@@ -32,6 +32,10 @@
 	ctx      context.Context
 	instance string // identifies this process
 
+	// Memory bounds the buffers of responses together; nil means that each has its own bound only. It must be set before
+	// the first connection.
+	Memory Memory
+
 	mu      sync.Mutex
 	runs    map[attemptKey]*ResponseBuffer
 	history *attemptHistory
@@ -112,7 +116,7 @@
 		return nil, outgoingPart{refusal: &RefusalError{Reason: ReasonDeadline}}
 	}
 	ctx, cancel := context.WithDeadline(s.ctx, req.Deadline)
-	b = newResponseBuffer(ctx, cancel)
+	b = newResponseBuffer(ctx, cancel, s.Memory)
 	s.runs[k] = b
 	s.wg.Go(func() { b.cancelWhenAbandoned(s.ctx.Done()); s.moveToHistory(k, b) })
 	s.wg.Go(func() {
@@ -124,6 +128,7 @@
 }
 
 func (s *Server) moveToHistory(k attemptKey, b *ResponseBuffer) {
+	b.discard()
 	state := stateRan
 	if b.isRefused() {
 		state = stateFenced
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -90,6 +90,7 @@
 	a.monitor = &monitor{agent: a}
 	a.endpoint.onResponse = a.recordCallResponse
 	a.relayServer = relayer.NewServer(ctx, a, messenger.Options{TLSFunc: c.ClientConfig, Clock: obs.Recorder})
+	a.relayServer.Memory = &a.callers.Answers
 	return a
 }
 
