Write nothing that a read uses when a connection closes

Callers saw: nothing known; a data race between the end of a connection and a read of net/http.

Cause: where the end of a body that no handler has read turns up while net/http discards it, net/http starts to look for the caller's end after it has stopped doing so, and closes the connection beside that read. The guard then set isHead, which the read uses. It had no effect there: a closed connection passes nothing on, and a hijacked one has left its head behind.

Change: the state of reads is left alone when a connection closes or is hijacked.

--- a/adapters/server/guard.go
+++ b/adapters/server/guard.go
@@ -240,7 +240,7 @@
 }
 
 // guardedConn is a connection whose heads are held until they are whole. Its reads never overlap, and the calls of
-// setState are ordered with them.
+// setState are ordered with them, except for its last one: net/http may look for the caller's end then.
 type guardedConn struct {
 	net.Conn
 	guard         *Guard
@@ -290,8 +290,7 @@
 		c.isHead, c.deadlines, c.parsed, c.scanner = true, 0, 0, headScanner{}
 		c.isKept.Store(true)
 		c.waitsSince.Store(time.Now().UnixNano())
-	case http.StateHijacked, http.StateClosed:
-		c.isHead = false
+	case http.StateHijacked, http.StateClosed: // a read may be in progress
 		c.waitsSince.Store(0)
 		c.release()
 		c.guard.remove(c)
