Use one type for what a holder has reserved of a budget

Node kept the same bookkeeping for bodies and for answers, and the router a third copy in a closure. server.Reservation serves all three, and the budget of bodies reports its refusals itself, as that of answers does. Nothing changes for callers.

--- a/adapters/server/budget.go
+++ b/adapters/server/budget.go
@@ -48,3 +48,24 @@
 
 // Used returns the bytes that are held.
 func (b *Budget) Used() int64 { return b.used.Load() }
+
+// Reservation is what one holder has of a budget; it is not safe for concurrent use.
+type Reservation struct {
+	Budget *Budget
+	held   int64 // bytes
+}
+
+// Take reserves n more bytes and reports whether they fit.
+func (r *Reservation) Take(n int64) bool {
+	if !r.Budget.Take(n, r.held+n) {
+		return false
+	}
+	r.held += n
+	return true
+}
+
+// Release returns all that is reserved.
+func (r *Reservation) Release() {
+	r.Budget.Release(r.held)
+	r.held = 0
+}
--- a/adapters/server/guard.go
+++ b/adapters/server/guard.go
@@ -371,7 +371,6 @@
 // reserveBody reserves n more bytes of the body.
 func (c *guardedConn) reserveBody(n int64) bool {
 	if !c.guard.resources.Bodies.Take(n, c.body.Load()+n) {
-		c.guard.resources.Report(BoundBodyMemory)
 		return false
 	}
 	c.body.Add(n)
--- a/adapters/server/resources.go
+++ b/adapters/server/resources.go
@@ -115,6 +115,7 @@
 		r.Heads.Whole, r.Bodies.Whole, r.Answers.Whole = &r.whole, &r.whole, &r.whole
 	}
 	r.Heads.Limit, r.Bodies.Limit = memory/headMemoryDivisor, memory/bodyMemoryDivisor
+	r.Bodies.OnRefused = func() { r.Report(BoundBodyMemory) }
 	r.Answers.Limit, r.Answers.OnRefused = memory/answerMemoryDivisor, func() { r.Report(BoundAnswerMemory) }
 	for _, bound := range bounds {
 		r.refused.WithLabelValues(bound)
--- a/node/answer_memory.go
+++ b/node/answer_memory.go
@@ -29,42 +29,21 @@
 	minCopyBufferBytes = 4 << 10
 )
 
-// answerMemory is what one request has reserved for a buffered response.
-type answerMemory struct {
-	budget   *server.Budget
-	reserved int64 // bytes
-}
-
-// take reserves n more bytes and reports whether they fit.
-func (m *answerMemory) take(n int64) bool {
-	if !m.budget.Take(n, m.reserved+n) {
-		return false
-	}
-	m.reserved += n
-	return true
-}
-
-// release returns all that is reserved.
-func (m *answerMemory) release() {
-	m.budget.Release(m.reserved)
-	m.reserved = 0
-}
-
 // bufferedResponse is a complete response of an endpoint that was not forwarded to the caller.
 type bufferedResponse struct {
 	response *forwarder.Response
 	body     []byte
-	memory   answerMemory
+	memory   server.Reservation
 }
 
 // readAnswer buffers up to maxBufferedBytes and one more of a response. It returns errNoMemory with what it has
 // buffered if memory for more can't be reserved.
 func (t *transfer) readAnswer(resp *forwarder.Response) ([]byte, error) {
 	size := max(initialAnswerBytes, min(resp.Length+1, maxBufferedBytes))
-	if !t.buffered.take(size) {
+	if !t.buffered.Take(size) {
 		return nil, errNoMemory
 	}
-	return readAll(io.LimitReader(resp.Body, maxBufferedBytes+1), make([]byte, 0, size), -1, t.buffered.take)
+	return readAll(io.LimitReader(resp.Body, maxBufferedBytes+1), make([]byte, 0, size), -1, t.buffered.Take)
 }
 
 // keepError buffers a 5xx response, which is forwarded if no retry succeeds. Without memory for it, the caller gets a
@@ -81,14 +60,14 @@
 	}
 	t.releaseError()
 	t.lastError = &bufferedResponse{response: resp, body: body, memory: t.buffered}
-	t.buffered.reserved = 0
+	t.buffered = server.Reservation{Budget: t.proxy.answers}
 	return nil
 }
 
 // releaseError forgets the last 5xx response.
 func (t *transfer) releaseError() {
 	if t.lastError != nil {
-		t.lastError.memory.release()
+		t.lastError.memory.Release()
 		t.lastError = nil
 	}
 }
@@ -113,7 +92,7 @@
 	writeErr := t.writeResponse(resp, buf)
 	var readErr error
 	if writeErr == nil && (err != nil || len(buf) > maxBufferedBytes) {
-		t.buffered.release()
+		t.buffered.Release()
 		readErr, writeErr = t.copyRest(resp)
 	}
 	switch {
@@ -134,7 +113,7 @@
 // copyRest forwards what follows the buffered part of a response.
 func (t *transfer) copyRest(resp *forwarder.Response) (readErr, writeErr error) {
 	size := copyBufferBytes
-	if !t.buffered.take(copyBufferBytes) {
+	if !t.buffered.Take(copyBufferBytes) {
 		size = minCopyBufferBytes
 	}
 	buf := make([]byte, size)
--- a/node/fakes_test.go
+++ b/node/fakes_test.go
@@ -181,7 +181,7 @@
 	f.confirm(0, time.Now().Add(time.Hour)) // stands for the confirmations of a control instance
 	pool := forwarder.NewPool(settings.EndpointLimits.Limits)
 	p := &proxy{dialect: testDialect(), fleet: f, pool: pool, log: log, metrics: newMetrics(obs, f, pool, queue),
-		bodies: &server.Budget{}, answers: &server.Budget{}, onBodyLimit: func(string) {}}
+		bodies: &server.Budget{}, answers: &server.Budget{}}
 	pool.OnEnd = p.recordIdleEnd
 	if plan != nil {
 		assert.NilError(t, plan.Index())
--- a/node/node.go
+++ b/node/node.go
@@ -74,7 +74,7 @@
 	pool.OnEnd = n.front.recordIdleEnd
 	n.callers = server.NewResources(s.Machine, obs)
 	pool.MaxConns = n.callers.Descriptors(server.ShareEndpoints)
-	n.front.bodies, n.front.answers, n.front.onBodyLimit = &n.callers.Bodies, &n.callers.Answers, n.callers.Report
+	n.front.bodies, n.front.answers = &n.callers.Bodies, &n.callers.Answers
 	n.callers.SetBodyMemory(s.BodyMemoryBytes)
 	n.ready.Check = func() error {
 		if !f.isReady() {
--- a/node/proxy.go
+++ b/node/proxy.go
@@ -67,8 +67,6 @@
 	stopTimes atomic.Pointer[stopTimes] // nil until stopping
 	bodies    *server.Budget
 	answers   *server.Budget
-	// onBodyLimit is called when a body is refused for lack of memory.
-	onBodyLimit func(bound string)
 }
 
 // request is one request of a caller.
@@ -81,7 +79,7 @@
 	workspace   *planner.Workspace
 	header      http.Header // forwarded to endpoints
 	body        []byte
-	reserved    int64 // bytes of proxy.bodies
+	memory      server.Reservation // of proxy.bodies
 	promptParts []chooser.PromptPart
 	sharedParts []attributor.Part // that other requests may have, too
 
@@ -133,7 +131,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	q, ref := p.admit(r)
-	defer func() { p.bodies.Release(q.reserved) }()
+	defer q.memory.Release()
 	if ref == nil {
 		ref = p.readBody(w, q)
 	}
@@ -150,7 +148,7 @@
 	p.fleet.routing.countFirstAttempt(q.receivedAt, q.service.Name)
 	t := &transfer{proxy: p, request: q, w: w, hasBegun: q.isBound, version: q.version,
 		splitter: eventSplitter{maxEventBytes: p.fleet.settings.EndpointLimits.EventBytes},
-		buffered: answerMemory{budget: p.answers}}
+		buffered: server.Reservation{Budget: p.answers}}
 	if q.route.Kind == planner.KindStream && q.route.Resumable {
 		t.splitter.lastID = q.lastEventID
 	}
@@ -161,7 +159,7 @@
 func (p *proxy) admit(r *http.Request) (*request, *refusal) {
 	h := &p.dialect.Headers
 	q := &request{id: r.Header.Get(h.RequestID), receivedAt: time.Now(), inbound: r,
-		incoming: server.NewBody(r)}
+		incoming: server.NewBody(r), memory: server.Reservation{Budget: p.bodies}}
 	callerRemaining, hasDeadline := parseRemaining(r.Header.Get(h.RemainingMillis))
 	waitUntil := p.fleet.started.Add(firstPlanTimeout)
 	if callerDeadline := q.receivedAt.Add(callerRemaining); hasDeadline && callerDeadline.Before(waitUntil) {
@@ -296,11 +294,11 @@
 			size = initialBodyBufferBytes
 		}
 		size = min(size, maxInitialBodyBytes)
-		if !p.reserve(q, size) {
+		if !q.memory.Take(size) {
 			return bodyRefusal(errNoMemory)
 		}
 		buf := make([]byte, 0, size+1)
-		body, err := readAll(r, buf, q.inbound.ContentLength, func(n int64) bool { return p.reserve(q, n) })
+		body, err := readAll(r, buf, q.inbound.ContentLength, q.memory.Take)
 		if err != nil {
 			return bodyRefusal(err)
 		}
@@ -317,16 +315,6 @@
 // errNoMemory means that a buffer can't grow because the buffers of all requests together are at their limit.
 var errNoMemory = errors.New("the buffers of all requests exceed their memory limit")
 
-// reserve takes memory for the body of a request.
-func (p *proxy) reserve(q *request, n int64) bool {
-	if !p.bodies.Take(n, q.reserved+n) {
-		p.onBodyLimit(server.BoundBodyMemory)
-		return false
-	}
-	q.reserved += n
-	return true
-}
-
 func bodyRefusal(err error) *refusal {
 	if errors.Is(err, errNoMemory) {
 		return &refusal{status: http.StatusServiceUnavailable, reason: "memory", retryAfter: overloadRetryAfter()}
--- a/node/transfer.go
+++ b/node/transfer.go
@@ -66,13 +66,13 @@
 	isRecorded   bool   // the origin of the stream is recorded under the ID of this request
 	// isVersionUnknown is set if the endpoint that sent it may have restarted in another version since its heartbeat.
 	isVersionUnknown bool
-	answered         bool              // recorded as evidence that its prompt is sound
-	sentAt           time.Time         // start of the current attempt
-	firstByteAt      time.Time         // when the first bytes of the body were sent to the caller
-	lastWriteAt      time.Time         // of a stream
-	choiceLogFields  []any             // endpoint and load of the current attempt
-	buffered         answerMemory      // of the response of the current attempt
-	lastError        *bufferedResponse // last 5xx response of an endpoint
+	answered         bool               // recorded as evidence that its prompt is sound
+	sentAt           time.Time          // start of the current attempt
+	firstByteAt      time.Time          // when the first bytes of the body were sent to the caller
+	lastWriteAt      time.Time          // of a stream
+	choiceLogFields  []any              // endpoint and load of the current attempt
+	buffered         server.Reservation // of the response of the current attempt
+	lastError        *bufferedResponse  // last 5xx response of an endpoint
 	waiter           chooser.Waiter
 }
 
@@ -295,7 +295,7 @@
 		return t.handleSendError(ctx, c, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	defer t.buffered.release()
+	defer t.buffered.Release()
 	t.recordResponse(c, resp)
 	defer t.recordTrailer(c, resp)
 	if d, ref, ok := t.handleRejection(c, resp); ok {
--- a/router/buffered_response.go
+++ b/router/buffered_response.go
@@ -152,15 +152,9 @@
 // deliverWhole buffers a response that is not a stream until it is complete, so that it can be retried, and sends it.
 // Without memory for more it sends what it has buffered, and the rest as it arrives.
 func (t *transfer) deliverWhole(ctx context.Context, resp Response) error {
-	answers, reserved := &t.rt.callers.Answers, int64(0)
-	defer func() { answers.Release(reserved) }()
-	body, err := readResponse(ctx, resp, func(n int64) bool {
-		if !answers.Take(n, reserved+n) {
-			return false
-		}
-		reserved += n
-		return true
-	})
+	memory := server.Reservation{Budget: &t.rt.callers.Answers}
+	defer memory.Release()
+	body, err := readResponse(ctx, resp, memory.Take)
 	if err != nil && !errors.Is(err, errNoMemory) {
 		return err
 	}
@@ -174,10 +168,7 @@
 		if _, err := t.w.Write(body); err != nil {
 			return errCallerDisconnected
 		}
-		if reserved > 0 {
-			answers.Release(reserved)
-			reserved = 0
-		}
+		memory.Release()
 	}
 	if errors.Is(err, io.EOF) {
 		return nil
