Keep the origin of a stream until the deadline of its caller

Cause: the record of where a stream began ended after a minute, whatever the deadline was (admit, maxStreamRetention). Three more bounds would have ended it by themselves: messages and the file cut the time to ten minutes, the files on disk were turned over after a minute, and a record was not extended when its stream was taken up with a later deadline.

Change: a record expires 2 s after the deadline, and later once the stream is taken up. The number of streams bounds the table instead of time: a full one drops the stream that was reported longest ago, where it took no further ones before, and the node that forwards a stream reports each 30 s that it goes on. streams.log is replaced by one with the streams that are still known once it has grown by a megabyte; its batches tell when they were written, so that a restart does not bring expired streams back.

It works because every place that keeps the record now takes its end from the caller's deadline.

Tests: TestStreamLogBeginsNewFiles required the streams of the last minute in two files, by their age. There is one file now, so that TestStreamLogKeepsStreamsThatGoOn requires all streams that are still known and the same bound on the size; TestTableIsBounded also checks which streams a full table keeps.

--- a/adapters/exchanger/streams.go
+++ b/adapters/exchanger/streams.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -22,8 +23,12 @@
 	// maxPendingStreams bounds the unsent streams for one subscriber; a slower one is sent all streams.
 	maxPendingStreams = 16_384
 
-	// maxStreamMillis bounds the time until a stream expires.
-	maxStreamMillis = 10 * 60 * 1000
+	// maxStreamMillis bounds the time until a stream expires: longer than any caller waits, and below 2^32.
+	maxStreamMillis = 7 * 24 * 60 * 60 * 1000
+
+	// storedClockSlack is how far the time of day may be stepped between the writing and the reading of stored streams
+	// without an effect on when they expire.
+	storedClockSlack = 30 * time.Second
 
 	// maxStreamQueries bounds the concurrent queries of one subscriber.
 	maxStreamQueries = 256
@@ -33,6 +38,10 @@
 type streamsMessage struct {
 	Origins []originRecord `cbor:"1,keyasint"`
 	Streams []streamRecord `cbor:"2,keyasint"`
+	// Renewals are those of the streams, and absent if no stream was renewed.
+	Renewals []uint16 `cbor:"3,keyasint,omitempty"`
+	// StoredAt is when the streams were stored, in Unix milliseconds; it is absent from messages to other processes.
+	StoredAt int64 `cbor:"4,keyasint,omitempty"`
 }
 
 type originRecord struct {
@@ -71,11 +80,15 @@
 func encodeStreams(now time.Time, list []resumer.Stream) (messages []streamsMessage) {
 	var m streamsMessage
 	indexes := map[resumer.Origin]int{}
+	var renewals []uint16
 	flush := func() {
+		if slices.ContainsFunc(renewals, func(n uint16) bool { return n > 0 }) {
+			m.Renewals = renewals
+		}
 		if len(m.Streams) > 0 {
 			messages = append(messages, m)
 		}
-		m = streamsMessage{}
+		m, renewals = streamsMessage{}, nil
 		clear(indexes)
 	}
 	for _, s := range list {
@@ -95,6 +108,7 @@
 		}
 		m.Streams = append(m.Streams, streamRecord{Key: uint64(s.Key), Origin: uint16(i),
 			LeftMillis: uint32(min(left, maxStreamMillis))})
+		renewals = append(renewals, s.Renewal)
 	}
 	flush()
 	return messages
@@ -105,20 +119,27 @@
 		return nil, fmt.Errorf("streams message has %d streams and %d origins, more than %d or %d", len(m.Streams),
 			len(m.Origins), maxStreamRecords, maxStreamOrigins)
 	}
+	if n := len(m.Renewals); n > 0 && n != len(m.Streams) {
+		return nil, fmt.Errorf("streams message has %d streams and %d renewals", len(m.Streams), n)
+	}
 	for _, o := range m.Origins {
 		if n := max(len(o.Service), len(o.Version)); n > maxOriginNameBytes {
 			return nil, fmt.Errorf("origin of a stream has a name of %d bytes", n)
 		}
 	}
 	list := make([]resumer.Stream, 0, len(m.Streams))
-	for _, r := range m.Streams {
+	for i, r := range m.Streams {
 		if int(r.Origin) >= len(m.Origins) {
 			return nil, fmt.Errorf("stream names origin %d of %d", r.Origin, len(m.Origins))
 		}
 		o := m.Origins[r.Origin]
 		left := time.Duration(min(int64(r.LeftMillis), maxStreamMillis)) * time.Millisecond
-		list = append(list, resumer.Stream{Key: resumer.Key(r.Key),
-			Origin: resumer.Origin{Service: o.Service, Version: o.Version}, Until: now.Add(left)})
+		s := resumer.Stream{Key: resumer.Key(r.Key), Origin: resumer.Origin{Service: o.Service, Version: o.Version},
+			Until: now.Add(left)}
+		if len(m.Renewals) > 0 {
+			s.Renewal = m.Renewals[i]
+		}
+		list = append(list, s)
 	}
 	return list, nil
 }
@@ -126,6 +147,7 @@
 // MarshalStreams encodes streams for storage.
 func MarshalStreams(now time.Time, list []resumer.Stream) (parts [][]byte, err error) {
 	for _, m := range encodeStreams(now, list) {
+		m.StoredAt = now.UnixMilli()
 		data, err := cbor.Marshal(m)
 		if err != nil {
 			return nil, err
@@ -135,11 +157,20 @@
 	return parts, nil
 }
 
-// UnmarshalStreams decodes one result of MarshalStreams. The streams expire as late as if they had been encoded now.
+// UnmarshalStreams decodes one result of MarshalStreams. The streams expire up to storedClockSlack late, or as late as
+// if they had been encoded now if it is not known when they were.
 func UnmarshalStreams(now time.Time, data []byte) ([]resumer.Stream, error) {
 	var m streamsMessage
 	if err := cbor.Unmarshal(data, &m); err != nil {
 		return nil, err
 	}
-	return decodeStreams(now, &m)
+	list, err := decodeStreams(now, &m)
+	if m.StoredAt == 0 {
+		return list, err
+	}
+	elapsed := max(0, now.Sub(time.UnixMilli(m.StoredAt))-storedClockSlack)
+	for i := range list {
+		list[i].Until = list[i].Until.Add(-elapsed)
+	}
+	return list, err
 }
--- a/adapters/exchanger/streams_test.go
+++ b/adapters/exchanger/streams_test.go
@@ -23,7 +23,7 @@
 	for i := range 3 * maxStreamRecords {
 		o := resumer.Origin{Service: "llm", Version: "v" + string(rune('a'+i%26)) + string(rune('a'+i/26%26))}
 		sent = append(sent, resumer.Stream{Key: resumer.Key(i), Origin: o,
-			Until: now.Add(time.Duration(1+i) * time.Millisecond)})
+			Until: now.Add(time.Duration(1+i) * time.Second), Renewal: uint16(i % 3 / 2)})
 	}
 	got := make([]resumer.Stream, 0, len(sent))
 	for _, m := range encodeStreams(now, sent) {
@@ -62,6 +62,8 @@
 		{"too many streams", streamsMessage{Origins: make([]originRecord, 1),
 			Streams: make([]streamRecord, maxStreamRecords+1)}},
 		{"too many origins", streamsMessage{Origins: make([]originRecord, maxStreamOrigins+1)}},
+		{"renewals of other streams", streamsMessage{Origins: make([]originRecord, 1), Streams: make([]streamRecord, 2),
+			Renewals: make([]uint16, 1)}},
 		{"long name", streamsMessage{Origins: []originRecord{{Version: long}}}},
 	} {
 		_, err := decodeStreams(time.Now(), &c.m)
--- a/core/resumer/resumer_test.go
+++ b/core/resumer/resumer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -30,6 +31,7 @@
 // Guards against an origin that is returned although the record has expired or two streams have the key.
 func TestOrigin(t *testing.T) {
 	until := start.Add(5 * time.Second)
+	stream := func(o Origin, until time.Time) Stream { return Stream{Key: 1, Origin: o, Until: until} }
 	for _, c := range []struct {
 		name    string
 		streams []Stream
@@ -38,13 +40,17 @@
 		known   bool
 	}{
 		{"never seen", nil, start, Origin{}, false},
-		{"known", []Stream{{1, v1, until}}, start, v1, true},
-		{"recorded twice", []Stream{{1, v1, until}, {1, v1, until}}, start, v1, true},
-		{"two origins", []Stream{{1, v1, until}, {1, v2, until}}, start, Origin{}, false},
-		{"two origins, the first again", []Stream{{1, v1, until}, {1, v2, until}, {1, v1, until}}, start, Origin{}, false},
-		{"another key", []Stream{{2, v1, until}}, start, Origin{}, false},
-		{"expired", []Stream{{1, v1, until}}, until, Origin{}, false},
-		{"expired before it was recorded", []Stream{{1, v1, start}}, start, Origin{}, false},
+		{"known", []Stream{stream(v1, until)}, start, v1, true},
+		{"recorded twice", []Stream{stream(v1, until), stream(v1, until)}, start, v1, true},
+		{"two origins", []Stream{stream(v1, until), stream(v2, until)}, start, Origin{}, false},
+		{"two origins, the first again", []Stream{stream(v1, until), stream(v2, until), stream(v1, until)}, start,
+			Origin{}, false},
+		{"another key", []Stream{{Key: 2, Origin: v1, Until: until}}, start, Origin{}, false},
+		{"taken up with a later expiry", []Stream{stream(v1, until), stream(v1, until.Add(time.Second))}, until, v1, true},
+		{"recorded again with an earlier expiry", []Stream{stream(v1, until.Add(time.Second)), stream(v1, until)}, until,
+			v1, true},
+		{"expired", []Stream{stream(v1, until)}, until, Origin{}, false},
+		{"expired before it was recorded", []Stream{stream(v1, start)}, start, Origin{}, false},
 	} {
 		table := New(start, 10)
 		for _, s := range c.streams {
@@ -56,32 +62,53 @@
 	}
 }
 
-// Guards against a table that grows with streams that have expired, or above its bound.
+// Guards against a table that grows with streams that have expired, or above its bound, and against one that is full of
+// streams whose callers may come back for long, so that none of the streams that still go on is known.
 func TestTableIsBounded(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const maxStreams = 20
 		table := New(start, maxStreams)
 		now := start
-		want := map[Key]time.Time{}
+		want := map[Key]Stream{}
+		var recent []Key // recorded or renewed, the last one at the end
 		for range rapid.IntRange(1, 80).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * time.Millisecond)
 			s := Stream{Key: Key(rapid.IntRange(1, 40).Draw(t, "key")), Origin: v1,
-				Until: now.Add(time.Duration(rapid.IntRange(1, 6000).Draw(t, "left")) * time.Millisecond)}
-			if table.Record(now, s) {
-				want[s.Key] = s.Until
+				Renewal: uint16(rapid.IntRange(0, 2).Draw(t, "renewal")),
+				Until:   now.Add(time.Duration(rapid.IntRange(1, 6000).Draw(t, "left")) * time.Millisecond)}
+			known, isKnown := want[s.Key]
+			isKnown = isKnown && known.Until.After(now)
+			isNews := !isKnown || s.Renewal > known.Renewal || s.Until.Sub(known.Until) >= minExtension
+			if changed := table.Record(now, s); changed != isNews {
+				t.Fatalf("%v after %v changed the table: %v", s, known, changed)
 			}
-			if n := table.Len(); n > maxStreams {
+			if isKnown {
+				s.Renewal = max(s.Renewal, known.Renewal)
+				if s.Until.Sub(known.Until) < minExtension {
+					s.Until = known.Until
+				}
+			}
+			want[s.Key] = s
+			if isNews {
+				recent = append(slices.DeleteFunc(recent, func(key Key) bool { return key == s.Key }), s.Key)
+			}
+			recent = slices.DeleteFunc(recent, func(key Key) bool { return !want[key].Until.After(now) })
+			if len(recent) > maxStreams {
+				delete(want, recent[0])
+				recent = recent[1:]
+			}
+			if n := table.Len(); n != len(recent) || n > maxStreams {
 				t.Fatalf("%d records", n)
 			}
-			for key, until := range want {
-				if _, ok := table.Origin(now, key); ok != until.After(now) {
-					t.Fatalf("key %d until %v is known %v at %v", key, until, ok, now)
+			for key := range Key(41) {
+				if _, ok := table.Origin(now, key); ok != want[key].Until.After(now) {
+					t.Fatalf("key %d until %v is known %v at %v", key, want[key].Until, ok, now)
 				}
 			}
 		}
 		table.Expire(now.Add(time.Minute))
-		if table.Len() != 0 || len(table.expiring) != 0 {
-			t.Fatalf("%d records, %d seconds left", table.Len(), len(table.expiring))
+		if table.Len() != 0 || len(table.expiring) != 0 || table.recent.Len() != 0 {
+			t.Fatalf("%d records, %d expiring, %d recent left", table.Len(), len(table.expiring), table.recent.Len())
 		}
 	})
 }
--- a/node/node.go
+++ b/node/node.go
@@ -104,7 +104,7 @@
 	if n.fleet.control != nil {
 		n.fleet.control.openFirst()
 		n.fleet.loadStateCache()
-		n.fleet.streamLog = &streamLog{fs: n.fleet.control.disk(), folder: n.settings.DataFolder}
+		n.fleet.streamLog = &streamLog{fs: n.fleet.control.disk(), folder: n.settings.DataFolder, known: n.fleet.streams.all}
 		n.fleet.loadStreams()
 	}
 	sup := suture.New(n.settings.Place.Name, suture.Spec{
--- a/node/proxy.go
+++ b/node/proxy.go
@@ -191,7 +191,7 @@
 		remaining, retention = min(remaining, callerRemaining), callerRemaining
 	}
 	q.deadline = q.receivedAt.Add(remaining)
-	q.resumableUntil = q.receivedAt.Add(min(retention+resumeGrace, maxStreamRetention))
+	q.resumableUntil = q.receivedAt.Add(retention + resumeGrace)
 	q.priority = v.plan.NormalizedPriority(q.route, q.workspace)
 	q.lastEventID, q.resumes = r.Header.Get(h.LastEventID), r.Header.Get(h.Resumes)
 	q.promptTokens, q.outputTokens = parseTokenCounts(r.Header.Get(h.TokenCounts))
--- a/node/stream_log.go
+++ b/node/stream_log.go
@@ -18,17 +18,19 @@
 )
 
 const (
-	// streamLogFile and oldStreamLogFile hold the origins of streams in a data folder; the latter has those from before
-	// the former was begun.
+	// streamLogFile holds the origins of streams in a data folder, and newStreamLogFile its replacement while it is
+	// written. Earlier versions left streams from before the former was begun in oldStreamLogFile.
 	streamLogFile    = "streams.log"
+	newStreamLogFile = "streams.new"
 	oldStreamLogFile = "streams.old"
 
 	// streamSaveInterval is the time between two synced writes: a power loss costs the origins of the streams that began
 	// within it.
 	streamSaveInterval = 200 * time.Millisecond
 
-	// maxStreamLogBytes is the size at which a new file is begun; each holds more than maxKnownStreams/2 streams.
-	maxStreamLogBytes = 1 << 20
+	// maxStreamLogGrowth is the size of the batches after which the file is replaced by one that begins with the streams
+	// which are still known: those of more than maxKnownStreams/2 streams.
+	maxStreamLogGrowth = 1 << 20
 
 	// streamFrameHeaderBytes is the length and the checksum before each batch.
 	streamFrameHeaderBytes = 8
@@ -36,11 +38,16 @@
 
 // streamLog keeps the origins of streams on disk, as batches with checksums.
 type streamLog struct {
-	fs      storer.FS
-	folder  string
-	file    storer.File // nil until the first batch
-	offset  int64       // of the next batch
-	begunAt time.Time   // of the file
+	fs     storer.FS
+	folder string
+	// known returns the streams that are to be kept, with those of the batch that is being written.
+	known func() []resumer.Stream
+
+	file      storer.File // nil until the first batch
+	offset    int64       // of the next batch
+	replaceAt int64       // offset at which the file is replaced; 0 until the first batch
+	hasOld    bool        // there is an oldStreamLogFile
+	isRenamed bool        // the file has its name only once the folder is synced
 }
 
 func (l *streamLog) path(name string) string { return filepath.Join(l.folder, name) }
@@ -57,6 +64,8 @@
 		list = append(list, streams...)
 		if name == streamLogFile {
 			l.offset = valid
+		} else {
+			l.hasOld = true
 		}
 	}
 	return list, err
@@ -92,53 +101,93 @@
 			err = fmt.Errorf("write %s: %w", l.path(streamLogFile), err)
 		}
 	}()
-	parts, err := exchanger.MarshalStreams(now, list)
+	if err := l.open(); err != nil {
+		return err
+	}
+	if err := l.completeReplacement(); err != nil {
+		return err
+	}
+	if l.offset >= l.replaceAt || l.hasOld {
+		if err := l.replace(now); err == nil {
+			return l.completeReplacement() // the batch is among the known streams
+		}
+		l.replaceAt = l.offset + maxStreamLogGrowth
+	}
+	size, err := writeStreams(l.file, l.offset, now, list)
+	l.offset += size
+	return err
+}
+
+// open opens the file if it is not open.
+func (l *streamLog) open() (err error) {
+	if l.file != nil {
+		return nil
+	}
+	file, err := l.fs.OpenFile(l.path(streamLogFile), os.O_CREATE|os.O_WRONLY)
 	if err != nil {
 		return err
 	}
-	var data []byte
-	for _, p := range parts {
-		data = binary.BigEndian.AppendUint32(data, uint32(len(p)))
-		data = binary.BigEndian.AppendUint32(data, crc32.ChecksumIEEE(p))
-		data = append(data, p...)
+	if err := l.fs.SyncDir(l.folder); err != nil {
+		return errors.Join(err, file.Close())
 	}
-	if err := l.open(now); err != nil {
+	l.file, l.replaceAt = file, l.offset+maxStreamLogGrowth
+	return nil
+}
+
+// replace replaces the file by one with the streams that are still known. After a power loss, one of the two is whole.
+func (l *streamLog) replace(now time.Time) (err error) {
+	file, err := l.fs.OpenFile(l.path(newStreamLogFile), os.O_CREATE|os.O_WRONLY|os.O_TRUNC)
+	if err != nil {
 		return err
 	}
-	_, err = l.file.WriteAt(data, l.offset)
+	size, err := writeStreams(file, 0, now, l.known())
 	if err == nil {
-		err = l.file.Sync()
+		err = l.fs.Rename(l.path(newStreamLogFile), l.path(streamLogFile))
 	}
 	if err != nil {
-		return err
+		return errors.Join(err, file.Close())
 	}
-	l.offset += int64(len(data))
+	_ = l.file.Close() // it has no name any more
+	l.file, l.offset, l.replaceAt, l.isRenamed = file, size, size+maxStreamLogGrowth, true
 	return nil
 }
 
-// open opens the file, and begins a new one if it is large or old enough that the one before it is not needed.
-func (l *streamLog) open(now time.Time) error {
-	isDue := l.file != nil && (l.offset >= maxStreamLogBytes || now.Sub(l.begunAt) >= maxStreamRetention)
-	if l.file != nil && !isDue {
+// completeReplacement makes the name of a file durable that has replaced another one, and removes the second one of
+// earlier versions.
+func (l *streamLog) completeReplacement() (err error) {
+	if !l.isRenamed {
 		return nil
 	}
-	if isDue {
-		err := errors.Join(l.file.Close(), l.fs.Rename(l.path(streamLogFile), l.path(oldStreamLogFile)))
-		l.file = nil
-		if err != nil {
-			return err
-		}
-		l.offset = 0
+	if err := l.fs.SyncDir(l.folder); err != nil {
+		return err
 	}
-	file, err := l.fs.OpenFile(l.path(streamLogFile), os.O_CREATE|os.O_WRONLY)
+	if l.hasOld {
+		err = l.fs.Remove(l.path(oldStreamLogFile))
+		l.hasOld = err != nil
+	}
+	l.isRenamed = l.hasOld
+	return err
+}
+
+// writeStreams writes one batch at an offset of a file and syncs it. It returns the size of the batch, 0 on failure.
+func writeStreams(file storer.File, offset int64, now time.Time, list []resumer.Stream) (size int64, err error) {
+	parts, err := exchanger.MarshalStreams(now, list)
 	if err != nil {
-		return err
+		return 0, err
 	}
-	if err := l.fs.SyncDir(l.folder); err != nil {
-		return errors.Join(err, file.Close())
+	var data []byte
+	for _, p := range parts {
+		data = binary.BigEndian.AppendUint32(data, uint32(len(p)))
+		data = binary.BigEndian.AppendUint32(data, crc32.ChecksumIEEE(p))
+		data = append(data, p...)
 	}
-	l.file, l.begunAt = file, now
-	return nil
+	if _, err = file.WriteAt(data, offset); err == nil {
+		err = file.Sync()
+	}
+	if err != nil {
+		return 0, err
+	}
+	return int64(len(data)), nil
 }
 
 // loadStreams loads the origins of streams that an earlier process of this instance saved.
--- a/node/stream_log_test.go
+++ b/node/stream_log_test.go
@@ -61,28 +61,79 @@
 	}
 }
 
-// Guards against files that grow without bound, and against origins that are lost when a new file is begun.
-func TestStreamLogBeginsNewFiles(t *testing.T) {
+// Guards against files that grow without bound, and against origins that are lost with a file that is replaced although
+// the streams go on, or that were in the second file of earlier versions.
+func TestStreamLogKeepsStreamsThatGoOn(t *testing.T) {
+	const batch, long = 1000, 100 // streams; each long-th one lasts for an hour, the others for ten seconds
 	now := time.Unix(1000, 0)
 	folder := t.TempDir()
-	log := &streamLog{fs: storer.DiskFS{}, folder: folder}
-	for i := range 40 {
+	table := resumer.New(now, maxKnownStreams)
+	newLog := func() *streamLog {
+		return &streamLog{fs: storer.DiskFS{}, folder: folder, known: func() []resumer.Stream { return table.All(now) }}
+	}
+	log := newLog()
+	for i := range 400 {
 		now = now.Add(4 * time.Second)
-		assert.NilError(t, log.append(now, testStreams(now, 1000*i, 1000*i+1000)))
+		list := testStreams(now, batch*i, batch*i+batch)
+		for j := 0; j < batch; j += long {
+			list[j].Until = now.Add(time.Hour)
+		}
+		for _, s := range list {
+			table.Record(now, s)
+		}
+		assert.NilError(t, log.append(now, list))
+		info, err := os.Stat(filepath.Join(folder, streamLogFile))
+		assert.NilError(t, err)
+		assert.Assert(t, info.Size() < 2*maxStreamLogGrowth, "%d bytes", info.Size())
+		switch i {
+		case 100: // the state after an upgrade
+			assert.NilError(t, os.Rename(filepath.Join(folder, streamLogFile), filepath.Join(folder, oldStreamLogFile)))
+			log = newLog()
+			_, err := log.load(now)
+			assert.NilError(t, err)
+		case 200:
+			log = newLog()
+			_, err := log.load(now)
+			assert.NilError(t, err)
+		}
 	}
-	known := map[resumer.Key]bool{}
-	list, err := (&streamLog{fs: storer.DiskFS{}, folder: folder}).load(now)
+	loaded := resumer.New(now, maxKnownStreams)
+	list, err := newLog().load(now)
 	assert.NilError(t, err)
 	for _, s := range list {
-		known[s.Key] = true
+		loaded.Record(now, s)
 	}
-	for key := resumer.Key(40*1000 - 1000*int(maxStreamRetention/(4*time.Second))); key < 40*1000; key++ {
-		assert.Assert(t, known[key], "stream %d", key)
+	for _, s := range table.All(now) {
+		_, known := loaded.Origin(now, s.Key)
+		assert.Assert(t, known, "stream %d", s.Key)
 	}
-	for _, name := range []string{streamLogFile, oldStreamLogFile} {
-		info, err := os.Stat(filepath.Join(folder, name))
-		assert.NilError(t, err)
-		assert.Assert(t, info.Size() < 2*maxStreamLogBytes, "%s has %d bytes", name, info.Size())
+	assert.Assert(t, table.Len() > 400*batch/long, "%d streams", table.Len())
+	entries, err := os.ReadDir(folder)
+	assert.NilError(t, err)
+	assert.Equal(t, len(entries), 1)
+}
+
+// Guards against origins that are lost because a step of the replacement of the file fails.
+func TestStreamLogReplacementThatFails(t *testing.T) {
+	now := time.Unix(1000, 0)
+	before, after := testStreams(now, 0, 10), testStreams(now, 0, 20)
+	for step := range 6 {
+		disk := &failingSteps{folder: t.TempDir(), left: step}
+		log := &streamLog{fs: disk, folder: disk.folder, known: func() []resumer.Stream { return after }}
+		disk.isActive = false
+		assert.NilError(t, log.append(now, before))
+		disk.isActive = true
+		log.replaceAt = 0
+		err := log.append(now, after[10:])
+		list, loadErr := (&streamLog{fs: storer.DiskFS{}, folder: disk.folder}).load(now)
+		assert.NilError(t, loadErr)
+		isKept := len(list) == len(after) || err != nil && len(list) == len(before)
+		assert.Assert(t, isKept, "step %d: %d streams, %v", step, len(list), err)
+		disk.isActive = false
+		assert.NilError(t, log.append(now, testStreams(now, 20, 30)))
+		list, loadErr = (&streamLog{fs: storer.DiskFS{}, folder: disk.folder}).load(now)
+		assert.NilError(t, loadErr)
+		assert.Assert(t, len(list) >= 20, "step %d: %d streams", step, len(list))
 	}
 }
 
@@ -90,11 +141,11 @@
 func TestStreamLogOnAFullDisk(t *testing.T) {
 	now := time.Unix(1000, 0)
 	full := &atomic.Bool{}
-	log := &streamLog{fs: faultyDisk{full: full}, folder: t.TempDir()}
+	log := &streamLog{fs: faultyDisk{full: full}, folder: t.TempDir(), known: func() []resumer.Stream { return nil }}
 	assert.NilError(t, log.append(now, testStreams(now, 0, 10)))
 	full.Store(true)
 	assert.Assert(t, errors.Is(log.append(now, testStreams(now, 10, 20)), errNoSpace))
-	now = now.Add(2 * maxStreamRetention)
+	log.replaceAt = 0
 	assert.Assert(t, errors.Is(log.append(now, testStreams(now, 20, 30)), errNoSpace))
 	full.Store(false)
 	assert.NilError(t, log.append(now, testStreams(now, 30, 40)))
@@ -128,3 +179,62 @@
 		assert.Equal(t, len(s.queries), 0, c.name)
 	}
 }
+
+// failingSteps is a disk on which the step after a number of them fails, once it is active.
+type failingSteps struct {
+	storer.DiskFS
+	folder   string
+	isActive bool
+	left     int // steps before the one that fails
+}
+
+func (d *failingSteps) step() error {
+	if !d.isActive {
+		return nil
+	}
+	if d.left--; d.left == -1 {
+		return errNoSpace
+	}
+	return nil
+}
+
+func (d *failingSteps) OpenFile(name string, flag int) (storer.File, error) {
+	if err := d.step(); err != nil {
+		return nil, err
+	}
+	file, err := d.DiskFS.OpenFile(name, flag)
+	return failingStepsFile{file, d}, err
+}
+
+func (d *failingSteps) Rename(from, to string) error {
+	if err := d.step(); err != nil {
+		return err
+	}
+	return d.DiskFS.Rename(from, to)
+}
+
+func (d *failingSteps) SyncDir(name string) error {
+	if err := d.step(); err != nil {
+		return err
+	}
+	return d.DiskFS.SyncDir(name)
+}
+
+type failingStepsFile struct {
+	storer.File
+	disk *failingSteps
+}
+
+func (f failingStepsFile) WriteAt(p []byte, at int64) (int, error) {
+	if err := f.disk.step(); err != nil {
+		return 0, err
+	}
+	return f.File.WriteAt(p, at)
+}
+
+func (f failingStepsFile) Sync() error {
+	if err := f.disk.step(); err != nil {
+		return err
+	}
+	return f.File.Sync()
+}
--- a/node/stream_origin.go
+++ b/node/stream_origin.go
@@ -23,13 +23,18 @@
 	return resumer.NewKey(workspace, q.inbound.Host, path, requestID)
 }
 
-// recordOrigin records where the stream of a request began. Without a version, the endpoints of the service are not
-// told apart.
-func (p *proxy) recordOrigin(q *request, o resumer.Origin) {
+// recordOrigin records where the stream of a request began; renewal is the number of reports that the stream goes on.
+// Without a version, the endpoints of the service are not told apart. The record of a stream that the request takes up
+// expires as late, because the caller names the same request when it takes the stream up again.
+func (p *proxy) recordOrigin(q *request, o resumer.Origin, renewal uint16) {
 	if o.Version == "" || q.id == "" {
 		return
 	}
-	p.fleet.streams.record([]resumer.Stream{{Key: streamKey(q, q.id), Origin: o, Until: q.resumableUntil}})
+	list := []resumer.Stream{{Key: streamKey(q, q.id), Origin: o, Until: q.resumableUntil, Renewal: renewal}}
+	if q.originSource != "" {
+		list = append(list, resumer.Stream{Key: streamKey(q, q.resumes), Origin: o, Until: q.resumableUntil})
+	}
+	p.fleet.streams.record(list)
 }
 
 // bindToOrigin restricts a request that resumes a stream to the service and the software version that began it, and
--- a/node/streams.go
+++ b/node/streams.go
@@ -13,15 +13,16 @@
 )
 
 const (
-	// maxKnownStreams bounds the streams whose origin a node keeps: 2,000 a second that callers may resume for half a
-	// minute.
+	// maxKnownStreams bounds the streams whose origin a node keeps: 2,000 a second for half a minute, after which those
+	// that go on are renewed.
 	maxKnownStreams = 65_536
 
 	// resumeGrace is how long after the caller's deadline the origin of a stream is kept.
 	resumeGrace = 2 * time.Second
 
-	// maxStreamRetention bounds how long the origin of a stream is kept.
-	maxStreamRetention = time.Minute
+	// streamRenewInterval is how often the node that forwards a stream reports that it goes on. Tables that are full drop
+	// the streams that were reported longest ago.
+	streamRenewInterval = 30 * time.Second
 
 	// streamPublishDelay collects the streams of a control instance and its routers into one message.
 	streamPublishDelay = 10 * time.Millisecond
--- a/node/transfer.go
+++ b/node/transfer.go
@@ -60,10 +60,11 @@
 	sentStatus   int        // its status
 	callerConn   lingerConn // set if the response ends with the caller's connection
 	splitter     eventSplitter
-	eventsBefore uint64 // events of earlier attempts
-	hasBegun     bool   // the caller has an event of the stream
-	version      string // software version of the endpoint that sent it
-	isRecorded   bool   // the origin of the stream is recorded under the ID of this request
+	eventsBefore uint64    // events of earlier attempts
+	hasBegun     bool      // the caller has an event of the stream
+	version      string    // software version of the endpoint that sent it
+	renewals     uint16    // reports to the control instances that the stream goes on
+	renewAt      time.Time // of the next report; zero until the origin of the stream is recorded
 	// isVersionUnknown is set if the endpoint that sent it may have restarted in another version since its heartbeat.
 	isVersionUnknown bool
 	answered         bool               // recorded as evidence that its prompt is sound
@@ -691,21 +692,26 @@
 	}
 }
 
-// recordOrigin records, before the first event of a stream reaches the caller, where the stream began. Where that is
-// not known for certain, the stream can't go on elsewhere.
+// recordOrigin records, before the first event of a stream reaches the caller, where the stream began, and later that
+// it goes on. Where that is not known for certain, the stream can't go on elsewhere.
 func (t *transfer) recordOrigin(ctx context.Context, c chooser.Choice) {
-	if !t.request.route.Resumable || t.isRecorded {
+	now := time.Now()
+	if !t.request.route.Resumable || now.Before(t.renewAt) {
 		return
 	}
+	isRenewal := !t.renewAt.IsZero()
+	t.renewAt = now.Add(streamRenewInterval)
+	if isRenewal {
+		t.renewals++
+	}
 	if !t.hasBegun {
 		t.hasBegun, t.version = true, c.Endpoint.Version
 		t.isVersionUnknown = t.version != "" && !t.proxy.isVersionKnown(ctx, c.Endpoint)
 	}
-	t.isRecorded = true
 	if t.isVersionUnknown {
 		return
 	}
-	t.proxy.recordOrigin(t.request, resumer.Origin{Service: t.request.service.Name, Version: t.version})
+	t.proxy.recordOrigin(t.request, resumer.Origin{Service: t.request.service.Name, Version: t.version}, t.renewals)
 }
 
 // errUnknownEnd means that a stream that was begun with chunks was continued without framing: the last chunk would tell
