Report all streams of a router when too many wait

A stream that began at a router while more than 4,096 others waited for their report was never reported, nor were those: the list was dropped for the next subscription, which starts with all streams, although the present one goes on. Callers that took such a stream up elsewhere got 503 unknownStream.

Now all known streams are reported in that case, and in the case of a report that failed. TestManyStreamsAtOnceAreReported failed before: 0 of 8,192 streams were reported.

--- a/node/long_stream_test.go
+++ b/node/long_stream_test.go
@@ -81,3 +81,19 @@
 	assert.Equal(t, renewal(), uint16(1))
 	assert.Equal(t, len(p.fleet.streams.takePending()), 2)
 }
+
+// Guards against streams that no control instance knows, because more of them than wait for a report began at a router
+// while a message was on its way.
+func TestManyStreamsAtOnceAreReported(t *testing.T) {
+	now := time.Now()
+	s := newStreams(false, now)
+	s.record(testStreams(now, 0, maxPendingStreams))
+	s.record(testStreams(now, maxPendingStreams, 2*maxPendingStreams))
+	list := s.takePending()
+	assert.Equal(t, len(list), 2*maxPendingStreams)
+	assert.Equal(t, len(s.takePending()), 0)
+
+	s.record(testStreams(now, 2*maxPendingStreams, 2*maxPendingStreams+1))
+	s.requeue(list) // the connection failed, and another subscription has begun
+	assert.Equal(t, len(s.takePending()), 2*maxPendingStreams+1)
+}
--- a/node/streams.go
+++ b/node/streams.go
@@ -31,7 +31,7 @@
 	// has just failed return within milliseconds, and its last streams may be on their way.
 	streamSettleTime = 50 * time.Millisecond
 
-	// maxPendingStreams bounds the streams that wait for a subscription, which starts with all streams.
+	// maxPendingStreams bounds the streams of a router that wait to be reported; of more, all known streams are reported.
 	maxPendingStreams = 4096
 
 	// streamQueryTimeout bounds one query of a control instance, which answers from memory.
@@ -79,6 +79,7 @@
 	mu        sync.Mutex
 	table     *resumer.Table
 	pending   []resumer.Stream         // to be reported to the control instance, or published by it
+	reportAll bool                     // more than maxPendingStreams of a router are to be reported
 	unsaved   []resumer.Stream         // of a control instance, to be written to disk
 	querier   streamQuerier            // nil without a subscription
 	peers     map[string]streamQuerier // other control instances, of a control instance
@@ -124,15 +125,20 @@
 			s.unsaved = append(s.unsaved, stream)
 		}
 	}
-	if len(s.pending) > maxPendingStreams && !s.isControl {
-		s.pending = nil // the next subscription starts with all streams
-	}
+	s.boundPending()
 	if len(s.unsaved) > 0 {
 		notify(s.unsavedSet)
 	}
 	return added
 }
 
+// boundPending replaces too many pending streams of a router by a report of all streams; the caller holds mu.
+func (s *streams) boundPending() {
+	if len(s.pending) > maxPendingStreams && !s.isControl {
+		s.pending, s.reportAll = nil, true
+	}
+}
+
 // all returns all known streams.
 func (s *streams) all() []resumer.Stream {
 	s.mu.Lock()
@@ -158,7 +164,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	list := s.pending
-	s.pending = nil
+	if s.reportAll {
+		list = s.table.All(time.Now())
+	}
+	s.pending, s.reportAll = nil, false
 	return list
 }
 
@@ -189,7 +198,7 @@
 // connection fails. It begins with all streams, because the control instance may be another one.
 func (s *streams) report(ctx context.Context, sub *exchanger.Subscription) {
 	s.mu.Lock()
-	s.pending, s.querier = nil, sub
+	s.pending, s.reportAll, s.querier = nil, false, sub
 	list := s.table.All(time.Now())
 	s.mu.Unlock()
 	defer s.removeQuerier(sub)
@@ -213,6 +222,7 @@
 func (s *streams) requeue(list []resumer.Stream) {
 	s.mu.Lock()
 	s.pending = append(list, s.pending...)
+	s.boundPending()
 	s.mu.Unlock()
 	notify(s.unreported)
 }
